--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,339 @@
+"""Starts, stops and asks the processes of a fleet on loopback.
+
+Every process that is started here is ended here, by its own process id.
+"""
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+BUILD = Path(os.environ.get("BORAGETRACK_BUILD", Path(__file__).parent.parent / "build"))
+TOKEN = "operators-token"
+
+
+class PortPool:
+    """Hands out ports below the range that the system gives to clients."""
+
+    def __init__(self, first=11000):
+        self._next = first
+
+    def take(self):
+        """Returns a port on which nobody listens."""
+        while True:
+            port = self._next
+            self._next += 1
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+
+
+def http(method, port, path, body=None, token=None, timeout=5.0):
+    """Returns (status, text) of one request; status 0 when nobody answers."""
+    data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", data, method=method)
+    if token:
+        request.add_header("Authorization", f"Bearer {token}")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+    except (OSError, ValueError):
+        return 0, ""
+
+
+def counters_from(text):
+    """Returns the counters of a metrics page."""
+    return {name: int(value) for name, value in (line.split() for line in text.splitlines())}
+
+
+class Process:
+    """One child process with its log."""
+
+    def __init__(self, arguments, log):
+        self.arguments = [str(argument) for argument in arguments]
+        self.log = log
+        self._child = None
+        self.start()
+
+    def start(self):
+        """Starts the process, again after a stop."""
+        with open(self.log, "ab") as log:
+            self._child = subprocess.Popen(
+                self.arguments, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    @property
+    def pid(self):
+        return self._child.pid
+
+    def is_running(self):
+        return self._child.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self._child.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self._child.wait()
+
+    def terminate(self):
+        self.signal(signal.SIGTERM)
+
+    def wait(self, timeout=30.0):
+        try:
+            return self._child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+
+class Upstream:
+    """An upstream stand-in."""
+
+    def __init__(self, fleet, node, service, version, options):
+        self.port = fleet.ports.take()
+        self.service = service
+        self.version = version
+        self.journal = fleet.folder / f"journal-{self.port}.txt"
+        arguments = [BUILD / "standin-upstream", "--port", self.port, "--service", service]
+        arguments += ["--version", version, "--journal", self.journal]
+        arguments += ["--node-port", node.operators]
+        for name, value in options.items():
+            arguments += [f"--{name}", value]
+        self.process = Process(arguments, fleet.folder / f"upstream-{self.port}.log")
+
+    def runs(self):
+        """Returns the recorded runs as (ms, method, id, is bad, is overrun)."""
+        if not self.journal.exists():
+            return []
+        records = []
+        for line in self.journal.read_text().splitlines():
+            parts = line.split(" ")
+            if len(parts) == 5:
+                records.append(
+                    (int(parts[0]), parts[1], parts[2], parts[3] == "1", parts[4] == "1")
+                )
+        return records
+
+
+class Node:
+    """A boragetrackd, and the upstream stand-in beside it if any."""
+
+    def __init__(self, fleet, name, data_centre, experiment=None):
+        self.fleet = fleet
+        self.name = name
+        self.data_centre = data_centre
+        self.callers = fleet.ports.take()
+        self.peers = fleet.ports.take()
+        self.operators = fleet.ports.take()
+        self.upstream = None
+        self.process = None
+        self._experiment = experiment or {}
+
+    def start(self):
+        """Starts the node, again after a stop."""
+        if self.process is not None:
+            self.process.start()
+            return
+        address = lambda port: {"host": "127.0.0.1", "port": port}
+        settings = {
+            "node": self.name,
+            "dataCentre": self.data_centre,
+            "callers": address(self.callers),
+            "peers": address(self.peers),
+            "operators": address(self.operators),
+            "operatorToken": TOKEN,
+            "platform": address(self.fleet.platform_port),
+            "seeds": [address(node.peers) for node in self.fleet.seeds()],
+            "experiment": self._experiment,
+        }
+        path = self.fleet.folder / f"{self.name}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        log = self.fleet.folder / f"{self.name}.log"
+        self.process = Process([BUILD / "boragetrackd", "--settings", path], log)
+
+    def add_upstream(self, service, version, **options):
+        """Starts an upstream stand-in beside this node."""
+        options = {name.replace("_", "-"): value for name, value in options.items()}
+        self.upstream = Upstream(self.fleet, self, service, version, options)
+        return self.upstream
+
+    def status(self):
+        """Returns the node's status, or None."""
+        code, text = http("GET", self.operators, "/v1/status", token=TOKEN, timeout=2.0)
+        return json.loads(text) if code == 200 else None
+
+    def metrics(self):
+        """Returns the node's counters."""
+        code, text = http("GET", self.operators, "/metrics", timeout=2.0)
+        return counters_from(text) if code == 200 else {}
+
+    def processor_seconds(self):
+        """Returns the processor time that the node has used."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_mb(self):
+        """Returns the node's resident memory."""
+        text = Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmRSS:\s+(\d+)", text).group(1)) / 1024
+
+
+class Fleet:
+    """A platform stand-in, nodes and upstreams."""
+
+    SEEDS_PER_DATA_CENTRE = 2
+
+    def __init__(self, first_port=11000):
+        self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-"))
+        self.ports = PortPool(first_port)
+        self.nodes = []
+        self.extra = []
+        self.platform_port = self.ports.take()
+        self.platform = Process(
+            [BUILD / "standin-platform", "--port", self.platform_port],
+            self.folder / "platform.log",
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def seeds(self):
+        """Returns the first nodes of each data centre."""
+        counts = {}
+        chosen = []
+        for node in self.nodes:
+            counts[node.data_centre] = counts.get(node.data_centre, 0) + 1
+            if counts[node.data_centre] <= self.SEEDS_PER_DATA_CENTRE:
+                chosen.append(node)
+        return chosen
+
+    def add_node(self, name, data_centre, **experiment):
+        """Adds a node, not started yet."""
+        node = Node(self, name, data_centre, experiment)
+        self.nodes.append(node)
+        return node
+
+    def deploy(self, deployment, upstream_options=None, **experiment):
+        """Adds and starts the nodes and upstreams of a deployment, spread over its data centres."""
+        position = 0
+        for service in deployment.services:
+            for number in range(service.servers):
+                data_centre = deployment.data_centres[position % len(deployment.data_centres)]
+                position += 1
+                self.add_node(f"{service.name}-{number}", data_centre, **experiment)
+        position = 0
+        for node in self.nodes:
+            node.start()
+        for service in deployment.services:
+            for number in range(service.servers):
+                node = self.nodes[position]
+                position += 1
+                node.add_upstream(service.name, service.version, **(upstream_options or {}))
+
+    def write_operator_settings(self):
+        """Writes the command line's settings and returns their path."""
+        path = self.folder / "operators.json"
+        nodes = [{"host": "127.0.0.1", "port": node.operators} for node in self.seeds()]
+        path.write_text(
+            json.dumps(
+                {
+                    "operator": "adaeze",
+                    "operatorToken": TOKEN,
+                    "platform": {"host": "127.0.0.1", "port": self.platform_port},
+                    "nodes": nodes,
+                }
+            )
+        )
+        return path
+
+    def command(self, *words, timeout=60.0):
+        """Runs the command line. Returns its exit code and its JSON."""
+        settings = self.write_operator_settings()
+        result = subprocess.run(
+            [BUILD / "boragetrack", *map(str, words), "--json", "--settings", settings],
+            capture_output=True,
+            text=True,
+            timeout=timeout,
+        )
+        try:
+            return result.returncode, json.loads(result.stdout)
+        except ValueError:
+            return result.returncode, {"text": result.stdout + result.stderr}
+
+    def apply(self, intent, reason="first intent", wait=True):
+        """Stores an intent. Returns the command line's exit code and JSON."""
+        path = self.folder / "intent.json"
+        path.write_text(json.dumps(intent))
+        return self.command("apply", path, "--reason", reason, *(["--wait"] if wait else []))
+
+    def faults(self, **faults):
+        """Sets the platform's faults; without arguments, none."""
+        http("POST", self.platform_port, "/faults", faults)
+
+    def platform_stats(self):
+        """Returns the platform's counters."""
+        return counters_from(http("GET", self.platform_port, "/stats")[1])
+
+    def wait_until(self, condition, timeout=20.0, what="the fleet"):
+        """Waits until a condition holds; raises after the timeout."""
+        limit = time.monotonic() + timeout
+        while time.monotonic() < limit:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f"{what} was not ready within {timeout} s; logs in {self.folder}")
+
+    def wait_for_members(self, count=None, timeout=30.0):
+        """Waits until all running nodes know the given number of members (default: all)."""
+        count = count or len(self.nodes)
+
+        def is_known():
+            reports = [node.status() for node in self.nodes if node.process.is_running()]
+            return all(report and report["members"] >= count for report in reports)
+
+        self.wait_until(is_known, timeout, "membership")
+
+    def wait_for_upstreams(self, timeout=20.0):
+        """Waits until every node knows every serving upstream."""
+        expected = sum(1 for node in self.nodes if node.upstream)
+
+        def is_known():
+            for node in self.nodes:
+                code, text = http("GET", node.operators, "/v1/members", token=TOKEN)
+                members = json.loads(text) if code == 200 else []
+                if sum(1 for member in members if member["upstream"] == "serving") < expected:
+                    return False
+            return True
+
+        self.wait_until(is_known, timeout, "upstreams")
+
+    def in_data_centre(self, name):
+        """Returns the nodes of a data centre."""
+        return [node for node in self.nodes if node.data_centre == name]
+
+    def stop(self):
+        """Ends every process that this fleet started."""
+        processes = [node.process for node in self.nodes if node.process]
+        processes += [node.upstream.process for node in self.nodes if node.upstream]
+        processes += [upstream.process for upstream in self.extra]
+        for process in processes:
+            process.kill()
+        self.platform.kill()
--- /dev/null
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -0,0 +1,349 @@
+/** Implements ControlPlane. */
+#include "control/distribution/ControlPlane.h"
+
+#include "control/membership/WatcherElection.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace boragetrack::control::distribution {
+
+using core::identity::NodeId;
+using core::identity::Revision;
+using core::timing::MonotonicTime;
+using membership::MemberRecord;
+using membership::MemberState;
+
+namespace {
+
+// News in one periodic exchange; the rest waits for the next one.
+constexpr std::size_t newsPerExchange = 6;
+constexpr std::size_t newsPerUrgentExchange = 12;
+constexpr std::size_t evidencePerExchange = 10;
+constexpr std::size_t evidencePeers = 3;
+
+// Every so many exchanges go to a seed, so that the two sides of a healed cut find each other.
+constexpr std::uint64_t seedExchangeInterval = 10;
+constexpr std::chrono::milliseconds memberFetchInterval{3000};
+
+// The budget of urgent exchanges; periodic ones spend some 800 bytes a second besides.
+constexpr double urgentBytesPerSecond = 1000;
+constexpr double urgentBurstBytes = 64'000;
+constexpr double exchangeBytes = 120;
+constexpr double newsBytes = 160;
+
+} // namespace
+
+/** Forwards the ticks of one subscription to a member function. */
+class ControlPlane::Timer : public core::timing::TimerService::Listener
+{
+public:
+    using Handler = void (ControlPlane::*)(MonotonicTime);
+
+    Timer(ControlPlane &owner, Handler handler, std::chrono::milliseconds period)
+        : owner_(owner)
+        , handler_(handler)
+        , subscription_(owner.timers_, *this, period)
+    {}
+
+    void timerElapsed(MonotonicTime now) override { (owner_.*handler_)(now); }
+
+private:
+    ControlPlane &owner_;
+    Handler handler_;
+    core::timing::ScopedTimer subscription_;
+};
+
+ControlPlane::ControlPlane(Parts parts, PeerTransport &transport,
+                           core::timing::TimerService &timers, Listener &listener)
+    : transport_(transport)
+    , timers_(timers)
+    , listener_(listener)
+    , seeds_(std::move(parts.seeds))
+    , wallClock_(std::move(parts.wallClock))
+    , random_(parts.randomSeed)
+    , membership_(parts.self, std::move(parts.neighbours), *this)
+    , spreader_(transport, *this, [this] { return neighbourContacts(); })
+    , moves_(parts.self.id, parts.self.version.generation, std::move(parts.movePolicies), *this)
+    , snapshot_(std::make_shared<intent::IntentSnapshot>())
+    , pacer_(urgentBytesPerSecond, urgentBurstBytes)
+{
+    std::erase(seeds_, parts.self.peerAddress);
+}
+
+ControlPlane::~ControlPlane() = default;
+
+void ControlPlane::start()
+{
+    spreader_.start(timers_.now());
+    for (const auto &seed : seeds_)
+        sendExchangeTo(PeerContact{{}, seed}, newsPerExchange);
+    timerParts_.push_back(
+            std::make_unique<Timer>(*this, &ControlPlane::exchangeTick, exchangePeriod));
+    timerParts_.push_back(
+            std::make_unique<Timer>(*this, &ControlPlane::decisionTick, decisionPeriod));
+}
+
+void ControlPlane::leave()
+{
+    isLeaving_ = true;
+    membership_.leave();
+    sendNewsToNeighbours();
+}
+
+//==============================================================================
+void ControlPlane::storeValueReceived(const std::string &text)
+{
+    spreader_.offerFromStore(text, timers_.now());
+}
+
+void ControlPlane::upstreamAnnounced(const membership::UpstreamRecord &upstream)
+{
+    if (isLeaving_ || membership_.self().upstream == upstream)
+        return;
+    membership_.setUpstream(upstream);
+    hasUrgentNews_ = true;
+}
+
+//==============================================================================
+Exchange ControlPlane::exchangeReceived(const Exchange &request)
+{
+    const MemberRecord *sender = membership_.table().find(request.sender);
+    // A sender that is taken for unreachable learns of it here and refutes it.
+    const bool isDisbelieved = sender != nullptr && sender->state != MemberState::Alive;
+    const MemberRecord belief = isDisbelieved ? *sender : MemberRecord{};
+    const auto contact = contactOf(request.sender);
+    learnFrom(contact.value_or(PeerContact{request.sender, {}}), request);
+    Exchange answer = makeExchange(request.sender, newsPerExchange);
+    if (isDisbelieved)
+        answer.members.push_back(belief);
+    return answer;
+}
+
+void ControlPlane::exchangeAnswered(const PeerContact &peer, const Exchange &answer)
+{
+    const PeerContact contact{answer.sender, peer.address};
+    membership_.memberAnswered(answer.sender);
+    learnFrom(contact, answer);
+    spreader_.learnFloor(std::max(answer.receiverFloor, answer.revision), timers_.now());
+    fetchMembersIfDiffering(contact, answer.memberDigest);
+}
+
+void ControlPlane::exchangeFailed(const PeerContact &peer)
+{
+    if (!peer.id.isEmpty())
+        membership_.memberFailed(peer.id, timers_.now());
+}
+
+Revision ControlPlane::intentReceived(const PeerContact &peer, const IntentTransfer &transfer)
+{
+    PeerContact source = peer;
+    if (source.address.port == 0)
+        source = contactOf(peer.id).value_or(peer);
+    spreader_.offerFromPeer(source, transfer, timers_.now());
+    return spreader_.holder().revision();
+}
+
+void ControlPlane::pushAnswered(Revision peerRevision)
+{
+    spreader_.pushAnswered(peerRevision, timers_.now());
+}
+
+void ControlPlane::membersReceived(const std::vector<MemberRecord> &records)
+{
+    membership_.mergeRecords(records, timers_.now());
+}
+
+//==============================================================================
+bool ControlPlane::isWatcher() const
+{
+    return !isLeaving_ && membership::isWatcher(membership_.self(), membership_.table());
+}
+
+moves::RouteShare ControlPlane::shareOf(const intent::Route &route) const
+{
+    const intent::ServiceIntent *service = snapshot_->service(route.service);
+    assert(service != nullptr);
+    return moves_.shareOf(route.service, route.name, service->version, wallClock_());
+}
+
+std::vector<moves::MoveRecord> ControlPlane::missingMoveRecords() const
+{
+    const auto serves = [this](const auto &service, const auto &version) {
+        const auto &records = membership_.table().records();
+        return std::any_of(records.begin(), records.end(), [&](const auto &entry) {
+            const MemberRecord &record = entry.second;
+            return record.state == MemberState::Alive && record.upstream.service == service
+                   && record.upstream.version == version
+                   && record.upstream.state == membership::UpstreamState::Serving;
+        });
+    };
+    return moves_.missingRecords(wallClock_(), serves);
+}
+
+//==============================================================================
+void ControlPlane::intentInForce()
+{
+    snapshot_ = std::make_shared<intent::IntentSnapshot>(
+            spreader_.served(), spreader_.holder().document(), membership_.self().dataCentre,
+            wallClock_());
+    moves_.update(snapshot_->document(), wallClock_());
+    listener_.intentInForce();
+    listener_.viewChanged();
+}
+
+void ControlPlane::memberChanged(const MemberRecord *previous, const MemberRecord &record)
+{
+    const bool isDeparture = record.state != MemberState::Alive
+                             || record.upstream.state == membership::UpstreamState::Draining;
+    hasUrgentNews_ = hasUrgentNews_ || isDeparture;
+    listener_.memberChanged(previous, record);
+    listener_.viewChanged();
+}
+
+void ControlPlane::moveStopped(const intent::MoveIntent &move, const std::string &evidence)
+{
+    listener_.moveStopped(move, evidence);
+    listener_.viewChanged();
+    sendNewsToNeighbours();
+}
+
+//==============================================================================
+void ControlPlane::exchangeTick(MonotonicTime now)
+{
+    membership_.tick(now);
+    if (const auto peer = nextExchangePeer())
+        sendExchangeTo(*peer, newsPerExchange);
+    for (const NodeId &target : membership_.takeConfirmationTargets()) {
+        if (const auto contact = contactOf(target))
+            sendExchangeTo(*contact, 0);
+    }
+}
+
+void ControlPlane::decisionTick(MonotonicTime now)
+{
+    spreader_.tick(now);
+    if (hasUrgentNews_)
+        sendNewsToNeighbours();
+    if (!moves_.isActive())
+        return;
+    // Shares follow the clock, so traffic needs a new view even without news.
+    moves_.update(snapshot_->document(), wallClock_());
+    sendEvidence();
+    listener_.viewChanged();
+}
+
+void ControlPlane::sendEvidence()
+{
+    std::vector<moves::EvidenceEntry> entries
+            = moves_.takeEvidenceSince(evidenceMark_, evidencePerExchange);
+    if (entries.empty())
+        return;
+    const auto services = moves_.services();
+    std::vector<NodeId> concerned;
+    for (const auto &[id, record] : membership_.table().records()) {
+        const bool isConcerned
+                = std::find(services.begin(), services.end(), record.upstream.service)
+                  != services.end();
+        if (isConcerned && id != membership_.self().id && record.state == MemberState::Alive)
+            concerned.push_back(id);
+    }
+    std::shuffle(concerned.begin(), concerned.end(), random_);
+    concerned.resize(std::min(concerned.size(), evidencePeers));
+    for (const NodeId &id : concerned) {
+        Exchange exchange = makeExchange(id, 0);
+        exchange.evidence = entries;
+        if (pacer_.take(exchangeBytes + newsBytes * static_cast<double>(entries.size()),
+                        timers_.now()))
+            transport_.sendExchange(*contactOf(id), exchange);
+    }
+}
+
+void ControlPlane::sendNewsToNeighbours()
+{
+    const auto contacts = neighbourContacts();
+    const double cost = static_cast<double>(contacts.size())
+                        * (exchangeBytes + newsBytes * newsPerUrgentExchange / 4);
+    // Without budget the news goes by the periodic exchanges.
+    if (!pacer_.take(cost, timers_.now()))
+        return;
+    hasUrgentNews_ = false;
+    for (const PeerContact &contact : contacts)
+        sendExchangeTo(contact, newsPerUrgentExchange);
+}
+
+void ControlPlane::sendExchangeTo(const PeerContact &peer, std::size_t maximumNews)
+{
+    transport_.sendExchange(peer, makeExchange(peer.id, maximumNews));
+}
+
+void ControlPlane::learnFrom(const PeerContact &peer, const Exchange &exchange)
+{
+    const MonotonicTime now = timers_.now();
+    Revision &floor = floors_[exchange.sender];
+    floor = std::max(floor, exchange.revision);
+    membership_.mergeRecords(exchange.members, now);
+    membership_.mergeSuspicions(exchange.suspicions, now);
+    moves_.mergeVerdicts(exchange.verdicts);
+    moves_.mergeEvidence(exchange.evidence);
+    if (peer.address.port != 0)
+        spreader_.compareWith(peer, exchange.revision);
+}
+
+void ControlPlane::fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest)
+{
+    const MonotonicTime now = timers_.now();
+    if (digest == membership_.table().digest())
+        return;
+    const bool isNew = membership_.table().records().size() == 1;
+    if (!isNew && now - lastMemberFetch_ < memberFetchInterval)
+        return;
+    lastMemberFetch_ = now;
+    transport_.fetchMembers(peer, membership_.table().bucketHashes());
+}
+
+Exchange ControlPlane::makeExchange(const NodeId &receiver, std::size_t maximumNews)
+{
+    Exchange exchange;
+    exchange.sender = membership_.self().id;
+    exchange.revision = spreader_.holder().revision();
+    const auto floor = floors_.find(receiver);
+    exchange.receiverFloor = floor == floors_.end() ? Revision{} : floor->second;
+    exchange.memberDigest = membership_.table().digest();
+    membership_.takeNews(maximumNews, exchange.members, exchange.suspicions);
+    exchange.verdicts = moves_.verdicts();
+    return exchange;
+}
+
+std::optional<PeerContact> ControlPlane::contactOf(const NodeId &id) const
+{
+    const MemberRecord *record = membership_.table().find(id);
+    if (record == nullptr)
+        return std::nullopt;
+    return PeerContact{id, record->peerAddress};
+}
+
+std::vector<PeerContact> ControlPlane::neighbourContacts() const
+{
+    std::vector<PeerContact> contacts;
+    for (const NodeId &id : membership_.neighbours()) {
+        if (const auto contact = contactOf(id))
+            contacts.push_back(*contact);
+    }
+    return contacts;
+}
+
+std::optional<PeerContact> ControlPlane::nextExchangePeer()
+{
+    ++exchangeCount_;
+    const auto &neighbours = membership_.neighbours();
+    const bool isSeedTurn = neighbours.empty() || exchangeCount_ % seedExchangeInterval == 0;
+    if (isSeedTurn && !seeds_.empty())
+        return PeerContact{{}, seeds_[random_() % seeds_.size()]};
+    if (neighbours.empty())
+        return std::nullopt;
+    nextNeighbour_ = (nextNeighbour_ + 1) % neighbours.size();
+    return contactOf(neighbours[nextNeighbour_]);
+}
+
+} // namespace boragetrack::control::distribution
--- /dev/null
+++ b/packages/control/distribution/ControlPlane.h
@@ -0,0 +1,196 @@
+/** The control decisions of one node, joined. */
+#pragma once
+
+#include "control/distribution/BytePacer.h"
+#include "control/distribution/IntentSpreader.h"
+#include "control/distribution/PeerTransport.h"
+#include "control/intent/IntentSnapshot.h"
+#include "control/membership/MembershipEngine.h"
+#include "control/moves/MoveCoordinator.h"
+#include "core/timing/ScopedTimer.h"
+
+#include <memory>
+#include <random>
+
+namespace boragetrack::control::distribution {
+
+/**
+    Joins membership, the spread of the intent and moves, and drives them by timers and messages.
+
+    All calls come on one thread, the control thread. The object performs no input or output: it
+    speaks to peers through PeerTransport and to its owner through Listener.
+*/
+class ControlPlane : private IntentSpreader::Listener,
+                     private membership::MembershipEngine::Listener,
+                     private moves::MoveCoordinator::Listener
+{
+public:
+    /** Receives what the control plane decides. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles that intent, members or shares changed in a way that concerns traffic. */
+        virtual void viewChanged() = 0;
+
+        /** Handles that a newer intent is in force on this node. */
+        virtual void intentInForce() = 0;
+
+        /** Handles that an intent was refused; the former one stays in force. */
+        virtual void intentRefused() = 0;
+
+        /** Handles a changed member; previous is null for a new one. */
+        virtual void memberChanged(const membership::MemberRecord *previous,
+                                   const membership::MemberRecord &record)
+                = 0;
+
+        /** Handles that a data centre fell silent as a whole. */
+        virtual void dataCentreSilent(const core::identity::DataCentreId &dataCentre) = 0;
+
+        /** Handles that a version was found bad and gets no further call. */
+        virtual void moveStopped(const intent::MoveIntent &move, const std::string &evidence) = 0;
+    };
+
+    /** Returns the calendar time, for the plans of moves. */
+    using WallClock = std::function<core::timing::WallTime()>;
+
+    /** What a control plane is made of. */
+    struct Parts
+    {
+        membership::MemberRecord self;
+        std::vector<core::identity::NetworkAddress> seeds;
+        std::unique_ptr<membership::NeighbourPolicy> neighbours;
+        std::unique_ptr<moves::MovePolicies> movePolicies;
+        WallClock wallClock;
+        std::uint64_t randomSeed = 0;
+    };
+
+    /** The period of exchanges with one peer each. */
+    static constexpr std::chrono::milliseconds exchangePeriod{1000};
+    /** The period of decisions that depend on time alone. */
+    static constexpr std::chrono::milliseconds decisionPeriod{200};
+
+    ControlPlane(Parts parts, PeerTransport &transport, core::timing::TimerService &timers,
+                 Listener &listener);
+    ~ControlPlane() override;
+
+    /** Contacts the seeds and begins the periodic work. */
+    void start();
+
+    /** Tells the peers that this node leaves. */
+    void leave();
+
+    //==============================================================================
+    /** Takes a value of the intent's key, read from the platform. */
+    void storeValueReceived(const std::string &text);
+
+    /** Takes what the upstream beside this node announced. */
+    void upstreamAnnounced(const membership::UpstreamRecord &upstream);
+
+    /** Takes the outcome of a call to the upstream beside this node. */
+    void callEnded(const moves::CallEvidence &evidence) { moves_.noteCall(evidence); }
+
+    //==============================================================================
+    /** Answers another node's exchange. */
+    Exchange exchangeReceived(const Exchange &request);
+
+    /** Takes the answer to an exchange. */
+    void exchangeAnswered(const PeerContact &peer, const Exchange &answer);
+
+    /** Takes the failure of an exchange. */
+    void exchangeFailed(const PeerContact &peer);
+
+    /** Takes an intent that a peer pushed, or sent when asked.
+        @returns the revision held after it */
+    core::identity::Revision intentReceived(const PeerContact &peer,
+                                            const IntentTransfer &transfer);
+
+    /** Takes a peer's answer to a push. */
+    void pushAnswered(core::identity::Revision peerRevision);
+
+    /** Takes the members that a peer sent when asked. */
+    void membersReceived(const std::vector<membership::MemberRecord> &records);
+
+    /** Returns the intent for a peer that asks for a newer one than it has. */
+    IntentTransfer transferSince(core::identity::Revision have) const
+    {
+        return spreader_.holder().transferSince(have);
+    }
+
+    //==============================================================================
+    /** Returns the intent in force; revision zero before the first. */
+    const std::shared_ptr<const intent::IntentSnapshot> &snapshot() const { return snapshot_; }
+
+    /** Returns the members. */
+    const membership::MembershipEngine &membership() const { return membership_; }
+
+    /** Returns the held intent with its refusals. */
+    const IntentHolder &holder() const { return spreader_.holder(); }
+
+    /** Returns whether this node should watch the platform. */
+    bool isWatcher() const;
+
+    /** Returns how a route's calls divide now. */
+    moves::RouteShare shareOf(const intent::Route &route) const;
+
+    /** Returns the outcomes of moves that the intent lacks. */
+    std::vector<moves::MoveRecord> missingMoveRecords() const;
+
+    /** Returns the members, as messages carry them, that differ from a peer's table. */
+    std::vector<membership::MemberRecord>
+    membersDifferingFrom(const membership::MemberTable::BucketHashes &hashes) const
+    {
+        return membership_.table().recordsDifferingFrom(hashes);
+    }
+
+private:
+    class Timer;
+
+    void intentInForce() override;
+    void intentRefused() override { listener_.intentRefused(); }
+    void memberChanged(const membership::MemberRecord *previous,
+                       const membership::MemberRecord &record) override;
+    void dataCentreSilent(const core::identity::DataCentreId &dataCentre) override
+    {
+        listener_.dataCentreSilent(dataCentre);
+    }
+    void moveStopped(const intent::MoveIntent &move, const std::string &evidence) override;
+
+    void exchangeTick(core::timing::MonotonicTime now);
+    void decisionTick(core::timing::MonotonicTime now);
+    void sendEvidence();
+    void sendNewsToNeighbours();
+    void sendExchangeTo(const PeerContact &peer, std::size_t maximumNews);
+    void learnFrom(const PeerContact &peer, const Exchange &exchange);
+    void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
+    Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumNews);
+    std::optional<PeerContact> contactOf(const core::identity::NodeId &id) const;
+    std::vector<PeerContact> neighbourContacts() const;
+    std::optional<PeerContact> nextExchangePeer();
+
+    PeerTransport &transport_;
+    core::timing::TimerService &timers_;
+    Listener &listener_;
+    std::vector<core::identity::NetworkAddress> seeds_;
+    WallClock wallClock_;
+    std::mt19937_64 random_;
+    membership::MembershipEngine membership_;
+    IntentSpreader spreader_;
+    moves::MoveCoordinator moves_;
+    // Invariant: never null; its revision never falls.
+    std::shared_ptr<const intent::IntentSnapshot> snapshot_;
+    // The highest revision that each node is known to have served, for its successor on that VM.
+    std::map<core::identity::NodeId, core::identity::Revision> floors_;
+    std::size_t nextNeighbour_ = 0;
+    std::uint64_t exchangeCount_ = 0;
+    std::uint64_t evidenceMark_ = 0;
+    core::timing::MonotonicTime lastMemberFetch_{};
+    BytePacer pacer_;
+    // Whether news arrived that must not wait for the next exchange.
+    bool hasUrgentNews_ = false;
+    bool isLeaving_ = false;
+    std::vector<std::unique_ptr<Timer>> timerParts_;
+};
+
+} // namespace boragetrack::control::distribution
--- /dev/null
+++ b/packages/control/distribution/IntentSpreader.cpp
@@ -0,0 +1,97 @@
+/** Implements IntentSpreader. */
+#include "control/distribution/IntentSpreader.h"
+
+#include <algorithm>
+
+namespace boragetrack::control::distribution {
+
+using core::identity::Revision;
+using core::timing::MonotonicTime;
+
+void IntentSpreader::offerFromStore(const std::string &text, MonotonicTime now)
+{
+    take(text, false, now);
+}
+
+void IntentSpreader::offerFromPeer(const PeerContact &peer, const IntentTransfer &transfer,
+                                   MonotonicTime now)
+{
+    if (transfer.target <= holder_.revision()) {
+        confirmed_ = std::max(confirmed_, transfer.target);
+        serveIfAllowed(now);
+        return;
+    }
+    const auto text = holder_.unpack(transfer);
+    if (text)
+        take(*text, true, now);
+    else if (transfer.base != Revision{})
+        transport_.fetchIntent(peer, Revision{});
+}
+
+void IntentSpreader::compareWith(const PeerContact &peer, Revision peerRevision)
+{
+    confirmed_ = std::max(confirmed_, std::min(peerRevision, holder_.revision()));
+    if (peerRevision > holder_.revision() && peerRevision > holder_.refusedRevision())
+        transport_.fetchIntent(peer, holder_.revision());
+    else if (peerRevision < holder_.revision())
+        transport_.pushIntent(peer, holder_.transferSince(peerRevision));
+}
+
+void IntentSpreader::learnFloor(Revision floor, MonotonicTime now)
+{
+    floor_ = std::max(floor_, floor);
+    isFloorKnown_ = true;
+    serveIfAllowed(now);
+}
+
+void IntentSpreader::pushAnswered(Revision peerRevision, MonotonicTime now)
+{
+    confirmed_ = std::max(confirmed_, peerRevision);
+    serveIfAllowed(now);
+}
+
+void IntentSpreader::tick(MonotonicTime now)
+{
+    serveIfAllowed(now);
+}
+
+void IntentSpreader::take(const std::string &text, bool isConfirmed, MonotonicTime now)
+{
+    const Revision previous = holder_.revision();
+    const OfferResult result = holder_.offer(text);
+    if (result == OfferResult::Refused)
+        listener_.intentRefused();
+    if (result != OfferResult::Held)
+        return;
+    heldSince_ = now;
+    if (isConfirmed)
+        confirmed_ = std::max(confirmed_, holder_.revision());
+    pushToAll(previous);
+    serveIfAllowed(now);
+}
+
+void IntentSpreader::pushToAll(Revision previous)
+{
+    const IntentTransfer transfer = holder_.transferSince(previous);
+    for (const PeerContact &peer : peers_())
+        transport_.pushIntent(peer, transfer);
+}
+
+void IntentSpreader::serveIfAllowed(MonotonicTime now)
+{
+    if (holder_.revision() <= served_ || !isAllowed(now))
+        return;
+    served_ = holder_.revision();
+    listener_.intentInForce();
+}
+
+bool IntentSpreader::isAllowed(MonotonicTime now) const
+{
+    if (holder_.revision() < floor_)
+        return false;
+    if (!isFloorKnown_ && now - startedAt_ < aloneTime)
+        return false;
+    return confirmed_ >= holder_.revision() || now - heldSince_ >= aloneTime;
+}
+
+} // namespace boragetrack::control::distribution
--- /dev/null
+++ b/packages/control/distribution/IntentSpreader.h
@@ -0,0 +1,98 @@
+/** Decides when a node serves an intent and whom it passes it to. */
+#pragma once
+
+#include "control/distribution/IntentHolder.h"
+#include "control/distribution/PeerTransport.h"
+#include "core/timing/MonotonicTime.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace boragetrack::control::distribution {
+
+/**
+    Spreads intents and keeps a node from serving an older one than it served before.
+
+    A starting node serves nothing until its peers told it the highest revision that they hold or
+    know its forerunner to have served, and it holds that revision. An intent read from the platform
+    is served once one peer holds it too, so that a restart right after can not fall behind it.
+*/
+class IntentSpreader
+{
+public:
+    /** Receives what the spreader decides. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles that the held intent is now to be served. */
+        virtual void intentInForce() = 0;
+
+        /** Handles that an offered intent was refused. */
+        virtual void intentRefused() = 0;
+    };
+
+    /** Returns the peers that new intents are pushed to. */
+    using PeerSource = std::function<std::vector<PeerContact>()>;
+
+    /** How long a node that reaches no peer waits before it serves what the platform holds. */
+    static constexpr std::chrono::milliseconds aloneTime{2000};
+
+    IntentSpreader(PeerTransport &transport, Listener &listener, PeerSource peers)
+        : transport_(transport)
+        , listener_(listener)
+        , peers_(std::move(peers))
+    {}
+
+    /** Begins the wait for peers' floors. */
+    void start(core::timing::MonotonicTime now) { startedAt_ = now; }
+
+    /** Takes an envelope read from the platform. */
+    void offerFromStore(const std::string &text, core::timing::MonotonicTime now);
+
+    /** Takes a transfer from a peer. */
+    void offerFromPeer(const PeerContact &peer, const IntentTransfer &transfer,
+                       core::timing::MonotonicTime now);
+
+    /** Compares revisions with a peer and sends or asks for what is missing. */
+    void compareWith(const PeerContact &peer, core::identity::Revision peerRevision);
+
+    /** Notes a peer's knowledge of the floor. */
+    void learnFloor(core::identity::Revision floor, core::timing::MonotonicTime now);
+
+    /** Notes that a peer answered a push and the revision that it holds now. */
+    void pushAnswered(core::identity::Revision peerRevision, core::timing::MonotonicTime now);
+
+    /** Re-examines whether the held intent may be served. */
+    void tick(core::timing::MonotonicTime now);
+
+    /** Returns the held intent. */
+    const IntentHolder &holder() const { return holder_; }
+
+    /** Returns the revision in force on this node; zero before the first. */
+    core::identity::Revision served() const { return served_; }
+
+private:
+    void take(const std::string &text, bool isConfirmed, core::timing::MonotonicTime now);
+    void pushToAll(core::identity::Revision previous);
+    void serveIfAllowed(core::timing::MonotonicTime now);
+    bool isAllowed(core::timing::MonotonicTime now) const;
+
+    PeerTransport &transport_;
+    Listener &listener_;
+    PeerSource peers_;
+    IntentHolder holder_;
+    core::timing::MonotonicTime startedAt_{};
+    core::timing::MonotonicTime heldSince_{};
+    // Invariant: never above holder_.revision() and never falls.
+    core::identity::Revision served_;
+    core::identity::Revision floor_;
+    // The highest revision that another node is known to hold.
+    core::identity::Revision confirmed_;
+    bool isFloorKnown_ = false;
+};
+
+} // namespace boragetrack::control::distribution
--- /dev/null
+++ b/packages/control/distribution/OfferResult.h
@@ -0,0 +1,16 @@
+/** What became of an offered intent. */
+#pragma once
+
+namespace boragetrack::control::distribution {
+
+/** Tells how a node took an envelope that it was offered. */
+enum class OfferResult {
+    /** The envelope is newer, valid and now held. */
+    Held,
+    /** The envelope is the held one or older. */
+    NotNewer,
+    /** The envelope is invalid; the held one stays. */
+    Refused,
+};
+
+} // namespace boragetrack::control::distribution
--- /dev/null
+++ b/packages/control/intent/IntentDocument.h
@@ -0,0 +1,28 @@
+/** The whole intent as operators write it. */
+#pragma once
+
+#include "control/intent/DataCentreIntent.h"
+#include "control/intent/EffectiveSettings.h"
+#include "control/intent/IntentException.h"
+#include "control/intent/MoveIntent.h"
+#include "control/intent/Route.h"
+#include "control/intent/ServiceIntent.h"
+
+#include <vector>
+
+namespace boragetrack::control::intent {
+
+/** Holds a document that passed validation. */
+struct IntentDocument
+{
+    // Invariant: names are unique within each list, every reference resolves within the document,
+    // and a service has at most one running move.
+    std::vector<DataCentreIntent> dataCentres;
+    std::vector<ServiceIntent> services;
+    std::vector<Route> routes;
+    EffectiveSettings defaults;
+    std::vector<IntentException> exceptions;
+    std::vector<MoveIntent> moves;
+};
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/IntentParser.cpp
@@ -0,0 +1,173 @@
+/** Implements reading of intent documents: the schema first, then values and references. */
+#include "control/intent/IntentParser.h"
+
+#include "control/intent/IntentReferences.h"
+#include "control/intent/IntentSchema.h"
+#include "control/intent/SettingCatalogue.h"
+#include "core/findings/SchemaValidator.h"
+
+namespace boragetrack::control::intent {
+
+using core::findings::FindingList;
+using core::timing::WallTime;
+using nlohmann::json;
+
+namespace {
+
+WallTime readTime(const json &object, const char *key, const std::string &pointer,
+                  FindingList &findings)
+{
+    const auto time = core::timing::parseWallTime(object.value(key, ""));
+    if (!time)
+        findings.add(pointer + "/" + key, "not a time such as 2026-12-04T09:00:00Z");
+    return time.value_or(WallTime{});
+}
+
+int readSetting(const std::string &name, std::int64_t value, const std::string &namePointer,
+                const std::string &valuePointer, FindingList &findings)
+{
+    const SettingEntry *entry = findSetting(name);
+    if (entry == nullptr) {
+        findings.add(namePointer, "unknown setting '" + name + "'");
+        return 0;
+    }
+    if (value < entry->minimum || value > entry->maximum) {
+        findings.add(valuePointer, "'" + name + "' must lie between "
+                                           + std::to_string(entry->minimum) + " and "
+                                           + std::to_string(entry->maximum));
+        return 0;
+    }
+    return static_cast<int>(value);
+}
+
+EffectiveSettings readDefaults(const json &object, FindingList &findings)
+{
+    EffectiveSettings settings;
+    for (const auto &[name, value] : object.items()) {
+        const std::string pointer = "/defaults/" + name;
+        const int number = readSetting(name, value.get<std::int64_t>(), pointer, pointer, findings);
+        if (const SettingEntry *entry = findSetting(name))
+            entry->write(settings, number);
+    }
+    return settings;
+}
+
+IntentException readException(const json &object, const std::string &pointer, FindingList &findings)
+{
+    IntentException exception;
+    const json &scope = object["scope"];
+    exception.id = object["id"];
+    exception.scope.service = core::identity::ServiceName(scope.value("service", ""));
+    exception.scope.route = core::identity::RouteName(scope.value("route", ""));
+    exception.scope.dataCentre = core::identity::DataCentreId(scope.value("dataCentre", ""));
+    exception.setting = object["setting"];
+    exception.value = readSetting(exception.setting, object["value"].get<std::int64_t>(),
+                                  pointer + "/setting", pointer + "/value", findings);
+    exception.reason = object["reason"];
+    exception.author = object["author"];
+    exception.createdAt = readTime(object, "createdAt", pointer, findings);
+    if (object.contains("expiresAt"))
+        exception.expiresAt = readTime(object, "expiresAt", pointer, findings);
+    return exception;
+}
+
+MoveState readMoveState(const std::string &name)
+{
+    if (name == "done")
+        return MoveState::Done;
+    return name == "takenBack" ? MoveState::TakenBack : MoveState::Running;
+}
+
+MoveIntent readMove(const json &object, const std::string &pointer, FindingList &findings)
+{
+    MoveIntent move;
+    move.id = object["id"];
+    move.service = core::identity::ServiceName(object["service"]);
+    move.from = core::identity::VersionName(object["from"]);
+    move.to = core::identity::VersionName(object["to"]);
+    move.startAt = readTime(object, "startAt", pointer, findings);
+    move.doneBy = readTime(object, "doneBy", pointer, findings);
+    move.state = readMoveState(object["state"]);
+    move.author = object["author"];
+    move.reason = object["reason"];
+    move.outcome = object.value("outcome", "");
+    if (object.contains("endedAt"))
+        move.endedAt = readTime(object, "endedAt", pointer, findings);
+    if (move.doneBy <= move.startAt)
+        findings.add(pointer + "/doneBy", "must come after startAt");
+    if (move.from == move.to)
+        findings.add(pointer + "/to", "must differ from 'from'");
+    return move;
+}
+
+DataCentreIntent readDataCentre(const json &object)
+{
+    return DataCentreIntent{core::identity::DataCentreId(object["name"]), object["region"],
+                            object.value("out", false), object.value("weightPercent", 100)};
+}
+
+Route readRoute(const json &object)
+{
+    return Route{core::identity::RouteName(object["name"]), object["pathPrefix"],
+                 core::identity::ServiceName(object["service"]), object.value("idempotent", false)};
+}
+
+ServiceIntent readService(const json &object)
+{
+    return ServiceIntent{core::identity::ServiceName(object["name"]),
+                         core::identity::VersionName(object["version"])};
+}
+
+std::string elementPointer(const char *list, std::size_t index)
+{
+    return std::string("/") + list + "/" + std::to_string(index);
+}
+
+IntentDocument readLists(const json &root, FindingList &findings)
+{
+    IntentDocument document;
+    for (const json &object : root["dataCentres"])
+        document.dataCentres.push_back(readDataCentre(object));
+    for (const json &object : root["services"])
+        document.services.push_back(readService(object));
+    for (const json &object : root["routes"])
+        document.routes.push_back(readRoute(object));
+    document.defaults = readDefaults(root["defaults"], findings);
+    for (std::size_t i = 0; i < root["exceptions"].size(); ++i) {
+        document.exceptions.push_back(
+                readException(root["exceptions"][i], elementPointer("exceptions", i), findings));
+    }
+    for (std::size_t i = 0; i < root["moves"].size(); ++i)
+        document.moves.push_back(readMove(root["moves"][i], elementPointer("moves", i), findings));
+    return document;
+}
+
+} // namespace
+
+std::optional<IntentDocument> readIntent(const json &root, FindingList &findings)
+{
+    static const core::findings::SchemaValidator validator{std::string(intentSchema())};
+    validator.validate(root, findings);
+    if (!findings.isEmpty())
+        return std::nullopt;
+    IntentDocument document = readLists(root, findings);
+    checkReferences(document, findings);
+    if (!findings.isEmpty())
+        return std::nullopt;
+    return document;
+}
+
+std::optional<IntentDocument> parseIntent(const std::string &text, FindingList &findings)
+{
+    if (text.size() > maximumDocumentBytes) {
+        findings.add("", "document of " + std::to_string(text.size()) + " bytes, over the limit of "
+                                 + std::to_string(maximumDocumentBytes));
+        return std::nullopt;
+    }
+    const json root = core::findings::parseJson(text, findings);
+    if (root.is_discarded())
+        return std::nullopt;
+    return readIntent(root, findings);
+}
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/IntentReferences.cpp
@@ -0,0 +1,101 @@
+/** Implements the checks across the lists of an intent document. */
+#include "control/intent/IntentReferences.h"
+
+#include <algorithm>
+#include <set>
+
+namespace boragetrack::control::intent {
+
+using core::findings::FindingList;
+
+namespace {
+
+std::string place(const char *list, std::size_t index, const char *field)
+{
+    return std::string("/") + list + "/" + std::to_string(index) + "/" + field;
+}
+
+// Adds a finding for each element whose key repeats that of an earlier one.
+template <typename Element, typename KeyOf>
+void checkUnique(const std::vector<Element> &elements, const char *list, const char *field,
+                 KeyOf keyOf, FindingList &findings)
+{
+    std::set<std::string> seen;
+    for (std::size_t i = 0; i < elements.size(); ++i) {
+        const std::string key = keyOf(elements[i]);
+        if (!seen.insert(key).second)
+            findings.add(place(list, i, field), "'" + key + "' appears twice");
+    }
+}
+
+template <typename Element, typename Name>
+bool isListed(const std::vector<Element> &elements, const Name &name)
+{
+    return std::any_of(elements.begin(), elements.end(),
+                       [&](const Element &element) { return element.name == name; });
+}
+
+void checkNames(const IntentDocument &document, FindingList &findings)
+{
+    const auto nameOf = [](const auto &element) { return element.name.value(); };
+    const auto idOf = [](const auto &element) { return element.id; };
+    const auto prefixOf = [](const Route &route) { return route.pathPrefix; };
+    checkUnique(document.dataCentres, "dataCentres", "name", nameOf, findings);
+    checkUnique(document.services, "services", "name", nameOf, findings);
+    checkUnique(document.routes, "routes", "name", nameOf, findings);
+    checkUnique(document.routes, "routes", "pathPrefix", prefixOf, findings);
+    checkUnique(document.exceptions, "exceptions", "id", idOf, findings);
+    checkUnique(document.moves, "moves", "id", idOf, findings);
+}
+
+void checkRoutes(const IntentDocument &document, FindingList &findings)
+{
+    for (std::size_t i = 0; i < document.routes.size(); ++i) {
+        const auto &service = document.routes[i].service;
+        if (!isListed(document.services, service))
+            findings.add(place("routes", i, "service"),
+                         "unknown service '" + service.value() + "'");
+    }
+}
+
+void checkScopes(const IntentDocument &document, FindingList &findings)
+{
+    for (std::size_t i = 0; i < document.exceptions.size(); ++i) {
+        const ExceptionScope &scope = document.exceptions[i].scope;
+        if (!scope.service.isEmpty() && !isListed(document.services, scope.service))
+            findings.add(place("exceptions", i, "scope/service"),
+                         "unknown service '" + scope.service.value() + "'");
+        if (!scope.route.isEmpty() && !isListed(document.routes, scope.route))
+            findings.add(place("exceptions", i, "scope/route"),
+                         "unknown route '" + scope.route.value() + "'");
+        if (!scope.dataCentre.isEmpty() && !isListed(document.dataCentres, scope.dataCentre))
+            findings.add(place("exceptions", i, "scope/dataCentre"),
+                         "unknown data centre '" + scope.dataCentre.value() + "'");
+    }
+}
+
+void checkMoves(const IntentDocument &document, FindingList &findings)
+{
+    std::set<std::string> running;
+    for (std::size_t i = 0; i < document.moves.size(); ++i) {
+        const MoveIntent &move = document.moves[i];
+        if (!isListed(document.services, move.service))
+            findings.add(place("moves", i, "service"),
+                         "unknown service '" + move.service.value() + "'");
+        if (move.state == MoveState::Running && !running.insert(move.service.value()).second)
+            findings.add(place("moves", i, "service"),
+                         "'" + move.service.value() + "' already has a running move");
+    }
+}
+
+} // namespace
+
+void checkReferences(const IntentDocument &document, FindingList &findings)
+{
+    checkNames(document, findings);
+    checkRoutes(document, findings);
+    checkScopes(document, findings);
+    checkMoves(document, findings);
+}
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/IntentReferences.h
@@ -0,0 +1,12 @@
+/** Checks that an intent document is consistent in itself. */
+#pragma once
+
+#include "control/intent/IntentDocument.h"
+#include "core/findings/FindingList.h"
+
+namespace boragetrack::control::intent {
+
+/** Adds a finding for each duplicate name, dangling reference and second running move. */
+void checkReferences(const IntentDocument &document, core::findings::FindingList &findings);
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/IntentSchema.cpp
@@ -0,0 +1,55 @@
+/** Holds the JSON Schema of the intent document. */
+#include "control/intent/IntentSchema.h"
+
+namespace boragetrack::control::intent {
+
+const char *intentSchema()
+{
+    return R"json({
+"type": "object",
+"additionalProperties": false,
+"required": ["dataCentres", "services", "routes", "defaults", "exceptions", "moves"],
+"properties": {
+  "dataCentres": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false, "required": ["name", "region"],
+    "properties": {
+      "name": {"type": "string", "minLength": 1}, "region": {"type": "string"},
+      "out": {"type": "boolean"}, "reason": {"type": "string"},
+      "weightPercent": {"type": "integer", "minimum": 1, "maximum": 100}}}},
+  "services": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false, "required": ["name", "version"],
+    "properties": {
+      "name": {"type": "string", "minLength": 1}, "version": {"type": "string", "minLength": 1}}}},
+  "routes": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false,
+    "required": ["name", "pathPrefix", "service"],
+    "properties": {
+      "name": {"type": "string", "minLength": 1},
+      "pathPrefix": {"type": "string", "pattern": "^/"},
+      "service": {"type": "string"}, "idempotent": {"type": "boolean"}}}},
+  "defaults": {"type": "object", "additionalProperties": {"type": "integer"}},
+  "exceptions": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false,
+    "required": ["id", "scope", "setting", "value", "reason", "author", "createdAt"],
+    "properties": {
+      "id": {"type": "string", "minLength": 1},
+      "scope": {"type": "object", "additionalProperties": false, "minProperties": 1,
+        "properties": {"service": {"type": "string"}, "route": {"type": "string"},
+                       "dataCentre": {"type": "string"}}},
+      "setting": {"type": "string"}, "value": {"type": "integer"},
+      "reason": {"type": "string", "minLength": 1}, "author": {"type": "string"},
+      "createdAt": {"type": "string"}, "expiresAt": {"type": "string"}}}},
+  "moves": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false,
+    "required": ["id", "service", "from", "to", "startAt", "doneBy", "state", "author", "reason"],
+    "properties": {
+      "id": {"type": "string", "minLength": 1}, "service": {"type": "string"},
+      "from": {"type": "string", "minLength": 1}, "to": {"type": "string", "minLength": 1},
+      "startAt": {"type": "string"}, "doneBy": {"type": "string"},
+      "state": {"enum": ["running", "done", "takenBack"]},
+      "author": {"type": "string"}, "reason": {"type": "string", "minLength": 1},
+      "outcome": {"type": "string"}, "endedAt": {"type": "string"}}}}
+}})json";
+}
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/IntentSnapshot.h
@@ -0,0 +1,49 @@
+/** An immutable, resolved intent. */
+#pragma once
+
+#include "control/intent/IntentDocument.h"
+#include "control/intent/RouteEntry.h"
+#include "core/identity/Revision.h"
+
+#include <string>
+#include <vector>
+
+namespace boragetrack::control::intent {
+
+/** Holds one revision of the intent as one data centre's nodes apply it. */
+class IntentSnapshot
+{
+public:
+    /** Makes the empty snapshot of revision zero, which has no routes. */
+    IntentSnapshot() = default;
+
+    /** Resolves a validated document for the nodes of a data centre. */
+    IntentSnapshot(core::identity::Revision revision, IntentDocument document,
+                   const core::identity::DataCentreId &dataCentre, core::timing::WallTime now);
+
+    /** Returns the revision. */
+    core::identity::Revision revision() const { return revision_; }
+
+    /** Returns the document that was resolved. */
+    const IntentDocument &document() const { return document_; }
+
+    /** Returns the route with the longest prefix of the path, or null. */
+    const RouteEntry *routeFor(const std::string &path) const;
+
+    /** Returns the routes, longest prefix first. */
+    const std::vector<RouteEntry> &routes() const { return routes_; }
+
+    /** Returns what the intent says of a data centre, or null. */
+    const DataCentreIntent *dataCentre(const core::identity::DataCentreId &name) const;
+
+    /** Returns what the intent says of a service, or null. */
+    const ServiceIntent *service(const core::identity::ServiceName &name) const;
+
+private:
+    core::identity::Revision revision_;
+    IntentDocument document_;
+    // Invariant: ordered by falling prefix length; every service is listed in document_.
+    std::vector<RouteEntry> routes_;
+};
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/MoveIntent.h
@@ -0,0 +1,31 @@
+/** A move of a service from one version to another. */
+#pragma once
+
+#include "control/intent/MoveState.h"
+#include "core/identity/ServiceName.h"
+#include "core/identity/VersionName.h"
+#include "core/timing/WallTime.h"
+
+#include <string>
+
+namespace boragetrack::control::intent {
+
+/** States what moves, by when and why, and what became of it. */
+struct MoveIntent
+{
+    std::string id;
+    core::identity::ServiceName service;
+    core::identity::VersionName from;
+    core::identity::VersionName to;
+    core::timing::WallTime startAt{};
+    core::timing::WallTime doneBy{};
+    MoveState state = MoveState::Running;
+    std::string author;
+    std::string reason;
+    /** The evidence in plain words, once the move is done or taken back. */
+    std::string outcome;
+    /** When the move was done or taken back. */
+    core::timing::WallTime endedAt{};
+};
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/SettingCatalogue.cpp
@@ -0,0 +1,52 @@
+/** Lists the settings with their bounds. */
+#include "control/intent/SettingCatalogue.h"
+
+#include <array>
+
+namespace boragetrack::control::intent {
+
+namespace {
+
+template <int EffectiveSettings::*Member>
+constexpr SettingEntry countSetting(const char *name, int minimum, int maximum)
+{
+    return SettingEntry{name, minimum, maximum,
+                        [](const EffectiveSettings &settings) { return settings.*Member; },
+                        [](EffectiveSettings &settings, int value) { settings.*Member = value; }};
+}
+
+constexpr SettingEntry callTimeoutSetting{"callTimeoutMs", 10, 60000,
+                                          [](const EffectiveSettings &settings) {
+                                              return static_cast<int>(settings.callTimeout.count());
+                                          },
+                                          [](EffectiveSettings &settings, int value) {
+                                              settings.callTimeout
+                                                      = std::chrono::milliseconds(value);
+                                          }};
+
+constexpr std::array catalogue{
+        countSetting<&EffectiveSettings::attemptLimit>("attemptLimit", 1, 5),
+        callTimeoutSetting,
+        countSetting<&EffectiveSettings::concurrencyLimit>("concurrencyLimit", 1, 110),
+        countSetting<&EffectiveSettings::queueLimit>("queueLimit", 0, 10000),
+        countSetting<&EffectiveSettings::retryBudgetPercent>("retryBudgetPercent", 0, 100),
+        countSetting<&EffectiveSettings::startConcurrency>("startConcurrency", 1, 110),
+};
+
+} // namespace
+
+std::span<const SettingEntry> settingCatalogue()
+{
+    return catalogue;
+}
+
+const SettingEntry *findSetting(const std::string &name)
+{
+    for (const SettingEntry &entry : catalogue) {
+        if (name == entry.name)
+            return &entry;
+    }
+    return nullptr;
+}
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/intent/SettingResolver.cpp
@@ -0,0 +1,51 @@
+/** Implements SettingResolver: the narrowest scope wins, then the latest, then the higher id. */
+#include "control/intent/SettingResolver.h"
+
+#include "control/intent/SettingCatalogue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace boragetrack::control::intent {
+
+EffectiveSettings SettingResolver::resolve(const Route &route) const
+{
+    EffectiveSettings settings = document_.defaults;
+    for (const SettingEntry &entry : settingCatalogue())
+        entry.write(settings, explain(route, entry.name).value);
+    return settings;
+}
+
+Resolution SettingResolver::explain(const Route &route, const std::string &setting) const
+{
+    const auto found = candidates(route, setting);
+    if (found.empty()) {
+        const SettingEntry *entry = findSetting(setting);
+        return Resolution{setting, entry->read(document_.defaults), "default", "", ""};
+    }
+    Resolution resolution{setting, found.front()->value, found.front()->id, found.front()->reason,
+                          ""};
+    for (std::size_t i = 1; i < found.size(); ++i)
+        resolution.overridden += (i > 1 ? ", " : "") + found[i]->id;
+    return resolution;
+}
+
+std::vector<const IntentException *> SettingResolver::candidates(const Route &route,
+                                                                 const std::string &setting) const
+{
+    std::vector<const IntentException *> found;
+    for (const IntentException &exception : document_.exceptions) {
+        const bool isExpired = exception.expiresAt && *exception.expiresAt <= now_;
+        if (exception.setting == setting && !isExpired
+            && exception.scope.covers(route.service, route.name, dataCentre_))
+            found.push_back(&exception);
+    }
+    const auto rank = [](const IntentException *exception) {
+        return std::make_tuple(exception->scope.specificity(), exception->createdAt, exception->id);
+    };
+    std::sort(found.begin(), found.end(),
+              [&](const auto *a, const auto *b) { return rank(a) > rank(b); });
+    return found;
+}
+
+} // namespace boragetrack::control::intent
--- /dev/null
+++ b/packages/control/membership/MembershipEngine.h
@@ -0,0 +1,96 @@
+/** Decides what a node believes of the members and what it tells them. */
+#pragma once
+
+#include "control/membership/FailureDetector.h"
+#include "control/membership/MemberTable.h"
+#include "control/membership/NeighbourPolicy.h"
+#include "control/membership/RumorQueue.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace boragetrack::control::membership {
+
+/** Keeps the member table by news from others, own probes and the upstream's announcements. */
+class MembershipEngine
+{
+public:
+    /** Receives changes of what is believed of the members. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles a displaced record; previous is null for a new member. */
+        virtual void memberChanged(const MemberRecord *previous, const MemberRecord &record) = 0;
+
+        /** Handles that half of a data centre became unreachable at once. */
+        virtual void dataCentreSilent(const core::identity::DataCentreId &dataCentre) = 0;
+    };
+
+    MembershipEngine(MemberRecord self, std::unique_ptr<NeighbourPolicy> neighbours,
+                     Listener &listener);
+
+    /** Returns this node's own record. */
+    const MemberRecord &self() const { return self_; }
+
+    /** Returns all known members, this node included. */
+    const MemberTable &table() const { return table_; }
+
+    /** Returns this node's neighbours. */
+    const std::vector<core::identity::NodeId> &neighbours() const { return neighbourIds_; }
+
+    /** Publishes what the upstream beside this node announced. */
+    void setUpstream(const UpstreamRecord &upstream);
+
+    /** Publishes that this node leaves. */
+    void leave();
+
+    /** Merges records that another node sent. */
+    void mergeRecords(const std::vector<MemberRecord> &records, core::timing::MonotonicTime now);
+
+    /** Merges suspicions that another node sent. */
+    void mergeSuspicions(const std::vector<Suspicion> &suspicions, core::timing::MonotonicTime now);
+
+    /** Notes that a member answered. */
+    void memberAnswered(const core::identity::NodeId &id);
+
+    /** Notes that a member could not be reached. */
+    void memberFailed(const core::identity::NodeId &id, core::timing::MonotonicTime now);
+
+    /** Returns the suspects that this node should probe itself, and forgets them. */
+    std::vector<core::identity::NodeId> takeConfirmationTargets();
+
+    /** Decides on deaths and forgets members that are long dead. */
+    void tick(core::timing::MonotonicTime now);
+
+    /** Takes news to send, the most urgent first. */
+    void takeNews(std::size_t maximum, std::vector<MemberRecord> &records,
+                  std::vector<Suspicion> &suspicions);
+
+private:
+    bool merge(const MemberRecord &record, core::timing::MonotonicTime now);
+    void refute(const MemberRecord &claim);
+    void publishSelf(RumorPriority priority);
+    void spread(const MemberRecord &record, RumorPriority priority);
+    void setState(const core::identity::NodeId &id, MemberState state,
+                  core::timing::MonotonicTime now);
+    void reportSilence();
+    int transmissions() const;
+
+    MemberRecord self_;
+    std::unique_ptr<NeighbourPolicy> neighbourPolicy_;
+    Listener &listener_;
+    MemberTable table_;
+    FailureDetector detector_;
+    RumorQueue rumors_;
+    // Invariant: what the policy chooses for table_.
+    std::vector<core::identity::NodeId> neighbourIds_;
+    std::set<core::identity::NodeId> confirmationTargets_;
+    std::set<core::identity::DataCentreId> silent_;
+    std::map<core::identity::NodeId, core::timing::MonotonicTime> goneSince_;
+};
+
+} // namespace boragetrack::control::membership
--- /dev/null
+++ b/packages/control/membership/Suspicion.h
@@ -0,0 +1,21 @@
+/** One observer's failure to reach a member. */
+#pragma once
+
+#include "control/membership/MemberVersion.h"
+#include "core/identity/NodeId.h"
+
+#include <compare>
+
+namespace boragetrack::control::membership {
+
+/** States that an observer could not reach a member at a version of its record. */
+struct Suspicion
+{
+    core::identity::NodeId subject;
+    MemberVersion version;
+    core::identity::NodeId observer;
+
+    friend auto operator<=>(const Suspicion &, const Suspicion &) = default;
+};
+
+} // namespace boragetrack::control::membership
--- /dev/null
+++ b/packages/control/moves/EvidenceKey.h
@@ -0,0 +1,27 @@
+/** Whose calls a piece of evidence counts. */
+#pragma once
+
+#include "core/identity/NodeId.h"
+#include "core/identity/RouteName.h"
+#include "core/identity/VersionName.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace boragetrack::control::moves {
+
+/** Names the counts of one process for one route and version within one move. */
+struct EvidenceKey
+{
+    std::string moveId;
+    core::identity::RouteName route;
+    core::identity::VersionName version;
+    core::identity::NodeId node;
+    /** Start of the counting process, so that a restart begins new counts beside the old. */
+    std::uint64_t generation = 0;
+
+    friend auto operator<=>(const EvidenceKey &, const EvidenceKey &) = default;
+};
+
+} // namespace boragetrack::control::moves
--- /dev/null
+++ b/packages/control/moves/MoveTracker.cpp
@@ -0,0 +1,94 @@
+/** Implements MoveTracker. */
+#include "control/moves/MoveTracker.h"
+
+#include <algorithm>
+
+namespace boragetrack::control::moves {
+
+using core::timing::WallTime;
+using intent::MoveState;
+
+namespace {
+
+// The move counts as done a little before its end, so that the record is in force by then.
+constexpr double doneFraction = 0.92;
+constexpr std::chrono::milliseconds shortestWatch = std::chrono::seconds(10);
+constexpr std::chrono::milliseconds longestWatch = std::chrono::hours(1);
+
+} // namespace
+
+MoveTracker::MoveTracker(intent::MoveIntent move, const MovePolicies &policies)
+    : move_(std::move(move))
+    , policies_(policies)
+    , policy_(policies.makeVerdict())
+{}
+
+void MoveTracker::observe(const EvidenceKey &key, const EvidenceCounts &delta)
+{
+    if (key.version == move_.from)
+        policy_->observeOld(key, delta);
+    else if (key.version == move_.to)
+        policy_->observeNew(key, delta);
+}
+
+void MoveTracker::adopt(const std::string &evidence)
+{
+    if (!verdict_)
+        verdict_ = evidence;
+}
+
+bool MoveTracker::judge()
+{
+    if (verdict_)
+        return false;
+    verdict_ = policy_->badEvidence();
+    return verdict_.has_value();
+}
+
+RouteShare MoveTracker::shareOf(const core::identity::RouteName &route, WallTime now) const
+{
+    if (verdict_ || move_.state == MoveState::TakenBack)
+        return RouteShare{move_.from, {}, 0.0};
+    if (move_.state == MoveState::Done)
+        return RouteShare{move_.to, move_.from, 0.0};
+    const double share
+            = policies_.sharePolicy().sharePercent(elapsed(now), policy_->isSufficient(route));
+    if (share <= 0.0)
+        return RouteShare{move_.from, {}, 0.0};
+    return RouteShare{move_.from, move_.to, share};
+}
+
+std::optional<MoveRecord> MoveTracker::missingRecord(WallTime now, bool hasUpstream) const
+{
+    if (move_.state == MoveState::TakenBack)
+        return std::nullopt;
+    if (verdict_)
+        return MoveRecord{move_.id, MoveState::TakenBack, *verdict_};
+    if (move_.state == MoveState::Done || elapsed(now) < doneFraction)
+        return std::nullopt;
+    if (hasUpstream)
+        return MoveRecord{move_.id, MoveState::Done, policy_->summary()};
+    if (elapsed(now) < 1.0)
+        return std::nullopt;
+    return MoveRecord{move_.id, MoveState::TakenBack,
+                      "no upstream of the new version served at the set time"};
+}
+
+bool MoveTracker::isOver(WallTime now) const
+{
+    return move_.state == MoveState::Done && now >= move_.endedAt + watchTime();
+}
+
+std::chrono::milliseconds MoveTracker::watchTime() const
+{
+    return std::clamp((move_.doneBy - move_.startAt) / 2, shortestWatch, longestWatch);
+}
+
+double MoveTracker::elapsed(WallTime now) const
+{
+    const std::chrono::duration<double> whole = move_.doneBy - move_.startAt;
+    const std::chrono::duration<double> passed = now - move_.startAt;
+    return passed / whole;
+}
+
+} // namespace boragetrack::control::moves
--- /dev/null
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -0,0 +1,161 @@
+/** Implements SequentialVerdict. */
+#include "control/moves/SequentialVerdict.h"
+
+#include <algorithm>
+
+namespace boragetrack::control::moves {
+
+namespace {
+
+// Failures: the usual rate is twice the old version's, with a floor for versions that never fail.
+constexpr double failureFloor = 0.02;
+constexpr double failureCeiling = 0.60;
+constexpr double failureRise = 0.10;
+// ln(1/alpha) for alpha = 1.2e-4 false alarms for each excursion.
+constexpr double failureThreshold = 9.0;
+
+// Slow means beyond the bucket after the one that holds the old version's 95th percentile, that
+// is, two to four times as long.
+constexpr double slowQuantile = 0.95;
+constexpr std::size_t slowBucketMargin = 1;
+constexpr double usualSlowRate = 0.15;
+constexpr double raisedSlowRate = 0.60;
+constexpr double usualBrokenRate = 0.02;
+constexpr double raisedBrokenRate = 0.30;
+// For each upstream; two must agree, so alpha is about (e^-5)^2 = 4.5e-5.
+constexpr double upstreamThreshold = 5.0;
+constexpr std::size_t upstreamsNeeded = 2;
+// With one upstream only there is no second to agree, so its own evidence must be stronger.
+constexpr double loneUpstreamThreshold = 14.0;
+
+constexpr double yardstickCalls = 20;
+constexpr double yardstickMemory = 2000;
+constexpr std::uint64_t sufficientCalls = 30;
+
+template <typename Upstreams, typename SumOf>
+bool isAgreed(const Upstreams &upstreams, SumOf sumOf)
+{
+    std::size_t raised = 0;
+    double highest = 0;
+    for (const auto &[key, upstream] : upstreams) {
+        raised += sumOf(upstream) >= upstreamThreshold;
+        highest = std::max(highest, sumOf(upstream));
+    }
+    return raised >= upstreamsNeeded
+           || (upstreams.size() < upstreamsNeeded && highest >= loneUpstreamThreshold);
+}
+
+template <typename Upstreams, typename CountOf>
+std::uint64_t total(const Upstreams &upstreams, CountOf countOf)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, upstream] : upstreams)
+        sum += countOf(upstream);
+    return sum;
+}
+
+std::string ratio(std::uint64_t part, std::uint64_t whole)
+{
+    return std::to_string(part) + " of " + std::to_string(whole);
+}
+
+} // namespace
+
+void SequentialVerdict::observeOld(const EvidenceKey &key, const EvidenceCounts &delta)
+{
+    RouteTests &route = routes_[key.route];
+    route.oldCalls += delta.calls;
+    route.oldFailures += delta.failures;
+    OldOutcomes &old = route.old;
+    const double fading = old.calls > yardstickMemory ? 0.5 : 1.0;
+    old.calls = old.calls * fading + delta.calls;
+    old.failures = old.failures * fading + delta.failures;
+    for (std::size_t i = 0; i < LatencyHistogram::bucketCount; ++i)
+        old.latencies[i] = old.latencies[i] * fading + delta.latencies.buckets()[i];
+}
+
+void SequentialVerdict::observeNew(const EvidenceKey &key, const EvidenceCounts &delta)
+{
+    RouteTests &route = routes_[key.route];
+    route.calls += delta.calls;
+    route.failures += delta.failures;
+    const double oldRate = route.old.calls > 0 ? route.old.failures / route.old.calls : 0.0;
+    const double usual = std::clamp(2.0 * oldRate, failureFloor, failureCeiling);
+    route.failed.add(delta.failures, delta.calls - delta.failures, usual, usual + failureRise);
+    UpstreamTests &upstream = route.upstreams[{key.node, key.generation}];
+    upstream.calls += delta.calls;
+    upstream.brokenCalls += delta.broken;
+    upstream.broken.add(delta.broken, delta.calls - delta.broken, usualBrokenRate,
+                        raisedBrokenRate);
+    observeLatencies(route, upstream, delta);
+}
+
+void SequentialVerdict::observeLatencies(RouteTests &route, UpstreamTests &upstream,
+                                         const EvidenceCounts &delta)
+{
+    double known = 0;
+    for (const double count : route.old.latencies)
+        known += count;
+    if (known < yardstickCalls)
+        return;
+    const std::size_t limit = LatencyHistogram::quantileBucket(route.old.latencies, slowQuantile)
+                              + slowBucketMargin;
+    std::uint64_t slow = 0;
+    std::uint64_t fast = 0;
+    for (std::size_t i = 0; i < LatencyHistogram::bucketCount; ++i)
+        (i > limit ? slow : fast) += delta.latencies.buckets()[i];
+    upstream.slowCalls += slow;
+    upstream.slow.add(static_cast<double>(slow), static_cast<double>(fast), usualSlowRate,
+                      raisedSlowRate);
+}
+
+std::optional<std::string> SequentialVerdict::badEvidence() const
+{
+    for (const auto &[name, route] : routes_) {
+        if (auto evidence = judge(name.value(), route))
+            return evidence;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> SequentialVerdict::judge(const std::string &name,
+                                                    const RouteTests &route)
+{
+    if (route.failed.sum() >= failureThreshold)
+        return "route " + name + ": " + ratio(route.failures, route.calls)
+               + " calls to the new version failed, against "
+               + ratio(route.oldFailures, route.oldCalls) + " to the old one";
+    if (isAgreed(route.upstreams, [](const auto &upstream) { return upstream.slow.sum(); }))
+        return "route " + name + ": "
+               + ratio(total(route.upstreams, [](const auto &u) { return u.slowCalls; }),
+                       route.calls)
+               + " calls to the new version took over twice the old version's 95th percentile";
+    if (isAgreed(route.upstreams, [](const auto &upstream) { return upstream.broken.sum(); }))
+        return "route " + name + ": "
+               + ratio(total(route.upstreams, [](const auto &u) { return u.brokenCalls; }),
+                       route.calls)
+               + " calls to the new version broke off or ran out of time";
+    return std::nullopt;
+}
+
+bool SequentialVerdict::isSufficient(const core::identity::RouteName &route) const
+{
+    const auto found = routes_.find(route);
+    if (found == routes_.end())
+        return false;
+    return found->second.calls >= sufficientCalls
+           && found->second.failed.sum() < failureThreshold / 3;
+}
+
+std::string SequentialVerdict::summary() const
+{
+    std::string text;
+    for (const auto &[name, route] : routes_) {
+        text += (text.empty() ? "" : "; ") + std::string("route ") + name.value() + ": "
+                + ratio(route.failures, route.calls) + " calls to the new version failed, "
+                + ratio(route.oldFailures, route.oldCalls) + " to the old one";
+    }
+    return text.empty() ? "no calls were seen" : text;
+}
+
+} // namespace boragetrack::control::moves
--- /dev/null
+++ b/packages/control/moves/SequentialVerdict.h
@@ -0,0 +1,63 @@
+/** A verdict by sequential tests. */
+#pragma once
+
+#include "control/moves/CumulativeSumTest.h"
+#include "control/moves/VerdictPolicy.h"
+
+#include <array>
+#include <map>
+
+namespace boragetrack::control::moves {
+
+/**
+    Judges failures for each route over all upstreams, and slowness and broken connections for each
+    upstream, of which two must agree: a single upstream that went cold, restarted or died says
+    nothing of its version. The old version's outcomes in the same time are the yardstick.
+*/
+class SequentialVerdict : public VerdictPolicy
+{
+public:
+    void observeOld(const EvidenceKey &key, const EvidenceCounts &delta) override;
+    void observeNew(const EvidenceKey &key, const EvidenceCounts &delta) override;
+    std::optional<std::string> badEvidence() const override;
+    bool isSufficient(const core::identity::RouteName &route) const override;
+    std::string summary() const override;
+
+private:
+    using UpstreamKey = std::pair<core::identity::NodeId, std::uint64_t>;
+
+    // The yardstick; older outcomes fade so that it follows the old version's present state.
+    struct OldOutcomes
+    {
+        double calls = 0;
+        double failures = 0;
+        std::array<double, LatencyHistogram::bucketCount> latencies{};
+    };
+
+    struct UpstreamTests
+    {
+        CumulativeSumTest slow;
+        CumulativeSumTest broken;
+        std::uint64_t slowCalls = 0;
+        std::uint64_t brokenCalls = 0;
+        std::uint64_t calls = 0;
+    };
+
+    struct RouteTests
+    {
+        OldOutcomes old;
+        std::uint64_t oldCalls = 0;
+        std::uint64_t oldFailures = 0;
+        CumulativeSumTest failed;
+        std::uint64_t calls = 0;
+        std::uint64_t failures = 0;
+        std::map<UpstreamKey, UpstreamTests> upstreams;
+    };
+
+    void observeLatencies(RouteTests &route, UpstreamTests &upstream, const EvidenceCounts &delta);
+    static std::optional<std::string> judge(const std::string &name, const RouteTests &route);
+
+    std::map<core::identity::RouteName, RouteTests> routes_;
+};
+
+} // namespace boragetrack::control::moves
--- /dev/null
+++ b/packages/core/counters/CounterRegistry.cpp
@@ -0,0 +1,24 @@
+/** Implements CounterRegistry. */
+#include "core/counters/CounterRegistry.h"
+
+namespace boragetrack::core::counters {
+
+Counter &CounterRegistry::counter(const std::string &name)
+{
+    const std::lock_guard lock(mutex_);
+    std::unique_ptr<Counter> &slot = counters_[name];
+    if (!slot)
+        slot = std::make_unique<Counter>();
+    return *slot;
+}
+
+std::string CounterRegistry::toText() const
+{
+    const std::lock_guard lock(mutex_);
+    std::string text;
+    for (const auto &[name, counter] : counters_)
+        text += name + " " + std::to_string(counter->value()) + "\n";
+    return text;
+}
+
+} // namespace boragetrack::core::counters
--- /dev/null
+++ b/packages/core/events/EventCode.h
@@ -0,0 +1,32 @@
+/** The numbers of the log events. */
+#pragma once
+
+namespace boragetrack::core::events {
+
+/** Numbers each kind of log event; docs/EVENTS.md is the catalogue. */
+enum class EventCode {
+    NodeStarted = 100,
+    NodeStopping = 101,
+    NodeStopped = 102,
+    SettingsRefused = 110,
+    IntentApplied = 200,
+    IntentRefused = 201,
+    IntentOlderIgnored = 202,
+    StoreUnavailable = 210,
+    StoreRecovered = 211,
+    MemberAlive = 300,
+    MemberSuspect = 301,
+    MemberDead = 302,
+    MemberLeft = 303,
+    DataCentreSilent = 304,
+    UpstreamAnnounced = 310,
+    UpstreamLost = 311,
+    UpstreamDraining = 312,
+    PeerMessageRefused = 320,
+    PeerUnreachable = 321,
+    MoveStopped = 400,
+    MoveRecorded = 401,
+    MoveRecordFailed = 402,
+};
+
+} // namespace boragetrack::core::events
--- /dev/null
+++ b/packages/core/identity/Revision.h
@@ -0,0 +1,30 @@
+/** The revision of the intent. */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace boragetrack::core::identity {
+
+/** Orders accepted intents; a higher revision always displaces a lower one. */
+class Revision
+{
+public:
+    constexpr Revision() = default;
+    constexpr explicit Revision(std::uint64_t number)
+        : number_(number)
+    {}
+
+    /** Returns the number; zero stands for "no intent yet". */
+    constexpr std::uint64_t number() const { return number_; }
+
+    /** Returns the revision that a change of this one gets. */
+    constexpr Revision next() const { return Revision(number_ + 1); }
+
+    friend constexpr auto operator<=>(const Revision &, const Revision &) = default;
+
+private:
+    std::uint64_t number_ = 0;
+};
+
+} // namespace boragetrack::core::identity
--- /dev/null
+++ b/packages/daemon/Node.h
@@ -0,0 +1,54 @@
+/** A node as a whole. */
+#pragma once
+
+#include "daemon/frontends/CallerHandler.h"
+#include "daemon/frontends/OperatorHandler.h"
+#include "daemon/service/ControlService.h"
+#include "daemon/settings/NodeSettings.h"
+#include "transport/http/HttpConfigStore.h"
+#include "transport/http/HttpServer.h"
+#include "transport/http/UlfiusClient.h"
+#include "transport/links/LinkThread.h"
+
+namespace boragetrack::daemon {
+
+/** Joins all parts of a node and owns their order of start and stop. */
+class Node
+{
+public:
+    explicit Node(settings::NodeSettings settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /** Starts all parts. @returns the first listener's failure */
+    absl::Status start();
+
+    /** Stops gracefully: new work is refused as not run, work under way is finished.
+        @returns whether all work under way was finished in time */
+    bool stop();
+
+private:
+    static control::membership::MemberRecord selfRecord(const settings::NodeSettings &settings);
+
+    settings::NodeSettings settings_;
+    control::membership::MemberRecord self_;
+    core::counters::CounterRegistry counters_;
+    core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_;
+    service::RevisionBoard revisions_;
+    service::ControlThread controlThread_;
+    transport::http::UlfiusClient httpClient_;
+    transport::http::HttpConfigStore store_;
+    service::StoreWatcher watcher_;
+    service::MoveRecorder recorder_;
+    service::ControlService control_;
+    transport::links::LinkThread links_;
+    std::unique_ptr<traffic::routing::RoutingPolicy> routingPolicy_;
+    std::unique_ptr<traffic::retry::RetryPolicy> retryPolicy_;
+    frontends::CallerHandler callerHandler_;
+    frontends::OperatorHandler operatorHandler_;
+    transport::http::HttpServer callerServer_;
+    transport::http::HttpServer operatorServer_;
+};
+
+} // namespace boragetrack::daemon
--- /dev/null
+++ b/packages/daemon/frontends/OperatorHandler.cpp
@@ -0,0 +1,78 @@
+/** Implements OperatorHandler. */
+#include "daemon/frontends/OperatorHandler.h"
+
+#include "daemon/frontends/Announcement.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace boragetrack::daemon::frontends {
+
+using transport::http::HttpRequest;
+using transport::http::HttpResponse;
+
+namespace {
+
+constexpr std::chrono::milliseconds longestStatusWait{30'000};
+
+HttpResponse jsonResponse(const nlohmann::json &body)
+{
+    return HttpResponse{200, {{"Content-Type", "application/json"}}, body.dump() + "\n"};
+}
+
+} // namespace
+
+HttpResponse OperatorHandler::handle(const HttpRequest &request)
+{
+    const std::string path = request.path();
+    if (path == "/health")
+        return health();
+    if (path == "/metrics")
+        return HttpResponse{200, {{"Content-Type", "text/plain"}}, parts_.counters.toText()};
+    if (path == "/v1/announce")
+        return announce(request);
+    if (!isAuthorised(request))
+        return HttpResponse{401, {}, "a valid operator token is required\n"};
+    if (path == "/v1/status")
+        return status(request);
+    if (path == "/v1/members")
+        return jsonResponse(parts_.control.members());
+    if (path == "/v1/moves")
+        return jsonResponse(parts_.control.moves());
+    return HttpResponse{404, {}, "unknown path " + path + "\n"};
+}
+
+HttpResponse OperatorHandler::health() const
+{
+    const bool isServing = parts_.routing.current()->isServing;
+    return HttpResponse{isServing ? 200 : 503, {}, isServing ? "serving\n" : "not serving\n"};
+}
+
+HttpResponse OperatorHandler::status(const HttpRequest &request)
+{
+    const std::string revision = request.parameter("revision");
+    if (!revision.empty()) {
+        const std::chrono::milliseconds asked(std::atol(request.parameter("timeoutMs").c_str()));
+        parts_.revisions.waitFor(
+                core::identity::Revision(std::strtoull(revision.c_str(), nullptr, 10)),
+                std::clamp(asked, std::chrono::milliseconds::zero(), longestStatusWait));
+    }
+    return jsonResponse(parts_.control.status());
+}
+
+HttpResponse OperatorHandler::announce(const HttpRequest &request)
+{
+    core::findings::FindingList findings("announcement");
+    const auto status = readAnnouncement(request.body, parts_.settings.operators.host, findings);
+    if (!status)
+        return HttpResponse{400, {}, findings.toString() + "\n"};
+    parts_.control.upstreamAnnounced(*status);
+    return HttpResponse{200, {}, "ok\n"};
+}
+
+bool OperatorHandler::isAuthorised(const HttpRequest &request) const
+{
+    return request.header("Authorization") == "Bearer " + parts_.settings.operatorToken;
+}
+
+} // namespace boragetrack::daemon::frontends
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,76 @@
+/** boragetrackd: the node beside an upstream. */
+#include "core/events/EventLog.h"
+#include "daemon/Node.h"
+#include "daemon/settings/SettingsReader.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int wrongUse = 2;
+constexpr int startFailed = 1;
+
+// Blocks the signals in all threads started after this, so that sigwait receives them.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const std::string &settingsPath)
+{
+    using namespace boragetrack;
+    core::findings::FindingList findings(settingsPath);
+    const auto settings = daemon::settings::readSettingsFile(settingsPath, findings);
+    if (!settings) {
+        core::events::logEvent(core::events::EventCode::SettingsRefused, "settings refused");
+        std::cerr << findings.toString() << std::endl;
+        return wrongUse;
+    }
+    const sigset_t signals = blockStopSignals();
+    auto node = std::make_unique<daemon::Node>(*settings);
+    if (const absl::Status status = node->start(); !status.ok()) {
+        std::cerr << status.message() << std::endl;
+        std::_Exit(startFailed);
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    node->stop();
+    // A watch that waits at the platform can not be interrupted; it holds nothing that needs care.
+    std::_Exit(0);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description(
+            "boragetrackd: serves calls beside an upstream and keeps its intent in force");
+    description.add_options()("help", "print this help")("settings", options::value<std::string>(),
+                                                         "the settings file (JSON)");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << std::endl;
+        return wrongUse;
+    }
+    if (values.contains("help")) {
+        std::cout << description;
+        return 0;
+    }
+    if (!values.contains("settings")) {
+        std::cerr << "--settings FILE is required" << std::endl;
+        return wrongUse;
+    }
+    boragetrack::core::events::startLogging(argv[0]);
+    return run(values["settings"].as<std::string>());
+}
--- /dev/null
+++ b/packages/daemon/service/ControlService.cpp
@@ -0,0 +1,315 @@
+/** Implements ControlService. */
+#include "daemon/service/ControlService.h"
+
+#include "control/membership/RingNeighbours.h"
+#include "control/moves/BaselineMovePolicies.h"
+#include "control/moves/StandardMovePolicies.h"
+#include "core/events/EventLog.h"
+#include "daemon/service/StatusReport.h"
+#include "traffic/routing/RoutingSnapshotBuilder.h"
+
+namespace boragetrack::daemon::service {
+
+using control::distribution::ControlPlane;
+using control::distribution::Exchange;
+using control::distribution::IntentTransfer;
+using control::distribution::PeerContact;
+using control::membership::MemberRecord;
+using control::membership::MemberState;
+using control::membership::MemberTable;
+using control::membership::UpstreamState;
+using core::events::EventCode;
+using core::identity::NodeId;
+using core::identity::Revision;
+using core::timing::MonotonicTime;
+using transport::serving::UpstreamStatus;
+
+namespace {
+
+constexpr std::chrono::milliseconds upkeepPeriod{200};
+// An upstream announces itself each second; three announcements missed mean that it is gone.
+constexpr std::chrono::milliseconds announcementLife{3000};
+constexpr std::chrono::milliseconds recordInterval{1000};
+constexpr std::chrono::milliseconds recordSpread{500};
+
+std::unique_ptr<control::moves::MovePolicies> movePolicies(bool isBaseline)
+{
+    if (isBaseline)
+        return std::make_unique<control::moves::BaselineMovePolicies>();
+    return std::make_unique<control::moves::StandardMovePolicies>();
+}
+
+EventCode eventOf(MemberState state)
+{
+    switch (state) {
+    case MemberState::Suspect:
+        return EventCode::MemberSuspect;
+    case MemberState::Dead:
+        return EventCode::MemberDead;
+    case MemberState::Left:
+        return EventCode::MemberLeft;
+    case MemberState::Alive:
+        break;
+    }
+    return EventCode::MemberAlive;
+}
+
+} // namespace
+
+ControlService::ControlService(Parts parts)
+    : parts_(std::move(parts))
+{}
+
+ControlService::~ControlService() = default;
+
+void ControlService::start(control::distribution::PeerTransport &transport,
+                           UpstreamSink upstreamSink)
+{
+    upstreamSink_ = std::move(upstreamSink);
+    parts_.thread.post([this, &transport]() {
+        ControlPlane::Parts parts{parts_.self,
+                                  parts_.settings.seeds,
+                                  std::make_unique<control::membership::RingNeighbours>(),
+                                  movePolicies(parts_.settings.usesBaselinePolicies),
+                                  core::timing::currentWallTime,
+                                  std::random_device{}()};
+        ControlPlane::Listener &planeListener = *this;
+        core::timing::TimerService::Listener &timerListener = *this;
+        plane_ = std::make_unique<ControlPlane>(std::move(parts), transport, parts_.thread,
+                                                planeListener);
+        timer_ = std::make_unique<core::timing::ScopedTimer>(parts_.thread, timerListener,
+                                                             upkeepPeriod);
+        plane_->start();
+    });
+}
+
+void ControlService::leave()
+{
+    post([](ControlPlane &plane) { plane.leave(); });
+}
+
+void ControlService::stop()
+{
+    parts_.thread.post([this]() {
+        timer_.reset();
+        plane_.reset();
+    });
+}
+
+//==============================================================================
+void ControlService::storeValueReceived(const std::string &text)
+{
+    post([text](ControlPlane &plane) { plane.storeValueReceived(text); });
+}
+
+void ControlService::upstreamAnnounced(const UpstreamStatus &status)
+{
+    post([this, status](ControlPlane &plane) {
+        announcedAt_ = parts_.thread.now();
+        const bool isChanged = !upstream_ || upstream_->instance != status.instance
+                               || upstream_->record != status.record
+                               || upstream_->address != status.address;
+        if (!isChanged)
+            return;
+        const bool isDraining = status.record.state == UpstreamState::Draining;
+        core::events::logEvent(isDraining ? EventCode::UpstreamDraining
+                                          : EventCode::UpstreamAnnounced,
+                               isDraining ? "upstream draining" : "upstream announced",
+                               {{"service", status.record.service.value()},
+                                {"version", status.record.version.value()},
+                                {"address", status.address.toString()}});
+        upstream_ = status;
+        upstreamSink_(upstream_);
+        plane.upstreamAnnounced(status.record);
+    });
+}
+
+void ControlService::callEnded(const control::moves::CallEvidence &evidence)
+{
+    post([evidence](ControlPlane &plane) { plane.callEnded(evidence); });
+}
+
+nlohmann::json ControlService::status()
+{
+    const auto report = parts_.thread.query([this]() {
+        return plane_ ? reportStatus(*plane_, *parts_.routing.current()) : nlohmann::json();
+    });
+    return report.value_or(nlohmann::json());
+}
+
+nlohmann::json ControlService::members()
+{
+    const auto report = parts_.thread.query(
+            [this]() { return plane_ ? reportMembers(*plane_) : nlohmann::json(); });
+    return report.value_or(nlohmann::json());
+}
+
+nlohmann::json ControlService::moves()
+{
+    const auto report = parts_.thread.query(
+            [this]() { return plane_ ? reportMoves(*plane_) : nlohmann::json(); });
+    return report.value_or(nlohmann::json());
+}
+
+//==============================================================================
+void ControlService::handleExchange(Exchange request, Reply<Exchange> reply)
+{
+    post([request = std::move(request), reply = std::move(reply)](ControlPlane &plane) {
+        reply(plane.exchangeReceived(request));
+    });
+}
+
+void ControlService::handlePush(NodeId sender, IntentTransfer transfer, Reply<Revision> reply)
+{
+    post([sender, transfer = std::move(transfer), reply = std::move(reply)](ControlPlane &plane) {
+        reply(plane.intentReceived(PeerContact{sender, {}}, transfer));
+    });
+}
+
+void ControlService::handleFetchIntent(Revision have, Reply<IntentTransfer> reply)
+{
+    post([have, reply = std::move(reply)](ControlPlane &plane) {
+        reply(plane.transferSince(have));
+    });
+}
+
+void ControlService::handleFetchMembers(MemberTable::BucketHashes hashes,
+                                        Reply<std::vector<MemberRecord>> reply)
+{
+    post([hashes, reply = std::move(reply)](ControlPlane &plane) {
+        reply(plane.membersDifferingFrom(hashes));
+    });
+}
+
+void ControlService::exchangeAnswered(PeerContact peer, Exchange answer)
+{
+    post([peer, answer = std::move(answer)](ControlPlane &plane) {
+        plane.exchangeAnswered(peer, answer);
+    });
+}
+
+void ControlService::exchangeFailed(PeerContact peer)
+{
+    post([peer](ControlPlane &plane) { plane.exchangeFailed(peer); });
+}
+
+void ControlService::intentFetched(PeerContact peer, IntentTransfer transfer)
+{
+    post([peer, transfer = std::move(transfer)](ControlPlane &plane) {
+        plane.intentReceived(peer, transfer);
+    });
+}
+
+void ControlService::pushAnswered(Revision peerRevision)
+{
+    post([peerRevision](ControlPlane &plane) { plane.pushAnswered(peerRevision); });
+}
+
+void ControlService::membersFetched(std::vector<MemberRecord> records)
+{
+    post([records = std::move(records)](ControlPlane &plane) { plane.membersReceived(records); });
+}
+
+//==============================================================================
+void ControlService::intentInForce()
+{
+    const Revision revision = plane_->snapshot()->revision();
+    ramp_.update(plane_->snapshot()->document(), parts_.thread.now());
+    core::events::logEvent(EventCode::IntentApplied, "intent in force",
+                           {{"revision", std::to_string(revision.number())}});
+    parts_.counters.counter("intents_applied").add();
+    isViewStale_ = true;
+    publishIfStale();
+    parts_.revisions.publish(revision);
+}
+
+void ControlService::intentRefused()
+{
+    const auto &holder = plane_->holder();
+    parts_.counters.counter("intents_refused").add();
+    core::events::logEvent(EventCode::IntentRefused, "intent refused",
+                           {{"revision", std::to_string(holder.refusedRevision().number())},
+                            {"findings", holder.refusal()}});
+}
+
+void ControlService::memberChanged(const MemberRecord *previous, const MemberRecord &record)
+{
+    if (previous != nullptr && previous->state == record.state)
+        return;
+    core::events::logEvent(
+            eventOf(record.state), "member changed",
+            {{"node", record.id.value()}, {"dataCentre", record.dataCentre.value()}});
+}
+
+void ControlService::dataCentreSilent(const core::identity::DataCentreId &dataCentre)
+{
+    core::events::logEvent(EventCode::DataCentreSilent, "data centre silent",
+                           {{"dataCentre", dataCentre.value()}});
+}
+
+void ControlService::moveStopped(const control::intent::MoveIntent &move,
+                                 const std::string &evidence)
+{
+    parts_.counters.counter("moves_stopped").add();
+    core::events::logEvent(EventCode::MoveStopped, "move stopped",
+                           {{"move", move.id}, {"evidence", evidence}});
+}
+
+void ControlService::timerElapsed(MonotonicTime now)
+{
+    expireUpstream(now);
+    recordMoves(now);
+    parts_.watcher.setActive(parts_.settings.watchesAlways || plane_->isWatcher());
+    isViewStale_ = isViewStale_ || ramp_.isRamping(now);
+    publishIfStale();
+}
+
+//==============================================================================
+bool ControlService::post(std::function<void(ControlPlane &)> task)
+{
+    return parts_.thread.post([this, task = std::move(task)]() {
+        if (!plane_)
+            return;
+        task(*plane_);
+        publishIfStale();
+    });
+}
+
+void ControlService::publishIfStale()
+{
+    if (!isViewStale_ || !plane_)
+        return;
+    isViewStale_ = false;
+    const auto shareOf
+            = [this](const control::intent::Route &route) { return plane_->shareOf(route); };
+    parts_.routing.publish(traffic::routing::buildRoutingSnapshot(
+            plane_->snapshot(), plane_->membership().table(), plane_->membership().self(), shareOf,
+            ramp_, parts_.thread.now()));
+}
+
+void ControlService::expireUpstream(MonotonicTime now)
+{
+    if (!upstream_ || now - announcedAt_ < announcementLife)
+        return;
+    core::events::logEvent(EventCode::UpstreamLost, "upstream lost",
+                           {{"service", upstream_->record.service.value()}});
+    control::membership::UpstreamRecord gone = upstream_->record;
+    gone.state = UpstreamState::None;
+    upstream_.reset();
+    upstreamSink_(std::nullopt);
+    plane_->upstreamAnnounced(gone);
+}
+
+void ControlService::recordMoves(MonotonicTime now)
+{
+    if (now < nextRecordAt_ || !plane_->isWatcher())
+        return;
+    const auto records = plane_->missingMoveRecords();
+    if (records.empty())
+        return;
+    std::uniform_int_distribution<std::int64_t> spread(0, recordSpread.count());
+    nextRecordAt_ = now + recordInterval + std::chrono::milliseconds(spread(random_));
+    parts_.recorder.record(records.front(), plane_->holder().revision());
+}
+
+} // namespace boragetrack::daemon::service
--- /dev/null
+++ b/packages/daemon/service/ControlService.h
@@ -0,0 +1,124 @@
+/** The control plane on its thread. */
+#pragma once
+
+#include "control/distribution/ControlPlane.h"
+#include "core/concurrency/Published.h"
+#include "core/counters/CounterRegistry.h"
+#include "daemon/service/ControlThread.h"
+#include "daemon/service/MoveRecorder.h"
+#include "daemon/service/RevisionBoard.h"
+#include "daemon/service/StoreWatcher.h"
+#include "daemon/settings/NodeSettings.h"
+#include "traffic/routing/ReturnRamp.h"
+#include "traffic/routing/RoutingSnapshot.h"
+#include "transport/links/PeerEventSink.h"
+#include "transport/links/PeerRequestHandler.h"
+#include "transport/serving/UpstreamStatus.h"
+
+#include <nlohmann/json.hpp>
+
+namespace boragetrack::daemon::service {
+
+/** Owns the control plane, feeds it events from other threads and carries out what it decides. */
+class ControlService : public transport::links::PeerRequestHandler,
+                       public transport::links::PeerEventSink,
+                       private control::distribution::ControlPlane::Listener,
+                       private core::timing::TimerService::Listener
+{
+public:
+    /** Takes what is known of the upstream beside this node. */
+    using UpstreamSink
+            = std::function<void(const std::optional<transport::serving::UpstreamStatus> &)>;
+
+    /** What the service works with; all references outlive it. */
+    struct Parts
+    {
+        const settings::NodeSettings &settings;
+        control::membership::MemberRecord self;
+        ControlThread &thread;
+        StoreWatcher &watcher;
+        MoveRecorder &recorder;
+        core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
+        RevisionBoard &revisions;
+        core::counters::CounterRegistry &counters;
+    };
+
+    explicit ControlService(Parts parts);
+    ~ControlService() override;
+
+    /** Creates the control plane on the control thread and begins its work. */
+    void start(control::distribution::PeerTransport &transport, UpstreamSink upstreamSink);
+
+    /** Tells the peers that this node leaves. */
+    void leave();
+
+    /** Destroys the control plane; later events are dropped. */
+    void stop();
+
+    //==============================================================================
+    /** Takes a value of the intent's key; called on any thread. */
+    void storeValueReceived(const std::string &text);
+
+    /** Takes an announcement of the upstream; called on any thread. */
+    void upstreamAnnounced(const transport::serving::UpstreamStatus &status);
+
+    /** Takes the outcome of a call; called on any thread. */
+    void callEnded(const control::moves::CallEvidence &evidence);
+
+    /** Returns this node's state for operators; blocks for the control thread. */
+    nlohmann::json status();
+
+    /** Returns all members for operators; blocks for the control thread. */
+    nlohmann::json members();
+
+    /** Returns the moves with their present shares; blocks for the control thread. */
+    nlohmann::json moves();
+
+    //==============================================================================
+    void handleExchange(control::distribution::Exchange request,
+                        Reply<control::distribution::Exchange> reply) override;
+    void handlePush(core::identity::NodeId sender, control::distribution::IntentTransfer transfer,
+                    Reply<core::identity::Revision> reply) override;
+    void handleFetchIntent(core::identity::Revision have,
+                           Reply<control::distribution::IntentTransfer> reply) override;
+    void handleFetchMembers(control::membership::MemberTable::BucketHashes hashes,
+                            Reply<std::vector<control::membership::MemberRecord>> reply) override;
+
+    void exchangeAnswered(control::distribution::PeerContact peer,
+                          control::distribution::Exchange answer) override;
+    void exchangeFailed(control::distribution::PeerContact peer) override;
+    void intentFetched(control::distribution::PeerContact peer,
+                       control::distribution::IntentTransfer transfer) override;
+    void pushAnswered(core::identity::Revision peerRevision) override;
+    void membersFetched(std::vector<control::membership::MemberRecord> records) override;
+
+private:
+    void viewChanged() override { isViewStale_ = true; }
+    void intentInForce() override;
+    void intentRefused() override;
+    void memberChanged(const control::membership::MemberRecord *previous,
+                       const control::membership::MemberRecord &record) override;
+    void dataCentreSilent(const core::identity::DataCentreId &dataCentre) override;
+    void moveStopped(const control::intent::MoveIntent &move, const std::string &evidence) override;
+    void timerElapsed(core::timing::MonotonicTime now) override;
+
+    // Runs a task on the control thread, and publishes a new view if the task changed it.
+    bool post(std::function<void(control::distribution::ControlPlane &)> task);
+    void publishIfStale();
+    void expireUpstream(core::timing::MonotonicTime now);
+    void recordMoves(core::timing::MonotonicTime now);
+
+    Parts parts_;
+    UpstreamSink upstreamSink_;
+    // All below is used on the control thread only.
+    std::unique_ptr<control::distribution::ControlPlane> plane_;
+    traffic::routing::ReturnRamp ramp_;
+    bool isViewStale_ = false;
+    std::optional<transport::serving::UpstreamStatus> upstream_;
+    core::timing::MonotonicTime announcedAt_{};
+    core::timing::MonotonicTime nextRecordAt_{};
+    std::mt19937_64 random_{std::random_device{}()};
+    std::unique_ptr<core::timing::ScopedTimer> timer_;
+};
+
+} // namespace boragetrack::daemon::service
--- /dev/null
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -0,0 +1,108 @@
+/** Implements the reading of settings: the schema first, then values across fields. */
+#include "daemon/settings/SettingsReader.h"
+
+#include "core/findings/SchemaValidator.h"
+
+#include <arpa/inet.h>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace boragetrack::daemon::settings {
+
+using core::findings::FindingList;
+using core::identity::NetworkAddress;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *schema = R"json({
+"type": "object",
+"additionalProperties": false,
+"required": ["node", "dataCentre", "callers", "peers", "operators", "operatorToken", "platform",
+             "seeds"],
+"definitions": {"address": {
+  "type": "object", "additionalProperties": false, "required": ["host", "port"],
+  "properties": {"host": {"type": "string"},
+                 "port": {"type": "integer", "minimum": 1, "maximum": 65535}}}},
+"properties": {
+  "node": {"type": "string", "pattern": "^[A-Za-z0-9._-]+$"},
+  "dataCentre": {"type": "string", "minLength": 1},
+  "callers": {"$ref": "#/definitions/address"},
+  "peers": {"$ref": "#/definitions/address"},
+  "operators": {"$ref": "#/definitions/address"},
+  "operatorToken": {"type": "string", "minLength": 8},
+  "platform": {"$ref": "#/definitions/address"},
+  "seeds": {"type": "array", "items": {"$ref": "#/definitions/address"}},
+  "experiment": {"type": "object", "additionalProperties": false, "properties": {
+    "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
+}})json";
+
+NetworkAddress readAddress(const json &object, const std::string &pointer, FindingList &findings)
+{
+    const NetworkAddress address{object["host"], object["port"].get<std::uint16_t>()};
+    in_addr parsed{};
+    if (inet_pton(AF_INET, address.host.c_str(), &parsed) != 1)
+        findings.add(pointer + "/host", "'" + address.host + "' is not an IP number");
+    return address;
+}
+
+void checkDistinct(const NodeSettings &settings, FindingList &findings)
+{
+    std::map<NetworkAddress, std::string> used;
+    const std::pair<const char *, const NetworkAddress &> listeners[]
+            = {{"/callers", settings.callers},
+               {"/peers", settings.peers},
+               {"/operators", settings.operators}};
+    for (const auto &[pointer, address] : listeners) {
+        const auto [it, isNew] = used.emplace(address, pointer);
+        if (!isNew)
+            findings.add(std::string(pointer) + "/port",
+                         address.toString() + " is already used by " + it->second);
+    }
+}
+
+} // namespace
+
+std::optional<NodeSettings> readSettings(const std::string &text, FindingList &findings)
+{
+    static const core::findings::SchemaValidator validator{std::string(schema)};
+    const json root = core::findings::parseJson(text, findings);
+    if (root.is_discarded())
+        return std::nullopt;
+    validator.validate(root, findings);
+    if (!findings.isEmpty())
+        return std::nullopt;
+    NodeSettings settings;
+    settings.node = core::identity::NodeId(root["node"]);
+    settings.dataCentre = core::identity::DataCentreId(root["dataCentre"]);
+    settings.callers = readAddress(root["callers"], "/callers", findings);
+    settings.peers = readAddress(root["peers"], "/peers", findings);
+    settings.operators = readAddress(root["operators"], "/operators", findings);
+    settings.operatorToken = root["operatorToken"];
+    settings.platform = readAddress(root["platform"], "/platform", findings);
+    for (std::size_t i = 0; i < root["seeds"].size(); ++i)
+        settings.seeds.push_back(
+                readAddress(root["seeds"][i], "/seeds/" + std::to_string(i), findings));
+    const json experiment = root.value("experiment", json::object());
+    settings.usesBaselinePolicies = experiment.value("baselinePolicies", false);
+    settings.watchesAlways = experiment.value("watchAlways", false);
+    checkDistinct(settings, findings);
+    if (!findings.isEmpty())
+        return std::nullopt;
+    return settings;
+}
+
+std::optional<NodeSettings> readSettingsFile(const std::string &path, FindingList &findings)
+{
+    std::ifstream file(path);
+    if (!file) {
+        findings.add("", "cannot open the file");
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return readSettings(text.str(), findings);
+}
+
+} // namespace boragetrack::daemon::settings
--- /dev/null
+++ b/packages/operators/commands/ApplyCommand.cpp
@@ -0,0 +1,38 @@
+/** Implements ApplyCommand. */
+#include "operators/commands/ApplyCommand.h"
+
+#include "control/intent/IntentParser.h"
+#include "operators/commands/Arguments.h"
+
+namespace boragetrack::operators::commands {
+
+namespace options = boost::program_options;
+using nlohmann::json;
+
+void ApplyCommand::describe(options::options_description &description) const
+{
+    auto add = description.add_options();
+    add("file", options::value<std::string>()->required(), "the intent file (JSON)");
+    add("reason", options::value<std::string>()->required(), "why, for the audit trail");
+    add("wait", options::bool_switch(), "wait until the change is in force everywhere");
+}
+
+CommandResult ApplyCommand::run(CommandContext &context,
+                                const options::variables_map &arguments) const
+{
+    const std::string path = arguments["file"].as<std::string>();
+    const auto text = readTextFile(path);
+    if (!text)
+        return {ExitCode::WrongUse, "cannot open " + path};
+    core::findings::FindingList findings(path);
+    if (!control::intent::parseIntent(*text, findings))
+        return {ExitCode::Refused, findings.toString()};
+    const json document = json::parse(*text);
+    return context.change(arguments, "apply " + path, arguments["reason"].as<std::string>(),
+                          [&](json &stored) {
+                              stored = document;
+                              return absl::OkStatus();
+                          });
+}
+
+} // namespace boragetrack::operators::commands
--- /dev/null
+++ b/packages/operators/commands/CheckCommand.cpp
@@ -0,0 +1,37 @@
+/** Implements CheckCommand. */
+#include "operators/commands/CheckCommand.h"
+
+#include "control/intent/IntentParser.h"
+#include "operators/commands/Arguments.h"
+
+namespace boragetrack::operators::commands {
+
+namespace options = boost::program_options;
+using nlohmann::json;
+
+void CheckCommand::describe(options::options_description &description) const
+{
+    auto add = description.add_options();
+    add("file", options::value<std::string>()->required(), "the intent file (JSON)");
+}
+
+CommandResult CheckCommand::run(CommandContext & /*context*/,
+                                const options::variables_map &arguments) const
+{
+    const std::string path = arguments["file"].as<std::string>();
+    const auto text = readTextFile(path);
+    if (!text)
+        return {ExitCode::WrongUse, "cannot open " + path};
+    core::findings::FindingList findings(path);
+    control::intent::parseIntent(*text, findings);
+    CommandResult result;
+    result.text = findings.isEmpty() ? path + " is valid" : findings.toString();
+    result.code = findings.isEmpty() ? ExitCode::Done : ExitCode::Refused;
+    result.json["findings"] = json::array();
+    for (const auto &finding : findings.findings())
+        result.json["findings"].push_back(
+                {{"place", finding.place.toString()}, {"message", finding.message}});
+    return result;
+}
+
+} // namespace boragetrack::operators::commands
--- /dev/null
+++ b/packages/operators/commands/CommandContext.cpp
@@ -0,0 +1,134 @@
+/** Implements CommandContext. */
+#include "operators/commands/CommandContext.h"
+
+#include <random>
+#include <thread>
+
+namespace boragetrack::operators::commands {
+
+using control::store::EditOutcome;
+using control::store::EditResult;
+using core::identity::Revision;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds forceTimeout{15'000};
+
+/** Waits by sleeping. */
+class SleepingWaiter : public control::store::EditWaiter
+{
+public:
+    void wait(std::chrono::milliseconds time) override { std::this_thread::sleep_for(time); }
+};
+
+ExitCode codeOf(EditOutcome outcome)
+{
+    switch (outcome) {
+    case EditOutcome::Accepted:
+        return ExitCode::Done;
+    case EditOutcome::Refused:
+        return ExitCode::Refused;
+    case EditOutcome::Conflict:
+        return ExitCode::AnotherWasFirst;
+    case EditOutcome::NotAccepted:
+    case EditOutcome::Unsettled:
+        break;
+    }
+    return ExitCode::PlatformUnreachable;
+}
+
+std::string describe(const EditResult &result)
+{
+    const std::string revision = std::to_string(result.revision.number());
+    switch (result.outcome) {
+    case EditOutcome::Accepted:
+        return "accepted as revision " + revision;
+    case EditOutcome::Refused:
+        return "refused, nothing was changed:\n" + result.message;
+    case EditOutcome::Conflict:
+        return "not accepted, another operator was first:\n" + result.message;
+    case EditOutcome::NotAccepted:
+        return "not accepted, nothing was changed: " + result.message;
+    case EditOutcome::Unsettled:
+        break;
+    }
+    return result.message;
+}
+
+std::string makeChangeId(const std::string &operatorName)
+{
+    std::random_device random;
+    return operatorName + "-" + std::to_string(random()) + "-" + std::to_string(random());
+}
+
+} // namespace
+
+CommandContext::CommandContext(const settings::OperatorSettings &settings,
+                               control::store::ConfigStore &store,
+                               transport::http::HttpClient &client, Progress progress)
+    : settings_(settings)
+    , store_(store)
+    , fleet_(settings, client)
+    , waiter_(std::make_unique<SleepingWaiter>())
+    , editor_(store, *waiter_)
+    , progress_(std::move(progress))
+{}
+
+CommandResult CommandContext::change(const boost::program_options::variables_map &arguments,
+                                     const std::string &action, const std::string &reason,
+                                     const control::store::IntentEditor::Mutation &mutation)
+{
+    const control::intent::ChangeRecord record{makeChangeId(settings_.operatorName),
+                                               settings_.operatorName,
+                                               core::timing::currentWallTime(), action, reason};
+    const EditResult edited = editor_.edit(record, mutation, fleet_.floor());
+    CommandResult result{codeOf(edited.outcome), describe(edited),
+                         json{{"revision", edited.revision.number()},
+                              {"accepted", edited.outcome == EditOutcome::Accepted},
+                              {"message", edited.message}}};
+    const bool isWaiting = arguments.contains("wait") && arguments["wait"].as<bool>();
+    if (result.code != ExitCode::Done || !isWaiting)
+        return result;
+    progress(result.text);
+    CommandResult waited = waitInForce(edited.revision, forceTimeout);
+    waited.json["accepted"] = true;
+    return waited;
+}
+
+CommandResult CommandContext::waitInForce(Revision revision, std::chrono::milliseconds timeout)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    const auto reports = fleet_.reports(revision, timeout);
+    if (!reports.ok())
+        return {ExitCode::Refused,
+                "accepted, but no node could be asked: " + std::string(reports.status().message())};
+    json lacking = json::array();
+    for (const auto &report : *reports) {
+        if (!report.isReached || report.revision < revision)
+            lacking.push_back(report.node);
+    }
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - begun);
+    CommandResult result;
+    result.json = {{"revision", revision.number()},
+                   {"nodes", reports->size()},
+                   {"lacking", lacking},
+                   {"waitedMs", passed.count()}};
+    const std::string name = "revision " + std::to_string(revision.number());
+    if (lacking.empty()) {
+        result.text = name + " is in force on all " + std::to_string(reports->size()) + " nodes";
+        return result;
+    }
+    result.code = ExitCode::Refused;
+    result.text = name + " is accepted but not yet in force on: " + lacking.dump();
+    return result;
+}
+
+CommandResult CommandContext::unreachable(const absl::Status &status)
+{
+    return {ExitCode::PlatformUnreachable,
+            "the platform cannot be reached: " + std::string(status.message())};
+}
+
+} // namespace boragetrack::operators::commands
--- /dev/null
+++ b/packages/operators/commands/DataCentreOutCommand.h
@@ -0,0 +1,23 @@
+/** Takes a data centre out. */
+#pragma once
+
+#include "operators/commands/Command.h"
+
+namespace boragetrack::operators::commands {
+
+/** Performs "datacentre out". */
+class DataCentreOutCommand : public Command
+{
+public:
+    std::string name() const override { return "datacentre out"; }
+    std::string summary() const override
+    {
+        return "takes a data centre's upstreams out of service";
+    }
+    void describe(boost::program_options::options_description &options) const override;
+    std::vector<std::string> positionals() const override { return {"name"}; }
+    CommandResult run(CommandContext &context,
+                      const boost::program_options::variables_map &arguments) const override;
+};
+
+} // namespace boragetrack::operators::commands
--- /dev/null
+++ b/packages/operators/commands/MoveWaitCommand.cpp
@@ -0,0 +1,74 @@
+/** Implements MoveWaitCommand. */
+#include "operators/commands/MoveWaitCommand.h"
+
+#include "control/store/StoreKeys.h"
+#include "operators/commands/Arguments.h"
+
+#include <thread>
+
+namespace boragetrack::operators::commands {
+
+namespace options = boost::program_options;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds watchTime{10'000};
+constexpr std::chrono::milliseconds pause{500};
+
+// Returns the result for a move that has ended or does not exist.
+std::optional<CommandResult> endOf(const std::string &id, const json &document)
+{
+    for (const json &move : document["moves"]) {
+        if (move["id"] != id)
+            continue;
+        const std::string state = move["state"];
+        if (state == "running")
+            return std::nullopt;
+        const bool isDone = state == "done";
+        return CommandResult{isDone ? ExitCode::Done : ExitCode::Refused,
+                             "move " + id + " is " + (isDone ? "done" : "taken back") + ": "
+                                     + move.value("outcome", ""),
+                             json{{"move", id},
+                                  {"state", state},
+                                  {"outcome", move.value("outcome", "")},
+                                  {"endedAt", move.value("endedAt", "")}}};
+    }
+    return CommandResult{ExitCode::Refused, "no move '" + id + "'"};
+}
+
+} // namespace
+
+void MoveWaitCommand::describe(options::options_description &description) const
+{
+    auto add = description.add_options();
+    add("move", options::value<std::string>()->required(), "its id");
+    add("timeout", options::value<std::string>()->default_value("3600"), "seconds to wait");
+}
+
+CommandResult MoveWaitCommand::run(CommandContext &context,
+                                   const options::variables_map &arguments) const
+{
+    const std::string id = arguments["move"].as<std::string>();
+    const auto seconds = parseInteger(arguments["timeout"].as<std::string>());
+    if (!seconds)
+        return {ExitCode::WrongUse, "--timeout takes seconds"};
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(*seconds);
+    control::store::StoreVersion known;
+    while (std::chrono::steady_clock::now() < limit) {
+        const auto value = context.store().watch(control::store::intentKey, known, watchTime);
+        if (!value.ok()) {
+            std::this_thread::sleep_for(pause);
+            continue;
+        }
+        known = value->version;
+        const auto envelope = control::intent::IntentEnvelope::fromText(value->value);
+        const auto result = envelope ? endOf(id, envelope->document) : std::nullopt;
+        if (result)
+            return *result;
+        context.progress("move " + id + " is running");
+    }
+    return {ExitCode::Refused, "move " + id + " has not ended in time"};
+}
+
+} // namespace boragetrack::operators::commands
--- /dev/null
+++ b/packages/operators/main.cpp
@@ -0,0 +1,113 @@
+/** boragetrack: the operators' command line. */
+#include "core/events/EventLog.h"
+#include "operators/commands/CommandTable.h"
+#include "transport/http/HttpConfigStore.h"
+#include "transport/http/UlfiusClient.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace boragetrack;
+using operators::ExitCode;
+using operators::commands::Command;
+using operators::commands::CommandContext;
+using operators::commands::CommandResult;
+
+constexpr const char *settingsVariable = "BORAGETRACK_SETTINGS";
+
+options::options_description describe(const Command &command)
+{
+    options::options_description description("boragetrack " + command.name() + ": "
+                                             + command.summary());
+    auto add = description.add_options();
+    add("help", "print this help");
+    add("json", "print JSON");
+    const char *path = std::getenv(settingsVariable);
+    add("settings", options::value<std::string>()->default_value(path != nullptr ? path : ""),
+        "the settings file (JSON)");
+    command.describe(description);
+    return description;
+}
+
+options::variables_map parse(const Command &command, const std::vector<std::string> &words,
+                             const options::options_description &description)
+{
+    options::positional_options_description positionals;
+    for (const std::string &name : command.positionals())
+        positionals.add(name.c_str(), 1);
+    options::variables_map values;
+    options::store(
+            options::command_line_parser(words).options(description).positional(positionals).run(),
+            values);
+    return values;
+}
+
+CommandResult runOnline(const Command &command, const options::variables_map &values)
+{
+    const std::string path = values["settings"].as<std::string>();
+    core::findings::FindingList findings(path);
+    const auto settings = operators::settings::readOperatorSettings(path, findings);
+    if (!settings)
+        return {ExitCode::WrongUse, "settings, from --settings or " + std::string(settingsVariable)
+                                            + ":\n" + findings.toString()};
+    transport::http::UlfiusClient client;
+    transport::http::HttpConfigStore store(settings->platform, client);
+    CommandContext context(*settings, store, client,
+                           [](const std::string &line) { std::cerr << line << std::endl; });
+    return command.run(context, values);
+}
+
+CommandResult runOffline(const Command &command, const options::variables_map &values)
+{
+    const operators::settings::OperatorSettings none;
+    transport::http::UlfiusClient client;
+    transport::http::HttpConfigStore store({}, client);
+    CommandContext context(none, store, client, [](const std::string &) {});
+    return command.run(context, values);
+}
+
+int print(const CommandResult &result, bool isJson)
+{
+    auto json = result.json;
+    if (isJson) {
+        json["exit"] = static_cast<int>(result.code);
+        json["text"] = result.text;
+        std::cout << json.dump() << std::endl;
+    } else {
+        (result.code == ExitCode::Done ? std::cout : std::cerr) << result.text << std::endl;
+    }
+    return static_cast<int>(result.code);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    core::events::startLogging(argv[0]);
+    const operators::commands::CommandTable table;
+    std::vector<std::string> words(argv + 1, argv + argc);
+    const Command *command = table.take(words);
+    if (command == nullptr) {
+        const bool isHelp = words.size() == 1 && (words[0] == "--help" || words[0] == "help");
+        (isHelp ? std::cout : std::cerr) << table.help();
+        return static_cast<int>(isHelp ? ExitCode::Done : ExitCode::WrongUse);
+    }
+    try {
+        const auto description = describe(*command);
+        options::variables_map values = parse(*command, words, description);
+        if (values.contains("help")) {
+            std::cout << description;
+            return 0;
+        }
+        options::notify(values);
+        const CommandResult result
+                = command->isOffline() ? runOffline(*command, values) : runOnline(*command, values);
+        return print(result, values.contains("json"));
+    } catch (const options::error &error) {
+        std::cerr << error.what() << std::endl;
+        return static_cast<int>(ExitCode::WrongUse);
+    }
+}
--- /dev/null
+++ b/packages/standins/load/LoadGenerator.cpp
@@ -0,0 +1,144 @@
+/** Implements LoadGenerator. */
+#include "standins/load/LoadGenerator.h"
+
+#include "core/hashing/StableHash.h"
+#include "traffic/calls/CallHeaders.h"
+
+#include <strings.h>
+#include <thread>
+
+namespace boragetrack::standins::load {
+
+using transport::http::HttpRequest;
+using transport::http::HttpResponse;
+
+namespace {
+
+constexpr std::chrono::milliseconds retryPause{20};
+constexpr unsigned int percent = 100;
+
+std::string headerOf(const HttpResponse &response, const char *name)
+{
+    for (const auto &field : response.headers) {
+        if (strcasecmp(field.name.c_str(), name) == 0)
+            return field.value;
+    }
+    return {};
+}
+
+std::string outcomeOf(const HttpResponse &response, const std::string &id, std::size_t bodyBytes)
+{
+    const std::string outcome = headerOf(response, traffic::calls::outcomeHeader);
+    if (outcome == "not-run" || outcome == "unknown")
+        return outcome;
+    if (response.status != 200)
+        return "failed";
+    // The whole answer to this very request names its id and the length of its body.
+    const std::string expected = "id=" + id + " length=" + std::to_string(bodyBytes) + " version=";
+    const bool isWhole = response.body.rfind(expected, 0) == 0 && response.body.back() == '\n';
+    return isWhole ? "ok" : "wrong";
+}
+
+} // namespace
+
+LoadGenerator::LoadGenerator(LoadPlan plan)
+    : plan_(std::move(plan))
+    , log_(std::fopen(plan_.logPath.c_str(), "w"))
+{}
+
+LoadGenerator::~LoadGenerator()
+{
+    if (log_ != nullptr)
+        std::fclose(log_);
+}
+
+void LoadGenerator::run()
+{
+    start_ = std::chrono::steady_clock::now();
+    std::vector<std::thread> threads;
+    for (int i = 0; i < plan_.connections; ++i)
+        threads.emplace_back([this, i]() { runConnection(static_cast<std::size_t>(i)); });
+    for (std::thread &thread : threads)
+        thread.join();
+}
+
+void LoadGenerator::runConnection(std::size_t index)
+{
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    CallerConnection connection(io);
+    std::size_t target = index % plan_.targets.size();
+    const std::chrono::duration<double> interval(1.0 / plan_.rate);
+    while (true) {
+        const std::uint64_t number = next_.fetch_add(1);
+        const auto due = start_
+                         + std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                                 interval * static_cast<double>(number));
+        if (due - start_ >= plan_.duration)
+            return;
+        std::this_thread::sleep_until(due);
+        const std::string id = plan_.idPrefix + std::to_string(number);
+        const HttpRequest request = makeRequest(number, id);
+        const auto at = std::chrono::system_clock::now();
+        const auto begun = std::chrono::steady_clock::now();
+        const Result result = call(connection, target, request, id);
+        log(at, std::chrono::steady_clock::now() - begun, request, id, result);
+    }
+}
+
+LoadGenerator::Result LoadGenerator::call(CallerConnection &connection, std::size_t &target,
+                                          const HttpRequest &request, const std::string &id)
+{
+    Result result;
+    result.outcome = "not-run";
+    while (result.tries < plan_.tries) {
+        ++result.tries;
+        const bool wasUnknown = result.outcome == "unknown";
+        const bool isConnected = connection.connect(plan_.targets[target]);
+        const auto response = isConnected ? connection.send(request, plan_.timeout) : std::nullopt;
+        if (response) {
+            const std::string outcome = outcomeOf(*response, id, request.body.size());
+            // A later "not run" does not undo an earlier "unknown".
+            result.outcome = outcome == "not-run" && wasUnknown ? "unknown" : outcome;
+            result.version = headerOf(*response, traffic::calls::versionHeader);
+        } else if (isConnected) {
+            result.outcome = "unknown";
+        }
+        if (result.outcome != "not-run" && result.outcome != "unknown")
+            return result;
+        target = (target + 1) % plan_.targets.size();
+        std::this_thread::sleep_for(retryPause);
+    }
+    return result;
+}
+
+HttpRequest LoadGenerator::makeRequest(std::uint64_t number, const std::string &id) const
+{
+    const std::uint64_t random = core::hashing::stableHash(id);
+    const bool isPost = !plan_.posts.empty()
+                        && (plan_.reads.empty()
+                            || random % percent < static_cast<unsigned int>(plan_.postPercent));
+    const auto &targets = isPost ? plan_.posts : plan_.reads;
+    HttpRequest request{
+            isPost ? "POST" : "GET", targets[number % targets.size()], {{"X-Request-Id", id}}, {}};
+    if (isPost) {
+        request.headers.push_back({traffic::calls::idempotencyKeyHeader, id});
+        request.body.assign(plan_.bodyBytes, 'x');
+    }
+    return request;
+}
+
+void LoadGenerator::log(std::chrono::system_clock::time_point at, std::chrono::nanoseconds latency,
+                        const HttpRequest &request, const std::string &id, const Result &result)
+{
+    using std::chrono::duration_cast;
+    const auto atMilliseconds
+            = duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    const auto latencyMicroseconds = duration_cast<std::chrono::microseconds>(latency).count();
+    const std::lock_guard lock(mutex_);
+    std::fprintf(log_, "%lld,%lld,%s,%s,%s,%s,%d,%s\n", static_cast<long long>(atMilliseconds),
+                 static_cast<long long>(latencyMicroseconds), request.method.c_str(),
+                 request.target.c_str(), id.c_str(), result.outcome.c_str(), result.tries,
+                 result.version.c_str());
+}
+
+} // namespace boragetrack::standins::load
--- /dev/null
+++ b/packages/standins/platform/PlatformFaults.h
@@ -0,0 +1,21 @@
+/** The faults that the platform stand-in causes on command. */
+#pragma once
+
+#include <chrono>
+
+namespace boragetrack::standins::platform {
+
+/** States which faults are on. */
+struct PlatformFaults
+{
+    /** Every call is refused without effect. */
+    bool isOut = false;
+    /** Every call takes so much longer. */
+    std::chrono::milliseconds delay{0};
+    /** So many of the next writes take effect while their answers are lost. */
+    int lostWriteAnswers = 0;
+    /** So many of the next reads and watches answer with the value before the present one. */
+    int crossedReads = 0;
+};
+
+} // namespace boragetrack::standins::platform
--- /dev/null
+++ b/packages/standins/upstream/Announcer.cpp
@@ -0,0 +1,59 @@
+/** Implements Announcer. */
+#include "standins/upstream/Announcer.h"
+
+#include "transport/http/UlfiusClient.h"
+
+namespace boragetrack::standins::upstream {
+
+namespace {
+constexpr std::chrono::milliseconds announcementPeriod{1000};
+constexpr std::chrono::milliseconds sendTimeout{1000};
+} // namespace
+
+Announcer::Announcer(core::identity::NetworkAddress node, nlohmann::json announcement)
+    : node_(std::move(node))
+    , announcement_(std::move(announcement))
+{
+    thread_ = std::thread([this]() { run(); });
+}
+
+Announcer::~Announcer()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+}
+
+void Announcer::announceDraining()
+{
+    std::string text;
+    {
+        const std::lock_guard lock(mutex_);
+        announcement_["state"] = "draining";
+        text = announcement_.dump();
+    }
+    send(text);
+}
+
+void Announcer::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!isStopping_) {
+        const std::string text = announcement_.dump();
+        lock.unlock();
+        send(text);
+        lock.lock();
+        changed_.wait_for(lock, announcementPeriod, [this] { return isStopping_; });
+    }
+}
+
+void Announcer::send(const std::string &text) const
+{
+    transport::http::UlfiusClient client;
+    (void)client.send(node_, {"POST", "/v1/announce", {}, text}, sendTimeout);
+}
+
+} // namespace boragetrack::standins::upstream
--- /dev/null
+++ b/packages/standins/upstream/main.cpp
@@ -0,0 +1,95 @@
+/** standin-upstream: takes the place of a service's server. */
+#include "core/timing/WallTime.h"
+#include "standins/StandinProgram.h"
+#include "standins/upstream/Announcer.h"
+#include "standins/upstream/UpstreamHandler.h"
+#include "transport/http/HttpServer.h"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace boragetrack;
+
+// Nodes hear of the departure before the listener closes.
+constexpr std::chrono::milliseconds departureNotice{1500};
+
+options::options_description describe()
+{
+    options::options_description description("standin-upstream");
+    auto add = description.add_options();
+    add("port", options::value<std::uint16_t>()->required(), "port");
+    add("node-port", options::value<std::uint16_t>()->default_value(0), "node's operators port");
+    add("service", options::value<std::string>()->required(), "service");
+    add("version", options::value<std::string>()->default_value("v1"), "version");
+    add("journal", options::value<std::string>()->default_value(""), "file of all runs");
+    add("slots", options::value<int>()->default_value(10), "requests at once");
+    add("queue", options::value<int>()->default_value(40), "requests that may wait");
+    add("service-us", options::value<int>()->default_value(2000), "time of a request");
+    add("cold-ms", options::value<int>()->default_value(1500), "cold time after a start");
+    add("fail-percent", options::value<int>()->default_value(0), "bad: share that fails");
+    add("slowdown", options::value<int>()->default_value(1), "bad: times as slow");
+    add("bad-after-ms", options::value<int>()->default_value(0), "bad: only after this time");
+    add("bad-from-in-flight", options::value<int>()->default_value(0), "bad: only under load");
+    add("bad-prefix", options::value<std::string>()->default_value(""), "bad: only these targets");
+    return description;
+}
+
+standins::upstream::UpstreamBehaviour behaviourFrom(const options::variables_map &values)
+{
+    standins::upstream::UpstreamBehaviour behaviour;
+    behaviour.slots = values["slots"].as<int>();
+    behaviour.queueLimit = values["queue"].as<int>();
+    behaviour.serviceTime = std::chrono::microseconds(values["service-us"].as<int>());
+    behaviour.coldTime = std::chrono::milliseconds(values["cold-ms"].as<int>());
+    behaviour.failPercent = values["fail-percent"].as<int>();
+    behaviour.slowdown = values["slowdown"].as<int>();
+    behaviour.badAfter = std::chrono::milliseconds(values["bad-after-ms"].as<int>());
+    behaviour.badFromInFlight = values["bad-from-in-flight"].as<int>();
+    behaviour.badPrefix = values["bad-prefix"].as<std::string>();
+    return behaviour;
+}
+
+nlohmann::json announcementFrom(const options::variables_map &values)
+{
+    return {{"service", values["service"].as<std::string>()},
+            {"version", values["version"].as<std::string>()},
+            {"host", "127.0.0.1"},
+            {"port", values["port"].as<std::uint16_t>()},
+            {"slots", values["slots"].as<int>()},
+            {"state", "serving"},
+            {"instance",
+             std::to_string(core::timing::currentWallTime().time_since_epoch().count())}};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, describe()), values);
+    options::notify(values);
+    const sigset_t signals = standins::blockStopSignals();
+    standins::upstream::UpstreamHandler handler(
+            core::identity::VersionName(values["version"].as<std::string>()), behaviourFrom(values),
+            values["journal"].as<std::string>());
+    transport::http::HttpServer server({"127.0.0.1", values["port"].as<std::uint16_t>()}, handler);
+    if (const absl::Status status = server.start(); !status.ok()) {
+        std::cerr << status.message() << std::endl;
+        return 1;
+    }
+    std::unique_ptr<standins::upstream::Announcer> announcer;
+    const std::uint16_t nodePort = values["node-port"].as<std::uint16_t>();
+    if (nodePort != 0)
+        announcer = std::make_unique<standins::upstream::Announcer>(
+                core::identity::NetworkAddress{"127.0.0.1", nodePort}, announcementFrom(values));
+    standins::waitForStopSignal(signals);
+    if (announcer) {
+        announcer->announceDraining();
+        std::this_thread::sleep_for(departureNotice);
+    }
+    handler.waitUntilIdle();
+    std::_Exit(0);
+}
--- /dev/null
+++ b/packages/traffic/calls/CallAnswer.h
@@ -0,0 +1,52 @@
+/** The answer to a call. */
+#pragma once
+
+#include "core/identity/NodeId.h"
+#include "core/identity/VersionName.h"
+#include "traffic/calls/CallOutcome.h"
+#include "traffic/calls/HeaderField.h"
+#include "traffic/calls/LoadReport.h"
+
+#include <string>
+#include <vector>
+
+namespace boragetrack::traffic::calls {
+
+/** Holds an upstream's whole answer, or the reason why there is none. */
+struct CallAnswer
+{
+    CallOutcome outcome = CallOutcome::NotRun;
+    /** The upstream's HTTP status when it answered. */
+    int status = 0;
+    std::vector<HeaderField> headers;
+    std::string body;
+    /** Why there is no answer. */
+    std::string reason;
+    /** The node that holds the claim, when outcome is Claimed. */
+    core::identity::NodeId claimHolder;
+    /** The version that ran the call. */
+    core::identity::VersionName version;
+    LoadReport load;
+
+    /** Returns whether the upstream ran the call and failed. */
+    bool isFailure() const { return outcome == CallOutcome::Answered && status >= 500; }
+
+    /** Returns an answer that says that the call did not run. */
+    static CallAnswer notRun(std::string reason)
+    {
+        CallAnswer answer;
+        answer.reason = std::move(reason);
+        return answer;
+    }
+
+    /** Returns an answer that says that the call may have run. */
+    static CallAnswer unknown(std::string reason)
+    {
+        CallAnswer answer;
+        answer.outcome = CallOutcome::Unknown;
+        answer.reason = std::move(reason);
+        return answer;
+    }
+};
+
+} // namespace boragetrack::traffic::calls
--- /dev/null
+++ b/packages/traffic/calls/CallRequest.h
@@ -0,0 +1,39 @@
+/** A call on its way to an upstream. */
+#pragma once
+
+#include "core/identity/IdempotencyKey.h"
+#include "core/identity/RouteName.h"
+#include "core/identity/ServiceName.h"
+#include "core/identity/VersionName.h"
+#include "traffic/calls/HeaderField.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace boragetrack::traffic::calls {
+
+/** Holds a caller's request and what the system decided about it. */
+struct CallRequest
+{
+    std::string method;
+    /** Path and query. */
+    std::string target;
+    std::vector<HeaderField> headers;
+    std::string body;
+    core::identity::RouteName route;
+    core::identity::ServiceName service;
+    /** The version that routing chose. */
+    core::identity::VersionName version;
+    /** Whether the call may run more than once. */
+    bool isIdempotent = false;
+    core::identity::IdempotencyKey key;
+    /** The time that is left. */
+    std::chrono::microseconds budget{0};
+    /** Calls that this one is nested in. */
+    int hops = 0;
+    /** One for the first attempt; carried along, so that nested calls of a repeat do not repeat. */
+    int attempt = 1;
+};
+
+} // namespace boragetrack::traffic::calls
--- /dev/null
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -0,0 +1,61 @@
+/** Implements the building of routing snapshots. */
+#include "traffic/routing/RoutingSnapshotBuilder.h"
+
+#include <algorithm>
+
+namespace boragetrack::traffic::routing {
+
+using control::membership::MemberRecord;
+using control::membership::MemberState;
+using control::membership::UpstreamState;
+
+namespace {
+
+bool isMember(const MemberRecord &record)
+{
+    return record.state == MemberState::Alive || record.state == MemberState::Suspect;
+}
+
+double weightOf(const RoutingSnapshot &snapshot, const MemberRecord &record, const ReturnRamp &ramp,
+                core::timing::MonotonicTime now)
+{
+    const auto *dataCentre = snapshot.intent->dataCentre(record.dataCentre);
+    const double intended = dataCentre == nullptr ? 1.0 : dataCentre->weightPercent / 100.0;
+    return intended * ramp.weightOf(record.dataCentre, now);
+}
+
+void addMember(RoutingSnapshot &snapshot, const MemberRecord &record, double weight)
+{
+    snapshot.registrars.push_back(Registrar{record.id, control::membership::processIdOf(record),
+                                            record.peerAddress, record.dataCentre});
+    if (record.upstream.state != UpstreamState::Serving || weight <= 0.0)
+        return;
+    snapshot.endpoints[record.upstream.service].push_back(Endpoint{
+            record.id, record.peerAddress, record.dataCentre, record.upstream.version,
+            std::max(1, record.upstream.slots), weight, record.state == MemberState::Suspect});
+}
+
+} // namespace
+
+std::shared_ptr<const RoutingSnapshot>
+buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
+                     const control::membership::MemberTable &members, const MemberRecord &self,
+                     const ShareQuery &shareOf, const ReturnRamp &ramp,
+                     core::timing::MonotonicTime now)
+{
+    auto snapshot = std::make_shared<RoutingSnapshot>();
+    snapshot->intent = intent;
+    snapshot->self = self.id;
+    snapshot->dataCentre = self.dataCentre;
+    snapshot->isServing
+            = intent->revision() != core::identity::Revision{} && self.state == MemberState::Alive;
+    for (const auto &entry : intent->routes())
+        snapshot->targets.push_back(RouteTarget{entry, shareOf(entry.route)});
+    for (const auto &[id, record] : members.records()) {
+        if (isMember(record))
+            addMember(*snapshot, record, weightOf(*snapshot, record, ramp, now));
+    }
+    return snapshot;
+}
+
+} // namespace boragetrack::traffic::routing
--- /dev/null
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -0,0 +1,22 @@
+/** Builds routing snapshots from control state. */
+#pragma once
+
+#include "control/membership/MemberTable.h"
+#include "traffic/routing/ReturnRamp.h"
+#include "traffic/routing/RoutingSnapshot.h"
+
+#include <functional>
+
+namespace boragetrack::traffic::routing {
+
+/** Returns how a route's calls divide between versions now. */
+using ShareQuery = std::function<control::moves::RouteShare(const control::intent::Route &)>;
+
+/** Returns one consistent view for traffic threads. */
+std::shared_ptr<const RoutingSnapshot>
+buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
+                     const control::membership::MemberTable &members,
+                     const control::membership::MemberRecord &self, const ShareQuery &shareOf,
+                     const ReturnRamp &ramp, core::timing::MonotonicTime now);
+
+} // namespace boragetrack::traffic::routing
--- /dev/null
+++ b/packages/traffic/routing/TwoChoicesRouting.h
@@ -0,0 +1,16 @@
+/** Routing by the better of two random choices. */
+#pragma once
+
+#include "traffic/routing/RoutingPolicy.h"
+
+namespace boragetrack::traffic::routing {
+
+/** Draws two endpoints by weight and takes the less loaded one; stays in its own data centre while
+    an endpoint there has headroom. */
+class TwoChoicesRouting : public RoutingPolicy
+{
+public:
+    std::size_t choose(std::span<const Candidate> candidates, std::mt19937_64 &random) override;
+};
+
+} // namespace boragetrack::traffic::routing
--- /dev/null
+++ b/packages/transport/http/HttpConfigStore.cpp
@@ -0,0 +1,92 @@
+/** Implements HttpConfigStore. */
+#include "transport/http/HttpConfigStore.h"
+
+#include <strings.h>
+
+namespace boragetrack::transport::http {
+
+using control::store::StoredValue;
+using control::store::StoreVersion;
+
+namespace {
+
+constexpr std::chrono::milliseconds callTimeout{3000};
+// The platform answers a watch at its timeout; the answer itself may take as long as any other.
+constexpr std::chrono::milliseconds watchMargin{3000};
+constexpr const char *versionHeader = "X-Version";
+
+StoreVersion versionOf(const HttpResponse &response)
+{
+    for (const auto &field : response.headers) {
+        if (strcasecmp(field.name.c_str(), versionHeader) == 0)
+            return StoreVersion{std::strtoull(field.value.c_str(), nullptr, 10)};
+    }
+    return StoreVersion{};
+}
+
+absl::Status statusOf(const HttpResponse &response)
+{
+    switch (response.status) {
+    case 304:
+        return absl::DeadlineExceededError("no change");
+    case 404:
+        return absl::NotFoundError("no such key");
+    case 409:
+        return absl::AbortedError("another write came first");
+    case 413:
+        return absl::InvalidArgumentError("value over the platform's limit");
+    case 429:
+        return absl::ResourceExhaustedError("over the platform's call rate");
+    case 503:
+        return absl::UnavailableError("the platform is out of service");
+    default:
+        return absl::UnknownError("the platform answered " + std::to_string(response.status));
+    }
+}
+
+std::string targetOf(const std::string &key)
+{
+    return "/v1/kv/" + key;
+}
+
+} // namespace
+
+absl::StatusOr<StoredValue> HttpConfigStore::read(const std::string &key)
+{
+    return get(targetOf(key), callTimeout);
+}
+
+absl::StatusOr<StoredValue> HttpConfigStore::watch(const std::string &key, StoreVersion known,
+                                                   std::chrono::milliseconds timeout)
+{
+    const std::string target = targetOf(key) + "?watch=" + std::to_string(known.number)
+                               + "&timeoutMs=" + std::to_string(timeout.count());
+    return get(target, timeout + watchMargin);
+}
+
+absl::StatusOr<StoreVersion> HttpConfigStore::compareAndSwap(const std::string &key,
+                                                             StoreVersion expected,
+                                                             const std::string &value)
+{
+    const std::string target = targetOf(key) + "?expected=" + std::to_string(expected.number);
+    const auto response
+            = client_.send(platform_, HttpRequest{"PUT", target, {}, value}, callTimeout);
+    if (!response.ok())
+        return response.status();
+    if (response->status != 200)
+        return statusOf(*response);
+    return versionOf(*response);
+}
+
+absl::StatusOr<StoredValue> HttpConfigStore::get(const std::string &target,
+                                                 std::chrono::milliseconds timeout)
+{
+    const auto response = client_.send(platform_, HttpRequest{"GET", target, {}, {}}, timeout);
+    if (!response.ok())
+        return response.status();
+    if (response->status != 200)
+        return statusOf(*response);
+    return StoredValue{versionOf(*response), response->body};
+}
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/links/LinkCounters.h
@@ -0,0 +1,24 @@
+/** The bytes that links carry. */
+#pragma once
+
+#include "core/counters/CounterRegistry.h"
+
+namespace boragetrack::transport::links {
+
+/** Counts the bytes of control messages, apart from those of calls. */
+struct LinkCounters
+{
+    explicit LinkCounters(core::counters::CounterRegistry &registry)
+        : controlBytesSent(registry.counter("control_bytes_sent"))
+        , controlBytesReceived(registry.counter("control_bytes_received"))
+        , controlMessagesSent(registry.counter("control_messages_sent"))
+        , linksOpened(registry.counter("links_opened"))
+    {}
+
+    core::counters::Counter &controlBytesSent;
+    core::counters::Counter &controlBytesReceived;
+    core::counters::Counter &controlMessagesSent;
+    core::counters::Counter &linksOpened;
+};
+
+} // namespace boragetrack::transport::links
--- /dev/null
+++ b/packages/transport/links/LinkThread.cpp
@@ -0,0 +1,258 @@
+/** Implements LinkThread. */
+#include "transport/links/LinkThread.h"
+
+#include "core/events/EventLog.h"
+#include "transport/links/PeerLinks.h"
+#include "transport/links/PeerServer.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+namespace boragetrack::transport::links {
+
+using control::distribution::Exchange;
+using control::distribution::IntentTransfer;
+using control::distribution::PeerContact;
+using control::membership::MemberRecord;
+using control::membership::MemberTable;
+using core::identity::NetworkAddress;
+using core::identity::NodeId;
+using core::identity::Revision;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallRequest;
+
+namespace {
+
+constexpr std::chrono::milliseconds drainCheckInterval{20};
+
+// The largest message that a peer may send: a call's body with room for its headers.
+constexpr std::uint64_t maximumMessageWords = 16 * 1024 * 1024 / sizeof(capnp::word);
+
+capnp::ReaderOptions readerOptions()
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = maximumMessageWords;
+    return options;
+}
+
+} // namespace
+
+/** Everything that lives on the link thread. */
+class LinkThread::Loop : private kj::TaskSet::ErrorHandler
+{
+public:
+    Loop(Parts &parts, kj::AsyncIoContext &io)
+        : timer_(io.provider->getTimer())
+        , links_(io.provider->getNetwork(), timer_, LinkCounters(parts.counters))
+        , gate_(serving::UpstreamGate::Parts{
+                  parts.self, parts.process, links_, io.provider->getNetwork(), timer_,
+                  parts.routing, std::move(parts.admission), parts.evidence, parts.counters})
+        , server_(kj::heap<PeerServer>(parts.requests, gate_))
+        , tasks_(*this)
+    {}
+
+    void listen(kj::Own<kj::ConnectionReceiver> listener)
+    {
+        listener_ = kj::mv(listener);
+        tasks_.add(acceptNext());
+    }
+
+    // Runs a task to its end; its failure is an answer in itself and needs no report.
+    void add(kj::Promise<void> task)
+    {
+        tasks_.add(task.catch_([](kj::Exception && /*exception*/) {}));
+    }
+
+    PeerLinks &links() { return links_; }
+    serving::UpstreamGate &gate() { return gate_; }
+
+    kj::Promise<bool> drained(kj::TimePoint limit)
+    {
+        if (gate_.activeCalls() == 0 || timer_.now() >= limit)
+            return gate_.activeCalls() == 0;
+        return timer_.afterDelay(drainCheckInterval.count() * kj::MILLISECONDS)
+                .then([this, limit]() { return drained(limit); });
+    }
+
+    kj::TimePoint after(std::chrono::milliseconds time)
+    {
+        return timer_.now() + time.count() * kj::MILLISECONDS;
+    }
+
+private:
+    kj::Promise<void> acceptNext()
+    {
+        return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+            serve(kj::mv(stream));
+            return acceptNext();
+        });
+    }
+
+    void serve(kj::Own<kj::AsyncIoStream> stream)
+    {
+        auto network = kj::heap<capnp::TwoPartyVatNetwork>(
+                *stream, capnp::rpc::twoparty::Side::SERVER, readerOptions());
+        auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
+                capnp::makeRpcServer(*network, server_));
+        auto closed = network->onDisconnect();
+        tasks_.add(closed.attach(kj::mv(system), kj::mv(network), kj::mv(stream)));
+    }
+
+    void taskFailed(kj::Exception &&exception) override
+    {
+        core::events::logEvent(core::events::EventCode::PeerMessageRefused, "peer link failed",
+                               {{"error", exception.getDescription().cStr()}});
+    }
+
+    kj::Timer &timer_;
+    PeerLinks links_;
+    serving::UpstreamGate gate_;
+    wire::schema::Peer::Client server_;
+    kj::Own<kj::ConnectionReceiver> listener_;
+    kj::TaskSet tasks_;
+};
+
+LinkThread::LinkThread(Parts parts)
+    : parts_(std::move(parts))
+{}
+
+LinkThread::~LinkThread() noexcept
+{
+    stop();
+}
+
+absl::Status LinkThread::start()
+{
+    std::promise<absl::Status> started;
+    auto status = started.get_future();
+    thread_ = std::thread(
+            [this, promise = std::move(started)]() mutable { run(std::move(promise)); });
+    return status.get();
+}
+
+void LinkThread::stop()
+{
+    mailbox_.close();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void LinkThread::run(std::promise<absl::Status> started)
+{
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    Loop loop(parts_, io);
+    try {
+        auto address = io.provider->getNetwork()
+                               .parseAddress(parts_.listen.toString())
+                               .wait(io.waitScope);
+        loop.listen(address->listen());
+    } catch (const kj::Exception &exception) {
+        started.set_value(absl::UnavailableError(std::string("cannot listen on ")
+                                                 + parts_.listen.toString() + ": "
+                                                 + exception.getDescription().cStr()));
+        return;
+    }
+    loop_ = &loop;
+    started.set_value(absl::OkStatus());
+    mailbox_.run().wait(io.waitScope);
+    loop_ = nullptr;
+}
+
+//==============================================================================
+CallAnswer LinkThread::call(const NodeId &node, const NetworkAddress &address,
+                            const CallRequest &request)
+{
+    auto promise = std::make_shared<std::promise<CallAnswer>>();
+    auto answer = promise->get_future();
+    const bool isPosted = mailbox_.post([this, node, address, request, promise]() {
+        auto answered = node == parts_.self ? loop_->gate().serve(request)
+                                            : loop_->links().call(address, request);
+        loop_->add(answered.then(
+                [promise](CallAnswer &&value) { promise->set_value(std::move(value)); },
+                [promise](kj::Exception &&exception) {
+                    promise->set_value(CallAnswer::unknown(exception.getDescription().cStr()));
+                }));
+    });
+    if (!isPosted)
+        return CallAnswer::notRun("the node is stopping");
+    // Without an own reference, the end of the loop breaks the promise instead of blocking here.
+    promise.reset();
+    try {
+        return answer.get();
+    } catch (const std::future_error &) {
+        return CallAnswer::unknown("the node stopped");
+    }
+}
+
+void LinkThread::setUpstream(const std::optional<serving::UpstreamStatus> &status)
+{
+    mailbox_.post([this, status]() { loop_->gate().setUpstream(status); });
+}
+
+bool LinkThread::drain(std::chrono::milliseconds timeout)
+{
+    auto promise = std::make_shared<std::promise<bool>>();
+    auto drained = promise->get_future();
+    const bool isPosted = mailbox_.post([this, timeout, promise]() {
+        loop_->gate().drain();
+        loop_->add(loop_->drained(loop_->after(timeout)).then([promise](bool isDrained) {
+            promise->set_value(isDrained);
+        }));
+    });
+    return !isPosted || drained.get();
+}
+
+//==============================================================================
+void LinkThread::sendExchange(const PeerContact &peer, const Exchange &exchange)
+{
+    mailbox_.post([this, peer, exchange]() {
+        loop_->add(loop_->links()
+                           .exchange(peer.address, exchange)
+                           .then(
+                                   [this, peer](Exchange &&answer) {
+                                       parts_.events.exchangeAnswered(peer, std::move(answer));
+                                   },
+                                   [this, peer](kj::Exception &&exception) {
+                                       core::events::logEvent(
+                                               core::events::EventCode::PeerUnreachable,
+                                               "peer unreachable",
+                                               {{"peer", peer.address.toString()},
+                                                {"error", exception.getDescription().cStr()}});
+                                       parts_.events.exchangeFailed(peer);
+                                   }));
+    });
+}
+
+void LinkThread::pushIntent(const PeerContact &peer, const IntentTransfer &transfer)
+{
+    mailbox_.post([this, peer, transfer]() {
+        loop_->add(
+                loop_->links()
+                        .pushIntent(peer.address, parts_.self, transfer)
+                        .then([this](Revision revision) { parts_.events.pushAnswered(revision); }));
+    });
+}
+
+void LinkThread::fetchIntent(const PeerContact &peer, Revision have)
+{
+    mailbox_.post([this, peer, have]() {
+        loop_->add(loop_->links()
+                           .fetchIntent(peer.address, have)
+                           .then([this, peer](IntentTransfer &&transfer) {
+                               parts_.events.intentFetched(peer, std::move(transfer));
+                           }));
+    });
+}
+
+void LinkThread::fetchMembers(const PeerContact &peer, const MemberTable::BucketHashes &hashes)
+{
+    mailbox_.post([this, peer, hashes]() {
+        loop_->add(loop_->links()
+                           .fetchMembers(peer.address, hashes)
+                           .then([this](std::vector<MemberRecord> &&records) {
+                               parts_.events.membersFetched(std::move(records));
+                           }));
+    });
+}
+
+} // namespace boragetrack::transport::links
--- /dev/null
+++ b/packages/transport/links/PeerLinks.cpp
@@ -0,0 +1,253 @@
+/** Implements PeerLinks. */
+#include "transport/links/PeerLinks.h"
+
+#include "transport/wire/CallCodec.h"
+#include "transport/wire/ControlCodec.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/refcount.h>
+
+namespace boragetrack::transport::links {
+
+using control::distribution::Exchange;
+using control::distribution::IntentTransfer;
+using control::membership::MemberRecord;
+using control::membership::MemberTable;
+using core::identity::IdempotencyKey;
+using core::identity::NetworkAddress;
+using core::identity::NodeId;
+using core::identity::Revision;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallRequest;
+
+namespace {
+
+constexpr std::chrono::milliseconds answerMargin{20};
+
+kj::Duration toKj(std::chrono::nanoseconds time)
+{
+    return time.count() * kj::NANOSECONDS;
+}
+
+kj::uint callSizeHint(std::size_t bytes)
+{
+    return static_cast<kj::uint>(bytes / sizeof(capnp::word)) + 128;
+}
+
+} // namespace
+
+/** One link: a connection under way or open, and the client that speaks over it. */
+class PeerLinks::Link : public kj::Refcounted
+{
+public:
+    explicit Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting)
+        : ready_(connecting
+                         .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+                             stream_ = kj::mv(stream);
+                             client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
+                         })
+                         .fork())
+    {}
+
+    kj::Promise<void> whenReady() { return ready_.addBranch(); }
+
+    kj::Promise<void> whenClosed()
+    {
+        return ready_.addBranch().then([this]() { return client_->onDisconnect(); });
+    }
+
+    wire::schema::Peer::Client peer() { return client_->bootstrap().castAs<wire::schema::Peer>(); }
+
+    void use(kj::TimePoint now) { lastUse_ = now; }
+    kj::TimePoint lastUse() const { return lastUse_; }
+
+private:
+    // Destroyed in reverse: the client before the stream that it speaks over.
+    kj::Own<kj::AsyncIoStream> stream_;
+    kj::Own<capnp::TwoPartyClient> client_;
+    kj::ForkedPromise<void> ready_;
+    kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
+};
+
+PeerLinks::PeerLinks(kj::Network &network, kj::Timer &timer, LinkCounters counters)
+    : network_(network)
+    , timer_(timer)
+    , counters_(counters)
+    , tasks_(*this)
+{
+    tasks_.add(closeIdleLinks());
+}
+
+PeerLinks::~PeerLinks() noexcept(false) = default;
+
+//==============================================================================
+kj::Promise<CallAnswer> PeerLinks::call(const NetworkAddress &peer, const CallRequest &request)
+{
+    const kj::TimePoint deadline = timer_.now() + toKj(request.budget + answerMargin);
+    auto message = std::make_shared<CallRequest>(request);
+    // Until the link is open, nothing was sent, so a failure up to here proves "not run".
+    return connect(peer).then(
+            [this, message, deadline](wire::schema::Peer::Client client) {
+                auto call = client.callRequest(capnp::MessageSize{
+                        callSizeHint(message->body.size() + message->target.size()), 0});
+                wire::encode(*message, call.initRequest());
+                return timer_.timeoutAt(deadline, call.send())
+                        .then([](auto &&response) { return wire::decode(response.getAnswer()); },
+                              [](kj::Exception &&exception) {
+                                  return CallAnswer::unknown(exception.getDescription().cStr());
+                              });
+            },
+            [](kj::Exception &&exception) {
+                return CallAnswer::notRun(exception.getDescription().cStr());
+            });
+}
+
+kj::Promise<NodeId> PeerLinks::claim(const NetworkAddress &peer, const IdempotencyKey &key,
+                                     const NodeId &claimant)
+{
+    return timer_.timeoutAfter(toKj(connectTimeout),
+                               connect(peer).then([=](wire::schema::Peer::Client client) {
+                                   auto request = client.claimRequest();
+                                   request.setKey(key.value());
+                                   request.setClaimant(claimant.value());
+                                   return request.send().then([](auto &&response) {
+                                       return NodeId(response.getHolder());
+                                   });
+                               }));
+}
+
+kj::Promise<void> PeerLinks::release(const NetworkAddress &peer, const IdempotencyKey &key,
+                                     const NodeId &claimant)
+{
+    return timer_.timeoutAfter(toKj(connectTimeout),
+                               connect(peer).then([=](wire::schema::Peer::Client client) {
+                                   auto request = client.releaseRequest();
+                                   request.setKey(key.value());
+                                   request.setClaimant(claimant.value());
+                                   return request.send().ignoreResult();
+                               }));
+}
+
+//==============================================================================
+template <typename Results, typename Request, typename Read>
+auto PeerLinks::control(const NetworkAddress &peer, Request makeRequest, Read read)
+{
+    auto exchange = connect(peer).then(
+            [this, makeRequest, read](wire::schema::Peer::Client client) mutable {
+                auto request = makeRequest(client);
+                counters_.controlMessagesSent.add();
+                counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
+                                               * sizeof(capnp::word));
+                return request.send().then([this, read](auto &&response) mutable {
+                    counters_.controlBytesReceived.add(response.totalSize().wordCount
+                                                       * sizeof(capnp::word));
+                    return read(response);
+                });
+            });
+    return timer_.timeoutAfter(toKj(controlTimeout), kj::mv(exchange));
+}
+
+kj::Promise<Exchange> PeerLinks::exchange(const NetworkAddress &peer, const Exchange &request)
+{
+    return control<Exchange>(
+            peer,
+            [request](wire::schema::Peer::Client &client) {
+                auto message = client.exchangeRequest();
+                wire::encode(request, message.initRequest());
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getAnswer()); });
+}
+
+kj::Promise<Revision> PeerLinks::pushIntent(const NetworkAddress &peer, const NodeId &sender,
+                                            const IntentTransfer &transfer)
+{
+    return control<Revision>(
+            peer,
+            [sender, transfer](wire::schema::Peer::Client &client) {
+                auto message = client.pushIntentRequest();
+                message.setSender(sender.value());
+                wire::encode(transfer, message.initTransfer());
+                return message;
+            },
+            [](auto &response) { return Revision(response.getRevision()); });
+}
+
+kj::Promise<IntentTransfer> PeerLinks::fetchIntent(const NetworkAddress &peer, Revision have)
+{
+    return control<IntentTransfer>(
+            peer,
+            [have](wire::schema::Peer::Client &client) {
+                auto message = client.fetchIntentRequest();
+                message.setHave(have.number());
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getTransfer()); });
+}
+
+kj::Promise<std::vector<MemberRecord>>
+PeerLinks::fetchMembers(const NetworkAddress &peer, const MemberTable::BucketHashes &hashes)
+{
+    return control<std::vector<MemberRecord>>(
+            peer,
+            [hashes](wire::schema::Peer::Client &client) {
+                auto message = client.fetchMembersRequest();
+                auto list = message.initHashes(static_cast<unsigned int>(hashes.size()));
+                for (unsigned int i = 0; i < hashes.size(); ++i)
+                    list.set(i, hashes[i]);
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getMembers()); });
+}
+
+//==============================================================================
+kj::Promise<wire::schema::Peer::Client> PeerLinks::connect(const NetworkAddress &peer)
+{
+    const std::string address = peer.toString();
+    auto found = links_.find(address);
+    if (found == links_.end()) {
+        counters_.linksOpened.add();
+        found = links_.emplace(address, kj::refcounted<Link>(open(address))).first;
+        Link *opened = found->second.get();
+        // Removal waits for the next turn of the loop: it destroys the promise that reports it.
+        // evalLater keeps a reference to a named function, so it is handed a copy.
+        const auto drop = [this, address, opened]() { dropLink(address, opened); };
+        tasks_.add(
+                opened->whenClosed().catch_([](kj::Exception && /*exception*/) {}).then([drop]() {
+                    return kj::evalLater(kj::cp(drop));
+                }));
+    }
+    Link &link = *found->second;
+    link.use(timer_.now());
+    // The link may be dropped while the caller still waits for it.
+    return link.whenReady().then([held = kj::addRef(link)]() mutable { return held->peer(); });
+}
+
+kj::Promise<kj::Own<kj::AsyncIoStream>> PeerLinks::open(const std::string &address)
+{
+    auto connecting = network_.parseAddress(address).then([](kj::Own<kj::NetworkAddress> &&parsed) {
+        auto promise = parsed->connect();
+        return promise.attach(kj::mv(parsed));
+    });
+    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
+}
+
+void PeerLinks::dropLink(const std::string &address, const Link *link)
+{
+    const auto found = links_.find(address);
+    if (found != links_.end() && found->second.get() == link)
+        links_.erase(found);
+}
+
+kj::Promise<void> PeerLinks::closeIdleLinks()
+{
+    return timer_.afterDelay(toKj(idleTime)).then([this]() {
+        const kj::TimePoint oldest = timer_.now() - toKj(idleTime);
+        std::erase_if(links_, [&](const auto &entry) { return entry.second->lastUse() < oldest; });
+        return closeIdleLinks();
+    });
+}
+
+void PeerLinks::taskFailed(kj::Exception && /*exception*/) {}
+
+} // namespace boragetrack::transport::links
--- /dev/null
+++ b/packages/transport/links/PeerServer.cpp
@@ -0,0 +1,104 @@
+/** Implements PeerServer. */
+#include "transport/links/PeerServer.h"
+
+#include "transport/wire/CallCodec.h"
+#include "transport/wire/ControlCodec.h"
+
+#include <memory>
+
+namespace boragetrack::transport::links {
+
+using control::distribution::Exchange;
+using control::distribution::IntentTransfer;
+using control::membership::MemberRecord;
+using control::membership::MemberTable;
+using core::identity::IdempotencyKey;
+using core::identity::NodeId;
+using core::identity::Revision;
+
+namespace {
+
+// Joins a promise on this thread's loop to a reply that any thread may call.
+template <typename Answer>
+std::pair<kj::Promise<Answer>, PeerRequestHandler::Reply<Answer>> makeReply()
+{
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<Answer>();
+    auto fulfiller
+            = std::make_shared<kj::Own<kj::PromiseFulfiller<Answer>>>(kj::mv(pair.fulfiller));
+    return {kj::mv(pair.promise),
+            [fulfiller](Answer answer) { (*fulfiller)->fulfill(kj::mv(answer)); }};
+}
+
+} // namespace
+
+kj::Promise<void> PeerServer::call(CallContext context)
+{
+    context.allowCancellation();
+    auto request = wire::decode(context.getParams().getRequest());
+    context.releaseParams();
+    return calls_.serve(std::move(request))
+            .then([context](traffic::calls::CallAnswer &&answer) mutable {
+                wire::encode(answer, context.getResults().initAnswer());
+            });
+}
+
+kj::Promise<void> PeerServer::exchange(ExchangeContext context)
+{
+    auto [promise, reply] = makeReply<Exchange>();
+    control_.handleExchange(wire::decode(context.getParams().getRequest()), std::move(reply));
+    return promise.then([context](Exchange &&answer) mutable {
+        wire::encode(answer, context.getResults().initAnswer());
+    });
+}
+
+kj::Promise<void> PeerServer::pushIntent(PushIntentContext context)
+{
+    auto [promise, reply] = makeReply<Revision>();
+    const auto params = context.getParams();
+    control_.handlePush(NodeId(params.getSender()), wire::decode(params.getTransfer()),
+                        std::move(reply));
+    return promise.then([context](Revision revision) mutable {
+        context.getResults().setRevision(revision.number());
+    });
+}
+
+kj::Promise<void> PeerServer::fetchIntent(FetchIntentContext context)
+{
+    auto [promise, reply] = makeReply<IntentTransfer>();
+    control_.handleFetchIntent(Revision(context.getParams().getHave()), std::move(reply));
+    return promise.then([context](IntentTransfer &&transfer) mutable {
+        wire::encode(transfer, context.getResults().initTransfer());
+    });
+}
+
+kj::Promise<void> PeerServer::fetchMembers(FetchMembersContext context)
+{
+    auto [promise, reply] = makeReply<std::vector<MemberRecord>>();
+    MemberTable::BucketHashes hashes{};
+    const auto list = context.getParams().getHashes();
+    for (unsigned int i = 0; i < std::min<std::size_t>(list.size(), hashes.size()); ++i)
+        hashes[i] = list[i];
+    control_.handleFetchMembers(hashes, std::move(reply));
+    return promise.then([context](std::vector<MemberRecord> &&records) mutable {
+        wire::encode(records,
+                     context.getResults().initMembers(static_cast<unsigned int>(records.size())));
+    });
+}
+
+kj::Promise<void> PeerServer::claim(ClaimContext context)
+{
+    const auto params = context.getParams();
+    const NodeId holder
+            = calls_.claim(IdempotencyKey(params.getKey()), NodeId(params.getClaimant()));
+    context.getResults().setHolder(holder.value());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerServer::release(ReleaseContext context)
+{
+    const auto params = context.getParams();
+    calls_.release(IdempotencyKey(params.getKey()), NodeId(params.getClaimant()));
+    return kj::READY_NOW;
+}
+
+} // namespace boragetrack::transport::links
--- /dev/null
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -0,0 +1,394 @@
+/** Implements UpstreamGate. */
+#include "transport/serving/UpstreamGate.h"
+
+#include <algorithm>
+
+namespace boragetrack::transport::serving {
+
+using core::identity::IdempotencyKey;
+using core::identity::NodeId;
+using core::timing::MonotonicTime;
+using traffic::admission::AdmissionDecision;
+using traffic::admission::AdmissionLimits;
+using traffic::admission::AdmissionQueue;
+using traffic::admission::AdmissionSample;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::deduplication::ClaimBallot;
+using traffic::deduplication::ReplayState;
+
+namespace {
+
+// The first answers of an upstream say nothing of its version's speed.
+constexpr int coldAnswers = 5;
+constexpr std::chrono::seconds coldTime{3};
+
+MonotonicTime currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+kj::Duration toKj(std::chrono::nanoseconds time)
+{
+    return time.count() * kj::NANOSECONDS;
+}
+
+bool isOverload(const CallAnswer &answer)
+{
+    return answer.outcome != CallOutcome::Answered;
+}
+
+} // namespace
+
+/** Holds one admitted place beside the upstream. */
+class UpstreamGate::ScopedAdmission
+{
+public:
+    explicit ScopedAdmission(UpstreamGate &gate)
+        : gate_(gate)
+        , inFlight_(gate.queue_.load().inFlight)
+    {}
+    ~ScopedAdmission()
+    {
+        if (!isEnded_)
+            gate_.queue_.abandoned();
+        gate_.pump();
+    }
+    ScopedAdmission(const ScopedAdmission &) = delete;
+    ScopedAdmission &operator=(const ScopedAdmission &) = delete;
+
+    void end(const CallAnswer &answer, std::chrono::nanoseconds latency)
+    {
+        isEnded_ = true;
+        gate_.queue_.ended(AdmissionSample{latency, isOverload(answer), inFlight_}, currentTime());
+    }
+
+private:
+    UpstreamGate &gate_;
+    int inFlight_;
+    bool isEnded_ = false;
+};
+
+/** Holds one place in the queue. */
+class UpstreamGate::ScopedWait
+{
+public:
+    ScopedWait(UpstreamGate &gate, AdmissionQueue::Ticket ticket,
+               kj::Own<kj::PromiseFulfiller<Place>> fulfiller)
+        : gate_(gate)
+        , ticket_(ticket)
+        , fulfiller_(kj::mv(fulfiller))
+    {
+        gate_.waits_[ticket_] = this;
+    }
+    ~ScopedWait()
+    {
+        if (gate_.waits_.erase(ticket_) > 0)
+            gate_.queue_.withdraw(ticket_);
+    }
+    ScopedWait(const ScopedWait &) = delete;
+    ScopedWait &operator=(const ScopedWait &) = delete;
+
+    void decide(Place place) { fulfiller_->fulfill(kj::mv(place)); }
+
+private:
+    UpstreamGate &gate_;
+    AdmissionQueue::Ticket ticket_;
+    kj::Own<kj::PromiseFulfiller<Place>> fulfiller_;
+};
+
+UpstreamGate::UpstreamGate(Parts parts)
+    : parts_(std::move(parts))
+    , upstream_(parts_.network, parts_.timer)
+    , claims_(parts_.links, *this, parts_.self)
+    , queue_(std::move(parts_.admission), limits_)
+    , callsRun_(parts_.counters.counter("upstream_calls_run"))
+    , callsRefused_(parts_.counters.counter("upstream_calls_refused"))
+    , callsReplayed_(parts_.counters.counter("upstream_calls_replayed"))
+    , tasks_(*this)
+{}
+
+UpstreamGate::~UpstreamGate() noexcept = default;
+
+void UpstreamGate::setUpstream(const std::optional<UpstreamStatus> &status)
+{
+    const bool isNewProcess = status && (!status_ || status_->instance != status->instance);
+    status_ = status;
+    if (!status_)
+        return;
+    upstream_.setAddress(status_->address);
+    limitsRevision_ = {};
+    updateLimits();
+    if (!isNewProcess)
+        return;
+    upstream_.forgetConnections();
+    queue_.upstreamStarted();
+    answersSinceStart_ = 0;
+}
+
+void UpstreamGate::drain()
+{
+    queue_.setDraining(true);
+}
+
+//==============================================================================
+kj::Promise<CallAnswer> UpstreamGate::serve(CallRequest request)
+{
+    updateLimits();
+    const std::optional<std::string> obstacle = obstacleFor(request);
+    const bool isKeyed = !request.key.isEmpty() && !request.isIdempotent;
+    // A repeat is answered from memory even when the upstream has changed since.
+    const bool isKnown = isKeyed && replays_.answer(request.key).has_value();
+    if (obstacle && !isKnown) {
+        callsRefused_.add();
+        return CallAnswer::notRun(*obstacle);
+    }
+    ++activeCalls_;
+    auto message = kj::heap<CallRequest>(std::move(request));
+    auto answer = isKeyed ? serveKeyed(kj::mv(message)) : admitAndSend(kj::mv(message));
+    return answer
+            .then([this](CallAnswer &&ended) {
+                ended.load = queue_.load();
+                return kj::mv(ended);
+            })
+            .attach(kj::defer([this]() { --activeCalls_; }));
+}
+
+NodeId UpstreamGate::claim(const IdempotencyKey &key, const NodeId &claimant)
+{
+    return claimRegister_.claim(key, claimant, currentTime());
+}
+
+void UpstreamGate::release(const IdempotencyKey &key, const NodeId &claimant)
+{
+    claimRegister_.release(key, claimant);
+}
+
+//==============================================================================
+kj::Promise<CallAnswer> UpstreamGate::serveKeyed(kj::Own<CallRequest> request)
+{
+    replays_.expire(currentTime());
+    const IdempotencyKey key = request->key;
+    const auto budget = request->budget;
+    switch (replays_.begin(key)) {
+    case ReplayState::Finished:
+        callsReplayed_.add();
+        return *replays_.answer(key);
+    case ReplayState::Running:
+        callsReplayed_.add();
+        return awaitKeyed(key, budget);
+    case ReplayState::New:
+        break;
+    }
+    if (!replays_.hasRoom()) {
+        replays_.release(key);
+        return CallAnswer::notRun("too many keyed requests are remembered");
+    }
+    auto answer = awaitKeyed(key, budget);
+    startKeyed(kj::mv(request));
+    return answer;
+}
+
+void UpstreamGate::startKeyed(kj::Own<CallRequest> request)
+{
+    // A keyed request runs to its end even when its caller goes, so that a repeat gets its answer.
+    CallRequest &call = *request;
+    const IdempotencyKey key = call.key;
+    const Snapshot snapshot = parts_.routing.current();
+    auto running
+            = admit(call).then([this, &call, snapshot](Place place) -> kj::Promise<CallAnswer> {
+                  if (place.get() == nullptr)
+                      return CallAnswer::notRun("the upstream has no room");
+                  return claimAndSend(call, kj::mv(place), snapshot);
+              });
+    tasks_.add(running.catch_([](kj::Exception &&exception) {
+                          return CallAnswer::unknown(exception.getDescription().cStr());
+                      })
+                       .then([this, key](CallAnswer &&answer) { finishKeyed(key, answer); })
+                       .attach(kj::mv(request)));
+}
+
+kj::Promise<CallAnswer> UpstreamGate::claimAndSend(CallRequest &request, Place place,
+                                                   const Snapshot &snapshot)
+{
+    return claims_.claim(request.key, parts_.process, snapshot->registrars)
+            .then([this, &request, snapshot, place = kj::mv(place)](
+                          const ClaimBallot &ballot) mutable -> kj::Promise<CallAnswer> {
+                const auto releaseWith = [this, &request, snapshot](CallAnswer answer) {
+                    return claims_.release(request.key, parts_.process, snapshot->registrars)
+                            .then([answer]() { return answer; });
+                };
+                if (ballot.isGranted()) {
+                    return send(request, kj::mv(place))
+                            .then([releaseWith](CallAnswer &&answer) -> kj::Promise<CallAnswer> {
+                                if (answer.outcome == CallOutcome::NotRun)
+                                    return releaseWith(kj::mv(answer));
+                                return kj::mv(answer);
+                            });
+                }
+                CallAnswer refusal = CallAnswer::notRun("too few registrars of the key answer");
+                if (!ballot.vetoHolder().isEmpty()) {
+                    refusal.outcome = CallOutcome::Claimed;
+                    refusal.claimHolder = ballot.vetoHolder();
+                }
+                return releaseWith(refusal);
+            });
+}
+
+void UpstreamGate::finishKeyed(const IdempotencyKey &key, const CallAnswer &answer)
+{
+    const bool didRun
+            = answer.outcome == CallOutcome::Answered || answer.outcome == CallOutcome::Unknown;
+    if (didRun)
+        replays_.finish(key, answer, currentTime());
+    else
+        replays_.release(key);
+    const auto found = keyedWaiters_.find(key);
+    if (found == keyedWaiters_.end())
+        return;
+    auto waiters = std::move(found->second);
+    keyedWaiters_.erase(found);
+    for (auto &waiter : waiters)
+        waiter->fulfill(CallAnswer(answer));
+}
+
+kj::Promise<CallAnswer> UpstreamGate::awaitKeyed(const IdempotencyKey &key,
+                                                 std::chrono::microseconds budget)
+{
+    auto pair = kj::newPromiseAndFulfiller<CallAnswer>();
+    keyedWaiters_[key].push_back(kj::mv(pair.fulfiller));
+    return parts_.timer.timeoutAfter(toKj(budget), kj::mv(pair.promise))
+            .catch_([](kj::Exception && /*exception*/) {
+                return CallAnswer::unknown("the request is still running");
+            });
+}
+
+//==============================================================================
+kj::Promise<CallAnswer> UpstreamGate::admitAndSend(kj::Own<CallRequest> request)
+{
+    CallRequest &call = *request;
+    return admit(call)
+            .then([this, &call](Place place) -> kj::Promise<CallAnswer> {
+                if (place.get() == nullptr)
+                    return CallAnswer::notRun("the upstream has no room");
+                return send(call, kj::mv(place));
+            })
+            .attach(kj::mv(request));
+}
+
+kj::Promise<UpstreamGate::Place> UpstreamGate::admit(const CallRequest &request)
+{
+    const MonotonicTime now = currentTime();
+    const MonotonicTime deadline = now + request.budget;
+    const AdmissionQueue::Ticket ticket = ++lastTicket_;
+    const AdmissionDecision decision = queue_.arrive(ticket, deadline, now);
+    if (decision == AdmissionDecision::Run)
+        return kj::heap<ScopedAdmission>(*this);
+    if (decision == AdmissionDecision::Refuse) {
+        callsRefused_.add();
+        return Place();
+    }
+    auto pair = kj::newPromiseAndFulfiller<Place>();
+    auto wait = kj::heap<ScopedWait>(*this, ticket, kj::mv(pair.fulfiller));
+    return parts_.timer.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
+            .catch_([](kj::Exception && /*exception*/) { return Place(); })
+            .attach(kj::mv(wait));
+}
+
+kj::Promise<CallAnswer> UpstreamGate::send(CallRequest &request, Place place)
+{
+    callsRun_.add();
+    const MonotonicTime begun = currentTime();
+    return upstream_.send(request).then(
+            [this, &request, begun, place = kj::mv(place)](CallAnswer &&answer) mutable {
+                noteEnd(request, answer, currentTime() - begun, *place);
+                answer.version = request.version;
+                return kj::mv(answer);
+            });
+}
+
+void UpstreamGate::noteEnd(const CallRequest &request, const CallAnswer &answer,
+                           std::chrono::nanoseconds latency, ScopedAdmission &admission)
+{
+    admission.end(answer, latency);
+    if (answer.outcome == CallOutcome::NotRun)
+        return;
+    const bool isBroken = answer.outcome == CallOutcome::Unknown;
+    parts_.evidence(control::moves::CallEvidence{request.service, request.version, request.route,
+                                                 answer.isFailure(), isBroken, isUpstreamCold(),
+                                                 latency});
+    if (++answersSinceStart_ == 1)
+        firstAnswerAt_ = currentTime();
+}
+
+bool UpstreamGate::isUpstreamCold() const
+{
+    return answersSinceStart_ < coldAnswers
+           && (answersSinceStart_ == 0 || currentTime() - firstAnswerAt_ < coldTime);
+}
+
+std::optional<std::string> UpstreamGate::obstacleFor(const CallRequest &request) const
+{
+    if (!status_ || status_->record.service != request.service
+        || status_->record.version != request.version)
+        return "no upstream of the asked version runs beside this node";
+    if (status_->record.state != control::membership::UpstreamState::Serving)
+        return "the upstream is draining";
+    // The caller's node may hold an older view than this one; a refusal here costs it one repeat.
+    const Snapshot snapshot = parts_.routing.current();
+    const auto *dataCentre = snapshot->intent->dataCentre(snapshot->dataCentre);
+    if (dataCentre != nullptr && dataCentre->isOut)
+        return "the data centre is out";
+    const auto *target = snapshot->targetNamed(request.route);
+    const bool isExcluded = target != nullptr && target->share.primary != request.version
+                            && target->share.secondary != request.version;
+    if (isExcluded)
+        return "the version takes no calls";
+    return std::nullopt;
+}
+
+void UpstreamGate::updateLimits()
+{
+    const Snapshot snapshot = parts_.routing.current();
+    const auto revision = snapshot->intent->revision();
+    if (!status_ || revision == limitsRevision_)
+        return;
+    limitsRevision_ = revision;
+    // The strictest of the service's routes holds, since all of them share the upstream.
+    limits_ = AdmissionLimits{UpstreamClient::maximumConnections,
+                              std::max(1, status_->record.slots), 0};
+    for (const auto &target : snapshot->targets) {
+        if (target.entry.route.service != status_->record.service)
+            continue;
+        const auto &settings = target.entry.settings;
+        limits_.start = std::min(limits_.start, settings.startConcurrency);
+        limits_.maximum = std::min(limits_.maximum, settings.concurrencyLimit);
+        limits_.queue = std::max(limits_.queue, settings.queueLimit);
+    }
+    queue_.setLimits(limits_);
+}
+
+void UpstreamGate::pump()
+{
+    const MonotonicTime now = currentTime();
+    for (const AdmissionQueue::Ticket ticket : queue_.takeExpired(now))
+        decide(ticket, Place());
+    for (const AdmissionQueue::Ticket ticket : queue_.takeRunnable(now))
+        decide(ticket, kj::heap<ScopedAdmission>(*this));
+}
+
+void UpstreamGate::decide(AdmissionQueue::Ticket ticket, Place place)
+{
+    const auto found = waits_.find(ticket);
+    // A place that nobody waits for any more goes back to the queue when it is destroyed.
+    if (found == waits_.end())
+        return;
+    ScopedWait *wait = found->second;
+    waits_.erase(found);
+    wait->decide(kj::mv(place));
+}
+
+void UpstreamGate::taskFailed(kj::Exception && /*exception*/) {}
+
+} // namespace boragetrack::transport::serving
--- /dev/null
+++ b/packages/transport/wire/CallCodec.cpp
@@ -0,0 +1,115 @@
+/** Implements the encoding of calls. */
+#include "transport/wire/CallCodec.h"
+
+namespace boragetrack::transport::wire {
+
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::calls::HeaderField;
+
+namespace {
+
+capnp::Data::Reader bytesOf(const std::string &text)
+{
+    return {reinterpret_cast<const kj::byte *>(text.data()), text.size()};
+}
+
+std::string textOf(capnp::Data::Reader data)
+{
+    return {reinterpret_cast<const char *>(data.begin()), data.size()};
+}
+
+void encodeHeaders(const std::vector<HeaderField> &headers,
+                   capnp::List<schema::Header>::Builder list)
+{
+    for (unsigned int i = 0; i < list.size(); ++i) {
+        list[i].setName(headers[i].name);
+        list[i].setValue(headers[i].value);
+    }
+}
+
+std::vector<HeaderField> decodeHeaders(capnp::List<schema::Header>::Reader list)
+{
+    std::vector<HeaderField> headers;
+    headers.reserve(list.size());
+    for (const auto header : list)
+        headers.push_back(HeaderField{header.getName(), header.getValue()});
+    return headers;
+}
+
+CallOutcome outcomeFrom(std::uint8_t number)
+{
+    const auto last = static_cast<std::uint8_t>(CallOutcome::Claimed);
+    // What a later version may mean by a further outcome is not known, so the call may have run.
+    return number <= last ? static_cast<CallOutcome>(number) : CallOutcome::Unknown;
+}
+
+} // namespace
+
+void encode(const CallRequest &request, schema::CallRequest::Builder message)
+{
+    message.setMethod(request.method);
+    message.setTarget(request.target);
+    encodeHeaders(request.headers,
+                  message.initHeaders(static_cast<unsigned int>(request.headers.size())));
+    message.setBody(bytesOf(request.body));
+    message.setRoute(request.route.value());
+    message.setService(request.service.value());
+    message.setVersion(request.version.value());
+    message.setIdempotent(request.isIdempotent);
+    message.setKey(request.key.value());
+    message.setBudgetMicros(static_cast<std::uint64_t>(request.budget.count()));
+    message.setHops(static_cast<std::uint16_t>(request.hops));
+    message.setAttempt(static_cast<std::uint16_t>(request.attempt));
+}
+
+CallRequest decode(schema::CallRequest::Reader message)
+{
+    CallRequest request;
+    request.method = message.getMethod();
+    request.target = message.getTarget();
+    request.headers = decodeHeaders(message.getHeaders());
+    request.body = textOf(message.getBody());
+    request.route = core::identity::RouteName(message.getRoute());
+    request.service = core::identity::ServiceName(message.getService());
+    request.version = core::identity::VersionName(message.getVersion());
+    request.isIdempotent = message.getIdempotent();
+    request.key = core::identity::IdempotencyKey(message.getKey());
+    request.budget = std::chrono::microseconds(message.getBudgetMicros());
+    request.hops = message.getHops();
+    request.attempt = message.getAttempt();
+    return request;
+}
+
+void encode(const CallAnswer &answer, schema::CallAnswer::Builder message)
+{
+    message.setOutcome(static_cast<std::uint8_t>(answer.outcome));
+    message.setStatus(static_cast<std::uint16_t>(answer.status));
+    encodeHeaders(answer.headers,
+                  message.initHeaders(static_cast<unsigned int>(answer.headers.size())));
+    message.setBody(bytesOf(answer.body));
+    message.setReason(answer.reason);
+    message.setClaimHolder(answer.claimHolder.value());
+    message.setVersion(answer.version.value());
+    message.setInFlight(static_cast<std::uint16_t>(answer.load.inFlight));
+    message.setQueued(static_cast<std::uint16_t>(answer.load.queued));
+    message.setLimit(static_cast<std::uint16_t>(answer.load.limit));
+}
+
+CallAnswer decode(schema::CallAnswer::Reader message)
+{
+    CallAnswer answer;
+    answer.outcome = outcomeFrom(message.getOutcome());
+    answer.status = message.getStatus();
+    answer.headers = decodeHeaders(message.getHeaders());
+    answer.body = textOf(message.getBody());
+    answer.reason = message.getReason();
+    answer.claimHolder = core::identity::NodeId(message.getClaimHolder());
+    answer.version = core::identity::VersionName(message.getVersion());
+    answer.load = traffic::calls::LoadReport{message.getInFlight(), message.getQueued(),
+                                             message.getLimit()};
+    return answer;
+}
+
+} // namespace boragetrack::transport::wire
--- /dev/null
+++ b/packages/transport/wire/CallCodec.h
@@ -0,0 +1,22 @@
+/** Encodes calls and their answers. */
+#pragma once
+
+#include "traffic/calls/CallAnswer.h"
+#include "traffic/calls/CallRequest.h"
+#include "transport/wire/peer.capnp.h"
+
+namespace boragetrack::transport::wire {
+
+/** Writes a request into a message. */
+void encode(const traffic::calls::CallRequest &request, schema::CallRequest::Builder message);
+
+/** Reads a request from a message. */
+traffic::calls::CallRequest decode(schema::CallRequest::Reader message);
+
+/** Writes an answer into a message. */
+void encode(const traffic::calls::CallAnswer &answer, schema::CallAnswer::Builder message);
+
+/** Reads an answer from a message. */
+traffic::calls::CallAnswer decode(schema::CallAnswer::Reader message);
+
+} // namespace boragetrack::transport::wire
