--- /dev/null
+++ b/packages/transport/wire/peer.capnp
@@ -0,0 +1,109 @@
+# The messages between nodes. Field names follow the C++ types of the same names.
+@0xad4b87e04410a0d2;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("boragetrack::transport::wire::schema");
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct CallRequest {
+  method @0 :Text;
+  target @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+  route @4 :Text;
+  service @5 :Text;
+  version @6 :Text;
+  idempotent @7 :Bool;
+  key @8 :Text;
+  budgetMicros @9 :UInt64;
+  hops @10 :UInt16;
+  attempt @11 :UInt16;
+}
+
+struct CallAnswer {
+  outcome @0 :UInt8;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  body @3 :Data;
+  reason @4 :Text;
+  claimHolder @5 :Text;
+  version @6 :Text;
+  inFlight @7 :UInt16;
+  queued @8 :UInt16;
+  limit @9 :UInt16;
+}
+
+struct Address {
+  host @0 :Text;
+  port @1 :UInt16;
+}
+
+struct Member {
+  id @0 :Text;
+  dataCentre @1 :Text;
+  peerAddress @2 :Address;
+  operatorAddress @3 :Address;
+  generation @4 :UInt64;
+  sequence @5 :UInt32;
+  state @6 :UInt8;
+  service @7 :Text;
+  version @8 :Text;
+  upstreamState @9 :UInt8;
+  slots @10 :UInt16;
+}
+
+struct Suspicion {
+  subject @0 :Text;
+  generation @1 :UInt64;
+  sequence @2 :UInt32;
+  observer @3 :Text;
+}
+
+struct Verdict {
+  moveId @0 :Text;
+  evidence @1 :Text;
+}
+
+struct Evidence {
+  moveId @0 :Text;
+  route @1 :Text;
+  version @2 :Text;
+  node @3 :Text;
+  generation @4 :UInt64;
+  calls @5 :UInt32;
+  failures @6 :UInt32;
+  broken @7 :UInt32;
+  latencies @8 :List(UInt32);
+}
+
+struct Exchange {
+  sender @0 :Text;
+  revision @1 :UInt64;
+  receiverFloor @2 :UInt64;
+  memberDigest @3 :UInt64;
+  members @4 :List(Member);
+  suspicions @5 :List(Suspicion);
+  verdicts @6 :List(Verdict);
+  evidence @7 :List(Evidence);
+}
+
+struct IntentTransfer {
+  target @0 :UInt64;
+  base @1 :UInt64;
+  textHash @2 :UInt64;
+  payload @3 :Text;
+}
+
+interface Peer {
+  call @0 (request :CallRequest) -> (answer :CallAnswer);
+  exchange @1 (request :Exchange) -> (answer :Exchange);
+  pushIntent @2 (sender :Text, transfer :IntentTransfer) -> (revision :UInt64);
+  fetchIntent @3 (have :UInt64) -> (transfer :IntentTransfer);
+  fetchMembers @4 (hashes :List(UInt64)) -> (members :List(Member));
+  claim @5 (key :Text, claimant :Text) -> (holder :Text);
+  release @6 (key :Text, claimant :Text) -> ();
+}
