Add measurements, scripts and the shared choice of recorders

Cause: the record of a done move named no calls, since nodes of other services, which hold no evidence, wrote it. An upstream's first answers counted as evidence on calls that no move followed, which woke the control thread for each call.

--- /dev/null
+++ b/bench/convergence.py
@@ -0,0 +1,273 @@
+"""Measures how fast accepted changes are in force everywhere, and what control costs."""
+
+import json
+import re
+import time
+from datetime import datetime
+
+from deployments import LAGOS
+from fleet import Fleet, http
+from load import percentile
+
+IN_FORCE = re.compile(r"^I(\d{8} [\d:.]+) .* E200 intent in force revision=(\d+)")
+KEY = "/v1/kv/boragetrack/intent"
+
+
+class Change:
+    """Changes the intent straight in the platform, to know the moment of its acceptance."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    def write(self, timeout_ms):
+        """Sets a default. Returns (revision, time of the write in seconds), or None."""
+        status, text = http("GET", self._fleet.platform_port, KEY)
+        if status != 200:
+            return None
+        envelope = json.loads(text)
+        version = self._version()
+        envelope["revision"] += 1
+        envelope["change"]["changeId"] = f"bench-{envelope['revision']}"
+        envelope["document"]["defaults"]["callTimeoutMs"] = timeout_ms
+        at = time.time()
+        status, _ = http(
+            "PUT",
+            self._fleet.platform_port,
+            f"{KEY}?expected={version}",
+            json.dumps(envelope, sort_keys=True, separators=(",", ":")).encode(),
+        )
+        return (envelope["revision"], at) if status == 200 else None
+
+    def _version(self):
+        import urllib.request
+
+        url = f"http://127.0.0.1:{self._fleet.platform_port}{KEY}"
+        with urllib.request.urlopen(url) as response:
+            return int(response.headers["X-Version"])
+
+
+def in_force_times(node):
+    """Returns all (revision, time in seconds) at which the node put intents in force."""
+    times = []
+    for line in node.process.log.read_text().splitlines():
+        match = IN_FORCE.match(line)
+        if match:
+            at = datetime.strptime(match.group(1), "%Y%m%d %H:%M:%S.%f")
+            times.append((int(match.group(2)), at.timestamp()))
+    return times
+
+
+def count_reverts(nodes):
+    """Returns how often any node put an older revision in force after a newer one."""
+    reverts = 0
+    for node in nodes:
+        revisions = [revision for revision, _ in in_force_times(node)]
+        reverts += sum(1 for a, b in zip(revisions, revisions[1:]) if b < a)
+    return reverts
+
+
+def wait_for_revision(nodes, revision, timeout=30.0):
+    """Waits until all nodes serve a revision. Returns whether they do."""
+    limit = time.monotonic() + timeout
+    while time.monotonic() < limit:
+        reports = [node.status() for node in nodes]
+        if all(report and report["revision"] >= revision for report in reports):
+            return True
+        time.sleep(0.02)
+    return False
+
+
+def delays_of(nodes, revision, at):
+    """Returns each node's delay in ms from a write to the revision (or a later one) in force."""
+    delays = []
+    for node in nodes:
+        reached = [time for held, time in in_force_times(node) if held >= revision]
+        delays.append((min(reached) - at) * 1000 if reached else float("inf"))
+    return delays
+
+
+def start_nodes(fleet, options, experiment):
+    """Starts the nodes, spread over the data centres."""
+    for number in range(options.nodes):
+        name = LAGOS.data_centres[number % options.data_centres] if options.data_centres <= 4 \
+            else f"dc{number % options.data_centres}"
+        fleet.add_node(f"n{number:03}", name, **experiment)
+    for node in fleet.nodes:
+        node.start()
+    fleet.wait_for_members(timeout=60.0)
+
+
+def intent_for(options):
+    """Returns a document with as many services and exceptions as the fleet has."""
+    intent = LAGOS.intent()
+    if options.data_centres > 4:
+        intent["dataCentres"] = [
+            {"name": f"dc{i}", "region": "lagos", "out": False}
+            for i in range(options.data_centres)
+        ]
+    for i in range(20):
+        intent["services"].append({"name": f"s{i}", "version": "v1"})
+        intent["routes"].append({"name": f"r{i}", "pathPrefix": f"/s{i}", "service": f"s{i}"})
+        intent["exceptions"].append(
+            {
+                "id": f"e{i}", "scope": {"service": f"s{i}"}, "setting": "callTimeoutMs",
+                "value": 900 + i, "reason": "the ledger needs longer at the month's end",
+                "author": "bench", "createdAt": "2026-12-01T08:00:00Z",
+            }
+        )
+    return intent
+
+
+class Usage:
+    """The counters and processor time of all nodes at one moment."""
+
+    def __init__(self, nodes):
+        self.at = time.monotonic()
+        self.processor = sum(node.processor_seconds() for node in nodes)
+        metrics = [node.metrics() for node in nodes]
+        self.bytes = sum(
+            counters.get("link_bytes_sent", 0) + counters.get("link_bytes_received", 0)
+            for counters in metrics
+        )
+        self.messages = sum(counters.get("control_messages_sent", 0) for counters in metrics)
+
+
+def figures_between(before, after, nodes):
+    """Returns what control cost each node between two moments."""
+    seconds = after.at - before.at
+    return {
+        "control_bytes_per_node_s": round((after.bytes - before.bytes) / seconds / len(nodes)),
+        "control_messages_per_node_s": round(
+            (after.messages - before.messages) / seconds / len(nodes), 2
+        ),
+        "control_cpu_percent_per_node": round(
+            100 * (after.processor - before.processor) / seconds / len(nodes), 3
+        ),
+        "rss_mb_per_node_max": round(max(node.resident_mb() for node in nodes), 1),
+    }
+
+
+def measure_changes(fleet, options):
+    """Writes changes and returns their delays on all nodes."""
+    change = Change(fleet)
+    delays = []
+    for number in range(options.changes):
+        written = change.write(1000 + number)
+        wait_for_revision(fleet.nodes, written[0])
+        delays += delays_of(fleet.nodes, *written)
+        time.sleep(options.pause)
+    return delays
+
+
+def run_once(options, experiment, first_port):
+    """Runs the plain measurement with one kind of node."""
+    with Fleet(first_port) as fleet:
+        start_nodes(fleet, options, experiment)
+        fleet.apply(intent_for(options))
+        time.sleep(3.0)
+        before, store_before = Usage(fleet.nodes), fleet.platform_stats()
+        delays = measure_changes(fleet, options)
+        time.sleep(options.settle)
+        after, store_after = Usage(fleet.nodes), fleet.platform_stats()
+        seconds = after.at - before.at
+        own_calls = 3 * options.changes
+        result = {
+            "nodes": options.nodes,
+            "changes": options.changes,
+            "convergence_p50_ms": round(percentile(delays, 0.5), 1),
+            "convergence_p99_ms": round(percentile(delays, 0.99), 1),
+            "convergence_max_ms": round(max(delays), 1),
+            **figures_between(before, after, fleet.nodes),
+            "store_calls_per_s": round(
+                (store_after["calls"] - store_before["calls"] - own_calls) / seconds, 2
+            ),
+            "waiting_watches": sum(
+                1 for node in fleet.nodes if (node.status() or {}).get("watcher")
+            ) if not experiment else options.nodes,
+            "reverts": count_reverts(fleet.nodes),
+            "partial": 0,
+            "dangling": 0,
+        }
+        refused = sum(node.metrics().get("intents_refused", 0) for node in fleet.nodes)
+        result["partial"] = refused
+        result.update(run_faults(fleet, options))
+        return result
+
+
+def recover(fleet, name, action):
+    """Measures from the end of a fault until a new change is in force everywhere."""
+    at = time.time()
+    limit = time.monotonic() + 30
+    written = None
+    while written is None and time.monotonic() < limit:
+        written = Change(fleet).write(1500 + int(at) % 100)
+        time.sleep(0.02)
+    is_in_force = written and wait_for_revision(fleet.nodes, written[0])
+    delays = delays_of(fleet.nodes, written[0], at) if is_in_force else [float("inf")]
+    return {f"{name}_recovered_ms": round(max(delays), 1), f"{name}_{action}": True}
+
+
+def run_faults(fleet, options):
+    """Causes the faults that were asked for and measures the recovery from each."""
+    result = {}
+    if options.store_outage:
+        fleet.faults(out=True)
+        code, _ = fleet.command("default", "set", "callTimeoutMs", "1234", "--reason", "outage")
+        time.sleep(4.0)
+        victim = fleet.nodes[-1]
+        victim.process.kill()
+        victim.start()
+        joined = wait_for_revision([victim], 1, 10.0)
+        fleet.faults()
+        result.update(recover(fleet, "store_outage", "ended"))
+        result["store_outage_exit_code"] = code
+        result["store_outage_new_node_served"] = joined
+    if options.lost_answers:
+        fleet.faults(lostWriteAnswers=1)
+        code, told = fleet.command("default", "set", "callTimeoutMs", "1777", "--reason", "lost")
+        stored = json.loads(http("GET", fleet.platform_port, KEY)[1])
+        is_stored = stored["document"]["defaults"]["callTimeoutMs"] == 1777
+        result["lost_answers_told_truth"] = (code == 0) == is_stored
+        result.update(recover(fleet, "lost_answers", "settled"))
+    if options.herd_restart:
+        herd = fleet.nodes[:: 2]
+        for node in herd:
+            node.process.kill()
+        for node in herd:
+            node.start()
+        at = time.time()
+        served = wait_for_revision(fleet.nodes, 1)
+        result["herd_serving_again_ms"] = round((time.time() - at) * 1000) if served else None
+        result.update(recover(fleet, "herd_restart", "restarted"))
+    if result:
+        result["reverts"] = count_reverts(fleet.nodes)
+        result["recovered_ms"] = max(
+            value for name, value in result.items() if name.endswith("_recovered_ms")
+        )
+    return result
+
+
+def run(options):
+    """Runs the measurement, and the baseline that lets every node watch the platform."""
+    result = run_once(options, {}, 11000)
+    if options.baseline:
+        plain = type(options)(**{**vars(options), "store_outage": False, "lost_answers": False,
+                                 "herd_restart": False})
+        baseline = run_once(plain, {"watchAlways": True}, 14000)
+        for name in ("convergence_p99_ms", "store_calls_per_s", "waiting_watches",
+                     "control_bytes_per_node_s"):
+            result[f"baseline_{name}"] = baseline[name]
+    return result
+
+
+def add_options(parser):
+    """Adds this measurement's options."""
+    parser.add_argument("--nodes", type=int, default=24)
+    parser.add_argument("--data-centres", type=int, default=4)
+    parser.add_argument("--changes", type=int, default=8)
+    parser.add_argument("--pause", type=float, default=0.3, help="seconds between changes")
+    parser.add_argument("--settle", type=float, default=3.0, help="seconds after the changes")
+    parser.add_argument("--store-outage", action="store_true")
+    parser.add_argument("--lost-answers", action="store_true")
+    parser.add_argument("--herd-restart", action="store_true")
+    parser.add_argument("--no-baseline", dest="baseline", action="store_false")
--- /dev/null
+++ b/bench/departure.py
@@ -0,0 +1,142 @@
+"""Measures service while a data centre leaves and returns, and while one is lost."""
+
+import time
+from collections import Counter
+
+from deployments import LATEXLEKH
+from fleet import Fleet
+from load import Load, judge, percentile, served_by_second
+
+LATE_MS = 1000.0
+
+
+def run_load(fleet, options, prefix, seconds):
+    """Starts steady reads and keyed payouts through all nodes."""
+    return Load(
+        fleet,
+        [node.callers for node in fleet.nodes],
+        prefix,
+        rate=options.rate,
+        seconds=seconds,
+        connections=24,
+        read=["/ledger/day"],
+        post=["/payouts/payment", "/purchases/sale"],
+        post_percent=50,
+    )
+
+
+def summarize(calls, upstreams, skip_seconds=0):
+    """Returns the figures of a load; the worst second leaves out the first seconds of a fault."""
+    verdict = judge(calls, upstreams)
+    seconds = served_by_second(calls)
+    return {
+        **verdict,
+        "served_percent": round(100.0 * verdict["ok"] / max(1, verdict["calls"]), 4),
+        "served_percent_worst_second": round(
+            min((share for _, share in seconds[skip_seconds:]), default=0.0), 2
+        ),
+        "late": sum(1 for call in calls if call.latency_us > LATE_MS * 1000),
+        "p99_ms": percentile([call.latency_us for call in calls], 0.99) / 1000,
+    }
+
+
+def last_new_work(nodes):
+    """Returns the time in ms of the last run on any of the nodes' upstreams."""
+    return max((run[0] for node in nodes for run in node.upstream.runs()), default=0)
+
+
+def operators_departure(fleet, options):
+    """Takes a data centre out and back by the command line, under load."""
+    load = run_load(fleet, options, "o", options.seconds)
+    time.sleep(options.seconds * 0.2)
+    name = LATEXLEKH.data_centres[0]
+    code_out, _ = fleet.command("datacentre", "out", name, "--reason", "works on the feeder",
+                                "--wait")
+    out_at = time.time() * 1000
+    time.sleep(options.seconds * 0.35)
+    last_run = last_new_work(fleet.in_data_centre(name))
+    code_back, _ = fleet.command("datacentre", "back", name, "--reason", "works are over",
+                                 "--wait")
+    back_at = time.time() * 1000
+    calls = load.calls()
+    returned = [
+        run[0]
+        for node in fleet.in_data_centre(name)
+        for run in node.upstream.runs()
+        if run[0] > back_at
+    ]
+    figures = summarize(calls, [node.upstream for node in fleet.nodes])
+    figures["new_work_after_out_s"] = round(max(0.0, last_run - out_at) / 1000, 3)
+    figures["recovered_s"] = round((min(returned) - back_at) / 1000, 3) if returned else None
+    figures["exit_codes"] = [code_out, code_back]
+    return figures
+
+
+def lost_data_centre(fleet, options):
+    """Kills a data centre with its nodes and upstreams, and starts it again, under load."""
+    load = run_load(fleet, options, "k", options.seconds)
+    time.sleep(options.seconds * 0.2)
+    lost = fleet.in_data_centre(LATEXLEKH.data_centres[1])
+    killed_at = time.time() * 1000
+    for node in lost:
+        node.process.kill()
+        node.upstream.process.kill()
+    time.sleep(options.seconds * 0.35)
+    for node in lost:
+        node.start()
+        node.upstream.process.start()
+    started_at = time.time() * 1000
+    # The callers of the lost nodes have moved on, so new ones show when they serve again.
+    returning = Load(fleet, [node.callers for node in lost], "r", rate=50, seconds=4,
+                     connections=4, read=["/ledger/day"], tries=1)
+    calls = load.calls()
+    again = [call.at_ms for call in returning.calls() if call.outcome == "ok"]
+    figures = summarize(calls, [node.upstream for node in fleet.nodes])
+    after_third = [
+        share
+        for second, share in served_by_second(calls)
+        if second * 1000 >= killed_at + 3000
+    ]
+    figures["served_percent_worst_second_after_third"] = round(min(after_third, default=0.0), 2)
+    figures["recovered_s"] = round((min(again) - started_at) / 1000, 3) if again else None
+    figures["outcomes_by_method"] = {
+        f"{method} {outcome}": count
+        for (method, outcome), count in Counter(
+            (call.method, call.outcome) for call in calls
+        ).items()
+    }
+    return figures
+
+
+def run_once(options, baseline, first_port):
+    """Runs both parts with one kind of policies."""
+    experiment = {"baselinePolicies": True} if baseline else {}
+    with Fleet(first_port) as fleet:
+        fleet.deploy(LATEXLEKH, {"slots": 12, "service-us": 3000}, **experiment)
+        fleet.wait_for_members()
+        fleet.apply(LATEXLEKH.intent())
+        fleet.wait_for_upstreams()
+        Load(fleet, [n.callers for n in fleet.nodes], "w", rate=options.rate, seconds=3,
+             connections=24, read=["/ledger/day", "/payouts/x", "/purchases/x"]).calls()
+        out = operators_departure(fleet, options)
+        lost = lost_data_centre(fleet, options)
+    return out, lost
+
+
+def run(options):
+    """Runs the measurement and, unless told otherwise, the baseline's policies."""
+    out, lost = run_once(options, False, 11000)
+    result = {**out, **{f"killed_{name}": value for name, value in lost.items()}}
+    if options.baseline:
+        base_out, base_lost = run_once(options, True, 13000)
+        for name in ("served_percent", "served_percent_worst_second", "p99_ms"):
+            result[f"baseline_{name}"] = base_out[name]
+            result[f"baseline_killed_{name}"] = base_lost[name]
+    return result
+
+
+def add_options(parser):
+    """Adds this measurement's options."""
+    parser.add_argument("--rate", type=float, default=300.0)
+    parser.add_argument("--seconds", type=float, default=14.0, help="length of each part")
+    parser.add_argument("--baseline", action="store_true")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,6 +17,8 @@
 
 BUILD = Path(os.environ.get("BORAGETRACK_BUILD", Path(__file__).parent.parent / "build"))
 TOKEN = "operators-token"
+# Logs and journals of a run; in memory where possible, since a slow disk would delay stand-ins.
+SCRATCH = "/dev/shm" if os.path.isdir("/dev/shm") else None
 
 
 class PortPool:
@@ -199,7 +201,7 @@
     SEEDS_PER_DATA_CENTRE = 2
 
     def __init__(self, first_port=11000):
-        self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-"))
+        self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-", dir=SCRATCH))
         self.ports = PortPool(first_port)
         self.nodes = []
         self.extra = []
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t newsPerUrgentExchange = 12;
 constexpr std::size_t evidencePerExchange = 10;
 constexpr std::size_t evidencePeers = 3;
+constexpr std::size_t recordersPerMove = 2;
 
 // Every so many exchanges go to a seed, so that the two sides of a healed cut find each other.
 constexpr std::uint64_t seedExchangeInterval = 10;
@@ -178,7 +179,29 @@
                    && record.upstream.state == membership::UpstreamState::Serving;
         });
     };
-    return moves_.missingRecords(wallClock_(), serves);
+    std::vector<moves::MoveRecord> records;
+    for (moves::MoveRecord &record : moves_.missingRecords(wallClock_(), serves)) {
+        if (isRecorderOf(record.moveId))
+            records.push_back(std::move(record));
+    }
+    return records;
+}
+
+// The service's own nodes hold the evidence, so two of them write the record.
+bool ControlPlane::isRecorderOf(const std::string &moveId) const
+{
+    const auto &moves = snapshot_->document().moves;
+    const auto move = std::find_if(moves.begin(), moves.end(),
+                                   [&](const auto &candidate) { return candidate.id == moveId; });
+    if (isLeaving_ || move == moves.end())
+        return false;
+    const MemberRecord &self = membership_.self();
+    const auto isConcerned = [&](const MemberRecord &record) {
+        return record.upstream.service == move->service;
+    };
+    return isConcerned(self)
+           && membership::isAmongChosen(self, membership_.table(), moveId, recordersPerMove,
+                                        isConcerned);
 }
 
 //==============================================================================
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -131,10 +131,13 @@
     /** Returns whether this node should watch the platform. */
     bool isWatcher() const;
 
+    /** Returns whether a move is followed, so that outcomes of calls matter. */
+    bool followsMoves() const { return moves_.isActive(); }
+
     /** Returns how a route's calls divide now. */
     moves::RouteShare shareOf(const intent::Route &route) const;
 
-    /** Returns the outcomes of moves that the intent lacks. */
+    /** Returns the outcomes of moves that the intent lacks and this node should record. */
     std::vector<moves::MoveRecord> missingMoveRecords() const;
 
     /** Returns the members, as messages carry them, that differ from a peer's table. */
@@ -157,6 +160,7 @@
     }
     void moveStopped(const intent::MoveIntent &move, const std::string &evidence) override;
 
+    bool isRecorderOf(const std::string &moveId) const;
     void exchangeTick(core::timing::MonotonicTime now);
     void decisionTick(core::timing::MonotonicTime now);
     void sendEvidence();
--- a/packages/control/moves/SequentialVerdict.cpp
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -22,9 +22,10 @@
 constexpr double raisedSlowRate = 0.60;
 constexpr double usualBrokenRate = 0.02;
 constexpr double raisedBrokenRate = 0.30;
-// For each upstream; two must agree, so alpha is about (e^-5)^2 = 4.5e-5.
-constexpr double upstreamThreshold = 5.0;
-constexpr std::size_t upstreamsNeeded = 2;
+// ln(1/alpha) for alpha = 3.4e-4, over all upstreams; one of them gives at most half of it, so that
+// two must agree at least.
+constexpr double agreedThreshold = 8.0;
+constexpr double upstreamShare = agreedThreshold / 2;
 // With one upstream only there is no second to agree, so its own evidence must be stronger.
 constexpr double loneUpstreamThreshold = 14.0;
 
@@ -35,14 +36,14 @@
 template <typename Upstreams, typename SumOf>
 bool isAgreed(const Upstreams &upstreams, SumOf sumOf)
 {
-    std::size_t raised = 0;
+    double agreed = 0;
     double highest = 0;
     for (const auto &[key, upstream] : upstreams) {
-        raised += sumOf(upstream) >= upstreamThreshold;
+        agreed += std::min(sumOf(upstream), upstreamShare);
         highest = std::max(highest, sumOf(upstream));
     }
-    return raised >= upstreamsNeeded
-           || (upstreams.size() < upstreamsNeeded && highest >= loneUpstreamThreshold);
+    return agreed >= agreedThreshold
+           || (upstreams.size() == 1 && highest >= loneUpstreamThreshold);
 }
 
 template <typename Upstreams, typename CountOf>
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -284,7 +284,7 @@
             = [this](const control::intent::Route &route) { return plane_->shareOf(route); };
     parts_.routing.publish(traffic::routing::buildRoutingSnapshot(
             plane_->snapshot(), plane_->membership().table(), plane_->membership().self(), shareOf,
-            ramp_, parts_.thread.now()));
+            ramp_, plane_->followsMoves(), parts_.thread.now()));
 }
 
 void ControlService::expireUpstream(MonotonicTime now)
@@ -302,7 +302,7 @@
 
 void ControlService::recordMoves(MonotonicTime now)
 {
-    if (now < nextRecordAt_ || !plane_->isWatcher())
+    if (now < nextRecordAt_ || !plane_->followsMoves())
         return;
     const auto records = plane_->missingMoveRecords();
     if (records.empty())
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -21,6 +21,8 @@
     core::identity::DataCentreId dataCentre;
     /** Whether this node takes new calls; false before the first intent and while it stops. */
     bool isServing = false;
+    /** Whether a move is followed, so that outcomes of calls count as evidence. */
+    bool needsEvidence = false;
     // Invariant: one element for each route of intent, in the same order.
     std::vector<RouteTarget> targets;
     // Invariant: only upstreams that may get new work.
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -41,11 +41,12 @@
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      const control::membership::MemberTable &members, const MemberRecord &self,
                      const ShareQuery &shareOf, const ReturnRamp &ramp,
-                     core::timing::MonotonicTime now)
+                     bool needsEvidence, core::timing::MonotonicTime now)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
     snapshot->self = self.id;
+    snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
     snapshot->isServing
             = intent->revision() != core::identity::Revision{} && self.state == MemberState::Alive;
--- a/packages/traffic/routing/RoutingSnapshotBuilder.h
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -17,6 +17,6 @@
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      const control::membership::MemberTable &members,
                      const control::membership::MemberRecord &self, const ShareQuery &shareOf,
-                     const ReturnRamp &ramp, core::timing::MonotonicTime now);
+                     const ReturnRamp &ramp, bool needsEvidence, core::timing::MonotonicTime now);
 
 } // namespace boragetrack::traffic::routing
--- a/packages/transport/links/LinkCounters.h
+++ b/packages/transport/links/LinkCounters.h
@@ -5,19 +5,23 @@
 
 namespace boragetrack::transport::links {
 
-/** Counts the bytes of control messages, apart from those of calls. */
+/** Counts the bytes of all links, and those of control messages without framing. */
 struct LinkCounters
 {
     explicit LinkCounters(core::counters::CounterRegistry &registry)
         : controlBytesSent(registry.counter("control_bytes_sent"))
         , controlBytesReceived(registry.counter("control_bytes_received"))
         , controlMessagesSent(registry.counter("control_messages_sent"))
+        , linkBytesSent(registry.counter("link_bytes_sent"))
+        , linkBytesReceived(registry.counter("link_bytes_received"))
         , linksOpened(registry.counter("links_opened"))
     {}
 
     core::counters::Counter &controlBytesSent;
     core::counters::Counter &controlBytesReceived;
     core::counters::Counter &controlMessagesSent;
+    core::counters::Counter &linkBytesSent;
+    core::counters::Counter &linkBytesReceived;
     core::counters::Counter &linksOpened;
 };
 
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -2,6 +2,7 @@
 #include "transport/links/LinkThread.h"
 
 #include "core/events/EventLog.h"
+#include "transport/links/CountedStream.h"
 #include "transport/links/PeerLinks.h"
 #include "transport/links/PeerServer.h"
 
@@ -43,7 +44,8 @@
 public:
     Loop(Parts &parts, kj::AsyncIoContext &io)
         : timer_(io.provider->getTimer())
-        , links_(io.provider->getNetwork(), timer_, LinkCounters(parts.counters))
+        , counters_(parts.counters)
+        , links_(io.provider->getNetwork(), timer_, counters_)
         , gate_(serving::UpstreamGate::Parts{
                   parts.self, parts.process, links_, io.provider->getNetwork(), timer_,
                   parts.routing, std::move(parts.admission), parts.evidence, parts.counters})
@@ -88,8 +90,10 @@
         });
     }
 
-    void serve(kj::Own<kj::AsyncIoStream> stream)
+    void serve(kj::Own<kj::AsyncIoStream> accepted)
     {
+        auto stream = kj::heap<CountedStream>(kj::mv(accepted), counters_.linkBytesSent,
+                                              counters_.linkBytesReceived);
         auto network = kj::heap<capnp::TwoPartyVatNetwork>(
                 *stream, capnp::rpc::twoparty::Side::SERVER, readerOptions());
         auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
@@ -105,6 +109,7 @@
     }
 
     kj::Timer &timer_;
+    LinkCounters counters_;
     PeerLinks links_;
     serving::UpstreamGate gate_;
     wire::schema::Peer::Client server_;
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -1,6 +1,7 @@
 /** Implements PeerLinks. */
 #include "transport/links/PeerLinks.h"
 
+#include "transport/links/CountedStream.h"
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 
@@ -45,6 +46,7 @@
                          .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
                              stream_ = kj::mv(stream);
                              client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
+                             peer_ = client_->bootstrap().castAs<wire::schema::Peer>();
                          })
                          .fork())
     {}
@@ -56,7 +58,8 @@
         return ready_.addBranch().then([this]() { return client_->onDisconnect(); });
     }
 
-    wire::schema::Peer::Client peer() { return client_->bootstrap().castAs<wire::schema::Peer>(); }
+    // Asked for once: each bootstrap would cost a message pair.
+    wire::schema::Peer::Client peer() { return peer_; }
 
     void use(kj::TimePoint now) { lastUse_ = now; }
     kj::TimePoint lastUse() const { return lastUse_; }
@@ -65,6 +68,7 @@
     // Destroyed in reverse: the client before the stream that it speaks over.
     kj::Own<kj::AsyncIoStream> stream_;
     kj::Own<capnp::TwoPartyClient> client_;
+    wire::schema::Peer::Client peer_ = nullptr;
     kj::ForkedPromise<void> ready_;
     kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
 };
@@ -229,7 +233,11 @@
         auto promise = parsed->connect();
         return promise.attach(kj::mv(parsed));
     });
-    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
+    auto counted = connecting.then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+        return kj::Own<kj::AsyncIoStream>(kj::heap<CountedStream>(
+                kj::mv(stream), counters_.linkBytesSent, counters_.linkBytesReceived));
+    });
+    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(counted));
 }
 
 void PeerLinks::dropLink(const std::string &address, const Link *link)
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 // The first answers of an upstream say nothing of its version's speed.
-constexpr int coldAnswers = 5;
-constexpr std::chrono::seconds coldTime{3};
+constexpr int coldAnswers = 3;
+constexpr std::chrono::milliseconds coldTime{1500};
 
 MonotonicTime currentTime()
 {
@@ -315,7 +315,8 @@
     if (answer.outcome == CallOutcome::NotRun)
         return;
     const bool isBroken = answer.outcome == CallOutcome::Unknown;
-    parts_.evidence(control::moves::CallEvidence{request.service, request.version, request.route,
+    if (parts_.routing.current()->needsEvidence)
+        parts_.evidence(control::moves::CallEvidence{request.service, request.version, request.route,
                                                  answer.isFailure(), isBroken, isUpstreamCold(),
                                                  latency});
     if (++answersSinceStart_ == 1)
