Add unit tests, scenarios with golden files and tests of whole processes

Cause: the decisions had no tests, and three faults lay in what they cover.

Found and mended: a link's RPC system was destroyed after its stream, since of several attachments in one call the last goes first, and a planned stop ended in a fault; a healed cut made both sides suspect their own members on the other side's old word, and one was taken for dead at once; a limit that fell when an upstream turned cold rose again while it was cold, since slow answers soon passed for usual.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -124,7 +124,6 @@
 void ControlPlane::exchangeAnswered(const PeerContact &peer, const Exchange &answer)
 {
     const PeerContact contact{answer.sender, peer.address};
-    membership_.memberAnswered(answer.sender);
     learnFrom(contact, answer);
     spreader_.learnFloor(std::max(answer.receiverFloor, answer.revision), timers_.now());
     fetchMembersIfDiffering(contact, answer.memberDigest);
@@ -132,8 +131,9 @@
 
 void ControlPlane::exchangeFailed(const PeerContact &peer)
 {
-    if (!peer.id.isEmpty())
-        membership_.memberFailed(peer.id, timers_.now());
+    const NodeId id = peer.id.isEmpty() ? idAt(peer.address) : peer.id;
+    if (!id.isEmpty())
+        membership_.memberFailed(id, timers_.now());
 }
 
 Revision ControlPlane::intentReceived(const PeerContact &peer, const IntentTransfer &transfer)
@@ -305,6 +305,7 @@
     const MonotonicTime now = timers_.now();
     Revision &floor = floors_[exchange.sender];
     floor = std::max(floor, exchange.revision);
+    membership_.memberHeard(exchange.sender, now);
     membership_.mergeRecords(exchange.members, now);
     membership_.mergeSuspicions(exchange.suspicions, now);
     moves_.mergeVerdicts(exchange.verdicts);
@@ -334,6 +335,8 @@
     exchange.receiverFloor = floor == floors_.end() ? Revision{} : floor->second;
     exchange.memberDigest = membership_.table().digest();
     membership_.takeNews(maximumNews, exchange.members, exchange.suspicions);
+    const auto doubted = membership_.takeSuspicionsFor(receiver);
+    exchange.suspicions.insert(exchange.suspicions.end(), doubted.begin(), doubted.end());
     exchange.verdicts = moves_.verdicts();
     return exchange;
 }
@@ -346,6 +349,15 @@
     return PeerContact{id, record->peerAddress};
 }
 
+NodeId ControlPlane::idAt(const core::identity::NetworkAddress &address) const
+{
+    for (const auto &[id, record] : membership_.table().records()) {
+        if (record.peerAddress == address)
+            return id;
+    }
+    return NodeId{};
+}
+
 std::vector<PeerContact> ControlPlane::neighbourContacts() const
 {
     std::vector<PeerContact> contacts;
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -170,6 +170,7 @@
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumNews);
     std::optional<PeerContact> contactOf(const core::identity::NodeId &id) const;
+    core::identity::NodeId idAt(const core::identity::NetworkAddress &address) const;
     std::vector<PeerContact> neighbourContacts() const;
     std::optional<PeerContact> nextExchangePeer();
 
--- a/packages/control/membership/FailureDetector.cpp
+++ b/packages/control/membership/FailureDetector.cpp
@@ -52,18 +52,20 @@
 }
 
 std::vector<NodeId> FailureDetector::findDead(const MemberTable &members,
-                                              core::timing::MonotonicTime now) const
+                                              core::timing::MonotonicTime now)
 {
     const std::set<DataCentreId> silent = findSilent(members);
     // With a single member left alive there is no second observer to wait for.
     const std::size_t needed = std::min(observersNeeded, countAlive(members));
     std::vector<NodeId> dead;
-    for (const auto &[subject, held] : cases_) {
+    for (auto &[subject, held] : cases_) {
         const MemberRecord *record = members.find(subject);
         if (record == nullptr || record->state != MemberState::Suspect)
             continue;
-        if (silent.contains(record->dataCentre))
+        if (silent.contains(record->dataCentre)) {
+            held.since = now;
             continue;
+        }
         if (held.observers.size() >= needed && now - held.since >= suspicionTime)
             dead.push_back(subject);
     }
--- a/packages/control/membership/FailureDetector.h
+++ b/packages/control/membership/FailureDetector.h
@@ -35,9 +35,10 @@
     /** Returns the suspicions held against a member. */
     std::vector<Suspicion> suspicionsOf(const core::identity::NodeId &subject) const;
 
-    /** Returns the members that now count as dead. */
+    /** Returns the members that now count as dead. Those of a silent data centre do not, and get
+        the whole time to refute once it is heard of again. */
     std::vector<core::identity::NodeId> findDead(const MemberTable &members,
-                                                 core::timing::MonotonicTime now) const;
+                                                 core::timing::MonotonicTime now);
 
     /** Returns the data centres of which half or more is suspect. */
     static std::set<core::identity::DataCentreId> findSilent(const MemberTable &members);
--- a/packages/control/membership/MembershipEngine.cpp
+++ b/packages/control/membership/MembershipEngine.cpp
@@ -13,6 +13,8 @@
 
 // Gone members are remembered so that late news of them can not bring them back.
 constexpr std::chrono::minutes goneMemory{30};
+// A member heard of so lately is not taken for unreachable on another's word.
+constexpr std::chrono::milliseconds hearingLife{3000};
 
 bool isGone(MemberState state)
 {
@@ -61,8 +63,18 @@
 
 void MembershipEngine::mergeRecords(const std::vector<MemberRecord> &records, MonotonicTime now)
 {
-    for (const MemberRecord &record : records)
-        merge(record, now);
+    for (const MemberRecord &record : records) {
+        if (record.state == MemberState::Suspect && wasHeardLately(record.id, now))
+            doubt(Suspicion{record.id, record.version, NodeId{}});
+        else
+            merge(record, now);
+    }
+}
+
+void MembershipEngine::doubt(const Suspicion &suspicion)
+{
+    doubted_[suspicion.subject] = suspicion;
+    confirmationTargets_.insert(suspicion.subject);
 }
 
 bool MembershipEngine::merge(const MemberRecord &record, MonotonicTime now)
@@ -114,6 +126,10 @@
         const MemberRecord *known = table_.find(suspicion.subject);
         if (known == nullptr || isGone(known->state) || suspicion.version < known->version)
             continue;
+        if (wasHeardLately(suspicion.subject, now)) {
+            doubt(suspicion);
+            continue;
+        }
         if (!detector_.addSuspicion(suspicion, now))
             continue;
         setState(suspicion.subject, MemberState::Suspect, now);
@@ -126,9 +142,25 @@
     }
 }
 
-void MembershipEngine::memberAnswered(const NodeId &id)
+void MembershipEngine::memberHeard(const NodeId &id, MonotonicTime now)
+{
+    heardAt_[id] = now;
+}
+
+bool MembershipEngine::wasHeardLately(const NodeId &id, MonotonicTime now) const
+{
+    const auto heard = heardAt_.find(id);
+    return heard != heardAt_.end() && now - heard->second < hearingLife;
+}
+
+std::vector<Suspicion> MembershipEngine::takeSuspicionsFor(const NodeId &subject)
 {
-    confirmationTargets_.erase(id);
+    const auto found = doubted_.find(subject);
+    if (found == doubted_.end())
+        return {};
+    const Suspicion suspicion = found->second;
+    doubted_.erase(found);
+    return {suspicion};
 }
 
 void MembershipEngine::memberFailed(const NodeId &id, MonotonicTime now)
@@ -155,6 +187,7 @@
         setState(id, MemberState::Dead, now);
         detector_.clear(id);
     }
+    std::erase_if(heardAt_, [&](const auto &heard) { return now - heard.second >= hearingLife; });
     for (auto it = goneSince_.begin(); it != goneSince_.end();) {
         if (now - it->second < goneMemory) {
             ++it;
--- a/packages/control/membership/MembershipEngine.h
+++ b/packages/control/membership/MembershipEngine.h
@@ -54,15 +54,19 @@
     /** Merges suspicions that another node sent. */
     void mergeSuspicions(const std::vector<Suspicion> &suspicions, core::timing::MonotonicTime now);
 
-    /** Notes that a member answered. */
-    void memberAnswered(const core::identity::NodeId &id);
+    /** Notes that a member was heard of directly. */
+    void memberHeard(const core::identity::NodeId &id, core::timing::MonotonicTime now);
 
     /** Notes that a member could not be reached. */
     void memberFailed(const core::identity::NodeId &id, core::timing::MonotonicTime now);
 
-    /** Returns the suspects that this node should probe itself, and forgets them. */
+    /** Returns the members that this node should contact itself, and forgets them. */
     std::vector<core::identity::NodeId> takeConfirmationTargets();
 
+    /** Takes the suspicions that this node did not share and only passes on to their subject, which
+        refutes them. */
+    std::vector<Suspicion> takeSuspicionsFor(const core::identity::NodeId &subject);
+
     /** Decides on deaths and forgets members that are long dead. */
     void tick(core::timing::MonotonicTime now);
 
@@ -71,6 +75,9 @@
                   std::vector<Suspicion> &suspicions);
 
 private:
+    // Keeps a suspicion that this node does not share for its subject, which refutes it.
+    void doubt(const Suspicion &suspicion);
+    bool wasHeardLately(const core::identity::NodeId &id, core::timing::MonotonicTime now) const;
     bool merge(const MemberRecord &record, core::timing::MonotonicTime now);
     void refute(const MemberRecord &claim);
     void publishSelf(RumorPriority priority);
@@ -89,6 +96,8 @@
     // Invariant: what the policy chooses for table_.
     std::vector<core::identity::NodeId> neighbourIds_;
     std::set<core::identity::NodeId> confirmationTargets_;
+    std::map<core::identity::NodeId, core::timing::MonotonicTime> heardAt_;
+    std::map<core::identity::NodeId, Suspicion> doubted_;
     std::set<core::identity::DataCentreId> silent_;
     std::map<core::identity::NodeId, core::timing::MonotonicTime> goneSince_;
 };
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -11,7 +11,6 @@
     SettingsRefused = 110,
     IntentApplied = 200,
     IntentRefused = 201,
-    IntentOlderIgnored = 202,
     StoreUnavailable = 210,
     StoreRecovered = 211,
     MemberAlive = 300,
--- a/packages/traffic/admission/AdaptiveConcurrency.cpp
+++ b/packages/traffic/admission/AdaptiveConcurrency.cpp
@@ -20,6 +20,8 @@
 // different lengths share an upstream.
 constexpr double fallingSmoothing = 0.02;
 constexpr double risingSmoothing = 0.01;
+// While the upstream counts as slow, its slow answers must not pass for usual soon.
+constexpr double slowSmoothing = 0.001;
 // Good answers in a row after which an upstream no longer counts as cold.
 constexpr int warmAfter = 30;
 // The limit rises only while it is in use, since an idle upstream proves nothing.
@@ -64,7 +66,8 @@
     }
     const double seconds = std::chrono::duration<double>(sample.latency).count();
     recentLatency_ = smooth(recentLatency_, seconds, recentSmoothing);
-    const double usualRate = seconds < usualLatency_ ? fallingSmoothing : risingSmoothing;
+    const double upwards = isSlow() ? slowSmoothing : risingSmoothing;
+    const double usualRate = seconds < usualLatency_ ? fallingSmoothing : upwards;
     usualLatency_ = smooth(usualLatency_, seconds, usualRate);
     if (isSlow()) {
         fall(fallOnSlowness, now);
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -99,7 +99,8 @@
         auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
                 capnp::makeRpcServer(*network, server_));
         auto closed = network->onDisconnect();
-        tasks_.add(closed.attach(kj::mv(system), kj::mv(network), kj::mv(stream)));
+        // One attachment at a time: of several in one call, the last would be destroyed first.
+        tasks_.add(closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream)));
     }
 
     void taskFailed(kj::Exception &&exception) override
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 // The first answers of an upstream say nothing of its version's speed.
-constexpr int coldAnswers = 3;
-constexpr std::chrono::milliseconds coldTime{1500};
+constexpr int coldAnswers = 2;
+constexpr std::chrono::milliseconds coldTime{1000};
 
 MonotonicTime currentTime()
 {
--- /dev/null
+++ b/tests/scenarios/ScenarioRunner.h
@@ -0,0 +1,49 @@
+/** Runs scenarios written in the line language of docs/SCENARIOS.md. */
+#pragma once
+
+#include "tests/scenarios/ScenarioWorld.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace boragetrack::tests {
+
+/** Executes a scenario line by line and keeps a transcript of what happened. */
+class ScenarioRunner
+{
+public:
+    ScenarioRunner();
+
+    /** Runs a whole scenario. */
+    void run(const std::string &text);
+
+    /** Returns each line with what nodes reported while it ran. */
+    const std::string &transcript() const { return transcript_; }
+
+    /** Returns the expectations that were not met, and lines that were not understood. */
+    const std::vector<std::string> &failures() const { return failures_; }
+
+private:
+    using Words = std::vector<std::string>;
+
+    void runLine(const std::string &line);
+    void addWorldCommands();
+    void addIntentCommands();
+    void addTrafficCommands();
+    void addExpectations();
+    void expect(bool isMet, const std::string &what);
+    std::vector<std::string> select(const std::string &name) const;
+    void storeNext(const nlohmann::json &document);
+
+    ScenarioWorld world_;
+    std::map<std::string, std::function<void(const Words &)>> commands_;
+    nlohmann::json document_;
+    std::uint64_t revision_ = 0;
+    std::string line_;
+    std::string transcript_;
+    std::vector<std::string> failures_;
+};
+
+} // namespace boragetrack::tests
--- /dev/null
+++ b/tests/unit/CallPlanTest.cpp
@@ -0,0 +1,209 @@
+/** Tests the course of calls: where they go, when they repeat and what callers are told. */
+#include "control/intent/IntentParser.h"
+#include "tests/unit/TestIntent.h"
+#include "traffic/retry/BudgetedRetry.h"
+#include "traffic/retry/CallPlan.h"
+#include "traffic/routing/TwoChoicesRouting.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using namespace boragetrack::traffic;
+using calls::CallAnswer;
+using calls::CallOutcome;
+using core::identity::NodeId;
+using core::identity::VersionName;
+using core::timing::MonotonicTime;
+using retry::CallPlan;
+using retry::PlanStep;
+using retry::SendAttempt;
+
+namespace {
+
+routing::Endpoint endpoint(const std::string &node, const std::string &dataCentre,
+                           const std::string &version)
+{
+    routing::Endpoint result;
+    result.node = NodeId(node);
+    result.dataCentre = core::identity::DataCentreId(dataCentre);
+    result.version = VersionName(version);
+    result.slots = 10;
+    return result;
+}
+
+std::shared_ptr<routing::RoutingSnapshot> makeSnapshot()
+{
+    core::findings::FindingList findings("intent");
+    auto document = control::intent::readIntent(tests::intentJson(), findings);
+    auto snapshot = std::make_shared<routing::RoutingSnapshot>();
+    snapshot->dataCentre = core::identity::DataCentreId("ikeja");
+    snapshot->intent = std::make_shared<control::intent::IntentSnapshot>(
+            core::identity::Revision(1), *document, snapshot->dataCentre,
+            core::timing::WallTime{});
+    snapshot->isServing = true;
+    for (const auto &entry : snapshot->intent->routes())
+        snapshot->targets.push_back({entry, {VersionName("v1"), {}, 0.0}});
+    auto &endpoints = snapshot->endpoints[core::identity::ServiceName("payments")];
+    endpoints = {endpoint("a", "ikeja", "v1"), endpoint("b", "ikeja", "v1"),
+                 endpoint("c", "lekki", "v1"), endpoint("d", "lekki", "v2")};
+    for (const auto &each : endpoints)
+        snapshot->registrars.push_back(
+                {each.node, NodeId(each.node.value() + "@1"), each.address, each.dataCentre});
+    return snapshot;
+}
+
+CallAnswer answered(int status)
+{
+    CallAnswer answer;
+    answer.outcome = CallOutcome::Answered;
+    answer.status = status;
+    return answer;
+}
+
+class CallPlanTest : public testing::Test
+{
+protected:
+    CallPlan plan(bool isIdempotent)
+    {
+        calls::CallRequest request;
+        request.service = core::identity::ServiceName("payments");
+        request.isIdempotent = isIdempotent;
+        request.budget = std::chrono::milliseconds(500);
+        return CallPlan({routing_, retries_, loads_}, snapshot_, snapshot_->targets[0], request,
+                        random_);
+    }
+
+    std::shared_ptr<routing::RoutingSnapshot> snapshot_ = makeSnapshot();
+    routing::TwoChoicesRouting routing_;
+    retry::BudgetedRetry retries_;
+    routing::LoadBoard loads_;
+    std::mt19937_64 random_{7};
+    MonotonicTime now_{};
+};
+
+} // namespace
+
+TEST_F(CallPlanTest, staysInItsDataCentreWhileThereIsHeadroom)
+{
+    for (int i = 0; i < 50; ++i) {
+        CallPlan call = plan(true);
+        const auto step = call.start(now_);
+        EXPECT_EQ(std::get<SendAttempt>(step).endpoint.dataCentre.value(), "ikeja");
+        call.attemptEnded(answered(200), now_);
+    }
+}
+
+TEST_F(CallPlanTest, spillsToOthersWhenItsOwnEndpointsAreFull)
+{
+    std::map<std::string, int> begun;
+    for (int i = 0; i < 30; ++i) {
+        CallPlan call = plan(true);
+        ++begun[std::get<SendAttempt>(call.start(now_)).endpoint.node.value()];
+    }
+    EXPECT_EQ(begun["c"], 10);
+    EXPECT_EQ(begun["d"], 0) << "no move runs, so the other version gets nothing";
+}
+
+TEST_F(CallPlanTest, repeatsWhatDidNotRunAtAnotherEndpoint)
+{
+    CallPlan call = plan(false);
+    const auto first = std::get<SendAttempt>(call.start(now_));
+    const auto second =
+            std::get<SendAttempt>(call.attemptEnded(CallAnswer::notRun("no room"), now_));
+    EXPECT_NE(first.endpoint.node, second.endpoint.node);
+    EXPECT_EQ(second.request.attempt, 2);
+}
+
+TEST_F(CallPlanTest, goesToTheHolderOfAClaimAndTrustsItsWord)
+{
+    CallPlan call = plan(false);
+    call.start(now_);
+    CallAnswer claimed;
+    claimed.outcome = CallOutcome::Claimed;
+    claimed.claimHolder = NodeId("c@1");
+    const auto step = std::get<SendAttempt>(call.attemptEnded(claimed, now_));
+    EXPECT_EQ(step.endpoint.node, NodeId("c"));
+    const auto end = call.attemptEnded(CallAnswer::notRun("no room"), now_);
+    EXPECT_EQ(std::get<CallAnswer>(end).outcome, CallOutcome::NotRun);
+}
+
+TEST_F(CallPlanTest, tellsUnknownWhenTheHolderOfAClaimIsGone)
+{
+    CallPlan call = plan(false);
+    call.start(now_);
+    CallAnswer claimed;
+    claimed.outcome = CallOutcome::Claimed;
+    claimed.claimHolder = NodeId("c@0");
+    const auto end = call.attemptEnded(claimed, now_);
+    EXPECT_EQ(std::get<CallAnswer>(end).outcome, CallOutcome::Unknown);
+}
+
+TEST_F(CallPlanTest, doesNotRepeatCallsNestedInARepeat)
+{
+    calls::CallRequest request;
+    request.service = core::identity::ServiceName("payments");
+    request.isIdempotent = true;
+    request.attempt = 2;
+    request.budget = std::chrono::milliseconds(500);
+    CallPlan call({routing_, retries_, loads_}, snapshot_, snapshot_->targets[0], request, random_);
+    call.start(now_);
+    const auto end = call.attemptEnded(CallAnswer::unknown("broke"), now_);
+    EXPECT_TRUE(std::holds_alternative<CallAnswer>(end));
+}
+
+TEST_F(CallPlanTest, keepsRepeatsWithinTheBudgetInAnOutage)
+{
+    int attempts = 0;
+    constexpr int callCount = 2000;
+    for (int i = 0; i < callCount; ++i) {
+        CallPlan call = plan(true);
+        PlanStep step = call.start(now_);
+        while (std::holds_alternative<SendAttempt>(step)) {
+            ++attempts;
+            step = call.attemptEnded(CallAnswer::unknown("down"), now_);
+        }
+    }
+    EXPECT_LE(attempts, callCount * 1.2 + retry::RetryBudget::capacity + 1);
+}
+
+// Random outcomes in random orders: a call that may have run and is not idempotent is never sent
+// again, and "not run" is told only when no attempt may have run.
+TEST_F(CallPlanTest, neverRunsTwiceNorTellsAFalseNotRunUnderRandomOutcomes)
+{
+    for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+        std::mt19937_64 world(seed);
+        const bool isIdempotent = seed % 2 == 0;
+        CallPlan call = plan(isIdempotent);
+        PlanStep step = call.start(now_);
+        int mayHaveRun = 0;
+        while (std::holds_alternative<SendAttempt>(step)) {
+            CallAnswer outcome;
+            switch (world() % 4) {
+            case 0:
+                outcome = CallAnswer::notRun("no room");
+                break;
+            case 1:
+                outcome = CallAnswer::unknown("broke");
+                ++mayHaveRun;
+                break;
+            case 2:
+                outcome = answered(500);
+                ++mayHaveRun;
+                break;
+            default:
+                outcome = answered(200);
+                ++mayHaveRun;
+                break;
+            }
+            step = call.attemptEnded(outcome, now_);
+        }
+        if (!isIdempotent) {
+            EXPECT_LE(mayHaveRun, 1) << "seed " << seed;
+        }
+        const bool toldNotRun = std::get<CallAnswer>(step).outcome == CallOutcome::NotRun;
+        if (!isIdempotent) {
+            EXPECT_EQ(toldNotRun, mayHaveRun == 0) << "seed " << seed;
+        }
+        now_ += std::chrono::seconds(10);
+    }
+}
--- /dev/null
+++ b/tests/unit/DeduplicationTest.cpp
@@ -0,0 +1,120 @@
+/** Tests that a keyed request runs at most once. */
+#include "traffic/deduplication/ClaimBallot.h"
+#include "traffic/deduplication/ClaimRegister.h"
+#include "traffic/deduplication/RegistrarChoice.h"
+#include "traffic/deduplication/ReplayTable.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <set>
+
+using namespace boragetrack;
+using namespace boragetrack::traffic::deduplication;
+using core::identity::IdempotencyKey;
+using core::identity::NodeId;
+using core::timing::MonotonicTime;
+using traffic::routing::Registrar;
+
+namespace {
+
+std::vector<Registrar> members(int count, int dataCentres)
+{
+    std::vector<Registrar> list;
+    for (int i = 0; i < count; ++i) {
+        const std::string id = "n" + std::to_string(i);
+        list.push_back({NodeId(id), NodeId(id + "@1"), {},
+                        core::identity::DataCentreId("dc" + std::to_string(i % dataCentres))});
+    }
+    return list;
+}
+
+} // namespace
+
+TEST(ReplayTable, answersARepeatWithTheFirstAnswer)
+{
+    ReplayTable table;
+    const IdempotencyKey key("k");
+    EXPECT_EQ(table.begin(key), ReplayState::New);
+    EXPECT_EQ(table.begin(key), ReplayState::Running);
+    traffic::calls::CallAnswer answer;
+    answer.outcome = traffic::calls::CallOutcome::Answered;
+    answer.body = "paid";
+    table.finish(key, answer, {});
+    EXPECT_EQ(table.begin(key), ReplayState::Finished);
+    EXPECT_EQ(table.answer(key)->body, "paid");
+}
+
+TEST(ReplayTable, forgetsWhatDidNotRunAndWhatIsPastItsTime)
+{
+    ReplayTable table;
+    const IdempotencyKey key("k");
+    table.begin(key);
+    table.release(key);
+    EXPECT_EQ(table.begin(key), ReplayState::New);
+    table.finish(key, {}, {});
+    table.expire(MonotonicTime{} + ReplayTable::memoryTime);
+    EXPECT_EQ(table.begin(key), ReplayState::New);
+}
+
+TEST(ClaimRegister, keepsTheFirstClaimUntilItsHolderReleasesIt)
+{
+    ClaimRegister claims;
+    const IdempotencyKey key("k");
+    EXPECT_EQ(claims.claim(key, NodeId("a@1"), {}), NodeId("a@1"));
+    EXPECT_EQ(claims.claim(key, NodeId("b@1"), {}), NodeId("a@1"));
+    EXPECT_EQ(claims.claim(key, NodeId("a@2"), {}), NodeId("a@1")) << "a restart is another node";
+    claims.release(key, NodeId("b@1"));
+    EXPECT_EQ(claims.claim(key, NodeId("b@1"), {}), NodeId("a@1"));
+    claims.release(key, NodeId("a@1"));
+    EXPECT_EQ(claims.claim(key, NodeId("b@1"), {}), NodeId("b@1"));
+}
+
+TEST(RegistrarChoice, spreadsOverDataCentresAndIsTheSameForAll)
+{
+    auto list = members(20, 4);
+    const auto chosen = chooseRegistrars(IdempotencyKey("k"), list, 3);
+    std::set<std::string> dataCentres;
+    for (const Registrar &registrar : chosen)
+        dataCentres.insert(registrar.dataCentre.value());
+    EXPECT_EQ(dataCentres.size(), 3U);
+    std::reverse(list.begin(), list.end());
+    const auto again = chooseRegistrars(IdempotencyKey("k"), list, 3);
+    for (std::size_t i = 0; i < chosen.size(); ++i)
+        EXPECT_EQ(again[i].node, chosen[i].node);
+}
+
+// Claimants reach registrars in random orders while some registrars are unreachable for some of
+// them; whatever happens, two claimants never both run.
+TEST(ClaimBallot, neverGrantsTwoClaimantsUnderRandomLossAndOrder)
+{
+    int granted = 0;
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+        std::mt19937_64 random(seed);
+        std::vector<ClaimRegister> registers(ClaimBallot::registrarCount);
+        const std::vector<NodeId> claimants{NodeId("a@1"), NodeId("b@1"), NodeId("c@1")};
+        std::vector<ClaimBallot> ballots;
+        for (const NodeId &claimant : claimants)
+            ballots.emplace_back(claimant, registers.size());
+        std::vector<std::pair<std::size_t, std::size_t>> messages;
+        for (std::size_t c = 0; c < claimants.size(); ++c) {
+            for (std::size_t r = 0; r < registers.size(); ++r)
+                messages.emplace_back(c, r);
+        }
+        std::shuffle(messages.begin(), messages.end(), random);
+        for (const auto &[c, r] : messages) {
+            const bool isLost = random() % 5 == 0;
+            const bool isAnswerLost = random() % 5 == 0;
+            if (isLost)
+                continue;
+            const NodeId holder = registers[r].claim(IdempotencyKey("k"), claimants[c], {});
+            if (!isAnswerLost)
+                ballots[c].answered(holder);
+        }
+        int winners = 0;
+        for (const ClaimBallot &ballot : ballots)
+            winners += ballot.isGranted();
+        EXPECT_LE(winners, 1) << "seed " << seed;
+        granted += winners;
+    }
+    EXPECT_GT(granted, 500) << "the test must also see claims granted";
+}
--- /dev/null
+++ b/tests/unit/EventCatalogueTest.cpp
@@ -0,0 +1,40 @@
+/** Holds docs/EVENTS.md to the event codes in the source. */
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace {
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(std::string(SOURCE_DIRECTORY) + "/" + path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::set<std::string> matches(const std::string &text, const std::regex &pattern)
+{
+    std::set<std::string> found;
+    for (std::sregex_iterator it(text.begin(), text.end(), pattern), end; it != end; ++it)
+        found.insert((*it)[1].str() + " " + (*it)[2].str());
+    return found;
+}
+
+} // namespace
+
+TEST(EventCatalogue, listsEveryEventWithItsNumber)
+{
+    std::set<std::string> coded;
+    const std::string source = readFile("packages/core/events/EventCode.h");
+    const std::regex codePattern(R"((\w+) = (\d+),)");
+    for (std::sregex_iterator it(source.begin(), source.end(), codePattern), end; it != end; ++it)
+        coded.insert((*it)[2].str() + " " + (*it)[1].str());
+    const auto documented =
+            matches(readFile("docs/EVENTS.md"), std::regex(R"(\| E(\d+) \| (\w+) \|)"));
+    ASSERT_FALSE(coded.empty());
+    EXPECT_EQ(coded, documented);
+}
--- /dev/null
+++ b/tests/unit/FakeStore.h
@@ -0,0 +1,69 @@
+/** A fake of the platform for tests of the editor. */
+#pragma once
+
+#include "control/store/ConfigStore.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace boragetrack::tests {
+
+/** Keeps values in memory and fails calls as told. */
+class FakeStore : public control::store::ConfigStore
+{
+public:
+    /** How the next writes of the intent fail, in their order. */
+    enum class WriteFault { None, RefusedBefore, LostAfter, LostBefore };
+
+    absl::StatusOr<control::store::StoredValue> read(const std::string &key) override
+    {
+        if (isOut)
+            return absl::UnavailableError("out");
+        const auto found = values.find(key);
+        if (found == values.end())
+            return absl::NotFoundError("absent");
+        return found->second;
+    }
+
+    absl::StatusOr<control::store::StoredValue>
+    watch(const std::string &key, control::store::StoreVersion /*known*/,
+          std::chrono::milliseconds /*timeout*/) override
+    {
+        return read(key);
+    }
+
+    absl::StatusOr<control::store::StoreVersion>
+    compareAndSwap(const std::string &key, control::store::StoreVersion expected,
+                   const std::string &value) override
+    {
+        if (isOut)
+            return absl::UnavailableError("out");
+        if (beforeWrite)
+            std::exchange(beforeWrite, nullptr)();
+        WriteFault fault = WriteFault::None;
+        if (key == "boragetrack/intent" && !writeFaults.empty()) {
+            fault = writeFaults.front();
+            writeFaults.pop_front();
+        }
+        if (fault == WriteFault::RefusedBefore)
+            return absl::UnavailableError("refused");
+        if (fault == WriteFault::LostBefore)
+            return absl::UnknownError("lost");
+        control::store::StoredValue &held = values[key];
+        if (held.version != expected)
+            return absl::AbortedError("conflict");
+        held = {control::store::StoreVersion{expected.number + 1}, value};
+        if (fault == WriteFault::LostAfter)
+            return absl::UnknownError("lost");
+        return held.version;
+    }
+
+    std::map<std::string, control::store::StoredValue> values;
+    std::deque<WriteFault> writeFaults;
+    bool isOut = false;
+    /** Runs once before the next write, as another operator does. */
+    std::function<void()> beforeWrite;
+};
+
+} // namespace boragetrack::tests
--- /dev/null
+++ b/tests/unit/IntentSpreaderTest.cpp
@@ -0,0 +1,137 @@
+/** Tests that a node never goes back, never applies in part and never serves below its floor. */
+#include "control/distribution/IntentSpreader.h"
+#include "tests/unit/TestIntent.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using namespace boragetrack::control::distribution;
+using core::identity::Revision;
+using core::timing::MonotonicTime;
+
+namespace {
+
+class RecordingTransport : public PeerTransport
+{
+public:
+    void sendExchange(const PeerContact & /*peer*/, const Exchange & /*exchange*/) override {}
+    void pushIntent(const PeerContact & /*peer*/, const IntentTransfer &transfer) override
+    {
+        pushes.push_back(transfer);
+    }
+    void fetchIntent(const PeerContact & /*peer*/, Revision have) override
+    {
+        fetches.push_back(have);
+    }
+    void fetchMembers(const PeerContact & /*peer*/,
+                      const control::membership::MemberTable::BucketHashes & /*hashes*/) override
+    {
+    }
+
+    std::vector<IntentTransfer> pushes;
+    std::vector<Revision> fetches;
+};
+
+class IntentSpreaderTest : public testing::Test, public IntentSpreader::Listener
+{
+protected:
+    void intentInForce() override { served_.push_back(spreader_.served()); }
+    void intentRefused() override { ++refusals_; }
+
+    void confirm(std::uint64_t revision) { spreader_.pushAnswered(Revision(revision), now_); }
+
+    RecordingTransport transport_;
+    std::vector<Revision> served_;
+    int refusals_ = 0;
+    MonotonicTime now_ = MonotonicTime{} + std::chrono::hours(1);
+    IntentSpreader spreader_{transport_, *this,
+                             [] { return std::vector<PeerContact>{{core::identity::NodeId("p"), {}}}; }};
+};
+
+} // namespace
+
+TEST_F(IntentSpreaderTest, ignoresOlderAndCrossedUpdates)
+{
+    spreader_.learnFloor(Revision(0), now_);
+    for (const std::uint64_t revision : {3, 2, 5, 4, 5, 1}) {
+        spreader_.offerFromStore(tests::envelopeText(revision), now_);
+        confirm(revision);
+    }
+    EXPECT_EQ(served_, (std::vector<Revision>{Revision(3), Revision(5)}));
+}
+
+TEST_F(IntentSpreaderTest, refusesABadIntentAsAWholeAndKeepsTheFormer)
+{
+    spreader_.learnFloor(Revision(0), now_);
+    spreader_.offerFromStore(tests::envelopeText(1), now_);
+    confirm(1);
+    nlohmann::json bad = tests::intentJson();
+    bad["defaults"]["callTimeoutMs"] = 777;
+    bad["routes"][0]["service"] = "nowhere";
+    spreader_.offerFromStore(tests::envelopeText(2, bad), now_);
+    confirm(2);
+    EXPECT_EQ(refusals_, 1);
+    EXPECT_EQ(spreader_.served(), Revision(1));
+    EXPECT_EQ(spreader_.holder().document().defaults.callTimeout.count(), 501);
+    EXPECT_EQ(spreader_.holder().refusedRevision(), Revision(2));
+}
+
+TEST_F(IntentSpreaderTest, servesNothingBelowTheFloorThatPeersKnow)
+{
+    spreader_.start(now_);
+    spreader_.learnFloor(Revision(4), now_);
+    spreader_.offerFromStore(tests::envelopeText(3), now_);
+    confirm(3);
+    spreader_.tick(now_ + std::chrono::hours(1));
+    EXPECT_TRUE(served_.empty());
+    spreader_.offerFromStore(tests::envelopeText(4), now_);
+    confirm(4);
+    EXPECT_EQ(served_, std::vector<Revision>{Revision(4)});
+}
+
+TEST_F(IntentSpreaderTest, servesTheStoresIntentOnlyOnceAPeerHoldsItOrNoneAnswers)
+{
+    spreader_.start(now_);
+    spreader_.learnFloor(Revision(0), now_);
+    spreader_.offerFromStore(tests::envelopeText(1), now_);
+    spreader_.tick(now_ + std::chrono::milliseconds(100));
+    EXPECT_TRUE(served_.empty());
+    spreader_.tick(now_ + IntentSpreader::aloneTime);
+    EXPECT_EQ(served_.size(), 1U);
+}
+
+TEST_F(IntentSpreaderTest, spreadsPatchesThatAPeerWithTheBaseCanApply)
+{
+    spreader_.learnFloor(Revision(0), now_);
+    IntentHolder peer;
+    peer.offer(tests::envelopeText(1));
+    spreader_.offerFromStore(tests::envelopeText(1), now_);
+    spreader_.offerFromStore(tests::envelopeText(2), now_);
+    const IntentTransfer &transfer = transport_.pushes.back();
+    EXPECT_EQ(transfer.base, Revision(1));
+    EXPECT_LT(transfer.payload.size(), tests::envelopeText(2).size());
+    const auto text = peer.unpack(transfer);
+    ASSERT_TRUE(text);
+    EXPECT_EQ(peer.offer(*text), OfferResult::Held);
+    EXPECT_EQ(peer.revision(), Revision(2));
+}
+
+TEST_F(IntentSpreaderTest, asksForTheWholeWhenAPatchDoesNotFit)
+{
+    IntentHolder source;
+    source.offer(tests::envelopeText(1));
+    source.offer(tests::envelopeText(2));
+    spreader_.offerFromPeer({core::identity::NodeId("p"), {}}, source.transferSince(Revision(1)),
+                            now_);
+    EXPECT_EQ(transport_.fetches, std::vector<Revision>{Revision(0)});
+    EXPECT_EQ(spreader_.holder().revision(), Revision(0));
+}
+
+TEST(IntentHolder, refusesATransferWhoseContentDoesNotMatchItsHash)
+{
+    IntentHolder source;
+    source.offer(tests::envelopeText(1));
+    IntentTransfer transfer = source.transferSince(Revision(0));
+    transfer.payload[transfer.payload.size() / 2] ^= 1;
+    EXPECT_FALSE(IntentHolder().unpack(transfer));
+}
