--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -166,29 +166,43 @@
         fleet.apply(intent_for(options))
         time.sleep(3.0)
         before, store_before = Usage(fleet.nodes), fleet.platform_stats()
+        time.sleep(options.idle)
+        idle, store_idle = Usage(fleet.nodes), fleet.platform_stats()
         delays = measure_changes(fleet, options)
-        time.sleep(options.settle)
         after, store_after = Usage(fleet.nodes), fleet.platform_stats()
-        seconds = after.at - before.at
-        own_calls = 3 * options.changes
+        at_rest = figures_between(before, idle, fleet.nodes)
+        change_bytes = (
+            (after.bytes - idle.bytes) / len(fleet.nodes)
+            - at_rest["control_bytes_per_node_s"] * (after.at - idle.at)
+        ) / options.changes
+        # The change itself reads twice and writes once.
+        change_calls = (store_after["calls"] - store_idle["calls"]) / options.changes - 3
         result = {
             "nodes": options.nodes,
+            "data_centres": options.data_centres,
             "changes": options.changes,
             "convergence_p50_ms": round(percentile(delays, 0.5), 1),
             "convergence_p99_ms": round(percentile(delays, 0.99), 1),
             "convergence_max_ms": round(max(delays), 1),
-            **figures_between(before, after, fleet.nodes),
+            **at_rest,
+            "bytes_per_change_per_node": round(change_bytes),
+            "control_bytes_per_node_s_at_510_a_day": round(
+                at_rest["control_bytes_per_node_s"] + change_bytes * 510 / 86400
+            ),
             "store_calls_per_s": round(
-                (store_after["calls"] - store_before["calls"] - own_calls) / seconds, 2
+                (store_idle["calls"] - store_before["calls"]) / (idle.at - before.at), 2
             ),
-            "waiting_watches": sum(
+            "store_calls_per_change": round(change_calls, 1),
+            "waiting_watches": options.nodes if experiment else sum(
                 1 for node in fleet.nodes if (node.status() or {}).get("watcher")
-            ) if not experiment else options.nodes,
+            ),
+            "neighbours_max": max(node.status()["neighbours"] for node in fleet.nodes),
             "reverts": count_reverts(fleet.nodes),
-            "partial": 0,
             "dangling": 0,
         }
         refused = sum(node.metrics().get("intents_refused", 0) for node in fleet.nodes)
+        # Snapshots are built whole from documents whose references resolve; a refusal of a good
+        # document is the only trace that a partial or dangling one could leave.
         result["partial"] = refused
         result.update(run_faults(fleet, options))
         return result
@@ -266,7 +280,7 @@
     parser.add_argument("--data-centres", type=int, default=4)
     parser.add_argument("--changes", type=int, default=8)
     parser.add_argument("--pause", type=float, default=0.3, help="seconds between changes")
-    parser.add_argument("--settle", type=float, default=3.0, help="seconds after the changes")
+    parser.add_argument("--idle", type=float, default=8.0, help="seconds at rest")
     parser.add_argument("--store-outage", action="store_true")
     parser.add_argument("--lost-answers", action="store_true")
     parser.add_argument("--herd-restart", action="store_true")
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -152,7 +152,7 @@
 
 void ControlPlane::membersReceived(const std::vector<MemberRecord> &records)
 {
-    membership_.mergeRecords(records, timers_.now());
+    membership_.mergeFetched(records, timers_.now());
 }
 
 //==============================================================================
@@ -306,6 +306,7 @@
     Revision &floor = floors_[exchange.sender];
     floor = std::max(floor, exchange.revision);
     membership_.memberHeard(exchange.sender, now);
+    peerDigests_[exchange.sender] = exchange.memberDigest;
     membership_.mergeRecords(exchange.members, now);
     membership_.mergeSuspicions(exchange.suspicions, now);
     moves_.mergeVerdicts(exchange.verdicts);
@@ -334,7 +335,12 @@
     const auto floor = floors_.find(receiver);
     exchange.receiverFloor = floor == floors_.end() ? Revision{} : floor->second;
     exchange.memberDigest = membership_.table().digest();
-    membership_.takeNews(maximumNews, exchange.members, exchange.suspicions);
+    // A peer whose table was the same at the last exchange needs no news, unless this node's
+    // changed since.
+    const auto known = peerDigests_.find(receiver);
+    const bool isAlike =
+            known != peerDigests_.end() && known->second == exchange.memberDigest;
+    membership_.takeNews(isAlike ? 0 : maximumNews, exchange.members, exchange.suspicions);
     const auto doubted = membership_.takeSuspicionsFor(receiver);
     exchange.suspicions.insert(exchange.suspicions.end(), doubted.begin(), doubted.end());
     exchange.verdicts = moves_.verdicts();
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -187,6 +187,8 @@
     std::shared_ptr<const intent::IntentSnapshot> snapshot_;
     // The highest revision that each node is known to have served, for its successor on that VM.
     std::map<core::identity::NodeId, core::identity::Revision> floors_;
+    // The digest of each peer's member table at the last exchange with it.
+    std::map<core::identity::NodeId, std::uint64_t> peerDigests_;
     std::size_t nextNeighbour_ = 0;
     std::uint64_t exchangeCount_ = 0;
     std::uint64_t evidenceMark_ = 0;
--- a/packages/control/membership/MembershipEngine.cpp
+++ b/packages/control/membership/MembershipEngine.cpp
@@ -71,13 +71,19 @@
     }
 }
 
+void MembershipEngine::mergeFetched(const std::vector<MemberRecord> &records, MonotonicTime now)
+{
+    for (const MemberRecord &record : records)
+        merge(record, now, record.state != MemberState::Alive);
+}
+
 void MembershipEngine::doubt(const Suspicion &suspicion)
 {
     doubted_[suspicion.subject] = suspicion;
     confirmationTargets_.insert(suspicion.subject);
 }
 
-bool MembershipEngine::merge(const MemberRecord &record, MonotonicTime now)
+bool MembershipEngine::merge(const MemberRecord &record, MonotonicTime now, bool isPassedOn)
 {
     if (record.id == self_.id) {
         refute(record);
@@ -94,7 +100,8 @@
         goneSince_[record.id] = now;
     else
         goneSince_.erase(record.id);
-    spread(record, priorityOf(hadPrevious ? &previous : nullptr, record));
+    if (isPassedOn)
+        spread(record, priorityOf(hadPrevious ? &previous : nullptr, record));
     if (!hadPrevious || previous.state != record.state)
         neighbourIds_ = neighbourPolicy_->neighboursOf(self_, table_);
     listener_.memberChanged(hadPrevious ? &previous : nullptr, record);
--- a/packages/control/membership/MembershipEngine.h
+++ b/packages/control/membership/MembershipEngine.h
@@ -51,6 +51,10 @@
     /** Merges records that another node sent. */
     void mergeRecords(const std::vector<MemberRecord> &records, core::timing::MonotonicTime now);
 
+    /** Merges records that this node fetched to mend its table. They are old news to the others, so
+        only departures among them are passed on. */
+    void mergeFetched(const std::vector<MemberRecord> &records, core::timing::MonotonicTime now);
+
     /** Merges suspicions that another node sent. */
     void mergeSuspicions(const std::vector<Suspicion> &suspicions, core::timing::MonotonicTime now);
 
@@ -78,7 +82,8 @@
     // Keeps a suspicion that this node does not share for its subject, which refutes it.
     void doubt(const Suspicion &suspicion);
     bool wasHeardLately(const core::identity::NodeId &id, core::timing::MonotonicTime now) const;
-    bool merge(const MemberRecord &record, core::timing::MonotonicTime now);
+    bool merge(const MemberRecord &record, core::timing::MonotonicTime now,
+               bool isPassedOn = true);
     void refute(const MemberRecord &claim);
     void publishSelf(RumorPriority priority);
     void spread(const MemberRecord &record, RumorPriority priority);
