Hold a healed cut to no suspicion within a side

Change: fetched records pass the same check, and scenarios can forbid a belief from a line on ('forbid-belief').

--- a/packages/control/membership/MembershipEngine.cpp
+++ b/packages/control/membership/MembershipEngine.cpp
@@ -63,18 +63,23 @@
 
 void MembershipEngine::mergeRecords(const std::vector<MemberRecord> &records, MonotonicTime now)
 {
-    for (const MemberRecord &record : records) {
-        if (record.state == MemberState::Suspect && wasHeardLately(record.id, now))
-            doubt(Suspicion{record.id, record.version, NodeId{}});
-        else
-            merge(record, now);
-    }
+    for (const MemberRecord &record : records)
+        mergeUnlessDoubted(record, now, true);
 }
 
 void MembershipEngine::mergeFetched(const std::vector<MemberRecord> &records, MonotonicTime now)
 {
     for (const MemberRecord &record : records)
-        merge(record, now, record.state != MemberState::Alive);
+        mergeUnlessDoubted(record, now, record.state != MemberState::Alive);
+}
+
+void MembershipEngine::mergeUnlessDoubted(const MemberRecord &record, MonotonicTime now,
+                                          bool isPassedOn)
+{
+    if (record.state == MemberState::Suspect && wasHeardLately(record.id, now))
+        doubt(Suspicion{record.id, record.version, NodeId{}});
+    else
+        merge(record, now, isPassedOn);
 }
 
 void MembershipEngine::doubt(const Suspicion &suspicion)
--- a/packages/control/membership/MembershipEngine.h
+++ b/packages/control/membership/MembershipEngine.h
@@ -79,6 +79,8 @@
                   std::vector<Suspicion> &suspicions);
 
 private:
+    void mergeUnlessDoubted(const MemberRecord &record, core::timing::MonotonicTime now,
+                            bool isPassedOn);
     // Keeps a suspicion that this node does not share for its subject, which refutes it.
     void doubt(const Suspicion &suspicion);
     bool wasHeardLately(const core::identity::NodeId &id, core::timing::MonotonicTime now) const;
--- a/tests/scenarios/ScenarioRunner.cpp
+++ b/tests/scenarios/ScenarioRunner.cpp
@@ -70,8 +70,11 @@
     } catch (const std::exception &error) {
         expect(false, error.what());
     }
-    for (const std::string &reported : world_.takeReport())
+    for (const std::string &reported : world_.takeReport()) {
         transcript_ += reported + "\n";
+        for (const std::string &forbidden : forbidden_)
+            expect(!reported.ends_with(forbidden), "nobody reports: " + forbidden);
+    }
 }
 
 void ScenarioRunner::addWorldCommands()
@@ -172,6 +175,9 @@
                    name + " takes " + words.at(1) + " for " + words.at(2));
         }
     };
+    commands_["forbid-belief"] = [this](const Words &words) {
+        forbidden_.push_back(words.at(0) + " takes " + words.at(1) + " for " + words.at(2));
+    };
     commands_["expect-share"] = [this](const Words &words) {
         for (const std::string &name : select(words.at(0))) {
             const auto &routes = world_.plane(name)->snapshot()->document().routes;
--- a/tests/scenarios/ScenarioRunner.h
+++ b/tests/scenarios/ScenarioRunner.h
@@ -41,6 +41,8 @@
     std::map<std::string, std::function<void(const Words &)>> commands_;
     nlohmann::json document_;
     std::uint64_t revision_ = 0;
+    // Reports that may not appear from the line on that forbade them.
+    std::vector<std::string> forbidden_;
     std::string line_;
     std::string transcript_;
     std::vector<std::string> failures_;
