--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -31,20 +31,16 @@
     bool isOneColdUpstream;
 };
 
-constexpr Kind kinds[] = {{"good", 0.0, 1.0, 0.0, false},
-                          {"good_one_upstream_cold", 0.0, 1.0, 0.0, true},
-                          {"fails_all", 1.0, 1.0, 0.0, false},
-                          {"fails_fifth", 0.2, 1.0, 0.0, false},
-                          {"slow", 0.0, 8.0, 0.0, false},
-                          {"fails_late", 1.0, 1.0, 0.7, false},
-                          {"slow_late", 0.0, 8.0, 0.7, false}};
+constexpr Kind kinds[]
+        = {{"good", 0.0, 1.0, 0.0, false},      {"good_one_upstream_cold", 0.0, 1.0, 0.0, true},
+           {"fails_all", 1.0, 1.0, 0.0, false}, {"fails_fifth", 0.2, 1.0, 0.0, false},
+           {"slow", 0.0, 8.0, 0.0, false},      {"fails_late", 1.0, 1.0, 0.7, false},
+           {"slow_late", 0.0, 8.0, 0.7, false}};
 
 class SilentListener : public moves::MoveCoordinator::Listener
 {
 public:
-    void moveStopped(const intent::MoveIntent & /*move*/, const std::string & /*text*/) override
-    {
-    }
+    void moveStopped(const intent::MoveIntent & /*move*/, const std::string & /*text*/) override {}
 };
 
 /** What became of one run. */
@@ -101,8 +97,8 @@
     std::vector<std::uint64_t> marks(upstreams);
     for (int i = 0; i < upstreams; ++i) {
         nodes.push_back(std::make_unique<moves::MoveCoordinator>(
-                NodeId("n" + std::to_string(i)), 1,
-                std::make_unique<moves::StandardMovePolicies>(), listener));
+                NodeId("n" + std::to_string(i)), 1, std::make_unique<moves::StandardMovePolicies>(),
+                listener));
         nodes.back()->update(document, WallTime{});
     }
     RunResult result;
@@ -113,8 +109,8 @@
         const double elapsed = std::chrono::duration<double>(now.time_since_epoch()) / moveLength;
         for (int i = 0; i < callsPerStep; ++i) {
             const bool isNew = percent(random) < share.secondaryPercent;
-            const bool isBad = isNew && elapsed >= kind.badFrom
-                               && (kind.failRate > 0 || kind.slowdown > 1);
+            const bool isBad
+                    = isNew && elapsed >= kind.badFrom && (kind.failRate > 0 || kind.slowdown > 1);
             const auto upstream = random() % upstreams;
             nodes[upstream]->noteCall(
                     drawCall(kind, isNew, isBad, static_cast<int>(upstream), random));
@@ -148,8 +144,8 @@
             policies = std::make_unique<moves::BaselineMovePolicies>();
         else
             policies = std::make_unique<moves::StandardMovePolicies>();
-        const RunResult result =
-                runOnce(kind, std::move(policies), static_cast<std::uint64_t>(seed) + 1);
+        const RunResult result
+                = runOnce(kind, std::move(policies), static_cast<std::uint64_t>(seed) + 1);
         takenBack += result.isTakenBack;
         done += result.isDone;
         badCalls += result.badCalls;
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -196,9 +196,8 @@
     if (isLeaving_ || move == moves.end())
         return false;
     const MemberRecord &self = membership_.self();
-    const auto isConcerned = [&](const MemberRecord &record) {
-        return record.upstream.service == move->service;
-    };
+    const auto isConcerned
+            = [&](const MemberRecord &record) { return record.upstream.service == move->service; };
     return isConcerned(self)
            && membership::isAmongChosen(self, membership_.table(), moveId, recordersPerMove,
                                         isConcerned);
@@ -338,8 +337,7 @@
     // A peer whose table was the same at the last exchange needs no news, unless this node's
     // changed since.
     const auto known = peerDigests_.find(receiver);
-    const bool isAlike =
-            known != peerDigests_.end() && known->second == exchange.memberDigest;
+    const bool isAlike = known != peerDigests_.end() && known->second == exchange.memberDigest;
     membership_.takeNews(isAlike ? 0 : maximumNews, exchange.members, exchange.suspicions);
     const auto doubted = membership_.takeSuspicionsFor(receiver);
     exchange.suspicions.insert(exchange.suspicions.end(), doubted.begin(), doubted.end());
--- a/packages/control/membership/MembershipEngine.h
+++ b/packages/control/membership/MembershipEngine.h
@@ -84,8 +84,7 @@
     // Keeps a suspicion that this node does not share for its subject, which refutes it.
     void doubt(const Suspicion &suspicion);
     bool wasHeardLately(const core::identity::NodeId &id, core::timing::MonotonicTime now) const;
-    bool merge(const MemberRecord &record, core::timing::MonotonicTime now,
-               bool isPassedOn = true);
+    bool merge(const MemberRecord &record, core::timing::MonotonicTime now, bool isPassedOn = true);
     void refute(const MemberRecord &claim);
     void publishSelf(RumorPriority priority);
     void spread(const MemberRecord &record, RumorPriority priority);
--- a/packages/control/membership/WatcherElection.cpp
+++ b/packages/control/membership/WatcherElection.cpp
@@ -18,8 +18,8 @@
     const std::uint64_t own = weightOf(self);
     std::size_t higher = 0;
     for (const auto &[id, record] : members.records()) {
-        const bool isCandidate =
-                id != self.id && record.state == MemberState::Alive && filter(record);
+        const bool isCandidate
+                = id != self.id && record.state == MemberState::Alive && filter(record);
         higher += isCandidate && weightOf(record) > own;
     }
     return higher < count;
@@ -27,10 +27,9 @@
 
 bool isWatcher(const MemberRecord &self, const MemberTable &members)
 {
-    return isAmongChosen(self, members, watcherTopic, watchersPerDataCentre,
-                         [&](const MemberRecord &record) {
-                             return record.dataCentre == self.dataCentre;
-                         });
+    return isAmongChosen(
+            self, members, watcherTopic, watchersPerDataCentre,
+            [&](const MemberRecord &record) { return record.dataCentre == self.dataCentre; });
 }
 
 } // namespace boragetrack::control::membership
--- a/packages/control/moves/EvidenceTable.cpp
+++ b/packages/control/moves/EvidenceTable.cpp
@@ -52,6 +52,7 @@
     if (changed.size() > maximum)
         changed.resize(maximum);
     std::vector<EvidenceEntry> entries;
+    entries.reserve(changed.size());
     for (auto &[change, entry] : changed)
         entries.push_back(std::move(entry));
     mark = lastChange_;
--- a/packages/control/moves/SequentialVerdict.cpp
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -42,8 +42,7 @@
         agreed += std::min(sumOf(upstream), upstreamShare);
         highest = std::max(highest, sumOf(upstream));
     }
-    return agreed >= agreedThreshold
-           || (upstreams.size() == 1 && highest >= loneUpstreamThreshold);
+    return agreed >= agreedThreshold || (upstreams.size() == 1 && highest >= loneUpstreamThreshold);
 }
 
 template <typename Upstreams, typename CountOf>
--- a/packages/standins/load/LoadGenerator.cpp
+++ b/packages/standins/load/LoadGenerator.cpp
@@ -56,6 +56,7 @@
 {
     start_ = std::chrono::steady_clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(plan_.connections));
     for (int i = 0; i < plan_.connections; ++i)
         threads.emplace_back([this, i]() { runConnection(static_cast<std::size_t>(i)); });
     for (std::thread &thread : threads)
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -40,8 +40,8 @@
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      const control::membership::MemberTable &members, const MemberRecord &self,
-                     const ShareQuery &shareOf, const ReturnRamp &ramp,
-                     bool needsEvidence, core::timing::MonotonicTime now)
+                     const ShareQuery &shareOf, const ReturnRamp &ramp, bool needsEvidence,
+                     core::timing::MonotonicTime now)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
--- a/packages/transport/http/HttpServer.cpp
+++ b/packages/transport/http/HttpServer.cpp
@@ -14,8 +14,8 @@
 constexpr int payloadTooLarge = 413;
 constexpr int internalError = 500;
 constexpr unsigned int idleConnectionSeconds = 30;
-constexpr std::size_t connectionMemoryBytes = 32 * 1024;
-constexpr std::size_t threadStackBytes = 256 * 1024;
+constexpr std::size_t connectionMemoryBytes = std::size_t{32} * 1024;
+constexpr std::size_t threadStackBytes = std::size_t{256} * 1024;
 
 HttpRequest requestFrom(const _u_request *source)
 {
--- a/packages/transport/links/CountedStream.h
+++ b/packages/transport/links/CountedStream.h
@@ -13,9 +13,10 @@
 public:
     CountedStream(kj::Own<kj::AsyncIoStream> stream, core::counters::Counter &sent,
                   core::counters::Counter &received)
-        : stream_(kj::mv(stream)), sent_(sent), received_(received)
-    {
-    }
+        : stream_(kj::mv(stream))
+        , sent_(sent)
+        , received_(received)
+    {}
 
     kj::Promise<size_t> tryRead(void *buffer, size_t minimum, size_t maximum) override
     {
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -27,7 +27,7 @@
 constexpr std::chrono::milliseconds drainCheckInterval{20};
 
 // The largest message that a peer may send: a call's body with room for its headers.
-constexpr std::uint64_t maximumMessageWords = 16 * 1024 * 1024 / sizeof(capnp::word);
+constexpr std::uint64_t maximumMessageWords = std::uint64_t{16} * 1024 * 1024 / sizeof(capnp::word);
 
 capnp::ReaderOptions readerOptions()
 {
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -216,7 +216,7 @@
     return claims_.claim(request.key, parts_.process, snapshot->registrars)
             .then([this, &request, snapshot, admission = kj::mv(admission)](
                           const ClaimBallot &ballot) mutable -> kj::Promise<CallAnswer> {
-                const auto releaseWith = [this, &request, snapshot](CallAnswer answer) {
+                const auto releaseWith = [this, &request, snapshot](const CallAnswer &answer) {
                     return claims_.release(request.key, parts_.process, snapshot->registrars)
                             .then([answer]() { return answer; });
                 };
@@ -224,7 +224,7 @@
                     return send(request, kj::mv(admission))
                             .then([releaseWith](CallAnswer &&answer) -> kj::Promise<CallAnswer> {
                                 if (answer.outcome == CallOutcome::NotRun)
-                                    return releaseWith(kj::mv(answer));
+                                    return releaseWith(answer);
                                 return kj::mv(answer);
                             });
                 }
--- a/tests/scenarios/ScenarioRunner.cpp
+++ b/tests/scenarios/ScenarioRunner.cpp
@@ -38,7 +38,8 @@
 
 } // namespace
 
-ScenarioRunner::ScenarioRunner() : document_(intentJson())
+ScenarioRunner::ScenarioRunner()
+    : document_(intentJson())
 {
     addWorldCommands();
     addIntentCommands();
@@ -88,12 +89,10 @@
     commands_["leave"] = [this](const Words &words) { world_.leave(words.at(0)); };
     commands_["freeze"] = [this](const Words &words) { world_.setFrozen(words.at(0), true); };
     commands_["thaw"] = [this](const Words &words) { world_.setFrozen(words.at(0), false); };
-    commands_["cut"] = [this](const Words &words) {
-        world_.setCut(words.at(0), words.at(1), true);
-    };
-    commands_["heal"] = [this](const Words &words) {
-        world_.setCut(words.at(0), words.at(1), false);
-    };
+    commands_["cut"]
+            = [this](const Words &words) { world_.setCut(words.at(0), words.at(1), true); };
+    commands_["heal"]
+            = [this](const Words &words) { world_.setCut(words.at(0), words.at(1), false); };
     commands_["advance"] = [this](const Words &words) { world_.advance(duration(words.at(0))); };
     commands_["store"] = [this](const Words &words) { world_.setStoreOut(words.at(0) == "out"); };
 }
@@ -126,8 +125,8 @@
         move["from"] = words.at(2);
         move["to"] = words.at(3);
         move["startAt"] = core::timing::formatWallTime(start);
-        move["doneBy"] = core::timing::formatWallTime(start + std::chrono::seconds(
-                                                              std::stol(words.at(4))));
+        move["doneBy"] = core::timing::formatWallTime(
+                start + std::chrono::seconds(std::stol(words.at(4))));
         document_["moves"].push_back(move);
         storeNext(document_);
     };
@@ -169,8 +168,8 @@
             const auto *plane = world_.plane(name);
             if (plane == nullptr || name == words.at(1))
                 continue;
-            const auto *record =
-                    plane->membership().table().find(core::identity::NodeId(words.at(1)));
+            const auto *record
+                    = plane->membership().table().find(core::identity::NodeId(words.at(1)));
             expect(record != nullptr && record->state == memberState(words.at(2)),
                    name + " takes " + words.at(1) + " for " + words.at(2));
         }
@@ -184,9 +183,8 @@
             const auto share = world_.plane(name)->shareOf(routes.at(0));
             const bool isPrimary = share.primary.value() == words.at(1);
             const double percent = isPrimary ? 100.0 - share.secondaryPercent
-                                   : share.secondary.value() == words.at(1)
-                                           ? share.secondaryPercent
-                                           : 0.0;
+                                   : share.secondary.value() == words.at(1) ? share.secondaryPercent
+                                                                            : 0.0;
             expect(percent >= std::stod(words.at(2)) && percent <= std::stod(words.at(3)),
                    name + " gives " + words.at(1) + " " + std::to_string(percent) + " percent");
         }
--- a/tests/scenarios/ScenarioTest.cpp
+++ b/tests/scenarios/ScenarioTest.cpp
@@ -32,8 +32,7 @@
 }
 
 class ScenarioTest : public testing::TestWithParam<std::string>
-{
-};
+{};
 
 } // namespace
 
--- a/tests/scenarios/ScenarioWorld.cpp
+++ b/tests/scenarios/ScenarioWorld.cpp
@@ -25,8 +25,7 @@
 constexpr milliseconds refusalDelay{1};
 constexpr milliseconds silenceDelay{1000};
 constexpr milliseconds platformPeriod{100};
-const core::timing::WallTime firstWallTime =
-        *core::timing::parseWallTime("2026-12-04T10:00:00Z");
+const core::timing::WallTime firstWallTime = *core::timing::parseWallTime("2026-12-04T10:00:00Z");
 
 } // namespace
 
@@ -35,9 +34,11 @@
 {
 public:
     Node(ScenarioWorld &world, std::string name, std::string dataCentre, std::uint16_t number)
-        : world_(world), name_(std::move(name)), dataCentre_(std::move(dataCentre)), number_(number)
-    {
-    }
+        : world_(world)
+        , name_(std::move(name))
+        , dataCentre_(std::move(dataCentre))
+        , number_(number)
+    {}
 
     void start(const std::vector<NetworkAddress> &seeds)
     {
@@ -151,8 +152,8 @@
     Node *targetOf(const PeerContact &peer)
     {
         Node *target = world_.running(peer.address);
-        const bool isCut =
-                target != nullptr && !world_.isReachable(dataCentre_, target->dataCentre_);
+        const bool isCut
+                = target != nullptr && !world_.isReachable(dataCentre_, target->dataCentre_);
         return isCut ? nullptr : target;
     }
 
@@ -322,7 +323,8 @@
         return;
     for (const std::string &name : order_) {
         Node &node = *nodes_.at(name);
-        if (node.plane() == nullptr || node.isFrozen || cuts_.contains({node.dataCentre(), "platform"}))
+        if (node.plane() == nullptr || node.isFrozen
+            || cuts_.contains({node.dataCentre(), "platform"}))
             continue;
         if (node.plane()->isWatcher() && node.knownRevision_ != storedRevision_) {
             node.knownRevision_ = storedRevision_;
--- a/tests/scenarios/ScenarioWorld.h
+++ b/tests/scenarios/ScenarioWorld.h
@@ -38,7 +38,8 @@
     /** Stops a node's process for a while, or lets it go on. */
     void setFrozen(const std::string &name, bool isFrozen);
 
-    /** Cuts two data centres off from each other, or heals the cut. "platform" names the platform. */
+    /** Cuts two data centres off from each other, or heals the cut. "platform" names the platform.
+     */
     void setCut(const std::string &first, const std::string &second, bool isCut);
 
     /** Stores an intent in the platform. */
--- a/tests/unit/AdmissionTest.cpp
+++ b/tests/unit/AdmissionTest.cpp
@@ -98,14 +98,12 @@
     }
     EXPECT_EQ(queue.arrive(2, now + milliseconds(50), now), AdmissionDecision::Refuse);
     EXPECT_EQ(queue.arrive(3, now + milliseconds(400), now), AdmissionDecision::Wait);
-    EXPECT_EQ(queue.takeExpired(now + milliseconds(350)),
-              std::vector<AdmissionQueue::Ticket>{3});
+    EXPECT_EQ(queue.takeExpired(now + milliseconds(350)), std::vector<AdmissionQueue::Ticket>{3});
 }
 
 TEST(AdmissionQueue, takesNothingNewWhileDraining)
 {
     AdmissionQueue queue = queueWith(2);
     queue.setDraining(true);
-    EXPECT_EQ(queue.arrive(1, MonotonicTime{} + milliseconds(500), {}),
-              AdmissionDecision::Refuse);
+    EXPECT_EQ(queue.arrive(1, MonotonicTime{} + milliseconds(500), {}), AdmissionDecision::Refuse);
 }
--- a/tests/unit/CallPlanTest.cpp
+++ b/tests/unit/CallPlanTest.cpp
@@ -1,8 +1,8 @@
 /** Tests the course of calls: where they go, when they repeat and what callers are told. */
+#include "traffic/retry/CallPlan.h"
 #include "control/intent/IntentParser.h"
 #include "tests/unit/TestIntent.h"
 #include "traffic/retry/BudgetedRetry.h"
-#include "traffic/retry/CallPlan.h"
 #include "traffic/routing/TwoChoicesRouting.h"
 
 #include <gtest/gtest.h>
@@ -38,8 +38,7 @@
     auto snapshot = std::make_shared<routing::RoutingSnapshot>();
     snapshot->dataCentre = core::identity::DataCentreId("ikeja");
     snapshot->intent = std::make_shared<control::intent::IntentSnapshot>(
-            core::identity::Revision(1), *document, snapshot->dataCentre,
-            core::timing::WallTime{});
+            core::identity::Revision(1), *document, snapshot->dataCentre, core::timing::WallTime{});
     snapshot->isServing = true;
     for (const auto &entry : snapshot->intent->routes())
         snapshot->targets.push_back({entry, {VersionName("v1"), {}, 0.0}});
@@ -108,8 +107,8 @@
 {
     CallPlan call = plan(false);
     const auto first = std::get<SendAttempt>(call.start(now_));
-    const auto second =
-            std::get<SendAttempt>(call.attemptEnded(CallAnswer::notRun("no room"), now_));
+    const auto second
+            = std::get<SendAttempt>(call.attemptEnded(CallAnswer::notRun("no room"), now_));
     EXPECT_NE(first.endpoint.node, second.endpoint.node);
     EXPECT_EQ(second.request.attempt, 2);
 }
--- a/tests/unit/DeduplicationTest.cpp
+++ b/tests/unit/DeduplicationTest.cpp
@@ -22,7 +22,9 @@
     std::vector<Registrar> list;
     for (int i = 0; i < count; ++i) {
         const std::string id = "n" + std::to_string(i);
-        list.push_back({NodeId(id), NodeId(id + "@1"), {},
+        list.push_back({NodeId(id),
+                        NodeId(id + "@1"),
+                        {},
                         core::identity::DataCentreId("dc" + std::to_string(i % dataCentres))});
     }
     return list;
@@ -93,6 +95,7 @@
         std::vector<ClaimRegister> registers(ClaimBallot::registrarCount);
         const std::vector<NodeId> claimants{NodeId("a@1"), NodeId("b@1"), NodeId("c@1")};
         std::vector<ClaimBallot> ballots;
+        ballots.reserve(claimants.size());
         for (const NodeId &claimant : claimants)
             ballots.emplace_back(claimant, registers.size());
         std::vector<std::pair<std::size_t, std::size_t>> messages;
--- a/tests/unit/EventCatalogueTest.cpp
+++ b/tests/unit/EventCatalogueTest.cpp
@@ -33,8 +33,8 @@
     const std::regex codePattern(R"((\w+) = (\d+),)");
     for (std::sregex_iterator it(source.begin(), source.end(), codePattern), end; it != end; ++it)
         coded.insert((*it)[2].str() + " " + (*it)[1].str());
-    const auto documented =
-            matches(readFile("docs/EVENTS.md"), std::regex(R"(\| E(\d+) \| (\w+) \|)"));
+    const auto documented
+            = matches(readFile("docs/EVENTS.md"), std::regex(R"(\| E(\d+) \| (\w+) \|)"));
     ASSERT_FALSE(coded.empty());
     EXPECT_EQ(coded, documented);
 }
--- a/tests/unit/IntentEditorTest.cpp
+++ b/tests/unit/IntentEditorTest.cpp
@@ -10,8 +10,8 @@
 using control::store::EditOutcome;
 using control::store::IntentEditor;
 using core::identity::Revision;
-using tests::FakeStore;
 using testing::HasSubstr;
+using tests::FakeStore;
 
 namespace {
 
@@ -27,8 +27,8 @@
 protected:
     IntentEditorTest()
     {
-        store_.values[control::store::intentKey] = {control::store::StoreVersion{1},
-                                                    tests::envelopeText(1)};
+        store_.values[control::store::intentKey]
+                = {control::store::StoreVersion{1}, tests::envelopeText(1)};
     }
 
     control::store::EditResult setTimeout(int value, const std::string &changeId,
@@ -42,10 +42,7 @@
                             mutation, floor);
     }
 
-    int storedTimeout()
-    {
-        return editor_.read()->document["defaults"]["callTimeoutMs"];
-    }
+    int storedTimeout() { return editor_.read()->document["defaults"]["callTimeoutMs"]; }
 
     FakeStore store_;
     CountingWaiter waiter_;
--- a/tests/unit/IntentParserTest.cpp
+++ b/tests/unit/IntentParserTest.cpp
@@ -27,9 +27,8 @@
 
 TEST(IntentParser, refusesBrokenJsonUnknownFieldsAndOversize)
 {
-    for (const std::string &text :
-         {std::string("{"), std::string(R"({"surplus": 1})"),
-          std::string(control::intent::maximumDocumentBytes + 1, ' ')}) {
+    for (const std::string &text : {std::string("{"), std::string(R"({"surplus": 1})"),
+                                    std::string(control::intent::maximumDocumentBytes + 1, ' ')}) {
         FindingList findings("file.json");
         EXPECT_FALSE(control::intent::parseIntent(text, findings));
         EXPECT_FALSE(findings.isEmpty());
--- a/tests/unit/IntentSpreaderTest.cpp
+++ b/tests/unit/IntentSpreaderTest.cpp
@@ -25,8 +25,7 @@
     }
     void fetchMembers(const PeerContact & /*peer*/,
                       const control::membership::MemberTable::BucketHashes & /*hashes*/) override
-    {
-    }
+    {}
 
     std::vector<IntentTransfer> pushes;
     std::vector<Revision> fetches;
@@ -44,8 +43,9 @@
     std::vector<Revision> served_;
     int refusals_ = 0;
     MonotonicTime now_ = MonotonicTime{} + std::chrono::hours(1);
-    IntentSpreader spreader_{transport_, *this,
-                             [] { return std::vector<PeerContact>{{core::identity::NodeId("p"), {}}}; }};
+    IntentSpreader spreader_{transport_, *this, [] {
+                                 return std::vector<PeerContact>{{core::identity::NodeId("p"), {}}};
+                             }};
 };
 
 } // namespace
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -27,8 +27,7 @@
 {
 public:
     void memberChanged(const MemberRecord * /*previous*/, const MemberRecord & /*record*/) override
-    {
-    }
+    {}
     void dataCentreSilent(const core::identity::DataCentreId & /*name*/) override { ++silences; }
     int silences = 0;
 };
@@ -86,9 +85,9 @@
 {
     QuietListener listener;
     MembershipEngine engine = engineOf(member("a", "x", 1), listener);
-    engine.mergeRecords({member("b", "x", 1), member("c", "x", 1), member("d", "x", 1),
-                         member("e", "x", 1)},
-                        {});
+    engine.mergeRecords(
+            {member("b", "x", 1), member("c", "x", 1), member("d", "x", 1), member("e", "x", 1)},
+            {});
     const MonotonicTime start{};
     engine.memberFailed(NodeId("b"), start);
     engine.tick(start + FailureDetector::suspicionTime * 2);
--- a/tests/unit/MovesTest.cpp
+++ b/tests/unit/MovesTest.cpp
@@ -116,8 +116,8 @@
     MoveTracker tracker(runningMove(), policies);
     tracker.observe(key("v2", "b"), counts(10, 10, milliseconds(3)));
     EXPECT_TRUE(tracker.judge());
-    const RouteShare share =
-            tracker.shareOf(RouteName("deposits"), runningMove().startAt + std::chrono::seconds(90));
+    const RouteShare share = tracker.shareOf(RouteName("deposits"),
+                                             runningMove().startAt + std::chrono::seconds(90));
     EXPECT_EQ(share.primary, VersionName("v1"));
     EXPECT_TRUE(share.secondary.isEmpty());
     EXPECT_EQ(tracker.missingRecord(runningMove().doneBy, true)->state, MoveState::TakenBack);
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -35,14 +35,14 @@
 
 TEST(SettingsReader, namesThePlaceOfEachFault)
 {
-    const std::pair<std::string, std::string> faults[] = {
-            {replaced(goodSettings, "\"node\": \"n1\"", "\"node\": \"n1\", \"colour\": 1"),
-             "colour"},
-            {replaced(goodSettings, "\"port\": 1001", "\"port\": \"1001\""), "/callers/port"},
-            {replaced(goodSettings, "1002", "1001"), "/peers/port"},
-            {replaced(goodSettings, "127.0.0.1", "localhost"), "/callers/host"},
-            {replaced(goodSettings, "operators-token", "short"), "/operatorToken"},
-            {"{", "not JSON"}};
+    const std::pair<std::string, std::string> faults[]
+            = {{replaced(goodSettings, "\"node\": \"n1\"", "\"node\": \"n1\", \"colour\": 1"),
+                "colour"},
+               {replaced(goodSettings, "\"port\": 1001", "\"port\": \"1001\""), "/callers/port"},
+               {replaced(goodSettings, "1002", "1001"), "/peers/port"},
+               {replaced(goodSettings, "127.0.0.1", "localhost"), "/callers/host"},
+               {replaced(goodSettings, "operators-token", "short"), "/operatorToken"},
+               {"{", "not JSON"}};
     for (const auto &[text, place] : faults) {
         FindingList findings("s.json");
         EXPECT_FALSE(daemon::settings::readSettings(text, findings));
@@ -53,8 +53,8 @@
 TEST(SettingsReader, reportsSeveralFaultsTogether)
 {
     FindingList findings("s.json");
-    const std::string text =
-            replaced(replaced(goodSettings, "1002", "1001"), "127.0.0.1", "nowhere");
+    const std::string text
+            = replaced(replaced(goodSettings, "1002", "1001"), "127.0.0.1", "nowhere");
     EXPECT_FALSE(daemon::settings::readSettings(text, findings));
     EXPECT_GE(findings.findings().size(), 1U);
 }
@@ -65,9 +65,9 @@
         "port": 2000, "slots": 10, "state": "serving", "instance": "1"})";
     FindingList none("a");
     EXPECT_TRUE(daemon::frontends::readAnnouncement(good, "127.0.0.1", none));
-    for (const std::string &bad : {replaced(good, "127.0.0.1", "127.0.0.9"),
-                                   replaced(good, "serving", "resting"),
-                                   replaced(good, "10", "-1"), std::string("[]")}) {
+    for (const std::string &bad :
+         {replaced(good, "127.0.0.1", "127.0.0.9"), replaced(good, "serving", "resting"),
+          replaced(good, "10", "-1"), std::string("[]")}) {
         FindingList findings("a");
         EXPECT_FALSE(daemon::frontends::readAnnouncement(bad, "127.0.0.1", findings));
         EXPECT_FALSE(findings.isEmpty());
@@ -92,8 +92,10 @@
     traffic::routing::RouteTarget target;
     target.entry.settings.callTimeout = std::chrono::milliseconds(800);
     transport::http::HttpRequest request{"POST", "/x", {}, {}};
-    request.headers = {{"x-deadline-ms", "300"}, {"X-Hop-Count", "15"},
-                       {"X-Boragetrack-Attempt", "2"}, {"Idempotency-Key", "k"}};
+    request.headers = {{"x-deadline-ms", "300"},
+                       {"X-Hop-Count", "15"},
+                       {"X-Boragetrack-Attempt", "2"},
+                       {"Idempotency-Key", "k"}};
     const auto call = daemon::frontends::callFrom(request, target);
     EXPECT_EQ(call.budget, std::chrono::milliseconds(300));
     EXPECT_EQ(call.hops, 16);
--- a/tests/unit/TestIntent.h
+++ b/tests/unit/TestIntent.h
@@ -21,18 +21,26 @@
 /** Returns an exception for callTimeoutMs. */
 inline nlohmann::json exceptionJson(const std::string &id, const nlohmann::json &scope, int value)
 {
-    return {{"id", id},       {"scope", scope},     {"setting", "callTimeoutMs"},
-            {"value", value}, {"reason", "tested"}, {"author", "tester"},
+    return {{"id", id},
+            {"scope", scope},
+            {"setting", "callTimeoutMs"},
+            {"value", value},
+            {"reason", "tested"},
+            {"author", "tester"},
             {"createdAt", "2026-11-01T00:00:00Z"}};
 }
 
 /** Returns a running move of two minutes. */
 inline nlohmann::json moveJson(const std::string &id, const std::string &service)
 {
-    return {{"id", id},           {"service", service},
-            {"from", "v1"},       {"to", "v2"},
-            {"startAt", "2026-12-04T10:00:00Z"}, {"doneBy", "2026-12-04T10:02:00Z"},
-            {"state", "running"}, {"author", "tester"},
+    return {{"id", id},
+            {"service", service},
+            {"from", "v1"},
+            {"to", "v2"},
+            {"startAt", "2026-12-04T10:00:00Z"},
+            {"doneBy", "2026-12-04T10:02:00Z"},
+            {"state", "running"},
+            {"author", "tester"},
             {"reason", "tested"}};
 }
 
