--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -206,14 +206,37 @@
 //==============================================================================
 void ControlPlane::intentInForce()
 {
-    snapshot_ = std::make_shared<intent::IntentSnapshot>(
-            spreader_.served(), spreader_.holder().document(), membership_.self().dataCentre,
-            wallClock_());
-    moves_.update(snapshot_->document(), wallClock_());
+    resolveSnapshot(spreader_.served(), spreader_.holder().document());
     listener_.intentInForce();
     listener_.viewChanged();
 }
 
+void ControlPlane::resolveSnapshot(Revision revision, const intent::IntentDocument &document)
+{
+    resolvedAt_ = wallClock_();
+    snapshot_ = std::make_shared<intent::IntentSnapshot>(
+            revision, document, membership_.self().dataCentre, resolvedAt_);
+    moves_.update(snapshot_->document(), resolvedAt_);
+}
+
+// An exception that expired since the last resolution loses its effect without a new revision.
+void ControlPlane::expireExceptions()
+{
+    const core::timing::WallTime now = wallClock_();
+    const auto &exceptions = snapshot_->document().exceptions;
+    const bool isAnyExpired =
+            std::any_of(exceptions.begin(), exceptions.end(), [&](const auto &exception) {
+                return exception.expiresAt && *exception.expiresAt > resolvedAt_
+                       && *exception.expiresAt <= now;
+            });
+    if (!isAnyExpired)
+        return;
+    // The held intent may be newer than the one in force, so the latter is resolved again.
+    const auto former = snapshot_;
+    resolveSnapshot(former->revision(), former->document());
+    listener_.viewChanged();
+}
+
 void ControlPlane::memberChanged(const MemberRecord *previous, const MemberRecord &record)
 {
     const bool isDeparture = record.state != MemberState::Alive
@@ -245,6 +268,7 @@
 void ControlPlane::decisionTick(MonotonicTime now)
 {
     spreader_.tick(now);
+    expireExceptions();
     if (hasUrgentNews_)
         sendNewsToNeighbours();
     if (!moves_.isActive())
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -151,6 +151,9 @@
     class Timer;
 
     void intentInForce() override;
+    void resolveSnapshot(core::identity::Revision revision,
+                         const intent::IntentDocument &document);
+    void expireExceptions();
     void intentRefused() override { listener_.intentRefused(); }
     void memberChanged(const membership::MemberRecord *previous,
                        const membership::MemberRecord &record) override;
@@ -185,6 +188,8 @@
     moves::MoveCoordinator moves_;
     // Invariant: never null; its revision never falls.
     std::shared_ptr<const intent::IntentSnapshot> snapshot_;
+    // When snapshot_ was resolved; exceptions that had expired by then have no effect in it.
+    core::timing::WallTime resolvedAt_{};
     // The highest revision that each node is known to have served, for its successor on that VM.
     std::map<core::identity::NodeId, core::identity::Revision> floors_;
     // The digest of each peer's member table at the last exchange with it.
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -118,7 +118,7 @@
     if (!status_)
         return;
     upstream_.setAddress(status_->address);
-    limitsRevision_ = {};
+    limitsIntent_.reset();
     updateLimits();
     if (!isNewProcess)
         return;
@@ -353,10 +353,9 @@
 void UpstreamGate::updateLimits()
 {
     const Snapshot snapshot = parts_.routing.current();
-    const auto revision = snapshot->intent->revision();
-    if (!status_ || revision == limitsRevision_)
+    if (!status_ || snapshot->intent == limitsIntent_)
         return;
-    limitsRevision_ = revision;
+    limitsIntent_ = snapshot->intent;
     // The strictest of the service's routes holds, since all of them share the upstream.
     limits_ = AdmissionLimits{UpstreamClient::maximumConnections,
                               std::max(1, status_->record.slots), 0};
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -106,7 +106,8 @@
     traffic::deduplication::ReplayTable replays_;
     traffic::deduplication::ClaimRegister claimRegister_;
     std::optional<UpstreamStatus> status_;
-    core::identity::Revision limitsRevision_;
+    // The intent that limits_ follow.
+    std::shared_ptr<const control::intent::IntentSnapshot> limitsIntent_;
     traffic::admission::AdmissionQueue::Ticket lastTicket_ = 0;
     // Invariant: one element for each request that waits in queue_.
     std::map<traffic::admission::AdmissionQueue::Ticket, ScopedWait *> waits_;
--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -125,6 +125,38 @@
         self.assertIn("default set callTimeoutMs 1900", actions)
         self.assertNotIn("default set callTimeoutMs 1800", actions)
 
+    def test_data_centre_that_is_out_gets_no_new_work_and_its_callers_are_served(self):
+        name = LATEXLEKH.data_centres[0]
+        load = self.load("o", seconds=5)
+        time.sleep(0.5)
+        self.assertEqual(self.fleet.command("datacentre", "out", name, "--reason", "t",
+                                            "--wait")[0], 0)
+        time.sleep(1.0)
+        inside = [node.upstream for node in self.fleet.in_data_centre(name)]
+        before = sum(len(upstream.runs()) for upstream in inside)
+        time.sleep(1.0)
+        after = sum(len(upstream.runs()) for upstream in inside)
+        self.assertEqual(self.fleet.command("datacentre", "back", name, "--reason", "t",
+                                            "--wait")[0], 0)
+        verdict = judge(load.calls(), self.upstreams())
+        self.assertEqual(after, before)
+        self.assertEqual(verdict["ok"], verdict["calls"], verdict)
+        self.assert_safe(verdict)
+
+    def test_leaving_upstream_finishes_its_work_and_gets_no_new(self):
+        load = self.load("u", seconds=5, read=["/ledger/day"], post=["/ledger/entry"])
+        time.sleep(0.5)
+        node = self.fleet.nodes[3]
+        node.upstream.process.terminate()
+        node.upstream.process.wait()
+        before = len(node.upstream.runs())
+        time.sleep(0.5)
+        self.assertEqual(len(node.upstream.runs()), before)
+        node.upstream.process.start()
+        verdict = judge(load.calls(), self.upstreams())
+        self.assertEqual(verdict["ok"], verdict["calls"], verdict)
+        self.assert_safe(verdict)
+
     def test_planned_stop_of_a_node_cuts_no_call(self):
         load = self.load("s", seconds=4)
         time.sleep(1.0)
--- a/tests/scenarios/ScenarioRunner.cpp
+++ b/tests/scenarios/ScenarioRunner.cpp
@@ -103,6 +103,14 @@
         document_["defaults"][words.at(0)] = std::stoi(words.at(1));
         storeNext(document_);
     };
+    commands_["exception"] = [this](const Words &words) {
+        nlohmann::json exception =
+                exceptionJson(words.at(0), {{"service", "payments"}}, std::stoi(words.at(1)));
+        exception["expiresAt"] = core::timing::formatWallTime(
+                world_.wallTime() + std::chrono::seconds(std::stol(words.at(2))));
+        document_["exceptions"].push_back(exception);
+        storeNext(document_);
+    };
     commands_["bad-intent"] = [this](const Words & /*words*/) {
         nlohmann::json bad = document_;
         bad["routes"][0]["service"] = "nowhere";
@@ -163,6 +171,13 @@
                    name + " serves revision " + std::to_string(served));
         }
     };
+    commands_["expect-timeout"] = [this](const Words &words) {
+        for (const std::string &name : select(words.at(0))) {
+            const auto &settings = world_.plane(name)->snapshot()->routes().at(0).settings;
+            expect(settings.callTimeout == duration(words.at(1)),
+                   name + " has " + std::to_string(settings.callTimeout.count()) + " ms");
+        }
+    };
     commands_["expect-state"] = [this](const Words &words) {
         for (const std::string &name : select(words.at(0))) {
             const auto *plane = world_.plane(name);
