Put logic that stood twice in one place

Cause: parsing with a schema, reading of files, stop signals and the sleeping waiter each stood two or three times.

Change: SchemaValidator::parse, readTextFile, StopSignals and SleepingWaiter serve all of them.

Conclusion: no behaviour changed.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -224,11 +224,11 @@
 {
     const core::timing::WallTime now = wallClock_();
     const auto &exceptions = snapshot_->document().exceptions;
-    const bool isAnyExpired =
-            std::any_of(exceptions.begin(), exceptions.end(), [&](const auto &exception) {
-                return exception.expiresAt && *exception.expiresAt > resolvedAt_
-                       && *exception.expiresAt <= now;
-            });
+    const bool isAnyExpired
+            = std::any_of(exceptions.begin(), exceptions.end(), [&](const auto &exception) {
+                  return exception.expiresAt && *exception.expiresAt > resolvedAt_
+                         && *exception.expiresAt <= now;
+              });
     if (!isAnyExpired)
         return;
     // The held intent may be newer than the one in force, so the latter is resolved again.
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -151,8 +151,7 @@
     class Timer;
 
     void intentInForce() override;
-    void resolveSnapshot(core::identity::Revision revision,
-                         const intent::IntentDocument &document);
+    void resolveSnapshot(core::identity::Revision revision, const intent::IntentDocument &document);
     void expireExceptions();
     void intentRefused() override { listener_.intentRefused(); }
     void memberChanged(const membership::MemberRecord *previous,
--- a/packages/standins/StandinProgram.cpp
+++ b/packages/core/concurrency/StopSignals.cpp
@@ -1,7 +1,7 @@
-/** Implements what all stand-in programs share. */
-#include "standins/StandinProgram.h"
+/** Implements the handling of stop signals. */
+#include "core/concurrency/StopSignals.h"
 
-namespace boragetrack::standins {
+namespace boragetrack::core::concurrency {
 
 sigset_t blockStopSignals()
 {
@@ -19,4 +19,4 @@
     sigwait(&signals, &signal);
 }
 
-} // namespace boragetrack::standins
+} // namespace boragetrack::core::concurrency
--- a/packages/core/findings/SchemaValidator.cpp
+++ b/packages/core/findings/SchemaValidator.cpp
@@ -45,6 +45,18 @@
 
 SchemaValidator::~SchemaValidator() = default;
 
+std::optional<nlohmann::json> SchemaValidator::parse(const std::string &text,
+                                                     FindingList &findings) const
+{
+    nlohmann::json document = parseJson(text, findings);
+    if (document.is_discarded())
+        return std::nullopt;
+    validate(document, findings);
+    if (!findings.isEmpty())
+        return std::nullopt;
+    return document;
+}
+
 void SchemaValidator::validate(const nlohmann::json &document, FindingList &findings) const
 {
     valijson::Validator validator;
--- a/packages/core/findings/SchemaValidator.h
+++ b/packages/core/findings/SchemaValidator.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace boragetrack::core::findings {
@@ -19,6 +20,10 @@
     SchemaValidator(const SchemaValidator &) = delete;
     SchemaValidator &operator=(const SchemaValidator &) = delete;
 
+    /** Parses text and validates it.
+        @returns the document, or nothing when findings were added */
+    std::optional<nlohmann::json> parse(const std::string &text, FindingList &findings) const;
+
     /** Adds a finding for each violation in the document. */
     void validate(const nlohmann::json &document, FindingList &findings) const;
 
--- a/packages/daemon/frontends/Announcement.cpp
+++ b/packages/daemon/frontends/Announcement.cpp
@@ -27,12 +27,10 @@
                  core::findings::FindingList &findings)
 {
     static const core::findings::SchemaValidator validator{std::string(schema)};
-    const json root = core::findings::parseJson(text, findings);
-    if (root.is_discarded())
-        return std::nullopt;
-    validator.validate(root, findings);
-    if (!findings.isEmpty())
+    const auto parsed = validator.parse(text, findings);
+    if (!parsed)
         return std::nullopt;
+    const json &root = *parsed;
     if (root["host"] != host) {
         findings.add("/host", "the upstream must run on this node's VM, " + host);
         return std::nullopt;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,10 +1,10 @@
 /** boragetrackd: the node beside an upstream. */
+#include "core/concurrency/StopSignals.h"
 #include "core/events/EventLog.h"
 #include "daemon/Node.h"
 #include "daemon/settings/SettingsReader.h"
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <iostream>
 
 namespace {
@@ -14,17 +14,6 @@
 constexpr int wrongUse = 2;
 constexpr int startFailed = 1;
 
-// Blocks the signals in all threads started after this, so that sigwait receives them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int run(const std::string &settingsPath)
 {
     using namespace boragetrack;
@@ -35,14 +24,13 @@
         std::cerr << findings.toString() << std::endl;
         return wrongUse;
     }
-    const sigset_t signals = blockStopSignals();
+    const sigset_t signals = core::concurrency::blockStopSignals();
     auto node = std::make_unique<daemon::Node>(*settings);
     if (const absl::Status status = node->start(); !status.ok()) {
         std::cerr << status.message() << std::endl;
         std::_Exit(startFailed);
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    core::concurrency::waitForStopSignal(signals);
     node->stop();
     // A watch that waits at the platform can not be interrupted; it holds nothing that needs care.
     std::_Exit(0);
--- a/packages/daemon/service/MoveRecorder.cpp
+++ b/packages/daemon/service/MoveRecorder.cpp
@@ -2,6 +2,7 @@
 #include "daemon/service/MoveRecorder.h"
 
 #include "control/moves/MoveRecording.h"
+#include "control/store/SleepingWaiter.h"
 #include "core/events/EventLog.h"
 
 #include <random>
@@ -16,13 +17,6 @@
 
 constexpr std::chrono::hours idleWait{1};
 
-/** Waits by sleeping; the recorder's thread has nothing else to do. */
-class SleepingWaiter : public control::store::EditWaiter
-{
-public:
-    void wait(std::chrono::milliseconds time) override { std::this_thread::sleep_for(time); }
-};
-
 std::string nameOf(control::intent::MoveState state)
 {
     return state == control::intent::MoveState::Done ? "done" : "taken back";
@@ -86,7 +80,7 @@
 void MoveRecorder::write(const MoveRecord &record, core::identity::Revision floor)
 {
     storeCalls_.add();
-    SleepingWaiter waiter;
+    control::store::SleepingWaiter waiter;
     control::store::IntentEditor editor(store_, waiter);
     const auto mutation = [&](nlohmann::json &document) {
         return control::moves::recordOutcome(document, record, core::timing::currentWallTime());
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -2,11 +2,10 @@
 #include "daemon/settings/SettingsReader.h"
 
 #include "core/findings/SchemaValidator.h"
+#include "core/findings/TextFile.h"
 
 #include <arpa/inet.h>
-#include <fstream>
 #include <map>
-#include <sstream>
 
 namespace boragetrack::daemon::settings {
 
@@ -67,12 +66,10 @@
 std::optional<NodeSettings> readSettings(const std::string &text, FindingList &findings)
 {
     static const core::findings::SchemaValidator validator{std::string(schema)};
-    const json root = core::findings::parseJson(text, findings);
-    if (root.is_discarded())
-        return std::nullopt;
-    validator.validate(root, findings);
-    if (!findings.isEmpty())
+    const auto parsed = validator.parse(text, findings);
+    if (!parsed)
         return std::nullopt;
+    const json &root = *parsed;
     NodeSettings settings;
     settings.node = core::identity::NodeId(root["node"]);
     settings.dataCentre = core::identity::DataCentreId(root["dataCentre"]);
@@ -95,14 +92,12 @@
 
 std::optional<NodeSettings> readSettingsFile(const std::string &path, FindingList &findings)
 {
-    std::ifstream file(path);
-    if (!file) {
+    const auto text = core::findings::readTextFile(path);
+    if (!text) {
         findings.add("", "cannot open the file");
         return std::nullopt;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    return readSettings(text.str(), findings);
+    return readSettings(*text, findings);
 }
 
 } // namespace boragetrack::daemon::settings
--- a/packages/operators/commands/Arguments.cpp
+++ b/packages/operators/commands/Arguments.cpp
@@ -1,22 +1,10 @@
-/** Implements the reading of files and arguments. */
+/** Implements the reading of arguments. */
 #include "operators/commands/Arguments.h"
 
 #include <charconv>
-#include <fstream>
-#include <sstream>
 
 namespace boragetrack::operators::commands {
 
-std::optional<std::string> readTextFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::optional<int> parseInteger(const std::string &text)
 {
     int number = 0;
--- a/packages/operators/commands/Arguments.h
+++ b/packages/operators/commands/Arguments.h
@@ -1,4 +1,4 @@
-/** Reads files and arguments. */
+/** Reads the values of arguments. */
 #pragma once
 
 #include "core/timing/WallTime.h"
@@ -8,9 +8,6 @@
 
 namespace boragetrack::operators::commands {
 
-/** Returns a file's text, or nothing when it cannot be opened. */
-std::optional<std::string> readTextFile(const std::string &path);
-
 /** Returns a whole number, or nothing for other text. */
 std::optional<int> parseInteger(const std::string &text);
 
--- a/packages/operators/commands/CheckCommand.cpp
+++ b/packages/operators/commands/CheckCommand.cpp
@@ -2,7 +2,7 @@
 #include "operators/commands/CheckCommand.h"
 
 #include "control/intent/IntentParser.h"
-#include "operators/commands/Arguments.h"
+#include "core/findings/TextFile.h"
 
 namespace boragetrack::operators::commands {
 
@@ -19,7 +19,7 @@
                                 const options::variables_map &arguments) const
 {
     const std::string path = arguments["file"].as<std::string>();
-    const auto text = readTextFile(path);
+    const auto text = core::findings::readTextFile(path);
     if (!text)
         return {ExitCode::WrongUse, "cannot open " + path};
     core::findings::FindingList findings(path);
--- a/packages/operators/commands/CommandContext.cpp
+++ b/packages/operators/commands/CommandContext.cpp
@@ -1,6 +1,8 @@
 /** Implements CommandContext. */
 #include "operators/commands/CommandContext.h"
 
+#include "control/store/SleepingWaiter.h"
+
 #include <random>
 #include <thread>
 
@@ -15,13 +17,6 @@
 
 constexpr std::chrono::milliseconds forceTimeout{15'000};
 
-/** Waits by sleeping. */
-class SleepingWaiter : public control::store::EditWaiter
-{
-public:
-    void wait(std::chrono::milliseconds time) override { std::this_thread::sleep_for(time); }
-};
-
 ExitCode codeOf(EditOutcome outcome)
 {
     switch (outcome) {
@@ -70,7 +65,7 @@
     : settings_(settings)
     , store_(store)
     , fleet_(settings, client)
-    , waiter_(std::make_unique<SleepingWaiter>())
+    , waiter_(std::make_unique<control::store::SleepingWaiter>())
     , editor_(store, *waiter_)
     , progress_(std::move(progress))
 {}
--- a/packages/operators/settings/OperatorSettings.cpp
+++ b/packages/operators/settings/OperatorSettings.cpp
@@ -2,9 +2,7 @@
 #include "operators/settings/OperatorSettings.h"
 
 #include "core/findings/SchemaValidator.h"
-
-#include <fstream>
-#include <sstream>
+#include "core/findings/TextFile.h"
 
 namespace boragetrack::operators::settings {
 
@@ -36,19 +34,15 @@
 std::optional<OperatorSettings> readOperatorSettings(const std::string &path,
                                                      core::findings::FindingList &findings)
 {
-    std::ifstream file(path);
-    if (!file) {
+    const auto text = core::findings::readTextFile(path);
+    if (!text) {
         findings.add("", "cannot open the file");
         return std::nullopt;
     }
-    std::stringstream text;
-    text << file.rdbuf();
-    const json root = core::findings::parseJson(text.str(), findings);
-    if (root.is_discarded())
-        return std::nullopt;
-    core::findings::SchemaValidator(std::string(schema)).validate(root, findings);
-    if (!findings.isEmpty())
+    const auto parsed = core::findings::SchemaValidator(std::string(schema)).parse(*text, findings);
+    if (!parsed)
         return std::nullopt;
+    const json &root = *parsed;
     OperatorSettings settings{
             root["operator"], root["operatorToken"], addressFrom(root["platform"]), {}};
     for (const json &node : root["nodes"])
--- a/packages/standins/platform/main.cpp
+++ b/packages/standins/platform/main.cpp
@@ -1,5 +1,5 @@
 /** standin-platform: takes the place of the platform's key-value service. */
-#include "standins/StandinProgram.h"
+#include "core/concurrency/StopSignals.h"
 #include "standins/platform/PlatformHandler.h"
 #include "transport/http/HttpServer.h"
 
@@ -15,14 +15,14 @@
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
     options::notify(values);
-    const sigset_t signals = standins::blockStopSignals();
+    const sigset_t signals = core::concurrency::blockStopSignals();
     standins::platform::PlatformHandler handler;
     transport::http::HttpServer server({"127.0.0.1", values["port"].as<std::uint16_t>()}, handler);
     if (const absl::Status status = server.start(); !status.ok()) {
         std::cerr << status.message() << std::endl;
         return 1;
     }
-    standins::waitForStopSignal(signals);
+    core::concurrency::waitForStopSignal(signals);
     // Watches that wait need not be waited for.
     std::_Exit(0);
 }
--- a/packages/standins/upstream/main.cpp
+++ b/packages/standins/upstream/main.cpp
@@ -1,6 +1,6 @@
 /** standin-upstream: takes the place of a service's server. */
+#include "core/concurrency/StopSignals.h"
 #include "core/timing/WallTime.h"
-#include "standins/StandinProgram.h"
 #include "standins/upstream/Announcer.h"
 #include "standins/upstream/UpstreamHandler.h"
 #include "transport/http/HttpServer.h"
@@ -71,7 +71,7 @@
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, describe()), values);
     options::notify(values);
-    const sigset_t signals = standins::blockStopSignals();
+    const sigset_t signals = core::concurrency::blockStopSignals();
     standins::upstream::UpstreamHandler handler(
             core::identity::VersionName(values["version"].as<std::string>()), behaviourFrom(values),
             values["journal"].as<std::string>());
@@ -85,7 +85,7 @@
     if (nodePort != 0)
         announcer = std::make_unique<standins::upstream::Announcer>(
                 core::identity::NetworkAddress{"127.0.0.1", nodePort}, announcementFrom(values));
-    standins::waitForStopSignal(signals);
+    core::concurrency::waitForStopSignal(signals);
     if (announcer) {
         announcer->announceDraining();
         std::this_thread::sleep_for(departureNotice);
