--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -164,7 +164,7 @@
     with Fleet(first_port) as fleet:
         start_nodes(fleet, options, experiment)
         fleet.apply(intent_for(options))
-        time.sleep(3.0)
+        time.sleep(options.settle)
         before, store_before = Usage(fleet.nodes), fleet.platform_stats()
         time.sleep(options.idle)
         idle, store_idle = Usage(fleet.nodes), fleet.platform_stats()
@@ -280,6 +280,8 @@
     parser.add_argument("--data-centres", type=int, default=4)
     parser.add_argument("--changes", type=int, default=8)
     parser.add_argument("--pause", type=float, default=0.3, help="seconds between changes")
+    parser.add_argument("--settle", type=float, default=3.0,
+                        help="seconds for the news of the start to fade")
     parser.add_argument("--idle", type=float, default=8.0, help="seconds at rest")
     parser.add_argument("--store-outage", action="store_true")
     parser.add_argument("--lost-answers", action="store_true")
--- a/tests/scenarios/ScenarioRunner.cpp
+++ b/tests/scenarios/ScenarioRunner.cpp
@@ -104,8 +104,8 @@
         storeNext(document_);
     };
     commands_["exception"] = [this](const Words &words) {
-        nlohmann::json exception =
-                exceptionJson(words.at(0), {{"service", "payments"}}, std::stoi(words.at(1)));
+        nlohmann::json exception
+                = exceptionJson(words.at(0), {{"service", "payments"}}, std::stoi(words.at(1)));
         exception["expiresAt"] = core::timing::formatWallTime(
                 world_.wallTime() + std::chrono::seconds(std::stol(words.at(2))));
         document_["exceptions"].push_back(exception);
