Write the bench's settings whole; remove its logs after a good end

Cause: moves that start at once each wrote the command line's settings, and one read them half written; fleets left their logs in memory for good.

Change: the file is put in place whole; logs go after an end without error.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,10 +6,12 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -214,8 +216,8 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
-        self.stop()
+    def __exit__(self, error_type, *_):
+        self.stop(keeps_logs=error_type is not None)
 
     def seeds(self):
         """Returns the first nodes of each data centre."""
@@ -254,16 +256,18 @@
         """Writes the command line's settings and returns their path."""
         path = self.folder / "operators.json"
         nodes = [{"host": "127.0.0.1", "port": node.operators} for node in self.seeds()]
-        path.write_text(
-            json.dumps(
-                {
-                    "operator": "adaeze",
-                    "operatorToken": TOKEN,
-                    "platform": {"host": "127.0.0.1", "port": self.platform_port},
-                    "nodes": nodes,
-                }
-            )
+        text = json.dumps(
+            {
+                "operator": "adaeze",
+                "operatorToken": TOKEN,
+                "platform": {"host": "127.0.0.1", "port": self.platform_port},
+                "nodes": nodes,
+            }
         )
+        # Several threads give commands at once; none may read a file that is half written.
+        draft = self.folder / f"operators-{threading.get_ident()}.json"
+        draft.write_text(text)
+        draft.replace(path)
         return path
 
     def command(self, *words, timeout=60.0):
@@ -331,11 +335,13 @@
         """Returns the nodes of a data centre."""
         return [node for node in self.nodes if node.data_centre == name]
 
-    def stop(self):
-        """Ends every process that this fleet started."""
+    def stop(self, keeps_logs=False):
+        """Ends every process that this fleet started and removes its logs."""
         processes = [node.process for node in self.nodes if node.process]
         processes += [node.upstream.process for node in self.nodes if node.upstream]
         processes += [upstream.process for upstream in self.extra]
         for process in processes:
             process.kill()
         self.platform.kill()
+        if not keeps_logs:
+            shutil.rmtree(self.folder, ignore_errors=True)
