Print no figure that was not measured

No behaviour of the node changed.

Conclusion: probes for partial and dangling in whole processes are missing and said to be so.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -198,17 +198,15 @@
             ),
             "neighbours_max": max(node.status()["neighbours"] for node in fleet.nodes),
             "reverts": count_reverts(fleet.nodes),
-            "dangling": 0,
         }
         refused = sum(node.metrics().get("intents_refused", 0) for node in fleet.nodes)
-        # Snapshots are built whole from documents whose references resolve; a refusal of a good
-        # document is the only trace that a partial or dangling one could leave.
-        result["partial"] = refused
+        # "partial" and "dangling" have no probe in whole processes yet; unit tests hold them.
+        result["refused_intents"] = refused
         result.update(run_faults(fleet, options))
         return result
 
 
-def recover(fleet, name, action):
+def recover(fleet, name):
     """Measures from the end of a fault until a new change is in force everywhere."""
     at = time.time()
     limit = time.monotonic() + 30
@@ -218,7 +216,7 @@
         time.sleep(0.02)
     is_in_force = written and wait_for_revision(fleet.nodes, written[0])
     delays = delays_of(fleet.nodes, written[0], at) if is_in_force else [float("inf")]
-    return {f"{name}_recovered_ms": round(max(delays), 1), f"{name}_{action}": True}
+    return {f"{name}_recovered_ms": round(max(delays), 1)}
 
 
 def run_faults(fleet, options):
@@ -233,7 +231,7 @@
         victim.start()
         joined = wait_for_revision([victim], 1, 10.0)
         fleet.faults()
-        result.update(recover(fleet, "store_outage", "ended"))
+        result.update(recover(fleet, "store_outage"))
         result["store_outage_exit_code"] = code
         result["store_outage_new_node_served"] = joined
     if options.lost_answers:
@@ -242,7 +240,7 @@
         stored = json.loads(http("GET", fleet.platform_port, KEY)[1])
         is_stored = stored["document"]["defaults"]["callTimeoutMs"] == 1777
         result["lost_answers_told_truth"] = (code == 0) == is_stored
-        result.update(recover(fleet, "lost_answers", "settled"))
+        result.update(recover(fleet, "lost_answers"))
     if options.herd_restart:
         herd = fleet.nodes[:: 2]
         for node in herd:
@@ -252,7 +250,7 @@
         at = time.time()
         served = wait_for_revision(fleet.nodes, 1)
         result["herd_serving_again_ms"] = round((time.time() - at) * 1000) if served else None
-        result.update(recover(fleet, "herd_restart", "restarted"))
+        result.update(recover(fleet, "herd_restart"))
     if result:
         result["reverts"] = count_reverts(fleet.nodes)
         result["recovered_ms"] = max(
--- a/packages/traffic/calls/CallHeaders.h
+++ b/packages/traffic/calls/CallHeaders.h
@@ -9,8 +9,6 @@
 inline constexpr const char *reasonHeader = "X-Boragetrack-Reason";
 /** Names the version that answered. */
 inline constexpr const char *versionHeader = "X-Boragetrack-Version";
-/** Names the node beside the upstream that answered. */
-inline constexpr const char *nodeHeader = "X-Boragetrack-Node";
 /** Marks all repeats of one non-idempotent request. */
 inline constexpr const char *idempotencyKeyHeader = "Idempotency-Key";
 /** Gives the time that is left for a call, in milliseconds. */
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -356,7 +356,8 @@
     if (!status_ || snapshot->intent == limitsIntent_)
         return;
     limitsIntent_ = snapshot->intent;
-    // The strictest of the service's routes holds, since all of them share the upstream.
+    // All routes of the service share the upstream: its strictest limits hold, and the longest
+    // queue, which deadlines bound besides.
     limits_ = AdmissionLimits{UpstreamClient::maximumConnections,
                               std::max(1, status_->record.slots), 0};
     for (const auto &target : snapshot->targets) {
