--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -56,7 +56,11 @@
 {
     intent::IntentDocument document;
     document.services.push_back({ServiceName("s"), VersionName("v1")});
-    document.routes.push_back({RouteName("r"), "/r", ServiceName("s"), false});
+    intent::Route route;
+    route.name = RouteName("r");
+    route.pathPrefix = "/r";
+    route.service = ServiceName("s");
+    document.routes.push_back(route);
     intent::MoveIntent move;
     move.id = "m";
     move.service = ServiceName("s");
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -161,11 +161,12 @@
     return !isLeaving_ && membership::isWatcher(membership_.self(), membership_.table());
 }
 
-moves::RouteShare ControlPlane::shareOf(const intent::Route &route) const
+moves::RouteShare ControlPlane::shareOf(const intent::Route &route,
+                                        const core::identity::ServiceName &name) const
 {
-    const intent::ServiceIntent *service = snapshot_->service(route.service);
+    const intent::ServiceIntent *service = snapshot_->service(name);
     assert(service != nullptr);
-    return moves_.shareOf(route.service, route.name, service->version, wallClock_());
+    return moves_.shareOf(name, route.name, service->version, wallClock_());
 }
 
 std::vector<moves::MoveRecord> ControlPlane::missingMoveRecords() const
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -134,8 +134,9 @@
     /** Returns whether a move is followed, so that outcomes of calls matter. */
     bool followsMoves() const { return moves_.isActive(); }
 
-    /** Returns how a route's calls divide now. */
-    moves::RouteShare shareOf(const intent::Route &route) const;
+    /** Returns how a route's calls to a service divide between versions now. */
+    moves::RouteShare shareOf(const intent::Route &route,
+                              const core::identity::ServiceName &service) const;
 
     /** Returns the outcomes of moves that the intent lacks and this node should record. */
     std::vector<moves::MoveRecord> missingMoveRecords() const;
--- a/packages/control/intent/IntentDocument.h
+++ b/packages/control/intent/IntentDocument.h
@@ -1,6 +1,7 @@
 /** The whole intent as operators write it. */
 #pragma once
 
+#include "control/intent/CallerLimits.h"
 #include "control/intent/DataCentreIntent.h"
 #include "control/intent/EffectiveSettings.h"
 #include "control/intent/IntentException.h"
@@ -21,6 +22,7 @@
     std::vector<ServiceIntent> services;
     std::vector<Route> routes;
     EffectiveSettings defaults;
+    CallerLimits callerLimits;
     std::vector<IntentException> exceptions;
     std::vector<MoveIntent> moves;
 };
--- a/packages/control/intent/IntentParser.cpp
+++ b/packages/control/intent/IntentParser.cpp
@@ -106,16 +106,52 @@
                             object.value("out", false), object.value("weightPercent", 100)};
 }
 
+std::chrono::milliseconds readMilliseconds(const json &object, const char *name,
+                                           std::chrono::milliseconds missing)
+{
+    return std::chrono::milliseconds(object.value(name, missing.count()));
+}
+
 Route readRoute(const json &object)
 {
-    return Route{core::identity::RouteName(object["name"]), object["pathPrefix"],
-                 core::identity::ServiceName(object["service"]), object.value("idempotent", false)};
+    Route route;
+    route.name = core::identity::RouteName(object["name"]);
+    route.host = object.value("host", "");
+    route.pathPrefix = object["pathPrefix"];
+    route.service = core::identity::ServiceName(object["service"]);
+    for (const json &part : object.value("split", json::array()))
+        route.split.push_back(WeightedService{core::identity::ServiceName(part["service"]),
+                                              part["weight"].get<double>()});
+    route.isIdempotent = object.value("idempotent", false);
+    route.priority = object.value("priority", 0);
+    route.latencyObjective = readMilliseconds(object, "latencyObjectiveMs", {});
+    if (object.contains("callTimeoutMs"))
+        route.callTimeout = readMilliseconds(object, "callTimeoutMs", {});
+    if (object.contains("attemptLimit"))
+        route.attemptLimit = object["attemptLimit"].get<int>();
+    return route;
 }
 
 ServiceIntent readService(const json &object)
 {
-    return ServiceIntent{core::identity::ServiceName(object["name"]),
-                         core::identity::VersionName(object["version"])};
+    ServiceIntent service;
+    service.name = core::identity::ServiceName(object["name"]);
+    service.version = core::identity::VersionName(object["version"]);
+    service.healthPath = object.value("healthPath", "");
+    service.connectionLimit = object.value("connectionLimit", 0);
+    service.coldTime = readMilliseconds(object, "coldTimeMs", {});
+    service.coldRate = object.value("coldRate", 0.0);
+    return service;
+}
+
+CallerLimits readCallerLimits(const json &object)
+{
+    CallerLimits limits;
+    limits.headerBytes = object.value("headerBytes", limits.headerBytes);
+    limits.bodyBytes = object.value("bodyBytes", limits.bodyBytes);
+    limits.headerTimeout = readMilliseconds(object, "headerTimeoutMs", limits.headerTimeout);
+    limits.idleTimeout = readMilliseconds(object, "idleTimeoutMs", limits.idleTimeout);
+    return limits;
 }
 
 std::string elementPointer(const char *list, std::size_t index)
@@ -133,6 +169,7 @@
     for (const json &object : root["routes"])
         document.routes.push_back(readRoute(object));
     document.defaults = readDefaults(root["defaults"], findings);
+    document.callerLimits = readCallerLimits(root.value("callerLimits", json::object()));
     for (std::size_t i = 0; i < root["exceptions"].size(); ++i) {
         document.exceptions.push_back(
                 readException(root["exceptions"][i], elementPointer("exceptions", i), findings));
--- a/packages/control/intent/IntentReferences.cpp
+++ b/packages/control/intent/IntentReferences.cpp
@@ -39,7 +39,7 @@
 {
     const auto nameOf = [](const auto &element) { return element.name.value(); };
     const auto idOf = [](const auto &element) { return element.id; };
-    const auto prefixOf = [](const Route &route) { return route.pathPrefix; };
+    const auto prefixOf = [](const Route &route) { return route.host + route.pathPrefix; };
     checkUnique(document.dataCentres, "dataCentres", "name", nameOf, findings);
     checkUnique(document.services, "services", "name", nameOf, findings);
     checkUnique(document.routes, "routes", "name", nameOf, findings);
@@ -51,10 +51,15 @@
 void checkRoutes(const IntentDocument &document, FindingList &findings)
 {
     for (std::size_t i = 0; i < document.routes.size(); ++i) {
-        const auto &service = document.routes[i].service;
-        if (!isListed(document.services, service))
+        const Route &route = document.routes[i];
+        if (route.split.empty() && !isListed(document.services, route.service))
             findings.add(place("routes", i, "service"),
-                         "unknown service '" + service.value() + "'");
+                         "unknown service '" + route.service.value() + "'");
+        for (const WeightedService &part : route.split) {
+            if (!isListed(document.services, part.service))
+                findings.add(place("routes", i, "split"),
+                             "unknown service '" + part.service.value() + "'");
+        }
     }
 }
 
--- a/packages/control/intent/IntentSchema.cpp
+++ b/packages/control/intent/IntentSchema.cpp
@@ -19,14 +19,31 @@
   "services": {"type": "array", "items": {
     "type": "object", "additionalProperties": false, "required": ["name", "version"],
     "properties": {
-      "name": {"type": "string", "minLength": 1}, "version": {"type": "string", "minLength": 1}}}},
+      "name": {"type": "string", "minLength": 1}, "version": {"type": "string", "minLength": 1},
+      "healthPath": {"type": "string", "pattern": "^/"},
+      "connectionLimit": {"type": "integer", "minimum": 1},
+      "coldTimeMs": {"type": "integer", "minimum": 0},
+      "coldRate": {"type": "number", "minimum": 0}}}},
+  "callerLimits": {"type": "object", "additionalProperties": false, "properties": {
+    "headerBytes": {"type": "integer", "minimum": 256},
+    "bodyBytes": {"type": "integer", "minimum": 0},
+    "headerTimeoutMs": {"type": "integer", "minimum": 1},
+    "idleTimeoutMs": {"type": "integer", "minimum": 1}}},
   "routes": {"type": "array", "items": {
     "type": "object", "additionalProperties": false,
     "required": ["name", "pathPrefix", "service"],
     "properties": {
       "name": {"type": "string", "minLength": 1},
       "pathPrefix": {"type": "string", "pattern": "^/"},
-      "service": {"type": "string"}, "idempotent": {"type": "boolean"}}}},
+      "host": {"type": "string"}, "service": {"type": "string"},
+      "split": {"type": "array", "items": {
+        "type": "object", "additionalProperties": false, "required": ["service", "weight"],
+        "properties": {"service": {"type": "string"},
+                       "weight": {"type": "number", "minimum": 0}}}},
+      "idempotent": {"type": "boolean"}, "priority": {"type": "integer", "minimum": 0},
+      "latencyObjectiveMs": {"type": "integer", "minimum": 1},
+      "callTimeoutMs": {"type": "integer", "minimum": 1},
+      "attemptLimit": {"type": "integer", "minimum": 1}}}},
   "defaults": {"type": "object", "additionalProperties": {"type": "integer"}},
   "exceptions": {"type": "array", "items": {
     "type": "object", "additionalProperties": false,
--- a/packages/control/intent/IntentSnapshot.cpp
+++ b/packages/control/intent/IntentSnapshot.cpp
@@ -40,13 +40,25 @@
     std::sort(routes_.begin(), routes_.end(), [](const RouteEntry &a, const RouteEntry &b) {
         return a.route.pathPrefix.size() > b.route.pathPrefix.size();
     });
+    for (std::size_t i = 0; i < routes_.size(); ++i)
+        routesOfHost_[routes_[i].route.host].push_back(i);
 }
 
-const RouteEntry *IntentSnapshot::routeFor(const std::string &path) const
+const RouteEntry *IntentSnapshot::routeFor(const std::string &host, const std::string &path) const
 {
-    for (const RouteEntry &entry : routes_) {
-        if (isPrefixOf(entry.route.pathPrefix, path))
-            return &entry;
+    const RouteEntry *entry = longestPrefix(host, path);
+    return entry != nullptr || host.empty() ? entry : longestPrefix({}, path);
+}
+
+const RouteEntry *IntentSnapshot::longestPrefix(const std::string &host,
+                                                const std::string &path) const
+{
+    const auto found = routesOfHost_.find(host);
+    if (found == routesOfHost_.end())
+        return nullptr;
+    for (const std::size_t index : found->second) {
+        if (isPrefixOf(routes_[index].route.pathPrefix, path))
+            return &routes_[index];
     }
     return nullptr;
 }
--- a/packages/control/intent/IntentSnapshot.h
+++ b/packages/control/intent/IntentSnapshot.h
@@ -6,6 +6,7 @@
 #include "core/identity/Revision.h"
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace boragetrack::control::intent {
@@ -27,8 +28,9 @@
     /** Returns the document that was resolved. */
     const IntentDocument &document() const { return document_; }
 
-    /** Returns the route with the longest prefix of the path, or null. */
-    const RouteEntry *routeFor(const std::string &path) const;
+    /** Returns the route with the longest prefix of the path among those of the host, or else of
+        those for any host; null without one. @param host without a port */
+    const RouteEntry *routeFor(const std::string &host, const std::string &path) const;
 
     /** Returns the routes, longest prefix first. */
     const std::vector<RouteEntry> &routes() const { return routes_; }
@@ -42,8 +44,12 @@
 private:
     core::identity::Revision revision_;
     IntentDocument document_;
+    const RouteEntry *longestPrefix(const std::string &host, const std::string &path) const;
+
     // Invariant: ordered by falling prefix length; every service is listed in document_.
     std::vector<RouteEntry> routes_;
+    // Invariant: indices into routes_, in its order, under each route's host.
+    std::unordered_map<std::string, std::vector<std::size_t>> routesOfHost_;
 };
 
 } // namespace boragetrack::control::intent
--- a/packages/control/intent/MoveIntent.h
+++ b/packages/control/intent/MoveIntent.h
@@ -15,6 +15,7 @@
 {
     std::string id;
     core::identity::ServiceName service;
+    /** Empty for every version but the new one. */
     core::identity::VersionName from;
     core::identity::VersionName to;
     core::timing::WallTime startAt{};
@@ -26,6 +27,12 @@
     std::string outcome;
     /** When the move was done or taken back. */
     core::timing::WallTime endedAt{};
+
+    /** Returns whether the move judges upstreams of a version. */
+    bool concerns(const core::identity::VersionName &version) const
+    {
+        return version == to || from.isEmpty() || version == from;
+    }
 };
 
 } // namespace boragetrack::control::intent
--- a/packages/control/intent/Resolution.h
+++ b/packages/control/intent/Resolution.h
@@ -10,7 +10,7 @@
 {
     std::string setting;
     int value = 0;
-    /** "default", or the id of the exception that won. */
+    /** "default", "route" for a value of the route's own, or the id of the exception that won. */
     std::string origin;
     /** The exception's reason; empty for a default. */
     std::string reason;
--- a/packages/control/intent/Route.h
+++ b/packages/control/intent/Route.h
@@ -1,10 +1,14 @@
 /** A route from a path to a service. */
 #pragma once
 
+#include "control/intent/WeightedService.h"
 #include "core/identity/RouteName.h"
 #include "core/identity/ServiceName.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace boragetrack::control::intent {
 
@@ -12,10 +16,21 @@
 struct Route
 {
     core::identity::RouteName name;
+    /** The host that requests name; empty for any. */
+    std::string host;
     std::string pathPrefix;
     core::identity::ServiceName service;
-    /** Whether every request of this route may run more than once; GET and HEAD always may. */
+    /** Divides the calls among services instead of sending all to one; mostly empty. */
+    std::vector<WeightedService> split;
+    /** Whether every request of this route may run more than once. */
     bool isIdempotent = false;
+    /** The rank among routes when there is not room for all; 0 is the most urgent. */
+    int priority = 0;
+    /** The time within which an answer is worth most to the caller; zero when not given. */
+    std::chrono::milliseconds latencyObjective{0};
+    /** The route's own values, which go before the defaults and after exceptions. */
+    std::optional<std::chrono::milliseconds> callTimeout;
+    std::optional<int> attemptLimit;
 };
 
 } // namespace boragetrack::control::intent
--- a/packages/control/intent/SettingResolver.cpp
+++ b/packages/control/intent/SettingResolver.cpp
@@ -1,4 +1,5 @@
-/** Implements SettingResolver: the narrowest scope wins, then the latest, then the higher id. */
+/** Implements SettingResolver: the narrowest scope wins, then the latest, then the higher id. A
+    route's own values go before the defaults and after any exception. */
 #include "control/intent/SettingResolver.h"
 
 #include "control/intent/SettingCatalogue.h"
@@ -10,7 +11,10 @@
 
 EffectiveSettings SettingResolver::resolve(const Route &route) const
 {
-    EffectiveSettings settings = document_.defaults;
+    EffectiveSettings settings = ownValues(route);
+    // Most documents have no exceptions, and some have thousands of routes.
+    if (document_.exceptions.empty())
+        return settings;
     for (const SettingEntry &entry : settingCatalogue())
         entry.write(settings, explain(route, entry.name).value);
     return settings;
@@ -21,7 +25,9 @@
     const auto found = candidates(route, setting);
     if (found.empty()) {
         const SettingEntry *entry = findSetting(setting);
-        return Resolution{setting, entry->read(document_.defaults), "default", "", ""};
+        const int value = entry->read(ownValues(route));
+        const bool isOwn = value != entry->read(document_.defaults);
+        return Resolution{setting, value, isOwn ? "route" : "default", "", ""};
     }
     Resolution resolution{setting, found.front()->value, found.front()->id, found.front()->reason,
                           ""};
@@ -30,6 +36,14 @@
     return resolution;
 }
 
+EffectiveSettings SettingResolver::ownValues(const Route &route) const
+{
+    EffectiveSettings settings = document_.defaults;
+    settings.callTimeout = route.callTimeout.value_or(settings.callTimeout);
+    settings.attemptLimit = route.attemptLimit.value_or(settings.attemptLimit);
+    return settings;
+}
+
 std::vector<const IntentException *> SettingResolver::candidates(const Route &route,
                                                                  const std::string &setting) const
 {
--- a/packages/control/intent/SettingResolver.h
+++ b/packages/control/intent/SettingResolver.h
@@ -25,6 +25,9 @@
     Resolution explain(const Route &route, const std::string &setting) const;
 
 private:
+    // Returns the defaults with the route's own values in their place.
+    EffectiveSettings ownValues(const Route &route) const;
+
     // Returns the exceptions for the setting that cover the route now, the winner first.
     std::vector<const IntentException *> candidates(const Route &route,
                                                     const std::string &setting) const;
--- a/packages/control/moves/MoveCoordinator.cpp
+++ b/packages/control/moves/MoveCoordinator.cpp
@@ -23,7 +23,8 @@
 {
     std::set<std::string> followed;
     for (const intent::MoveIntent &move : document.moves) {
-        if (move.state == MoveState::TakenBack)
+        // Without a named old version, the version taken back must stay known as excluded.
+        if (move.state == MoveState::TakenBack && !move.from.isEmpty())
             continue;
         auto found = trackers_.find(move.id);
         if (found == trackers_.end())
@@ -108,7 +109,7 @@
         if (isPreferred)
             chosen = &tracker;
     }
-    return chosen == nullptr ? RouteShare{usual, {}, 0.0} : chosen->shareOf(route, now);
+    return chosen == nullptr ? RouteShare{usual, {}, 0.0, {}} : chosen->shareOf(route, now);
 }
 
 std::vector<MoveRecord> MoveCoordinator::missingRecords(WallTime now,
@@ -127,7 +128,7 @@
 {
     for (auto &[id, tracker] : trackers_) {
         const intent::MoveIntent &move = tracker.move();
-        if (move.service == service && (move.from == version || move.to == version))
+        if (move.service == service && move.concerns(version))
             return &tracker;
     }
     return nullptr;
--- a/packages/control/moves/MoveTracker.cpp
+++ b/packages/control/moves/MoveTracker.cpp
@@ -25,10 +25,10 @@
 
 void MoveTracker::observe(const EvidenceKey &key, const EvidenceCounts &delta)
 {
-    if (key.version == move_.from)
-        policy_->observeOld(key, delta);
-    else if (key.version == move_.to)
+    if (key.version == move_.to)
         policy_->observeNew(key, delta);
+    else if (move_.concerns(key.version))
+        policy_->observeOld(key, delta);
 }
 
 void MoveTracker::adopt(const std::string &evidence)
@@ -48,14 +48,14 @@
 RouteShare MoveTracker::shareOf(const core::identity::RouteName &route, WallTime now) const
 {
     if (verdict_ || move_.state == MoveState::TakenBack)
-        return RouteShare{move_.from, {}, 0.0};
+        return RouteShare{move_.from, {}, 0.0, move_.to};
     if (move_.state == MoveState::Done)
-        return RouteShare{move_.to, move_.from, 0.0};
+        return RouteShare{move_.to, move_.from, 0.0, {}};
     const double share
             = policies_.sharePolicy().sharePercent(elapsed(now), policy_->isSufficient(route));
     if (share <= 0.0)
-        return RouteShare{move_.from, {}, 0.0};
-    return RouteShare{move_.from, move_.to, share};
+        return RouteShare{move_.from, {}, 0.0, move_.to};
+    return RouteShare{move_.from, move_.to, share, {}};
 }
 
 std::optional<MoveRecord> MoveTracker::missingRecord(WallTime now, bool hasUpstream) const
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -23,6 +23,7 @@
     UpstreamDraining = 312,
     PeerMessageRefused = 320,
     PeerUnreachable = 321,
+    ListenerFailed = 330,
     MoveStopped = 400,
     MoveRecorded = 401,
     MoveRecordFailed = 402,
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -55,23 +55,32 @@
     : settings_(std::move(settings))
     , self_(selfRecord(settings_))
     , routing_(emptySnapshot())
+    , routingPolicy_(makeRoutingPolicy(settings_.usesBaselinePolicies))
+    , retryPolicy_(makeRetryPolicy(settings_.usesBaselinePolicies))
     , store_(settings_.platform, httpClient_)
     , watcher_(store_, counters_,
                [this](const std::string &text) { control_.storeValueReceived(text); })
     , recorder_(store_, settings_.node, counters_)
     , control_({settings_, self_, controlThread_, watcher_, recorder_, routing_, revisions_,
                 counters_})
-    , links_({settings_.node, control::membership::processIdOf(self_), settings_.peers, control_,
-              control_, routing_, admissionPolicy(settings_.usesBaselinePolicies),
+    , links_({settings_.node,
+              control::membership::processIdOf(self_),
+              settings_.peers,
+              settings_.callers,
+              {},
+              dialect_,
+              control_,
+              control_,
+              routing_,
+              admissionPolicy(settings_.usesBaselinePolicies),
+              *routingPolicy_,
+              *retryPolicy_,
+              {},
               [this](const control::moves::CallEvidence &evidence) {
                   control_.callEnded(evidence);
               },
               counters_})
-    , routingPolicy_(makeRoutingPolicy(settings_.usesBaselinePolicies))
-    , retryPolicy_(makeRetryPolicy(settings_.usesBaselinePolicies))
-    , callerHandler_({routing_, links_, *routingPolicy_, *retryPolicy_, counters_})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
-    , callerServer_(settings_.callers, callerHandler_)
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
 
@@ -90,8 +99,6 @@
     recorder_.start();
     if (const absl::Status status = operatorServer_.start(); !status.ok())
         return status;
-    if (const absl::Status status = callerServer_.start(); !status.ok())
-        return status;
     core::events::logEvent(EventCode::NodeStarted, "node started",
                            {{"node", settings_.node.value()},
                             {"dataCentre", settings_.dataCentre.value()},
@@ -105,13 +112,12 @@
 {
     core::events::logEvent(EventCode::NodeStopping, "node stopping");
     watcher_.requestStop();
-    callerHandler_.refuseNewCalls();
+    links_.stopCallers(true);
     control_.leave();
-    callerHandler_.activeCalls().waitUntilNone(drainTime);
+    links_.awaitQuietCallers({}, drainTime);
     std::this_thread::sleep_for(departureNotice);
     const bool isDrained = links_.drain(drainTime);
-    const bool isQuiet = callerHandler_.activeCalls().waitUntilNone(drainTime);
-    callerServer_.stop();
+    const bool isQuiet = links_.awaitQuietCallers({}, drainTime);
     operatorServer_.stop();
     control_.stop();
     controlThread_.stop();
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -1,10 +1,10 @@
 /** A node as a whole. */
 #pragma once
 
-#include "daemon/frontends/CallerHandler.h"
 #include "daemon/frontends/OperatorHandler.h"
 #include "daemon/service/ControlService.h"
 #include "daemon/settings/NodeSettings.h"
+#include "transport/dialect/OwnDialect.h"
 #include "transport/http/HttpConfigStore.h"
 #include "transport/http/HttpServer.h"
 #include "transport/http/UlfiusClient.h"
@@ -37,17 +37,16 @@
     core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_;
     service::RevisionBoard revisions_;
     service::ControlThread controlThread_;
+    std::unique_ptr<traffic::routing::RoutingPolicy> routingPolicy_;
+    std::unique_ptr<traffic::retry::RetryPolicy> retryPolicy_;
+    transport::dialect::OwnDialect dialect_;
     transport::http::UlfiusClient httpClient_;
     transport::http::HttpConfigStore store_;
     service::StoreWatcher watcher_;
     service::MoveRecorder recorder_;
     service::ControlService control_;
     transport::links::LinkThread links_;
-    std::unique_ptr<traffic::routing::RoutingPolicy> routingPolicy_;
-    std::unique_ptr<traffic::retry::RetryPolicy> retryPolicy_;
-    frontends::CallerHandler callerHandler_;
     frontends::OperatorHandler operatorHandler_;
-    transport::http::HttpServer callerServer_;
     transport::http::HttpServer operatorServer_;
 };
 
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -280,8 +280,10 @@
     if (!isViewStale_ || !plane_)
         return;
     isViewStale_ = false;
-    const auto shareOf
-            = [this](const control::intent::Route &route) { return plane_->shareOf(route); };
+    const auto shareOf = [this](const control::intent::Route &route,
+                                const core::identity::ServiceName &service) {
+        return plane_->shareOf(route, service);
+    };
     parts_.routing.publish(traffic::routing::buildRoutingSnapshot(
             plane_->snapshot(), plane_->membership().table(), plane_->membership().self(), shareOf,
             ramp_, plane_->followsMoves(), parts_.thread.now()));
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -105,7 +105,7 @@
         for (const auto &route : plane.snapshot()->document().routes) {
             if (route.service != move.service)
                 continue;
-            const auto share = plane.shareOf(route);
+            const auto share = plane.shareOf(route, route.service);
             const bool isNewPrimary = share.primary == move.to;
             entry["sharePercent"][route.name.value()]
                     = isNewPrimary ? 100.0 : share.secondaryPercent;
--- a/packages/traffic/calls/CallAnswer.h
+++ b/packages/traffic/calls/CallAnswer.h
@@ -7,6 +7,8 @@
 #include "traffic/calls/HeaderField.h"
 #include "traffic/calls/LoadReport.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,10 @@
     std::string body;
     /** Why there is no answer. */
     std::string reason;
+    /** When the caller may try again with a chance; only for calls that did not run. */
+    std::optional<std::chrono::milliseconds> retryAfter;
+    /** Whether the request was sent to the upstream, even if that refused it. */
+    bool reachedUpstream = false;
     /** The node that holds the claim, when outcome is Claimed. */
     core::identity::NodeId claimHolder;
     /** The version that ran the call. */
--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -16,6 +16,8 @@
 /** Holds a caller's request and what the system decided about it. */
 struct CallRequest
 {
+    /** The caller's own name for this request; empty without one. */
+    std::string requestId;
     std::string method;
     /** Path and query. */
     std::string target;
@@ -25,8 +27,14 @@
     core::identity::ServiceName service;
     /** The version that routing chose. */
     core::identity::VersionName version;
+    /** The service on whose VM the call began. */
+    core::identity::ServiceName callerService;
     /** Whether the call may run more than once. */
     bool isIdempotent = false;
+    /** The rank among calls when there is not room for all; 0 is the most urgent. */
+    int priority = 0;
+    /** What remains of the time within which an answer is worth most; may be negative. */
+    std::chrono::microseconds objective{0};
     core::identity::IdempotencyKey key;
     /** The time that is left. */
     std::chrono::microseconds budget{0};
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -17,6 +17,7 @@
     : shared_(shared)
     , snapshot_(std::move(snapshot))
     , target_(target)
+    , share_(target.shareOf(request.service))
     , request_(std::move(request))
     , random_(random)
     , isNestedRepeat_(request_.attempt > 1)
@@ -26,7 +27,7 @@
 {
     deadline_ = now + request_.budget;
     shared_.retries.callBegan(target_.entry.settings.retryBudgetPercent);
-    request_.version = drawVersion();
+    isTrial_ = std::uniform_real_distribution<>(0.0, 100.0)(random_) < share_.secondaryPercent;
     last_ = CallAnswer::notRun("no upstream of service '" + request_.service.value()
                                + "' takes new work");
     return nextAttempt(now);
@@ -75,9 +76,9 @@
     current_ = endpoint;
     tried_.insert(endpoint.node);
     ++attempts_;
+    request_.version = endpoint.version;
     SendAttempt step{endpoint, request_};
     step.request.attempt = isNestedRepeat_ ? request_.attempt : attempts_;
-    step.request.version = endpoint.version;
     // An idempotent call keeps time for another attempt in case this endpoint stays silent.
     const int attemptsLeft = target_.entry.settings.attemptLimit - attempts_ + 1;
     const bool isDivided = request_.isIdempotent && !isNestedRepeat_ && attemptsLeft > 1;
@@ -94,11 +95,11 @@
 std::vector<Candidate> CallPlan::candidates(MonotonicTime now) const
 {
     const auto &endpoints = snapshot_->endpointsOf(request_.service);
-    const auto collect = [&](const core::identity::VersionName &version, bool mayBeTried) {
+    const auto collect = [&](auto isWanted, bool mayBeTried) {
         std::vector<Candidate> found;
         for (const Endpoint &endpoint : endpoints) {
-            const bool isEligible = endpoint.version == version
-                                    && (mayBeTried || !tried_.contains(endpoint.node));
+            const bool isEligible
+                    = isWanted(endpoint.version) && (mayBeTried || !tried_.contains(endpoint.node));
             if (isEligible)
                 found.push_back(Candidate{&endpoint, shared_.loads.load(endpoint.node, now),
                                           endpoint.dataCentre == snapshot_->dataCentre});
@@ -106,25 +107,20 @@
         return found;
     };
     // During a move either version may serve; a repeat prefers the primary one.
-    const auto &share = target_.share;
-    const auto &chosen = attempts_ == 0 ? request_.version : share.primary;
-    std::vector<Candidate> found = collect(chosen, false);
-    if (found.empty() && chosen != share.primary)
-        found = collect(share.primary, false);
-    if (found.empty() && !share.secondary.isEmpty())
-        found = collect(share.secondary, false);
+    const auto isPrimary = [&](const auto &version) { return share_.isPrimary(version); };
+    const auto isSecondary = [&](const auto &version) { return share_.isSecondary(version); };
+    const bool prefersSecondary = attempts_ == 0 && isTrial_;
+    std::vector<Candidate> found
+            = prefersSecondary ? collect(isSecondary, false) : collect(isPrimary, false);
+    if (found.empty() && prefersSecondary)
+        found = collect(isPrimary, false);
     if (found.empty())
-        found = collect(share.primary, true);
+        found = collect(isSecondary, false);
+    if (found.empty())
+        found = collect(isPrimary, true);
     return found;
 }
 
-core::identity::VersionName CallPlan::drawVersion()
-{
-    const auto &share = target_.share;
-    const double point = std::uniform_real_distribution<>(0.0, 100.0)(random_);
-    return point < share.secondaryPercent ? share.secondary : share.primary;
-}
-
 std::chrono::microseconds CallPlan::remaining(MonotonicTime now) const
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(
--- a/packages/traffic/retry/CallPlan.h
+++ b/packages/traffic/retry/CallPlan.h
@@ -45,16 +45,18 @@
     PlanStep sendTo(const routing::Endpoint &endpoint, core::timing::MonotonicTime now);
     PlanStep finish(const calls::CallAnswer &answer) const;
     std::vector<routing::Candidate> candidates(core::timing::MonotonicTime now) const;
-    core::identity::VersionName drawVersion();
     std::chrono::microseconds remaining(core::timing::MonotonicTime now) const;
 
     Shared shared_;
     std::shared_ptr<const routing::RoutingSnapshot> snapshot_;
     const routing::RouteTarget &target_;
+    const control::moves::RouteShare &share_;
     calls::CallRequest request_;
     std::mt19937_64 &random_;
     core::timing::MonotonicTime deadline_{};
     bool isNestedRepeat_;
+    // Whether the first attempt goes to the secondary version.
+    bool isTrial_ = false;
     int attempts_ = 0;
     bool wentToHolder_ = false;
     routing::Endpoint current_;
--- a/packages/traffic/routing/RoutingSnapshot.cpp
+++ b/packages/traffic/routing/RoutingSnapshot.cpp
@@ -5,9 +5,10 @@
 
 namespace boragetrack::traffic::routing {
 
-const RouteTarget *RoutingSnapshot::targetFor(const std::string &path) const
+const RouteTarget *RoutingSnapshot::targetFor(const std::string &host,
+                                              const std::string &path) const
 {
-    const control::intent::RouteEntry *entry = intent->routeFor(path);
+    const control::intent::RouteEntry *entry = intent->routeFor(host, path);
     return entry == nullptr ? nullptr
                             : &targets[static_cast<std::size_t>(entry - intent->routes().data())];
 }
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -30,8 +30,9 @@
     /** All members, for keeping claims; a draining upstream's node still keeps claims. */
     std::vector<Registrar> registrars;
 
-    /** Returns what a path's calls can go to, or null without a route. */
-    const RouteTarget *targetFor(const std::string &path) const;
+    /** Returns what the calls of a path can go to, or null without a route.
+        @param host the host that the caller named, without a port */
+    const RouteTarget *targetFor(const std::string &host, const std::string &path) const;
 
     /** Returns a route's target by name, or null. */
     const RouteTarget *targetNamed(const core::identity::RouteName &name) const;
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -24,6 +24,17 @@
     return intended * ramp.weightOf(record.dataCentre, now);
 }
 
+RouteTarget targetOf(const control::intent::RouteEntry &entry, const ShareQuery &shareOf)
+{
+    const control::intent::Route &route = entry.route;
+    if (route.split.empty())
+        return RouteTarget{entry, shareOf(route, route.service), {}};
+    RouteTarget target{entry, {}, {}};
+    for (const auto &part : route.split)
+        target.splitShares.push_back(shareOf(route, part.service));
+    return target;
+}
+
 void addMember(RoutingSnapshot &snapshot, const MemberRecord &record, double weight)
 {
     snapshot.registrars.push_back(Registrar{record.id, control::membership::processIdOf(record),
@@ -50,8 +61,9 @@
     snapshot->dataCentre = self.dataCentre;
     snapshot->isServing
             = intent->revision() != core::identity::Revision{} && self.state == MemberState::Alive;
+    snapshot->targets.reserve(intent->routes().size());
     for (const auto &entry : intent->routes())
-        snapshot->targets.push_back(RouteTarget{entry, shareOf(entry.route)});
+        snapshot->targets.push_back(targetOf(entry, shareOf));
     for (const auto &[id, record] : members.records()) {
         if (isMember(record))
             addMember(*snapshot, record, weightOf(*snapshot, record, ramp, now));
--- a/packages/traffic/routing/RoutingSnapshotBuilder.h
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -9,8 +9,9 @@
 
 namespace boragetrack::traffic::routing {
 
-/** Returns how a route's calls divide between versions now. */
-using ShareQuery = std::function<control::moves::RouteShare(const control::intent::Route &)>;
+/** Returns how a route's calls to a service divide between versions now. */
+using ShareQuery = std::function<control::moves::RouteShare(const control::intent::Route &,
+                                                            const core::identity::ServiceName &)>;
 
 /** Returns one consistent view for traffic threads. */
 std::shared_ptr<const RoutingSnapshot>
--- /dev/null
+++ b/packages/transport/callers/CallBuilder.cpp
@@ -0,0 +1,43 @@
+/** Implements the making of calls. */
+#include "transport/callers/CallBuilder.h"
+
+#include "traffic/calls/CallHeaders.h"
+#include "transport/http/MessageWriter.h"
+
+namespace boragetrack::transport::callers {
+
+using traffic::calls::CallRequest;
+
+CallRequest buildCall(const http::RequestHead &head, const dialect::CallDescription &description,
+                      const control::intent::RouteEntry &entry, std::chrono::nanoseconds waited)
+{
+    const auto &route = entry.route;
+    CallRequest call;
+    call.requestId = description.requestId;
+    call.method = head.method;
+    call.target = head.target;
+    call.headers = http::forwardedHeaders(head.headers);
+    call.route = route.name;
+    call.isIdempotent = route.isIdempotent || description.hasSafeMethod;
+    call.priority = route.priority;
+    call.key = description.key;
+    const std::chrono::milliseconds allowed = entry.settings.callTimeout;
+    const auto left = std::min(allowed, description.timeLeft.value_or(allowed));
+    call.budget = std::chrono::duration_cast<std::chrono::microseconds>(left - waited);
+    call.objective = std::chrono::duration_cast<std::chrono::microseconds>(route.latencyObjective
+                                                                           - waited);
+    call.hops = description.hops;
+    call.attempt = description.attempt;
+    return call;
+}
+
+std::optional<std::string> obstacleTo(const CallRequest &call)
+{
+    if (call.hops > traffic::calls::maximumHops)
+        return "calls are nested deeper than " + std::to_string(traffic::calls::maximumHops);
+    if (call.budget <= std::chrono::microseconds::zero())
+        return "the deadline is over";
+    return std::nullopt;
+}
+
+} // namespace boragetrack::transport::callers
--- /dev/null
+++ b/packages/transport/callers/CallerServer.cpp
@@ -0,0 +1,183 @@
+/** Implements CallerServer. */
+#include "transport/callers/CallerServer.h"
+
+#include "transport/callers/CallBuilder.h"
+
+namespace boragetrack::transport::callers {
+
+using core::timing::MonotonicTime;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::retry::CallPlan;
+using traffic::retry::PlanStep;
+using traffic::retry::SendAttempt;
+using traffic::routing::RouteTarget;
+using traffic::routing::RoutingSnapshot;
+
+namespace {
+
+constexpr int noRouteStatus = 404;
+constexpr int tooLargeStatus = 413;
+// Request bodies are held whole, so that a call can be sent a second time.
+constexpr std::size_t heldBodyBytes = std::size_t{1024} * 1024;
+
+MonotonicTime currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string pathOf(const std::string &target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+/** One call from its request to its answer. */
+class CallerServer::Call
+{
+public:
+    Call(CallerServer &server, http::ServerExchange &exchange)
+        : server_(server)
+        , exchange_(exchange)
+        , description_(server.parts_.dialect.describe(exchange.head()))
+        , snapshot_(server.parts_.routing.current())
+        , arrivedAt_(currentTime())
+    {
+        ++server_.activeCalls_;
+    }
+    ~Call()
+    {
+        --server_.activeCalls_;
+        server_.lastAnswerAt_ = currentTime();
+    }
+    Call(const Call &) = delete;
+    Call &operator=(const Call &) = delete;
+
+    kj::Promise<void> run()
+    {
+        if (server_.refusesCalls_)
+            return answer(CallAnswer::notRun("the node is stopping"));
+        if (!snapshot_->isServing)
+            return answer(CallAnswer::notRun("the node has no intent yet"));
+        target_ = snapshot_->targetFor(description_.host, pathOf(exchange_.head().target));
+        if (target_ == nullptr)
+            return answerNoRoute();
+        return exchange_.readBodyUpTo(heldBodyBytes).then([this](http::BodyPiece &&body) {
+            if (!body.isLast)
+                return answerTooLarge();
+            CallRequest request = makeRequest(std::move(body.bytes));
+            if (const auto obstacle = obstacleTo(request))
+                return answer(CallAnswer::notRun(*obstacle));
+            plan_.emplace(CallPlan::Shared{server_.parts_.routingPolicy, server_.parts_.retryPolicy,
+                                           server_.loads_},
+                          snapshot_, *target_, std::move(request), server_.random_);
+            return perform(plan_->start(currentTime()));
+        });
+    }
+
+private:
+    kj::Promise<void> perform(PlanStep step)
+    {
+        auto *attempt = std::get_if<SendAttempt>(&step);
+        if (attempt == nullptr)
+            return answer(std::get<CallAnswer>(std::move(step)));
+        server_.attempts_.add();
+        return server_.parts_.sender
+                .send(attempt->endpoint.node, attempt->endpoint.address, attempt->request)
+                .then([this](CallAnswer &&ended) {
+                    return perform(plan_->attemptEnded(ended, currentTime()));
+                });
+    }
+
+    CallRequest makeRequest(std::string body)
+    {
+        const auto &route = target_->entry.route;
+        CallRequest call = buildCall(exchange_.head(), description_, target_->entry,
+                                     currentTime() - arrivedAt_);
+        call.body = std::move(body);
+        call.service = route.split.empty() ? route.service : drawService(route);
+        call.callerService = server_.parts_.service;
+        return call;
+    }
+
+    core::identity::ServiceName drawService(const control::intent::Route &route)
+    {
+        double total = 0.0;
+        for (const auto &part : route.split)
+            total += part.weight;
+        double point = std::uniform_real_distribution<>(0.0, total)(server_.random_);
+        for (const auto &part : route.split) {
+            point -= part.weight;
+            if (point < 0.0)
+                return part.service;
+        }
+        return route.split.back().service;
+    }
+
+    kj::Promise<void> answerNoRoute()
+    {
+        CallAnswer none = CallAnswer::notRun("no route covers " + pathOf(exchange_.head().target));
+        none.status = noRouteStatus;
+        return answer(std::move(none));
+    }
+
+    kj::Promise<void> answerTooLarge()
+    {
+        exchange_.closeAfterAnswer();
+        return exchange_.answer(http::ResponseHead{tooLargeStatus, {}}, "request body too large\n");
+    }
+
+    kj::Promise<void> answer(CallAnswer answer)
+    {
+        const dialect::CallDialect &dialect = server_.parts_.dialect;
+        if (server_.isStopping_)
+            exchange_.closeAfterAnswer();
+        if (answer.outcome == CallOutcome::Answered)
+            return exchange_.answer(
+                    http::ResponseHead{answer.status, dialect.answerHeaders(answer)},
+                    std::move(answer.body));
+        (answer.outcome == CallOutcome::NotRun ? server_.refusals_ : server_.unknowns_).add();
+        return exchange_.answer(dialect.refusalHead(answer), answer.reason + "\n");
+    }
+
+    CallerServer &server_;
+    http::ServerExchange &exchange_;
+    dialect::CallDescription description_;
+    std::shared_ptr<const RoutingSnapshot> snapshot_;
+    MonotonicTime arrivedAt_;
+    const RouteTarget *target_ = nullptr;
+    std::optional<CallPlan> plan_;
+};
+
+CallerServer::CallerServer(Parts parts)
+    : parts_(std::move(parts))
+    , calls_(parts_.counters.counter("calls"))
+    , attempts_(parts_.counters.counter("call_attempts"))
+    , refusals_(parts_.counters.counter("calls_not_run"))
+    , unknowns_(parts_.counters.counter("calls_unknown"))
+{}
+
+kj::Promise<void> CallerServer::handle(http::ServerExchange &exchange)
+{
+    calls_.add();
+    auto call = kj::heap<Call>(*this, exchange);
+    auto running = call->run();
+    return running.attach(kj::mv(call));
+}
+
+http::ServerLimits CallerServer::limits() const
+{
+    const auto &limits = parts_.routing.current()->intent->document().callerLimits;
+    return http::ServerLimits{
+            {limits.headerBytes, limits.bodyBytes}, limits.headerTimeout, limits.idleTimeout};
+}
+
+void CallerServer::stop(bool refusesCalls)
+{
+    isStopping_ = true;
+    refusesCalls_ = refusesCalls;
+}
+
+} // namespace boragetrack::transport::callers
--- /dev/null
+++ b/packages/transport/callers/CallerServer.h
@@ -0,0 +1,67 @@
+/** The callers' side of a node. */
+#pragma once
+
+#include "core/concurrency/Published.h"
+#include "core/counters/CounterRegistry.h"
+#include "traffic/retry/CallPlan.h"
+#include "traffic/routing/RoutingSnapshot.h"
+#include "transport/dialect/CallDialect.h"
+#include "transport/http/ExchangeHandler.h"
+#include "transport/links/CallSender.h"
+
+#include <random>
+
+namespace boragetrack::transport::callers {
+
+/** Takes callers' requests, performs the attempts that a CallPlan decides and hands back the
+    answer; lives on the traffic thread. */
+class CallerServer : public http::ExchangeHandler
+{
+public:
+    /** What a caller server works with; all references outlive it. */
+    struct Parts
+    {
+        const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
+        const dialect::CallDialect &dialect;
+        links::CallSender &sender;
+        traffic::routing::RoutingPolicy &routingPolicy;
+        traffic::retry::RetryPolicy &retryPolicy;
+        /** The service on this node's VM. */
+        core::identity::ServiceName service;
+        core::counters::CounterRegistry &counters;
+    };
+
+    explicit CallerServer(Parts parts);
+
+    kj::Promise<void> handle(http::ServerExchange &exchange) override;
+    http::ServerLimits limits() const override;
+    bool isStopping() const override { return isStopping_; }
+
+    /** Closes connections after their next answer from here on. @param refusesCalls whether new
+        calls are refused as not run, or still served */
+    void stop(bool refusesCalls);
+
+    /** Returns the calls that were read and not answered. */
+    int activeCalls() const { return activeCalls_; }
+
+    /** Returns when the last call was answered. */
+    core::timing::MonotonicTime lastAnswerAt() const { return lastAnswerAt_; }
+
+private:
+    class Call;
+
+    Parts parts_;
+    traffic::routing::LoadBoard loads_;
+    std::mt19937_64 random_{std::random_device{}()};
+    bool isStopping_ = false;
+    bool refusesCalls_ = false;
+    // Invariant: not negative.
+    int activeCalls_ = 0;
+    core::timing::MonotonicTime lastAnswerAt_{};
+    core::counters::Counter &calls_;
+    core::counters::Counter &attempts_;
+    core::counters::Counter &refusals_;
+    core::counters::Counter &unknowns_;
+};
+
+} // namespace boragetrack::transport::callers
--- /dev/null
+++ b/packages/transport/dialect/OwnDialect.cpp
@@ -0,0 +1,113 @@
+/** Implements OwnDialect. */
+#include "transport/dialect/OwnDialect.h"
+
+#include "traffic/calls/CallHeaders.h"
+#include "transport/http/MessageWriter.h"
+
+#include <array>
+#include <cstdlib>
+
+namespace boragetrack::transport::dialect {
+
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::calls::HeaderField;
+
+namespace {
+
+constexpr int notRunStatus = 503;
+constexpr int unknownStatus = 504;
+constexpr int notFoundStatus = 404;
+
+// Headers that the serving side sets itself.
+constexpr std::array ownHeaders{"Host", traffic::calls::deadlineHeader,
+                                traffic::calls::hopCountHeader, traffic::calls::attemptHeader};
+
+bool isSafeMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+// Returns the number in a header, or the default when the header is absent or not a number.
+long numberIn(const http::HeaderList &headers, const char *name, long missing)
+{
+    const std::string *text = http::findHeader(headers, name);
+    if (text == nullptr || text->empty())
+        return missing;
+    char *end = nullptr;
+    const long number = std::strtol(text->c_str(), &end, 10);
+    return *end != '\0' ? missing : number;
+}
+
+bool isOwn(const std::string &name)
+{
+    for (const char *own : ownHeaders) {
+        if (http::isSameName(name, own))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+CallDescription OwnDialect::describe(const http::RequestHead &head) const
+{
+    CallDescription description;
+    if (const long left = numberIn(head.headers, traffic::calls::deadlineHeader, -1); left >= 0)
+        description.timeLeft = std::chrono::milliseconds(left);
+    if (const std::string *key
+        = http::findHeader(head.headers, traffic::calls::idempotencyKeyHeader))
+        description.key = core::identity::IdempotencyKey(*key);
+    description.hasSafeMethod = isSafeMethod(head.method);
+    description.hops
+            = static_cast<int>(numberIn(head.headers, traffic::calls::hopCountHeader, 0)) + 1;
+    description.attempt
+            = static_cast<int>(numberIn(head.headers, traffic::calls::attemptHeader, 1));
+    return description;
+}
+
+http::ResponseHead OwnDialect::refusalHead(const CallAnswer &answer) const
+{
+    const bool isNotRun = answer.outcome == CallOutcome::NotRun;
+    http::ResponseHead head{isNotRun ? notRunStatus : unknownStatus, {}};
+    if (isNotRun && answer.status == notFoundStatus)
+        head.status = notFoundStatus;
+    head.headers.push_back({traffic::calls::outcomeHeader, isNotRun ? "not-run" : "unknown"});
+    head.headers.push_back({traffic::calls::reasonHeader, answer.reason});
+    return head;
+}
+
+http::HeaderList OwnDialect::answerHeaders(const CallAnswer &answer) const
+{
+    http::HeaderList headers = answer.headers;
+    headers.push_back(HeaderField{traffic::calls::versionHeader, answer.version.value()});
+    if (answer.isFailure())
+        headers.push_back(HeaderField{traffic::calls::outcomeHeader, "ran-and-failed"});
+    return headers;
+}
+
+http::HeaderList OwnDialect::upstreamHeaders(const CallRequest &request,
+                                             const serving::UpstreamStatus &upstream) const
+{
+    http::HeaderList headers{{"Host", upstream.address.toString()}};
+    for (const HeaderField &field : request.headers) {
+        if (!isOwn(field.name))
+            headers.push_back(field);
+    }
+    headers.push_back(
+            {traffic::calls::deadlineHeader, std::to_string(request.budget.count() / 1000)});
+    headers.push_back({traffic::calls::hopCountHeader, std::to_string(request.hops)});
+    headers.push_back({traffic::calls::attemptHeader, std::to_string(request.attempt)});
+    return headers;
+}
+
+UpstreamVerdict OwnDialect::judge(const http::ResponseHead &head,
+                                  const CallRequest & /*request*/) const
+{
+    const bool isShed = head.status == notRunStatus
+                        && http::findHeader(head.headers, traffic::calls::shedHeader) != nullptr;
+    return isShed ? UpstreamVerdict::NotRun : UpstreamVerdict::Answered;
+}
+
+} // namespace boragetrack::transport::dialect
--- /dev/null
+++ b/packages/transport/http/HandlerPart.h
@@ -0,0 +1,35 @@
+/** Serves HTTP on the traffic thread. */
+#pragma once
+
+#include "transport/http/ServerListener.h"
+#include "transport/links/LoopPart.h"
+
+#include <optional>
+
+namespace boragetrack::transport::http {
+
+/** Listens on an address for as long as the traffic thread runs. */
+class HandlerPart : public links::LoopPart
+{
+public:
+    /** @param handler outlives the part */
+    HandlerPart(core::identity::NetworkAddress address, ExchangeHandler &handler)
+        : address_(std::move(address))
+        , handler_(handler)
+    {}
+
+    absl::Status start(links::LoopContext &context) override
+    {
+        listener_.emplace(context.network, context.timer, handler_);
+        return listener_->listen(address_, context.scope);
+    }
+
+    void stop() override { listener_.reset(); }
+
+private:
+    core::identity::NetworkAddress address_;
+    ExchangeHandler &handler_;
+    std::optional<ServerListener> listener_;
+};
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/http/RequestHead.h
@@ -0,0 +1,19 @@
+/** The start line and headers of a request. */
+#pragma once
+
+#include "transport/http/HeaderLookup.h"
+
+#include <string>
+
+namespace boragetrack::transport::http {
+
+/** Holds everything of a request but its body. */
+struct RequestHead
+{
+    std::string method;
+    /** Path and query, as received. */
+    std::string target;
+    HeaderList headers;
+};
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/http/ServerConnection.cpp
@@ -0,0 +1,106 @@
+/** Implements ServerConnection. */
+#include "transport/http/ServerConnection.h"
+
+#include "transport/http/MessageWriter.h"
+
+namespace boragetrack::transport::http {
+
+namespace {
+
+constexpr int requestTimeout = 408;
+// Input that is read and dropped before a connection is closed: a close with unread input resets
+// the connection, and the client may lose the answer.
+constexpr std::size_t discardedBytes = 256 * 1024;
+constexpr kj::Duration discardTime = 500 * kj::MILLISECONDS;
+
+kj::Duration toKj(std::chrono::nanoseconds time)
+{
+    return time.count() * kj::NANOSECONDS;
+}
+
+} // namespace
+
+kj::Promise<void> ServerConnection::run()
+{
+    return awaitRequest();
+}
+
+kj::Promise<void> ServerConnection::awaitRequest()
+{
+    if (handler_.isStopping() && stream_.bytes().empty())
+        return close();
+    const ServerLimits limits = handler_.limits();
+    reader_.setLimits(limits.message);
+    if (!stream_.bytes().empty())
+        return readRequest();
+    // The wait itself is not a read that could be cut short: the bytes stay in the stream.
+    return stream_.more()
+            .then([]() { return true; })
+            .exclusiveJoin(timer_.afterDelay(toKj(limits.idleTimeout)).then([]() { return false; }))
+            .then([this](bool hasInput) -> kj::Promise<void> {
+                const bool isOver = !hasInput || (stream_.isEnded() && stream_.bytes().empty());
+                return isOver ? close() : readRequest();
+            });
+}
+
+kj::Promise<void> ServerConnection::readRequest()
+{
+    const MessageFault overdue{requestTimeout, "the request's head is overdue"};
+    return reader_.readHead()
+            .exclusiveJoin(
+                    timer_.afterDelay(toKj(handler_.limits().headerTimeout)).then([overdue]() {
+                        return Reader::HeadResult(overdue);
+                    }))
+            .then([this](Reader::HeadResult &&result) -> kj::Promise<void> {
+                if (auto *head = std::get_if<RequestHead>(&result))
+                    return serve(std::move(*head));
+                if (auto *fault = std::get_if<MessageFault>(&result))
+                    return refuse(*fault);
+                return close();
+            });
+}
+
+kj::Promise<void> ServerConnection::serve(RequestHead head)
+{
+    exchange_ = kj::heap<ServerExchange>(std::move(head), reader_, stream_);
+    return handler_.handle(*exchange_)
+            .then([]() { return false; })
+            .exclusiveJoin(stream_.whenEnded().then([]() { return true; }))
+            .then([this](bool hasClientLeft) { return finish(hasClientLeft); });
+}
+
+kj::Promise<void> ServerConnection::finish(bool hasClientLeft)
+{
+    const bool mayContinue
+            = !hasClientLeft && exchange_->isAnswered() && exchange_->keepsConnection();
+    exchange_ = nullptr;
+    if (mayContinue)
+        return awaitRequest();
+    return hasClientLeft ? kj::Promise<void>(kj::READY_NOW) : close();
+}
+
+kj::Promise<void> ServerConnection::refuse(const MessageFault &fault)
+{
+    auto text = kj::heap<std::string>(toText(handler_.answerTo(fault), 0, false));
+    auto written = stream_.write(kj::arrayPtr(text->data(), text->size())).attach(kj::mv(text));
+    return written.then([this]() { return close(); });
+}
+
+kj::Promise<void> ServerConnection::close()
+{
+    if (stream_.isEnded())
+        return kj::READY_NOW;
+    stream_.shutdownWrite();
+    return discardInput(discardedBytes).exclusiveJoin(timer_.afterDelay(discardTime));
+}
+
+kj::Promise<void> ServerConnection::discardInput(std::size_t budget)
+{
+    const std::size_t held = stream_.bytes().size();
+    stream_.consume(held);
+    if (stream_.isEnded() || held >= budget)
+        return kj::READY_NOW;
+    return stream_.more().then([this, budget, held]() { return discardInput(budget - held); });
+}
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/http/ServerListener.cpp
@@ -0,0 +1,74 @@
+/** Implements ServerListener. */
+#include "transport/http/ServerListener.h"
+
+#include "core/events/EventLog.h"
+
+namespace boragetrack::transport::http {
+
+namespace {
+// How long accepting pauses when all connections are in use.
+constexpr kj::Duration fullPause = 20 * kj::MILLISECONDS;
+} // namespace
+
+/** Counts one open connection for the length of a scope. */
+class ServerListener::ScopedCount
+{
+public:
+    explicit ScopedCount(std::size_t &count)
+        : count_(count)
+    {
+        ++count_;
+    }
+    ~ScopedCount() { --count_; }
+    ScopedCount(const ScopedCount &) = delete;
+    ScopedCount &operator=(const ScopedCount &) = delete;
+
+private:
+    std::size_t &count_;
+};
+
+absl::Status ServerListener::listen(const core::identity::NetworkAddress &address,
+                                    kj::WaitScope &scope)
+{
+    try {
+        auto parsed = network_.parseAddress(address.toString()).wait(scope);
+        receiver_ = parsed->listen();
+    } catch (const kj::Exception &exception) {
+        return absl::UnavailableError("cannot listen on " + address.toString() + ": "
+                                      + exception.getDescription().cStr());
+    }
+    tasks_.add(acceptNext());
+    return absl::OkStatus();
+}
+
+kj::Promise<void> ServerListener::acceptNext()
+{
+    if (connections_ >= maximumConnections)
+        return timer_.afterDelay(fullPause).then([this]() { return acceptNext(); });
+    return receiver_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+        serve(kj::mv(stream));
+        return acceptNext();
+    });
+}
+
+void ServerListener::serve(kj::Own<kj::AsyncIoStream> stream)
+{
+    auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_);
+    auto running = connection->run();
+    auto count = kj::heap<ScopedCount>(connections_);
+    tasks_.add(running.catch_([](kj::Exception && /*exception*/) {
+                          // A client that resets its connection needs no answer.
+                      })
+                       .attach(kj::mv(connection))
+                       .attach(kj::mv(count)));
+}
+
+void ServerListener::taskFailed(kj::Exception &&exception)
+{
+    core::events::logEvent(core::events::EventCode::ListenerFailed, "listener failed",
+                           {{"error", exception.getDescription().cStr()}});
+    // Accepting may fail for want of descriptors; it goes on after a pause.
+    tasks_.add(timer_.afterDelay(fullPause).then([this]() { return acceptNext(); }));
+}
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/http/ServerListener.h
@@ -0,0 +1,47 @@
+/** An address on which HTTP is served. */
+#pragma once
+
+#include "core/identity/NetworkAddress.h"
+#include "transport/http/ServerConnection.h"
+
+#include <absl/status/status.h>
+
+namespace boragetrack::transport::http {
+
+/** Accepts connections on the traffic thread and serves each until its end. */
+class ServerListener : private kj::TaskSet::ErrorHandler
+{
+public:
+    /** Connections at once; further ones wait to be accepted. */
+    static constexpr std::size_t maximumConnections = 1500;
+
+    /** @param network, @param timer and @param handler outlive the listener */
+    ServerListener(kj::Network &network, kj::Timer &timer, ExchangeHandler &handler)
+        : network_(network)
+        , timer_(timer)
+        , handler_(handler)
+        , tasks_(*this)
+    {}
+
+    /** Begins to listen. @returns Unavailable when the address can not be used */
+    absl::Status listen(const core::identity::NetworkAddress &address, kj::WaitScope &scope);
+
+    /** Returns the connections that are open. */
+    std::size_t connections() const { return connections_; }
+
+private:
+    class ScopedCount;
+
+    kj::Promise<void> acceptNext();
+    void serve(kj::Own<kj::AsyncIoStream> stream);
+    void taskFailed(kj::Exception &&exception) override;
+
+    kj::Network &network_;
+    kj::Timer &timer_;
+    ExchangeHandler &handler_;
+    kj::Own<kj::ConnectionReceiver> receiver_;
+    std::size_t connections_ = 0;
+    kj::TaskSet tasks_;
+};
+
+} // namespace boragetrack::transport::http
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -6,6 +6,8 @@
 #include "transport/links/PeerLinks.h"
 #include "transport/links/PeerServer.h"
 
+#include "transport/http/ServerListener.h"
+
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
@@ -39,24 +41,49 @@
 } // namespace
 
 /** Everything that lives on the link thread. */
-class LinkThread::Loop : private kj::TaskSet::ErrorHandler
+class LinkThread::Loop : private CallSender, private kj::TaskSet::ErrorHandler
 {
 public:
     Loop(Parts &parts, kj::AsyncIoContext &io)
         : timer_(io.provider->getTimer())
         , counters_(parts.counters)
         , links_(io.provider->getNetwork(), timer_, counters_)
-        , gate_(serving::UpstreamGate::Parts{
-                  parts.self, parts.process, links_, io.provider->getNetwork(), timer_,
-                  parts.routing, std::move(parts.admission), parts.evidence, parts.counters})
+        , gate_(serving::UpstreamGate::Parts{parts.self, parts.process, links_,
+                                             io.provider->getNetwork(), timer_, parts.dialect,
+                                             parts.routing, std::move(parts.admission),
+                                             parts.evidence, parts.counters})
+        , callers_(callers::CallerServer::Parts{parts.routing, parts.dialect, *this,
+                                                parts.routingPolicy, parts.retryPolicy,
+                                                parts.service, parts.counters})
+        , callerListener_(io.provider->getNetwork(), timer_, callers_)
         , server_(kj::heap<PeerServer>(parts.requests, gate_))
+        , self_(parts.self)
+        , parts_(parts.loopParts)
         , tasks_(*this)
     {}
 
-    void listen(kj::Own<kj::ConnectionReceiver> listener)
+    ~Loop() noexcept
+    {
+        for (LoopPart *part : parts_)
+            part->stop();
+    }
+
+    absl::Status start(const Parts &parts, kj::AsyncIoContext &io)
     {
-        listener_ = kj::mv(listener);
+        LoopContext context{io.provider->getNetwork(), timer_, io.waitScope};
+        try {
+            auto address = context.network.parseAddress(parts.listen.toString()).wait(io.waitScope);
+            listener_ = address->listen();
+        } catch (const kj::Exception &exception) {
+            return absl::UnavailableError("cannot listen on " + parts.listen.toString() + ": "
+                                          + exception.getDescription().cStr());
+        }
         tasks_.add(acceptNext());
+        for (LoopPart *part : parts_) {
+            if (const absl::Status status = part->start(context); !status.ok())
+                return status;
+        }
+        return callerListener_.listen(parts.callers, io.waitScope);
     }
 
     // Runs a task to its end; its failure is an answer in itself and needs no report.
@@ -67,6 +94,18 @@
 
     PeerLinks &links() { return links_; }
     serving::UpstreamGate &gate() { return gate_; }
+    callers::CallerServer &callers() { return callers_; }
+
+    kj::Promise<bool> callersQuiet(std::chrono::milliseconds quietTime, kj::TimePoint limit)
+    {
+        const bool isQuiet
+                = callers_.activeCalls() == 0
+                  && std::chrono::steady_clock::now() - callers_.lastAnswerAt() >= quietTime;
+        if (isQuiet || timer_.now() >= limit)
+            return isQuiet;
+        return timer_.afterDelay(drainCheckInterval.count() * kj::MILLISECONDS)
+                .then([this, quietTime, limit]() { return callersQuiet(quietTime, limit); });
+    }
 
     kj::Promise<bool> drained(kj::TimePoint limit)
     {
@@ -82,6 +121,15 @@
     }
 
 private:
+    kj::Promise<CallAnswer> send(const NodeId &node, const NetworkAddress &address,
+                                 const CallRequest &request) override
+    {
+        auto answer = node == self_ ? gate_.serve(request) : links_.call(address, request);
+        return answer.catch_([](kj::Exception &&exception) {
+            return CallAnswer::unknown(exception.getDescription().cStr());
+        });
+    }
+
     kj::Promise<void> acceptNext()
     {
         return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
@@ -113,8 +161,12 @@
     LinkCounters counters_;
     PeerLinks links_;
     serving::UpstreamGate gate_;
+    callers::CallerServer callers_;
+    http::ServerListener callerListener_;
     wire::schema::Peer::Client server_;
     kj::Own<kj::ConnectionReceiver> listener_;
+    NodeId self_;
+    std::vector<LoopPart *> parts_;
     kj::TaskSet tasks_;
 };
 
@@ -147,15 +199,8 @@
 {
     kj::AsyncIoContext io = kj::setupAsyncIo();
     Loop loop(parts_, io);
-    try {
-        auto address = io.provider->getNetwork()
-                               .parseAddress(parts_.listen.toString())
-                               .wait(io.waitScope);
-        loop.listen(address->listen());
-    } catch (const kj::Exception &exception) {
-        started.set_value(absl::UnavailableError(std::string("cannot listen on ")
-                                                 + parts_.listen.toString() + ": "
-                                                 + exception.getDescription().cStr()));
+    if (const absl::Status status = loop.start(parts_, io); !status.ok()) {
+        started.set_value(status);
         return;
     }
     loop_ = &loop;
@@ -165,34 +210,28 @@
 }
 
 //==============================================================================
-CallAnswer LinkThread::call(const NodeId &node, const NetworkAddress &address,
-                            const CallRequest &request)
+void LinkThread::setUpstream(const std::optional<serving::UpstreamStatus> &status)
 {
-    auto promise = std::make_shared<std::promise<CallAnswer>>();
-    auto answer = promise->get_future();
-    const bool isPosted = mailbox_.post([this, node, address, request, promise]() {
-        auto answered = node == parts_.self ? loop_->gate().serve(request)
-                                            : loop_->links().call(address, request);
-        loop_->add(answered.then(
-                [promise](CallAnswer &&value) { promise->set_value(std::move(value)); },
-                [promise](kj::Exception &&exception) {
-                    promise->set_value(CallAnswer::unknown(exception.getDescription().cStr()));
-                }));
-    });
-    if (!isPosted)
-        return CallAnswer::notRun("the node is stopping");
-    // Without an own reference, the end of the loop breaks the promise instead of blocking here.
-    promise.reset();
-    try {
-        return answer.get();
-    } catch (const std::future_error &) {
-        return CallAnswer::unknown("the node stopped");
-    }
+    mailbox_.post([this, status]() { loop_->gate().setUpstream(status); });
 }
 
-void LinkThread::setUpstream(const std::optional<serving::UpstreamStatus> &status)
+void LinkThread::stopCallers(bool refusesCalls)
 {
-    mailbox_.post([this, status]() { loop_->gate().setUpstream(status); });
+    mailbox_.post([this, refusesCalls]() { loop_->callers().stop(refusesCalls); });
+}
+
+bool LinkThread::awaitQuietCallers(std::chrono::milliseconds quietTime,
+                                   std::chrono::milliseconds timeout)
+{
+    auto promise = std::make_shared<std::promise<bool>>();
+    auto quiet = promise->get_future();
+    const bool isPosted = mailbox_.post([this, quietTime, timeout, promise]() {
+        loop_->add(
+                loop_->callersQuiet(quietTime, loop_->after(timeout)).then([promise](bool isQuiet) {
+                    promise->set_value(isQuiet);
+                }));
+    });
+    return !isPosted || quiet.get();
 }
 
 bool LinkThread::drain(std::chrono::milliseconds timeout)
--- a/packages/transport/links/LinkThread.h
+++ b/packages/transport/links/LinkThread.h
@@ -1,4 +1,4 @@
-/** The thread that carries all traffic between nodes and to the upstream. */
+/** The thread that carries all traffic: of callers, between nodes and to the upstream. */
 #pragma once
 
 #include "control/distribution/PeerTransport.h"
@@ -6,6 +6,9 @@
 #include "core/counters/CounterRegistry.h"
 #include "traffic/admission/AdmissionPolicy.h"
 #include "traffic/routing/RoutingSnapshot.h"
+#include "transport/callers/CallerServer.h"
+#include "transport/dialect/CallDialect.h"
+#include "transport/links/LoopPart.h"
 #include "transport/links/Mailbox.h"
 #include "transport/links/PeerEventSink.h"
 #include "transport/links/PeerRequestHandler.h"
@@ -20,7 +23,8 @@
 
 namespace boragetrack::transport::links {
 
-/** Runs the event loop with the peer listener, the links and the serving side of a node. */
+/** Runs the event loop with the callers' listener, the peer listener, the links, the serving side
+    of a node and further parts. */
 class LinkThread : public control::distribution::PeerTransport
 {
 public:
@@ -30,10 +34,18 @@
         core::identity::NodeId self;
         core::identity::NodeId process;
         core::identity::NetworkAddress listen;
+        core::identity::NetworkAddress callers;
+        /** The service on this node's VM, for upstreams that want to know who calls. */
+        core::identity::ServiceName service;
+        const dialect::CallDialect &dialect;
         PeerRequestHandler &requests;
         PeerEventSink &events;
         const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
+        traffic::routing::RoutingPolicy &routingPolicy;
+        traffic::retry::RetryPolicy &retryPolicy;
+        /** Further parts that work on the loop. */
+        std::vector<LoopPart *> loopParts;
         serving::UpstreamGate::EvidenceSink evidence;
         core::counters::CounterRegistry &counters;
     };
@@ -48,18 +60,24 @@
     void stop();
 
     //==============================================================================
-    /** Returns the answer to a call that goes to an endpoint; blocks the calling thread. */
-    traffic::calls::CallAnswer call(const core::identity::NodeId &node,
-                                    const core::identity::NetworkAddress &address,
-                                    const traffic::calls::CallRequest &request);
-
     /** Passes on what is known of the upstream beside this node. */
     void setUpstream(const std::optional<serving::UpstreamStatus> &status);
 
+    /** Closes callers' connections after their next answer. @param refusesCalls whether new calls
+        are refused as not run from here on, or still served */
+    void stopCallers(bool refusesCalls);
+
+    /** Waits until no caller waits for an answer and none came for a while.
+        @returns whether that came within the time */
+    bool awaitQuietCallers(std::chrono::milliseconds quietTime, std::chrono::milliseconds timeout);
+
     /** Refuses new calls for the upstream and waits until those taken are answered.
         @returns whether all were answered within the time */
     bool drain(std::chrono::milliseconds timeout);
 
+    /** Runs a task on the loop. @returns false when the loop has ended */
+    bool post(Mailbox::Task task) { return mailbox_.post(std::move(task)); }
+
     //==============================================================================
     void sendExchange(const control::distribution::PeerContact &peer,
                       const control::distribution::Exchange &exchange) override;
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -1,66 +1,47 @@
 /** Implements UpstreamClient. */
 #include "transport/serving/UpstreamClient.h"
 
-#include "traffic/calls/CallHeaders.h"
+#include "transport/http/MessageWriter.h"
 
-#include <array>
-#include <kj/debug.h>
-#include <strings.h>
+#include <cstdlib>
 
 namespace boragetrack::transport::serving {
 
+using core::timing::MonotonicTime;
+using dialect::UpstreamVerdict;
 using traffic::calls::CallAnswer;
 using traffic::calls::CallOutcome;
 using traffic::calls::CallRequest;
-using traffic::calls::HeaderField;
 
 namespace {
 
-constexpr int serviceUnavailable = 503;
-
-// Headers that belong to one connection, or that this side sets itself.
-constexpr std::array connectionHeaders{"Connection",
-                                       "Content-Length",
-                                       "Expect",
-                                       "Host",
-                                       "Keep-Alive",
-                                       "Transfer-Encoding",
-                                       "Upgrade",
-                                       "TE",
-                                       "Trailer",
-                                       traffic::calls::deadlineHeader,
-                                       traffic::calls::hopCountHeader,
-                                       traffic::calls::attemptHeader};
-
-bool isForwarded(const char *name)
+// The upstream may close an idle connection while a request is on its way to it.
+constexpr std::chrono::milliseconds idleMargin{1000};
+
+MonotonicTime currentTime()
 {
-    for (const char *excluded : connectionHeaders) {
-        if (strcasecmp(name, excluded) == 0)
-            return false;
-    }
-    return true;
+    return std::chrono::steady_clock::now();
 }
 
-kj::HttpMethod methodOf(const std::string &name)
+kj::Duration toKj(std::chrono::nanoseconds time)
 {
-    KJ_IF_MAYBE (method, kj::tryParseHttpMethod(name.c_str()))
-        return *method;
-    KJ_FAIL_REQUIRE("unknown HTTP method", name.c_str());
+    return time.count() * kj::NANOSECONDS;
 }
 
-bool isShed(const CallAnswer &answer)
+// Returns how long the upstream keeps an idle connection, less a margin.
+std::chrono::milliseconds keptFor(const http::HeaderList &headers)
 {
-    if (answer.status != serviceUnavailable)
-        return false;
-    for (const HeaderField &field : answer.headers) {
-        if (strcasecmp(field.name.c_str(), traffic::calls::shedHeader) == 0)
-            return true;
-    }
-    return false;
+    const std::string *keepAlive = http::findHeader(headers, "Keep-Alive");
+    const std::size_t at = keepAlive == nullptr ? std::string::npos : keepAlive->find("timeout=");
+    if (at == std::string::npos)
+        return UpstreamClient::idleTime;
+    const std::chrono::seconds told(std::atol(keepAlive->c_str() + at + 8));
+    return std::max(std::chrono::milliseconds::zero(), told - idleMargin);
 }
 
 } // namespace
 
+/** Counts one call under way for the length of a scope. */
 class UpstreamClient::ScopedSlot
 {
 public:
@@ -77,10 +58,105 @@
     int &busy_;
 };
 
-UpstreamClient::UpstreamClient(kj::Network &network, kj::Timer &timer)
+/** One call on one connection. */
+class UpstreamClient::Exchange
+{
+public:
+    Exchange(UpstreamClient &client, Connection connection, const CallRequest &request,
+             const UpstreamStatus &upstream)
+        : client_(client)
+        , connection_(kj::mv(connection))
+        , request_(request)
+        , text_(http::toText(http::RequestHead{request.method, request.target,
+                                               client.dialect_.upstreamHeaders(request, upstream)},
+                             request.body.size())
+                + request.body)
+    {}
+
+    kj::Promise<CallAnswer> run()
+    {
+        // The answer may come before the body is written, and reading must not wait for that.
+        auto written = connection_->stream()
+                               .write(kj::arrayPtr(text_.data(), text_.size()))
+                               .then([this]() { isWritten_ = true; })
+                               .catch_([](kj::Exception && /*exception*/) {
+                                   // A broken connection shows in the reading as well.
+                               })
+                               .eagerlyEvaluate(nullptr);
+        return readAnswer().attach(kj::mv(written));
+    }
+
+private:
+    kj::Promise<CallAnswer> readAnswer()
+    {
+        return connection_->reader().readHead().then(
+                [this](http::MessageReader<http::ResponseHead>::HeadResult &&result)
+                        -> kj::Promise<CallAnswer> {
+                    if (auto *head = std::get_if<http::ResponseHead>(&result))
+                        return readBody(std::move(*head));
+                    if (auto *fault = std::get_if<http::MessageFault>(&result))
+                        return lost("the upstream's answer is malformed: " + fault->reason);
+                    return lost("the upstream closed the connection without an answer");
+                });
+    }
+
+    kj::Promise<CallAnswer> readBody(http::ResponseHead head)
+    {
+        return connection_->reader()
+                .readBodyUpTo(maximumAnswerBytes)
+                .then(
+                        [this, head = std::move(head)](
+                                http::BodyPiece &&body) mutable -> kj::Promise<CallAnswer> {
+                            if (!body.isLast)
+                                return lost("the upstream's answer is too large");
+                            return judge(std::move(head), std::move(body.bytes));
+                        },
+                        [this](kj::Exception &&exception) -> kj::Promise<CallAnswer> {
+                            return lost(exception.getDescription().cStr());
+                        });
+    }
+
+    kj::Promise<CallAnswer> judge(http::ResponseHead head, std::string body)
+    {
+        const UpstreamVerdict verdict = client_.dialect_.judge(head, request_);
+        if (verdict == UpstreamVerdict::Foreign)
+            return readAnswer();
+        CallAnswer answer;
+        answer.outcome = verdict == UpstreamVerdict::Answered ? CallOutcome::Answered
+                                                              : CallOutcome::NotRun;
+        answer.reachedUpstream = true;
+        answer.status = head.status;
+        if (verdict == UpstreamVerdict::NotRun)
+            answer.reason = "the upstream refused the request";
+        if (verdict == UpstreamVerdict::WrongInstance)
+            answer.reason = "another process has the upstream's address";
+        answer.body = std::move(body);
+        answer.headers = http::forwardedHeaders(head.headers);
+        const bool isReusable = isWritten_ && connection_->reader().message().keepsConnection();
+        if (isReusable)
+            client_.release(kj::mv(connection_), head.headers);
+        return kj::mv(answer);
+    }
+
+    static CallAnswer lost(std::string reason)
+    {
+        CallAnswer answer = CallAnswer::unknown(std::move(reason));
+        answer.reachedUpstream = true;
+        return answer;
+    }
+
+    UpstreamClient &client_;
+    Connection connection_;
+    const CallRequest &request_;
+    std::string text_;
+    bool isWritten_ = false;
+};
+
+UpstreamClient::UpstreamClient(kj::Network &network, kj::Timer &timer,
+                               const dialect::CallDialect &dialect)
     : network_(network)
     , timer_(timer)
-    , headerTable_(kj::HttpHeaderTable::Builder().build())
+    , dialect_(dialect)
 {}
 
 void UpstreamClient::setAddress(const core::identity::NetworkAddress &address)
@@ -91,25 +167,30 @@
     forgetConnections();
 }
 
-kj::Promise<CallAnswer> UpstreamClient::send(const CallRequest &request)
+kj::Promise<CallAnswer> UpstreamClient::send(const CallRequest &request,
+                                             const UpstreamStatus &upstream)
 {
     if (busy_ >= maximumConnections)
         return CallAnswer::notRun("all connections to the upstream are in use");
     auto slot = kj::heap<ScopedSlot>(busy_);
-    const auto budget = request.budget.count() * kj::MICROSECONDS;
-    auto message = kj::heap<CallRequest>(request);
-    CallRequest &call = *message;
-    auto sent = acquire().then(
-            [this, &call](Connection connection) { return sendOver(kj::mv(connection), call); },
+    const auto budget = toKj(request.budget);
+    auto answer = acquire().then(
+            [this, &request, upstream](Connection connection) {
+                auto exchange = kj::heap<Exchange>(*this, kj::mv(connection), request, upstream);
+                auto running = exchange->run();
+                return running.attach(kj::mv(exchange));
+            },
             [](kj::Exception &&exception) {
                 // Nothing was written without a connection.
                 return CallAnswer::notRun(exception.getDescription().cStr());
             });
-    return timer_.timeoutAfter(budget, kj::mv(sent))
+    return timer_.timeoutAfter(budget, kj::mv(answer))
             .catch_([](kj::Exception && /*exception*/) {
-                return CallAnswer::unknown("the upstream did not answer in time");
+                CallAnswer late = CallAnswer::unknown("the upstream did not answer in time");
+                late.reachedUpstream = true;
+                return late;
             })
-            .attach(kj::mv(message), kj::mv(slot));
+            .attach(kj::mv(slot));
 }
 
 kj::Promise<UpstreamClient::Connection> UpstreamClient::acquire()
@@ -117,79 +198,29 @@
     while (!idle_.empty()) {
         Connection connection = kj::mv(idle_.back());
         idle_.pop_back();
-        if (!connection->isClosedByPeer())
+        if (connection->isReusable(currentTime()))
             return kj::mv(connection);
     }
+    return timer_.timeoutAfter(toKj(connectTimeout), connect());
+}
+
+kj::Promise<UpstreamClient::Connection> UpstreamClient::connect()
+{
+    ++connectionsOpened_;
     return network_.parseAddress(address_.toString())
             .then([](kj::Own<kj::NetworkAddress> &&parsed) {
                 auto promise = parsed->connect();
                 return promise.attach(kj::mv(parsed));
             })
-            .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-                return kj::heap<UpstreamConnection>(kj::mv(stream), *headerTable_);
+            .then([](kj::Own<kj::AsyncIoStream> &&stream) {
+                return kj::heap<UpstreamConnection>(kj::mv(stream));
             });
 }
 
-kj::Promise<CallAnswer> UpstreamClient::sendOver(Connection connection, const CallRequest &request)
+void UpstreamClient::release(Connection connection, const http::HeaderList &headers)
 {
-    const kj::HttpHeaders headers = headersOf(request);
-    UpstreamConnection &held = *connection;
-    auto http = held.client->request(methodOf(request.method), request.target.c_str(), headers,
-                                     request.body.size());
-    kj::Promise<void> written = kj::READY_NOW;
-    if (!request.body.empty())
-        written = http.body->write(request.body.data(), request.body.size());
-    return written
-            .then([body = kj::mv(http.body), response = kj::mv(http.response)]() mutable {
-                // The body stream must be gone before the response is complete.
-                body = nullptr;
-                return kj::mv(response);
-            })
-            .then([this](kj::HttpClient::Response &&response) { return receive(response); })
-            .then([this, connection = kj::mv(connection)](CallAnswer &&answer) mutable {
-                if (answer.outcome != CallOutcome::Unknown)
-                    idle_.push_back(kj::mv(connection));
-                return kj::mv(answer);
-            })
-            .catch_([](kj::Exception &&exception) {
-                return CallAnswer::unknown(exception.getDescription().cStr());
-            });
-}
-
-kj::Promise<CallAnswer> UpstreamClient::receive(kj::HttpClient::Response &response)
-{
-    CallAnswer answer;
-    answer.outcome = CallOutcome::Answered;
-    answer.status = static_cast<int>(response.statusCode);
-    response.headers->forEach([&](kj::StringPtr name, kj::StringPtr value) {
-        if (isForwarded(name.cStr()))
-            answer.headers.push_back(HeaderField{name.cStr(), value.cStr()});
-    });
-    if (isShed(answer)) {
-        answer.outcome = CallOutcome::NotRun;
-        answer.reason = "the upstream shed the request";
-    }
-    auto body = response.body->readAllBytes(maximumAnswerBytes);
-    return body.attach(kj::mv(response.body))
-            .then([answer = kj::mv(answer)](kj::Array<kj::byte> &&bytes) mutable {
-                answer.body.assign(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
-                return kj::mv(answer);
-            });
-}
-
-kj::HttpHeaders UpstreamClient::headersOf(const CallRequest &request) const
-{
-    kj::HttpHeaders headers(*headerTable_);
-    for (const HeaderField &field : request.headers) {
-        if (isForwarded(field.name.c_str()))
-            headers.add(kj::heapString(field.name.c_str()), kj::heapString(field.value.c_str()));
-    }
-    const auto milliseconds = request.budget.count() / 1000;
-    headers.set(kj::HttpHeaderId::HOST, kj::heapString(address_.toString().c_str()));
-    headers.add(kj::heapString(traffic::calls::deadlineHeader), kj::str(milliseconds));
-    headers.add(kj::heapString(traffic::calls::hopCountHeader), kj::str(request.hops));
-    headers.add(kj::heapString(traffic::calls::attemptHeader), kj::str(request.attempt));
-    return headers;
+    connection->becomeIdle(currentTime(), keptFor(headers));
+    idle_.push_back(kj::mv(connection));
 }
 
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -1,63 +1,70 @@
-/** Sends calls to the upstream. */
+/** Sends calls to the upstream beside this node. */
 #pragma once
 
 #include "core/identity/NetworkAddress.h"
 #include "traffic/calls/CallAnswer.h"
 #include "traffic/calls/CallRequest.h"
+#include "transport/dialect/CallDialect.h"
 #include "transport/serving/UpstreamConnection.h"
 
 #include <kj/async-io.h>
-#include <kj/compat/http.h>
 #include <kj/timer.h>
 #include <vector>
 
 namespace boragetrack::transport::serving {
 
 /**
-    Keeps keep-alive connections to the upstream beside this node; lives on the link thread.
+    Keeps connections to the upstream and sends each call exactly once.
 
-    A request is written to one connection once and never again, whatever happens to it: whether it
-    may be repeated is decided elsewhere, from the outcome reported here.
+    A call is never sent again here: a client library that repeats a request when a reused
+    connection breaks would run a deposit twice.
 */
 class UpstreamClient
 {
 public:
-    /** Connections at once that an upstream accepts. */
+    /** The upstream's limit of connections from all sides. */
     static constexpr int maximumConnections = 110;
     /** The largest answer that is passed on, in bytes. */
-    static constexpr std::uint64_t maximumAnswerBytes = 4'194'304;
+    static constexpr std::size_t maximumAnswerBytes = std::size_t{4} * 1024 * 1024;
+    /** The time to connect; the upstream runs on the same VM. */
+    static constexpr std::chrono::milliseconds connectTimeout{300};
+    /** How long an idle connection is used again when the upstream does not say. */
+    static constexpr std::chrono::milliseconds idleTime{4000};
 
-    UpstreamClient(kj::Network &network, kj::Timer &timer);
+    /** @param network, @param timer and @param dialect outlive the client */
+    UpstreamClient(kj::Network &network, kj::Timer &timer, const dialect::CallDialect &dialect);
 
-    /** Sets the upstream's address and drops idle connections to a former one. */
+    /** Sets where the upstream listens; connections to a former address are dropped. */
     void setAddress(const core::identity::NetworkAddress &address);
 
-    /** Drops idle connections, which lead to a process that is gone. */
+    /** Drops all idle connections, for instance after a restart of the upstream. */
     void forgetConnections() { idle_.clear(); }
 
     /** Returns the answer to a call; never rejects. Dropping the promise closes the connection,
-        which tells the upstream to cancel. */
-    kj::Promise<traffic::calls::CallAnswer> send(const traffic::calls::CallRequest &request);
+        which tells the upstream to stop. */
+    kj::Promise<traffic::calls::CallAnswer> send(const traffic::calls::CallRequest &request,
+                                                 const UpstreamStatus &upstream);
 
-private:
-    using Connection = kj::Own<UpstreamConnection>;
+    /** Returns connections opened so far. */
+    std::uint64_t connectionsOpened() const { return connectionsOpened_; }
 
-    /** Counts a connection as open for the length of a scope. */
+private:
     class ScopedSlot;
+    class Exchange;
+    using Connection = kj::Own<UpstreamConnection>;
 
     kj::Promise<Connection> acquire();
-    kj::Promise<traffic::calls::CallAnswer> sendOver(Connection connection,
-                                                     const traffic::calls::CallRequest &request);
-    kj::Promise<traffic::calls::CallAnswer> receive(kj::HttpClient::Response &response);
-    kj::HttpHeaders headersOf(const traffic::calls::CallRequest &request) const;
+    kj::Promise<Connection> connect();
+    void release(Connection connection, const http::HeaderList &headers);
 
     kj::Network &network_;
     kj::Timer &timer_;
-    kj::Own<kj::HttpHeaderTable> headerTable_;
+    const dialect::CallDialect &dialect_;
     core::identity::NetworkAddress address_;
     std::vector<Connection> idle_;
-    // Invariant: at most maximumConnections, idle ones not counted.
+    // Invariant: calls that were begun and have not ended.
     int busy_ = 0;
+    std::uint64_t connectionsOpened_ = 0;
 };
 
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamConnection.cpp
+++ b/packages/transport/serving/UpstreamConnection.cpp
@@ -1,20 +1,23 @@
 /** Implements UpstreamConnection. */
 #include "transport/serving/UpstreamConnection.h"
 
-#include <cerrno>
-#include <sys/socket.h>
-
 namespace boragetrack::transport::serving {
 
-bool UpstreamConnection::isClosedByPeer() const
+void UpstreamConnection::becomeIdle(core::timing::MonotonicTime now,
+                                    std::chrono::milliseconds keptFor)
+{
+    reusableUntil_ = now + keptFor;
+    watch();
+}
+
+bool UpstreamConnection::isReusable(core::timing::MonotonicTime now) const
+{
+    return !stream_.isEnded() && stream_.bytes().empty() && now < reusableUntil_;
+}
+
+void UpstreamConnection::watch()
 {
-    KJ_IF_MAYBE (descriptor, stream->getFd()) {
-        char byte = 0;
-        // An idle connection has nothing to read but its end.
-        const ssize_t length = ::recv(*descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return length >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-    return false;
+    watching_ = stream_.more().eagerlyEvaluate(nullptr);
 }
 
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -100,7 +100,7 @@
 
 UpstreamGate::UpstreamGate(Parts parts)
     : parts_(std::move(parts))
-    , upstream_(parts_.network, parts_.timer)
+    , upstream_(parts_.network, parts_.timer, parts_.dialect)
     , claims_(parts_.links, *this, parts_.self)
     , queue_(std::move(parts_.admission), limits_)
     , callsRun_(parts_.counters.counter("upstream_calls_run"))
@@ -300,9 +300,12 @@
 kj::Promise<CallAnswer> UpstreamGate::send(CallRequest &request, kj::Own<ScopedAdmission> admission)
 {
     callsRun_.add();
+    if (!status_)
+        return CallAnswer::notRun("the upstream is gone");
     const MonotonicTime begun = currentTime();
-    return upstream_.send(request).then(
-            [this, &request, begun, admission = kj::mv(admission)](CallAnswer &&answer) mutable {
+    return upstream_.send(request, *status_)
+            .then([this, &request, begun,
+                   admission = kj::mv(admission)](CallAnswer &&answer) mutable {
                 noteEnd(request, answer, currentTime() - begun, *admission);
                 answer.version = request.version;
                 return kj::mv(answer);
@@ -332,8 +335,9 @@
 
 std::optional<std::string> UpstreamGate::obstacleFor(const CallRequest &request) const
 {
-    if (!status_ || status_->record.service != request.service
-        || status_->record.version != request.version)
+    if (!status_ || status_->record.service != request.service)
+        return "no upstream of the asked service runs beside this node";
+    if (status_->record.version != request.version)
         return "no upstream of the asked version runs beside this node";
     if (status_->record.state != control::membership::UpstreamState::Serving)
         return "the upstream is draining";
@@ -343,9 +347,7 @@
     if (dataCentre != nullptr && dataCentre->isOut)
         return "the data centre is out";
     const auto *target = snapshot->targetNamed(request.route);
-    const bool isExcluded = target != nullptr && target->share.primary != request.version
-                            && target->share.secondary != request.version;
-    if (isExcluded)
+    if (target != nullptr && !target->shareOf(request.service).mayServe(request.version))
         return "the version takes no calls";
     return std::nullopt;
 }
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -41,6 +41,7 @@
         links::PeerLinks &links;
         kj::Network &network;
         kj::Timer &timer;
+        const dialect::CallDialect &dialect;
         const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
         EvidenceSink evidence;
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -62,6 +62,10 @@
     message.setBudgetMicros(static_cast<std::uint64_t>(request.budget.count()));
     message.setHops(static_cast<std::uint16_t>(request.hops));
     message.setAttempt(static_cast<std::uint16_t>(request.attempt));
+    message.setRequestId(request.requestId);
+    message.setCallerService(request.callerService.value());
+    message.setPriority(static_cast<std::uint16_t>(request.priority));
+    message.setObjectiveMicros(request.objective.count());
 }
 
 CallRequest decode(schema::CallRequest::Reader message)
@@ -79,6 +83,10 @@
     request.budget = std::chrono::microseconds(message.getBudgetMicros());
     request.hops = message.getHops();
     request.attempt = message.getAttempt();
+    request.requestId = message.getRequestId();
+    request.callerService = core::identity::ServiceName(message.getCallerService());
+    request.priority = message.getPriority();
+    request.objective = std::chrono::microseconds(message.getObjectiveMicros());
     return request;
 }
 
@@ -95,6 +103,9 @@
     message.setInFlight(static_cast<std::uint16_t>(answer.load.inFlight));
     message.setQueued(static_cast<std::uint16_t>(answer.load.queued));
     message.setLimit(static_cast<std::uint16_t>(answer.load.limit));
+    if (answer.retryAfter)
+        message.setRetryAfterMillis(static_cast<std::int32_t>(answer.retryAfter->count()));
+    message.setReachedUpstream(answer.reachedUpstream);
 }
 
 CallAnswer decode(schema::CallAnswer::Reader message)
@@ -109,6 +120,9 @@
     answer.version = core::identity::VersionName(message.getVersion());
     answer.load = traffic::calls::LoadReport{message.getInFlight(), message.getQueued(),
                                              message.getLimit()};
+    if (message.getRetryAfterMillis() >= 0)
+        answer.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
+    answer.reachedUpstream = message.getReachedUpstream();
     return answer;
 }
 
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -22,6 +22,10 @@
   budgetMicros @9 :UInt64;
   hops @10 :UInt16;
   attempt @11 :UInt16;
+  requestId @12 :Text;
+  callerService @13 :Text;
+  priority @14 :UInt16;
+  objectiveMicros @15 :Int64;
 }
 
 struct CallAnswer {
@@ -35,6 +39,9 @@
   inFlight @7 :UInt16;
   queued @8 :UInt16;
   limit @9 :UInt16;
+  # Negative when the answer does not say when to come back.
+  retryAfterMillis @10 :Int32 = -1;
+  reachedUpstream @11 :Bool;
 }
 
 struct Address {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -76,7 +76,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 3, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -586,6 +586,16 @@
 
   inline  ::uint16_t getAttempt() const;
 
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasCallerService() const;
+  inline  ::capnp::Text::Reader getCallerService() const;
+
+  inline  ::uint16_t getPriority() const;
+
+  inline  ::int64_t getObjectiveMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -682,6 +692,26 @@
   inline  ::uint16_t getAttempt();
   inline void setAttempt( ::uint16_t value);
 
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline bool hasCallerService();
+  inline  ::capnp::Text::Builder getCallerService();
+  inline void setCallerService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
+  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
+
+  inline  ::uint16_t getPriority();
+  inline void setPriority( ::uint16_t value);
+
+  inline  ::int64_t getObjectiveMicros();
+  inline void setObjectiveMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -750,6 +780,10 @@
 
   inline  ::uint16_t getLimit() const;
 
+  inline  ::int32_t getRetryAfterMillis() const;
+
+  inline bool getReachedUpstream() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -828,6 +862,12 @@
   inline  ::uint16_t getLimit();
   inline void setLimit( ::uint16_t value);
 
+  inline  ::int32_t getRetryAfterMillis();
+  inline void setRetryAfterMillis( ::int32_t value);
+
+  inline bool getReachedUpstream();
+  inline void setReachedUpstream(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3302,6 +3342,102 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallRequest::Reader::hasRequestId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasRequestId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool CallRequest::Reader::hasCallerService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasCallerService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getCallerService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setCallerService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initCallerService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptCallerService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t CallRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t CallRequest::Builder::getPriority() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setPriority( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t CallRequest::Reader::getObjectiveMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CallRequest::Builder::getObjectiveMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setObjectiveMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t CallAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3542,6 +3678,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int32_t CallAnswer::Reader::getRetryAfterMillis() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t CallAnswer::Builder::getRetryAfterMillis() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+inline void CallAnswer::Builder::setRetryAfterMillis( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline bool CallAnswer::Reader::getReachedUpstream() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallAnswer::Builder::getReachedUpstream() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void CallAnswer::Builder::setReachedUpstream(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Address::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/scenarios/ScenarioRunner.cpp
+++ b/tests/scenarios/ScenarioRunner.cpp
@@ -195,7 +195,7 @@
     commands_["expect-share"] = [this](const Words &words) {
         for (const std::string &name : select(words.at(0))) {
             const auto &routes = world_.plane(name)->snapshot()->document().routes;
-            const auto share = world_.plane(name)->shareOf(routes.at(0));
+            const auto share = world_.plane(name)->shareOf(routes.at(0), routes.at(0).service);
             const bool isPrimary = share.primary.value() == words.at(1);
             const double percent = isPrimary ? 100.0 - share.secondaryPercent
                                    : share.secondary.value() == words.at(1) ? share.secondaryPercent
--- a/tests/unit/IntentParserTest.cpp
+++ b/tests/unit/IntentParserTest.cpp
@@ -76,7 +76,7 @@
     ASSERT_TRUE(read);
     const control::intent::IntentSnapshot snapshot(core::identity::Revision(1), *read,
                                                    core::identity::DataCentreId("ikeja"), {});
-    EXPECT_EQ(snapshot.routeFor("/payments/deposits/7")->route.name.value(), "deposits");
-    EXPECT_EQ(snapshot.routeFor("/payments/other")->route.name.value(), "all");
-    EXPECT_EQ(snapshot.routeFor("/paymentsX"), nullptr);
+    EXPECT_EQ(snapshot.routeFor("", "/payments/deposits/7")->route.name.value(), "deposits");
+    EXPECT_EQ(snapshot.routeFor("", "/payments/other")->route.name.value(), "all");
+    EXPECT_EQ(snapshot.routeFor("", "/paymentsX"), nullptr);
 }
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -1,8 +1,8 @@
 /** Tests settings, announcements and the callers' protocol against bad input. */
 #include "daemon/frontends/Announcement.h"
-#include "daemon/frontends/CallerProtocol.h"
 #include "daemon/settings/SettingsReader.h"
-#include "traffic/calls/CallHeaders.h"
+#include "transport/callers/CallBuilder.h"
+#include "transport/dialect/OwnDialect.h"
 
 #include <gmock/gmock.h>
 
@@ -77,34 +77,38 @@
 TEST(CallerProtocol, tellsTheThreeRefusalsApart)
 {
     using traffic::calls::CallAnswer;
-    EXPECT_EQ(daemon::frontends::responseFrom(CallAnswer::notRun("x")).status, 503);
-    EXPECT_EQ(daemon::frontends::responseFrom(CallAnswer::unknown("x")).status, 504);
+    const transport::dialect::OwnDialect dialect;
+    EXPECT_EQ(dialect.refusalHead(CallAnswer::notRun("x")).status, 503);
+    EXPECT_EQ(dialect.refusalHead(CallAnswer::unknown("x")).status, 504);
     CallAnswer failed;
     failed.outcome = traffic::calls::CallOutcome::Answered;
     failed.status = 500;
-    const auto response = daemon::frontends::responseFrom(failed);
-    EXPECT_EQ(response.status, 500);
-    EXPECT_EQ(response.headers.back().value, "ran-and-failed");
+    EXPECT_EQ(dialect.answerHeaders(failed).back().value, "ran-and-failed");
 }
 
 TEST(CallerProtocol, carriesDeadlineHopsAndAttemptAlong)
 {
-    traffic::routing::RouteTarget target;
-    target.entry.settings.callTimeout = std::chrono::milliseconds(800);
-    transport::http::HttpRequest request{"POST", "/x", {}, {}};
-    request.headers = {{"x-deadline-ms", "300"},
-                       {"X-Hop-Count", "15"},
-                       {"X-Boragetrack-Attempt", "2"},
-                       {"Idempotency-Key", "k"}};
-    const auto call = daemon::frontends::callFrom(request, target);
+    using transport::callers::obstacleTo;
+    const transport::dialect::OwnDialect dialect;
+    control::intent::RouteEntry entry;
+    entry.settings.callTimeout = std::chrono::milliseconds(800);
+    transport::http::RequestHead head{"POST", "/x", {}};
+    const auto build = [&]() {
+        return transport::callers::buildCall(head, dialect.describe(head), entry, {});
+    };
+    head.headers = {{"x-deadline-ms", "300"},
+                    {"X-Hop-Count", "15"},
+                    {"X-Boragetrack-Attempt", "2"},
+                    {"Idempotency-Key", "k"}};
+    const auto call = build();
     EXPECT_EQ(call.budget, std::chrono::milliseconds(300));
     EXPECT_EQ(call.hops, 16);
     EXPECT_EQ(call.attempt, 2);
     EXPECT_EQ(call.key.value(), "k");
     EXPECT_FALSE(call.isIdempotent);
-    EXPECT_FALSE(daemon::frontends::obstacleTo(call));
-    request.headers[1].value = "16";
-    EXPECT_TRUE(daemon::frontends::obstacleTo(daemon::frontends::callFrom(request, target)));
-    request.headers = {{"X-Deadline-Ms", "0"}};
-    EXPECT_TRUE(daemon::frontends::obstacleTo(daemon::frontends::callFrom(request, target)));
+    EXPECT_FALSE(obstacleTo(call));
+    head.headers[1].value = "16";
+    EXPECT_TRUE(obstacleTo(build()));
+    head.headers = {{"X-Deadline-Ms", "0"}};
+    EXPECT_TRUE(obstacleTo(build()));
 }
