--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,8 +19,8 @@
 
 BUILD = Path(os.environ.get("BORAGETRACK_BUILD", Path(__file__).parent.parent / "build"))
 TOKEN = "operators-token"
-# Logs and journals of a run; in memory where possible, since a slow disk would delay stand-ins.
-SCRATCH = "/dev/shm" if os.path.isdir("/dev/shm") else None
+# Logs and journals of a run; set it to a folder in memory where a slow disk would delay stand-ins.
+SCRATCH = os.environ.get("BORAGETRACK_SCRATCH")
 
 
 class PortPool:
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -64,7 +64,8 @@
     , wallClock_(std::move(parts.wallClock))
     , random_(parts.randomSeed)
     , membership_(parts.self, std::move(parts.neighbours), *this)
-    , spreader_(transport, *this, [this] { return neighbourContacts(); })
+    , spreader_(
+              transport, *this, [this] { return neighbourContacts(); }, std::move(parts.holder))
     , moves_(parts.self.id, parts.self.version.generation, std::move(parts.movePolicies), *this)
     , snapshot_(std::make_shared<intent::IntentSnapshot>())
     , pacer_(urgentBytesPerSecond, urgentBurstBytes)
@@ -98,6 +99,24 @@
     spreader_.offerFromStore(text, timers_.now());
 }
 
+void ControlPlane::storeNewsTaken(OfferResult result)
+{
+    spreader_.newsFromDurableStore(result, timers_.now());
+}
+
+void ControlPlane::peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses)
+{
+    for (const auto &address : addresses) {
+        const bool isOwn = address == membership_.self().peerAddress;
+        const bool isSeed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+        if (isOwn || isSeed)
+            continue;
+        seeds_.push_back(address);
+        if (idAt(address).isEmpty())
+            sendExchangeTo(PeerContact{{}, address}, newsPerExchange);
+    }
+}
+
 void ControlPlane::upstreamAnnounced(const membership::UpstreamRecord &upstream)
 {
     if (isLeaving_ || membership_.self().upstream == upstream)
@@ -336,7 +355,7 @@
     moves_.mergeVerdicts(exchange.verdicts);
     moves_.mergeEvidence(exchange.evidence);
     if (peer.address.port != 0)
-        spreader_.compareWith(peer, exchange.revision);
+        spreader_.compareWith(peer, exchange.revision, now);
 }
 
 void ControlPlane::fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest)
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -64,6 +64,8 @@
         std::unique_ptr<moves::MovePolicies> movePolicies;
         WallClock wallClock;
         std::uint64_t randomSeed = 0;
+        /** Holds the intent; by default as one envelope. */
+        std::unique_ptr<HeldIntent> holder = std::make_unique<IntentHolder>();
     };
 
     /** The period of exchanges with one peer each. */
@@ -85,6 +87,15 @@
     /** Takes a value of the intent's key, read from the platform. */
     void storeValueReceived(const std::string &text);
 
+    /** Notes that the holder took news from the durable store that this node follows. */
+    void storeNewsTaken(OfferResult result);
+
+    /** Notes whether the durable store that this node follows answers. */
+    void storeReachable(bool isReachable) { spreader_.followStore(isReachable); }
+
+    /** Contacts nodes that the store names and this node does not know. */
+    void peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses);
+
     /** Takes what the upstream beside this node announced. */
     void upstreamAnnounced(const membership::UpstreamRecord &upstream);
 
@@ -126,7 +137,10 @@
     const membership::MembershipEngine &membership() const { return membership_; }
 
     /** Returns the held intent with its refusals. */
-    const IntentHolder &holder() const { return spreader_.holder(); }
+    const HeldIntent &holder() const { return spreader_.holder(); }
+
+    /** Returns the wall clock that the plans of moves follow. */
+    core::timing::WallTime wallTime() const { return wallClock_(); }
 
     /** Returns whether this node should watch the platform. */
     bool isWatcher() const;
--- a/packages/control/distribution/IntentHolder.h
+++ b/packages/control/distribution/IntentHolder.h
@@ -1,9 +1,7 @@
-/** The intent that a node holds. */
+/** The intent as one envelope. */
 #pragma once
 
-#include "control/distribution/IntentTransfer.h"
-#include "control/distribution/OfferResult.h"
-#include "control/intent/IntentDocument.h"
+#include "control/distribution/HeldIntent.h"
 #include "control/intent/IntentEnvelope.h"
 #include "core/findings/FindingList.h"
 
@@ -14,33 +12,33 @@
 namespace boragetrack::control::distribution {
 
 /** Holds the newest valid intent and the few before it; never goes back to an older one. */
-class IntentHolder
+class IntentHolder : public HeldIntent
 {
 public:
     /** Takes an envelope if it is newer and valid as a whole. */
-    OfferResult offer(const std::string &text);
+    OfferResult offer(const std::string &text) override;
 
     /** Returns the held revision; zero before the first intent. */
-    core::identity::Revision revision() const;
+    core::identity::Revision revision() const override;
 
     /** Returns the held, validated document; empty before the first intent. */
-    const intent::IntentDocument &document() const { return document_; }
+    const intent::IntentDocument &document() const override { return document_; }
 
     /** Returns the change that made the held intent. */
     const intent::ChangeRecord &change() const { return change_; }
 
     /** Returns the newest revision that was refused; zero when none was. */
-    core::identity::Revision refusedRevision() const { return refusedRevision_; }
+    core::identity::Revision refusedRevision() const override { return refusedRevision_; }
 
     /** Returns the findings for the refused revision. */
-    const std::string &refusal() const { return refusal_; }
+    const std::string &refusal() const override { return refusal_; }
 
     /** Returns the held intent for a node that holds an earlier revision: a patch when the earlier
         one is still known here and the patch is shorter. */
-    IntentTransfer transferSince(core::identity::Revision have) const;
+    IntentTransfer transferSince(core::identity::Revision have) const override;
 
     /** Returns the envelope's text, or nothing when the patch's base is not held. */
-    std::optional<std::string> unpack(const IntentTransfer &transfer) const;
+    std::optional<std::string> unpack(const IntentTransfer &transfer) const override;
 
 private:
     struct Version
--- a/packages/control/distribution/IntentSpreader.cpp
+++ b/packages/control/distribution/IntentSpreader.cpp
@@ -13,28 +13,61 @@
     take(text, false, now);
 }
 
+void IntentSpreader::newsFromDurableStore(OfferResult result, MonotonicTime now)
+{
+    if (result == OfferResult::Refused || result == OfferResult::HeldInPart)
+        listener_.intentRefused();
+    isFloorKnown_ = true;
+    confirmed_ = std::max(confirmed_, holder_->revision());
+    floor_ = std::min(floor_, holder_->revision());
+    serveIfAllowed(now);
+}
+
 void IntentSpreader::offerFromPeer(const PeerContact &peer, const IntentTransfer &transfer,
                                    MonotonicTime now)
 {
-    if (transfer.target <= holder_.revision()) {
+    if (transfer.target <= holder_->revision()) {
         confirmed_ = std::max(confirmed_, transfer.target);
         serveIfAllowed(now);
         return;
     }
-    const auto text = holder_.unpack(transfer);
+    const auto text = holder_->unpack(transfer);
     if (text)
         take(*text, true, now);
     else if (transfer.base != Revision{})
         transport_.fetchIntent(peer, Revision{});
 }
 
-void IntentSpreader::compareWith(const PeerContact &peer, Revision peerRevision)
+void IntentSpreader::followStore(bool isReachable)
+{
+    followsStore_ = true;
+    isStoreReachable_ = isReachable;
+}
+
+void IntentSpreader::compareBesidesStore(const PeerContact &peer, Revision peerRevision,
+                                         MonotonicTime now)
+{
+    if (peerRevision <= holder_->revision()) {
+        behindSince_.reset();
+        return;
+    }
+    if (!behindSince_)
+        behindSince_ = now;
+    if (!isStoreReachable_ || now - *behindSince_ >= toleratedLag)
+        transport_.fetchIntent(peer, holder_->revision());
+}
+
+void IntentSpreader::compareWith(const PeerContact &peer, Revision peerRevision, MonotonicTime now)
 {
-    confirmed_ = std::max(confirmed_, std::min(peerRevision, holder_.revision()));
-    if (peerRevision > holder_.revision() && peerRevision > holder_.refusedRevision())
-        transport_.fetchIntent(peer, holder_.revision());
-    else if (peerRevision < holder_.revision())
-        transport_.pushIntent(peer, holder_.transferSince(peerRevision));
+    if (followsStore_) {
+        compareBesidesStore(peer, peerRevision, now);
+        return;
+    }
+    confirmed_ = std::max(confirmed_, std::min(peerRevision, holder_->revision()));
+    if (peerRevision > holder_->revision() && peerRevision > holder_->refusedRevision())
+        transport_.fetchIntent(peer, holder_->revision());
+    else if (peerRevision < holder_->revision())
+        transport_.pushIntent(peer, holder_->transferSince(peerRevision));
 }
 
 void IntentSpreader::learnFloor(Revision floor, MonotonicTime now)
@@ -57,41 +90,43 @@
 
 void IntentSpreader::take(const std::string &text, bool isConfirmed, MonotonicTime now)
 {
-    const Revision previous = holder_.revision();
-    const OfferResult result = holder_.offer(text);
-    if (result == OfferResult::Refused)
+    const Revision previous = holder_->revision();
+    const OfferResult result = holder_->offer(text);
+    if (result == OfferResult::Refused || result == OfferResult::HeldInPart)
         listener_.intentRefused();
-    if (result != OfferResult::Held)
+    if (result == OfferResult::Refused || result == OfferResult::NotNewer)
         return;
     heldSince_ = now;
     if (isConfirmed)
-        confirmed_ = std::max(confirmed_, holder_.revision());
-    pushToAll(previous);
+        confirmed_ = std::max(confirmed_, holder_->revision());
+    // Nodes that follow the store get their news from it.
+    if (!followsStore_)
+        pushToAll(previous);
     serveIfAllowed(now);
 }
 
 void IntentSpreader::pushToAll(Revision previous)
 {
-    const IntentTransfer transfer = holder_.transferSince(previous);
+    const IntentTransfer transfer = holder_->transferSince(previous);
     for (const PeerContact &peer : peers_())
         transport_.pushIntent(peer, transfer);
 }
 
 void IntentSpreader::serveIfAllowed(MonotonicTime now)
 {
-    if (holder_.revision() <= served_ || !isAllowed(now))
+    if (holder_->revision() <= served_ || !isAllowed(now))
         return;
-    served_ = holder_.revision();
+    served_ = holder_->revision();
     listener_.intentInForce();
 }
 
 bool IntentSpreader::isAllowed(MonotonicTime now) const
 {
-    if (holder_.revision() < floor_)
+    if (holder_->revision() < floor_)
         return false;
     if (!isFloorKnown_ && now - startedAt_ < aloneTime)
         return false;
-    return confirmed_ >= holder_.revision() || now - heldSince_ >= aloneTime;
+    return confirmed_ >= holder_->revision() || now - heldSince_ >= aloneTime;
 }
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/IntentSpreader.h
+++ b/packages/control/distribution/IntentSpreader.h
@@ -1,12 +1,14 @@
 /** Decides when a node serves an intent and whom it passes it to. */
 #pragma once
 
+#include "control/distribution/HeldIntent.h"
 #include "control/distribution/IntentHolder.h"
 #include "control/distribution/PeerTransport.h"
 #include "core/timing/MonotonicTime.h"
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -38,13 +40,20 @@
     /** Returns the peers that new intents are pushed to. */
     using PeerSource = std::function<std::vector<PeerContact>()>;
 
+    /** How long a node that follows the store lets a peer be ahead: the store's own news may be a
+        little later here. */
+    static constexpr std::chrono::milliseconds toleratedLag{700};
+
     /** How long a node that reaches no peer waits before it serves what the platform holds. */
     static constexpr std::chrono::milliseconds aloneTime{2000};
 
-    IntentSpreader(PeerTransport &transport, Listener &listener, PeerSource peers)
+    /** @param holder holds the intent; by default as one envelope */
+    IntentSpreader(PeerTransport &transport, Listener &listener, PeerSource peers,
+                   std::unique_ptr<HeldIntent> holder = std::make_unique<IntentHolder>())
         : transport_(transport)
         , listener_(listener)
         , peers_(std::move(peers))
+        , holder_(std::move(holder))
     {}
 
     /** Begins the wait for peers' floors. */
@@ -53,12 +62,21 @@
     /** Takes an envelope read from the platform. */
     void offerFromStore(const std::string &text, core::timing::MonotonicTime now);
 
+    /** Notes that the holder took news from a store that loses nothing which it acknowledged: the
+        intent may be served at once, and no floor of a peer can be above it. */
+    void newsFromDurableStore(OfferResult result, core::timing::MonotonicTime now);
+
     /** Takes a transfer from a peer. */
     void offerFromPeer(const PeerContact &peer, const IntentTransfer &transfer,
                        core::timing::MonotonicTime now);
 
     /** Compares revisions with a peer and sends or asks for what is missing. */
-    void compareWith(const PeerContact &peer, core::identity::Revision peerRevision);
+    void compareWith(const PeerContact &peer, core::identity::Revision peerRevision,
+                     core::timing::MonotonicTime now);
+
+    /** Tells that this node follows a durable store, so that peers are only asked for what the
+        store does not bring in time. @param isReachable whether the store answers at present */
+    void followStore(bool isReachable);
 
     /** Notes a peer's knowledge of the floor. */
     void learnFloor(core::identity::Revision floor, core::timing::MonotonicTime now);
@@ -70,13 +88,15 @@
     void tick(core::timing::MonotonicTime now);
 
     /** Returns the held intent. */
-    const IntentHolder &holder() const { return holder_; }
+    const HeldIntent &holder() const { return *holder_; }
 
     /** Returns the revision in force on this node; zero before the first. */
     core::identity::Revision served() const { return served_; }
 
 private:
     void take(const std::string &text, bool isConfirmed, core::timing::MonotonicTime now);
+    void compareBesidesStore(const PeerContact &peer, core::identity::Revision peerRevision,
+                             core::timing::MonotonicTime now);
     void pushToAll(core::identity::Revision previous);
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isAllowed(core::timing::MonotonicTime now) const;
@@ -84,7 +104,8 @@
     PeerTransport &transport_;
     Listener &listener_;
     PeerSource peers_;
-    IntentHolder holder_;
+    // Invariant: never null.
+    std::unique_ptr<HeldIntent> holder_;
     core::timing::MonotonicTime startedAt_{};
     core::timing::MonotonicTime heldSince_{};
     // Invariant: never above holder_.revision() and never falls.
@@ -93,6 +114,10 @@
     // The highest revision that another node is known to hold.
     core::identity::Revision confirmed_;
     bool isFloorKnown_ = false;
+    bool followsStore_ = false;
+    bool isStoreReachable_ = false;
+    // When a peer was first seen to be ahead of this node, if one is.
+    std::optional<core::timing::MonotonicTime> behindSince_;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/OfferResult.h
+++ b/packages/control/distribution/OfferResult.h
@@ -7,6 +7,9 @@
 enum class OfferResult {
     /** The envelope is newer, valid and now held. */
     Held,
+    /** The envelope is newer and now held, but for entries that could not be read: those stay as
+        they were last readable. */
+    HeldInPart,
     /** The envelope is the held one or older. */
     NotNewer,
     /** The envelope is invalid; the held one stays. */
--- a/packages/control/intent/MoveIntent.h
+++ b/packages/control/intent/MoveIntent.h
@@ -20,6 +20,8 @@
     core::identity::VersionName to;
     core::timing::WallTime startAt{};
     core::timing::WallTime doneBy{};
+    /** Whether startAt was agreed on; otherwise the times count from when the move was learned. */
+    bool isStartKnown = true;
     MoveState state = MoveState::Running;
     std::string author;
     std::string reason;
--- /dev/null
+++ b/packages/control/membership/UpstreamLineage.h
@@ -0,0 +1,35 @@
+/** Orders what upstreams say of themselves. */
+#pragma once
+
+#include "control/membership/AnnouncementStamp.h"
+
+#include <set>
+
+namespace boragetrack::control::membership {
+
+/**
+    Tells announcements of the present upstream from late ones of a former upstream.
+
+    States of one process: unknown, serving, leaving. A process that leaves never serves again, and
+    a former process never returns.
+*/
+class UpstreamLineage
+{
+public:
+    /** Takes an announcement. @param isLeaving whether it says that the upstream leaves
+        @returns whether it is news of the present upstream */
+    bool accept(const AnnouncementStamp &stamp, bool isLeaving);
+
+    /** Returns whether the present upstream leaves. */
+    bool isLeaving() const { return isLeaving_; }
+
+private:
+    bool isSuccessor(const AnnouncementStamp &stamp) const;
+
+    std::optional<AnnouncementStamp> present_;
+    bool isLeaving_ = false;
+    // Instance names of upstreams that were displaced.
+    std::set<std::string> former_;
+};
+
+} // namespace boragetrack::control::membership
--- a/packages/control/moves/MoveCoordinator.cpp
+++ b/packages/control/moves/MoveCoordinator.cpp
@@ -27,10 +27,14 @@
         if (move.state == MoveState::TakenBack && !move.from.isEmpty())
             continue;
         auto found = trackers_.find(move.id);
-        if (found == trackers_.end())
+        if (found == trackers_.end()) {
             found = trackers_.emplace(move.id, MoveTracker(move, *policies_)).first;
+            if (!move.isStartKnown)
+                found->second.setStart(now);
+        } else {
+            found->second.update(move);
+        }
         MoveTracker &tracker = found->second;
-        tracker.update(move);
         if (const auto early = earlyVerdicts_.find(move.id); early != earlyVerdicts_.end())
             tracker.adopt(early->second);
         // A verdict that was reached stays followed until it is recorded.
--- a/packages/control/moves/MoveTracker.cpp
+++ b/packages/control/moves/MoveTracker.cpp
@@ -63,15 +63,35 @@
     if (move_.state == MoveState::TakenBack)
         return std::nullopt;
     if (verdict_)
-        return MoveRecord{move_.id, MoveState::TakenBack, *verdict_};
+        return recordOf(MoveState::TakenBack, *verdict_);
+    if (!move_.isStartKnown)
+        return recordOf(MoveState::Running, {});
     if (move_.state == MoveState::Done || elapsed(now) < doneFraction)
         return std::nullopt;
     if (hasUpstream)
-        return MoveRecord{move_.id, MoveState::Done, policy_->summary()};
+        return recordOf(MoveState::Done, policy_->summary());
     if (elapsed(now) < 1.0)
         return std::nullopt;
-    return MoveRecord{move_.id, MoveState::TakenBack,
-                      "no upstream of the new version served at the set time"};
+    return recordOf(MoveState::TakenBack, "no upstream of the new version served at the set time");
+}
+
+MoveRecord MoveTracker::recordOf(MoveState state, std::string evidence) const
+{
+    return MoveRecord{move_.id, state, std::move(evidence), move_.startAt};
+}
+
+void MoveTracker::update(const intent::MoveIntent &move)
+{
+    const WallTime provisional = move_.startAt;
+    move_ = move;
+    if (!move.isStartKnown)
+        setStart(provisional);
+}
+
+void MoveTracker::setStart(WallTime start)
+{
+    move_.doneBy += start - move_.startAt;
+    move_.startAt = start;
 }
 
 bool MoveTracker::isOver(WallTime now) const
--- a/packages/control/moves/MoveTracker.h
+++ b/packages/control/moves/MoveTracker.h
@@ -17,7 +17,10 @@
     MoveTracker(intent::MoveIntent move, const MovePolicies &policies);
 
     /** Takes the move as a newer intent states it. */
-    void update(const intent::MoveIntent &move) { move_ = move; }
+    void update(const intent::MoveIntent &move);
+
+    /** Sets when a move begins whose start is not agreed on yet. */
+    void setStart(core::timing::WallTime start);
 
     /** Takes further outcomes of either version. */
     void observe(const EvidenceKey &key, const EvidenceCounts &delta);
@@ -48,6 +51,7 @@
     std::chrono::milliseconds watchTime() const;
 
 private:
+    MoveRecord recordOf(intent::MoveState state, std::string evidence) const;
     double elapsed(core::timing::WallTime now) const;
 
     intent::MoveIntent move_;
--- /dev/null
+++ b/packages/control/records/NodeEntry.cpp
@@ -0,0 +1,31 @@
+/** Implements the entries of nodes. */
+#include "control/records/NodeEntry.h"
+
+#include "core/identity/AddressText.h"
+
+#include <nlohmann/json.hpp>
+
+namespace boragetrack::control::records {
+
+using core::identity::NetworkAddress;
+using nlohmann::json;
+
+std::string nodeEntryKey(const core::identity::NodeId &node)
+{
+    return nodeEntryPrefix + node.value();
+}
+
+std::string nodeEntryText(const NetworkAddress &peerAddress)
+{
+    return json{{"peers", peerAddress.toString()}}.dump();
+}
+
+std::optional<NetworkAddress> readNodeEntry(const std::string &text)
+{
+    const json root = json::parse(text, nullptr, false);
+    if (!root.is_object() || !root.contains("peers") || !root["peers"].is_string())
+        return std::nullopt;
+    return core::identity::parseAddress(root["peers"].get<std::string>());
+}
+
+} // namespace boragetrack::control::records
--- /dev/null
+++ b/packages/control/records/RecordTable.cpp
@@ -0,0 +1,64 @@
+/** Implements RecordTable. */
+#include "control/records/RecordTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace boragetrack::control::records {
+
+using core::identity::Revision;
+
+bool RecordTable::merge(const OperatorRecord &record)
+{
+    const auto [it, isNew] = records_.try_emplace(record.key, record);
+    if (isNew)
+        return true;
+    if (record.revision <= it->second.revision)
+        return false;
+    it->second = record;
+    return true;
+}
+
+void RecordTable::completeThrough(Revision revision)
+{
+    revision_ = std::max(revision_, revision);
+}
+
+bool RecordTable::mergeListing(const std::string &prefix, const std::vector<OperatorRecord> &listed,
+                               Revision revision)
+{
+    std::set<std::string> present;
+    bool hasNews = false;
+    for (const OperatorRecord &record : listed) {
+        present.insert(record.key);
+        hasNews = merge(record) || hasNews;
+    }
+    for (auto &[key, record] : records_) {
+        const bool isMissing = key.starts_with(prefix) && !present.contains(key);
+        if (!isMissing || record.isRemoved || record.revision > revision)
+            continue;
+        // The listing does not say when the key was removed, only that it was by then.
+        record = OperatorRecord{key, revision, {}, true};
+        hasNews = true;
+    }
+    completeThrough(revision);
+    return hasNews;
+}
+
+const OperatorRecord *RecordTable::find(const std::string &key) const
+{
+    const auto found = records_.find(key);
+    return found == records_.end() || found->second.isRemoved ? nullptr : &found->second;
+}
+
+std::vector<OperatorRecord> RecordTable::changesSince(Revision revision) const
+{
+    std::vector<OperatorRecord> changes;
+    for (const auto &[key, record] : records_) {
+        if (record.revision > revision)
+            changes.push_back(record);
+    }
+    return changes;
+}
+
+} // namespace boragetrack::control::records
--- /dev/null
+++ b/packages/control/records/StoreFollower.h
@@ -0,0 +1,95 @@
+/** Follows the changes of the store. */
+#pragma once
+
+#include "control/records/RecordStore.h"
+#include "core/timing/TimerService.h"
+
+#include <memory>
+#include <random>
+
+namespace boragetrack::control::records {
+
+/**
+    Reads all entries once and then watches for changes, for as long as it lives.
+
+    States: listing, watching, and waiting before the next try after a failure. A watch goes on from
+    the revision of the last answer, so that no change is missed or taken twice; when the store has
+    forgotten that revision, everything is listed again.
+*/
+class StoreFollower : private core::timing::TimerService::Listener
+{
+public:
+    /** Receives what the store tells. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles all entries as of a revision. */
+        virtual void recordsListed(const std::vector<OperatorRecord> &records,
+                                   core::identity::Revision revision)
+                = 0;
+
+        /** Handles the changes up to a revision. */
+        virtual void recordsChanged(const RecordChanges &changes) = 0;
+
+        /** Handles that the store does not answer any more. */
+        virtual void storeLost(const absl::Status &error) = 0;
+
+        /** Handles that the store answers again. */
+        virtual void storeRegained() = 0;
+    };
+
+    /** How long one watch waits at the store; each watch is a priced call. */
+    static constexpr std::chrono::milliseconds watchTime{25'000};
+    /** How long an answer may take beyond that; the store answers in milliseconds, or in a quarter
+        of a second when it is slow. */
+    static constexpr std::chrono::milliseconds answerTime{1500};
+    /** The wait after a first failure; doubles with each further one and is spread at random. */
+    static constexpr std::chrono::milliseconds firstBackoff{150};
+    /** Bounds the time for which a change stays unnoticed after the store is back. */
+    static constexpr std::chrono::milliseconds longestBackoff{1000};
+
+    /** @param store, @param timers and @param listener outlive the follower */
+    StoreFollower(RecordStore &store, core::timing::TimerService &timers, Listener &listener,
+                  std::uint64_t randomSeed);
+    ~StoreFollower() override;
+    StoreFollower(const StoreFollower &) = delete;
+    StoreFollower &operator=(const StoreFollower &) = delete;
+
+    /** Begins with a listing. */
+    void start();
+
+    /** Returns whether the store answered the last call. */
+    bool isStoreReachable() const { return failures_ == 0 && isListed_; }
+
+private:
+    void timerElapsed(core::timing::MonotonicTime now) override;
+    void listFrom(const std::string &after);
+    void listAnswered(const absl::StatusOr<RecordPage> &answer);
+    void watch();
+    void watchAnswered(const absl::StatusOr<RecordChanges> &answer);
+    void answered();
+    void failed(const absl::Status &error);
+    std::chrono::milliseconds nextBackoff();
+
+    // Wraps a member so that answers after this object's end are dropped.
+    template <typename Answer>
+    RecordStore::Reply<Answer>
+    whileAlive(void (StoreFollower::*handle)(const absl::StatusOr<Answer> &));
+
+    RecordStore &store_;
+    core::timing::TimerService &timers_;
+    Listener &listener_;
+    std::mt19937_64 random_;
+    std::shared_ptr<StoreFollower *> self_ = std::make_shared<StoreFollower *>(this);
+    // The pages of a listing under way, and the revision of its first page: changes after that one
+    // may or may not be in later pages.
+    std::vector<OperatorRecord> listed_;
+    core::identity::Revision listingRevision_;
+    bool isListed_ = false;
+    core::identity::Revision revision_;
+    int failures_ = 0;
+};
+
+} // namespace boragetrack::control::records
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -2,6 +2,8 @@
 #include "daemon/Node.h"
 
 #include "core/events/EventLog.h"
+#include "daemon/environment/OwnEnvironment.h"
+#include "daemon/environment/PlatformEnvironment.h"
 #include "traffic/admission/AdaptiveConcurrency.h"
 #include "traffic/admission/FixedConcurrency.h"
 #include "traffic/retry/BudgetedRetry.h"
@@ -16,10 +18,6 @@
 
 namespace {
 
-// Peers hear of the departure and send their new work elsewhere before it is refused here.
-constexpr std::chrono::milliseconds departureNotice{300};
-constexpr std::chrono::milliseconds drainTime{15'000};
-
 std::shared_ptr<const RoutingSnapshot> emptySnapshot()
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
@@ -57,25 +55,13 @@
     , routing_(emptySnapshot())
     , routingPolicy_(makeRoutingPolicy(settings_.usesBaselinePolicies))
     , retryPolicy_(makeRetryPolicy(settings_.usesBaselinePolicies))
-    , store_(settings_.platform, httpClient_)
-    , watcher_(store_, counters_,
-               [this](const std::string &text) { control_.storeValueReceived(text); })
-    , recorder_(store_, settings_.node, counters_)
-    , control_({settings_, self_, controlThread_, watcher_, recorder_, routing_, revisions_,
+    , environment_(makeEnvironment())
+    , control_({settings_, self_, controlThread_, environment_->source(), routing_, revisions_,
                 counters_})
-    , links_({settings_.node,
-              control::membership::processIdOf(self_),
-              settings_.peers,
-              settings_.callers,
-              {},
-              dialect_,
-              control_,
-              control_,
-              routing_,
-              admissionPolicy(settings_.usesBaselinePolicies),
-              *routingPolicy_,
-              *retryPolicy_,
-              {},
+    , links_({settings_.node, control::membership::processIdOf(self_), settings_.peers,
+              settings_.callers, settings_.service, environment_->dialect(), control_, control_,
+              routing_, admissionPolicy(settings_.usesBaselinePolicies), *routingPolicy_,
+              *retryPolicy_, environment_->loopParts(),
               [this](const control::moves::CallEvidence &evidence) {
                   control_.callEnded(evidence);
               },
@@ -89,14 +75,29 @@
     controlThread_.stop();
 }
 
+std::unique_ptr<environment::NodeEnvironment> Node::makeEnvironment()
+{
+    if (settings_.interface == settings::NodeInterface::Own)
+        return std::make_unique<environment::OwnEnvironment>(
+                settings_, counters_,
+                [this](const std::string &text) { control_.storeValueReceived(text); });
+    return std::make_unique<environment::PlatformEnvironment>(
+            environment::PlatformEnvironment::Parts{
+                    settings_, counters_, controlThread_,
+                    [this](const std::function<void()> &task) { return links_.post(task); },
+                    [this](const auto &announcement, const std::function<void()> &whenBound) {
+                        control_.upstreamAnnounced(announcement, whenBound);
+                    },
+                    [this]() { return routing_.current()->isServing; }});
+}
+
 absl::Status Node::start()
 {
     controlThread_.start();
     if (const absl::Status status = links_.start(); !status.ok())
         return status;
     control_.start(links_, [this](const auto &status) { links_.setUpstream(status); });
-    watcher_.start();
-    recorder_.start();
+    environment_->start();
     if (const absl::Status status = operatorServer_.start(); !status.ok())
         return status;
     core::events::logEvent(EventCode::NodeStarted, "node started",
@@ -111,21 +112,28 @@
 bool Node::stop()
 {
     core::events::logEvent(EventCode::NodeStopping, "node stopping");
-    watcher_.requestStop();
-    links_.stopCallers(true);
+    const environment::StopPlan plan = environment_->stopPlan();
+    const auto begun = std::chrono::steady_clock::now();
+    const auto timeLeft = [&]() {
+        const auto passed = std::chrono::steady_clock::now() - begun;
+        return std::max(std::chrono::milliseconds::zero(),
+                        plan.wholeTime
+                                - std::chrono::duration_cast<std::chrono::milliseconds>(passed));
+    };
+    environment_->requestStop();
     control_.leave();
-    links_.awaitQuietCallers({}, drainTime);
-    std::this_thread::sleep_for(departureNotice);
-    const bool isDrained = links_.drain(drainTime);
-    const bool isQuiet = links_.awaitQuietCallers({}, drainTime);
+    links_.stopCallers(plan.servingTime);
+    std::this_thread::sleep_for(plan.departureNotice);
+    const bool isDrained = links_.drain(timeLeft());
+    const bool isQuiet = links_.awaitQuietCallers(timeLeft());
     operatorServer_.stop();
     control_.stop();
     controlThread_.stop();
     links_.stop();
-    recorder_.stop();
+    const bool isEnded = environment_->stop();
     core::events::logEvent(EventCode::NodeStopped, "node stopped",
                            {{"drained", isDrained && isQuiet ? "yes" : "no"}});
-    return watcher_.tryJoin() && isDrained && isQuiet;
+    return isEnded && isDrained && isQuiet;
 }
 
 control::membership::MemberRecord Node::selfRecord(const settings::NodeSettings &settings)
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -1,13 +1,11 @@
 /** A node as a whole. */
 #pragma once
 
+#include "daemon/environment/NodeEnvironment.h"
 #include "daemon/frontends/OperatorHandler.h"
 #include "daemon/service/ControlService.h"
 #include "daemon/settings/NodeSettings.h"
-#include "transport/dialect/OwnDialect.h"
-#include "transport/http/HttpConfigStore.h"
 #include "transport/http/HttpServer.h"
-#include "transport/http/UlfiusClient.h"
 #include "transport/links/LinkThread.h"
 
 namespace boragetrack::daemon {
@@ -30,6 +28,7 @@
 
 private:
     static control::membership::MemberRecord selfRecord(const settings::NodeSettings &settings);
+    std::unique_ptr<environment::NodeEnvironment> makeEnvironment();
 
     settings::NodeSettings settings_;
     control::membership::MemberRecord self_;
@@ -39,11 +38,7 @@
     service::ControlThread controlThread_;
     std::unique_ptr<traffic::routing::RoutingPolicy> routingPolicy_;
     std::unique_ptr<traffic::retry::RetryPolicy> retryPolicy_;
-    transport::dialect::OwnDialect dialect_;
-    transport::http::UlfiusClient httpClient_;
-    transport::http::HttpConfigStore store_;
-    service::StoreWatcher watcher_;
-    service::MoveRecorder recorder_;
+    std::unique_ptr<environment::NodeEnvironment> environment_;
     service::ControlService control_;
     transport::links::LinkThread links_;
     frontends::OperatorHandler operatorHandler_;
--- /dev/null
+++ b/packages/daemon/environment/OwnEnvironment.h
@@ -0,0 +1,55 @@
+/** The product's own interface. */
+#pragma once
+
+#include "core/counters/CounterRegistry.h"
+#include "daemon/environment/NodeEnvironment.h"
+#include "daemon/service/EnvelopeSource.h"
+#include "daemon/settings/NodeSettings.h"
+#include "transport/dialect/OwnDialect.h"
+#include "transport/http/HttpConfigStore.h"
+#include "transport/http/UlfiusClient.h"
+
+namespace boragetrack::daemon::environment {
+
+/** Speaks what docs/PROTOCOLS.md says, with two threads that wait for the platform's store. */
+class OwnEnvironment : public NodeEnvironment
+{
+public:
+    /** @param sink takes each value of the intent's key; called on the watching thread */
+    OwnEnvironment(const settings::NodeSettings &settings,
+                   core::counters::CounterRegistry &counters, service::StoreWatcher::ValueSink sink)
+        : store_(settings.platform, httpClient_)
+        , watcher_(store_, counters, std::move(sink))
+        , recorder_(store_, settings.node, counters)
+        , source_(watcher_, recorder_, settings.watchesAlways)
+    {}
+
+    const transport::dialect::CallDialect &dialect() const override { return dialect_; }
+    service::IntentSource &source() override { return source_; }
+    std::vector<transport::links::LoopPart *> loopParts() override { return {}; }
+
+    void start() override
+    {
+        watcher_.start();
+        recorder_.start();
+    }
+
+    void requestStop() override { watcher_.requestStop(); }
+    StopPlan stopPlan() const override { return {}; }
+
+    bool stop() override
+    {
+        recorder_.stop();
+        return watcher_.tryJoin();
+    }
+
+private:
+    transport::dialect::OwnDialect dialect_;
+    transport::http::UlfiusClient httpClient_;
+    transport::http::HttpConfigStore store_;
+    service::StoreWatcher watcher_;
+    service::MoveRecorder recorder_;
+    service::EnvelopeSource source_;
+};
+
+} // namespace boragetrack::daemon::environment
--- /dev/null
+++ b/packages/daemon/environment/PlatformEnvironment.h
@@ -0,0 +1,58 @@
+/** The interface of the users' platform. */
+#pragma once
+
+#include "platform/HeartbeatHandler.h"
+#include "platform/PlatformDialect.h"
+#include "platform/PlatformStore.h"
+#include "platform/ReadinessHandler.h"
+
+#include "core/counters/CounterRegistry.h"
+#include "daemon/environment/NodeEnvironment.h"
+#include "daemon/service/ControlThread.h"
+#include "daemon/service/RecordSource.h"
+#include "daemon/settings/NodeSettings.h"
+#include "transport/http/HandlerPart.h"
+
+#include <atomic>
+#include <functional>
+
+namespace boragetrack::daemon::environment {
+
+/** Speaks what docs/PLATFORM.md says; all of it on the traffic thread. */
+class PlatformEnvironment : public NodeEnvironment
+{
+public:
+    /** What the environment works with; references outlive it. */
+    struct Parts
+    {
+        const settings::NodeSettings &settings;
+        core::counters::CounterRegistry &counters;
+        service::ControlThread &controlThread;
+        platform::PlatformStore::Executor trafficThread;
+        platform::HeartbeatHandler::Sink announcements;
+        /** Returns whether the node could serve callers; called on the traffic thread. */
+        std::function<bool()> isServing;
+    };
+
+    explicit PlatformEnvironment(const Parts &parts);
+
+    const transport::dialect::CallDialect &dialect() const override { return dialect_; }
+    service::IntentSource &source() override { return source_; }
+    std::vector<transport::links::LoopPart *> loopParts() override;
+    void start() override {}
+    void requestStop() override { isStopping_ = true; }
+    StopPlan stopPlan() const override;
+    bool stop() override { return true; }
+
+private:
+    platform::PlatformDialect dialect_;
+    platform::PlatformStore store_;
+    service::RecordSource source_;
+    std::atomic<bool> isStopping_{false};
+    platform::HeartbeatHandler heartbeats_;
+    platform::ReadinessHandler readiness_;
+    transport::http::HandlerPart heartbeatListener_;
+    transport::http::HandlerPart readinessListener_;
+};
+
+} // namespace boragetrack::daemon::environment
--- a/packages/daemon/frontends/OperatorHandler.cpp
+++ b/packages/daemon/frontends/OperatorHandler.cpp
@@ -72,7 +72,8 @@
 
 bool OperatorHandler::isAuthorised(const HttpRequest &request) const
 {
-    return request.header("Authorization") == "Bearer " + parts_.settings.operatorToken;
+    const std::string &token = parts_.settings.operatorToken;
+    return !token.empty() && request.header("Authorization") == "Bearer " + token;
 }
 
 } // namespace boragetrack::daemon::frontends
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -22,13 +22,12 @@
 using core::identity::NodeId;
 using core::identity::Revision;
 using core::timing::MonotonicTime;
+using transport::serving::UpstreamAnnouncement;
 using transport::serving::UpstreamStatus;
 
 namespace {
 
 constexpr std::chrono::milliseconds upkeepPeriod{200};
-// An upstream announces itself each second; three announcements missed mean that it is gone.
-constexpr std::chrono::milliseconds announcementLife{3000};
 constexpr std::chrono::milliseconds recordInterval{1000};
 constexpr std::chrono::milliseconds recordSpread{500};
 
@@ -72,7 +71,8 @@
                                   std::make_unique<control::membership::RingNeighbours>(),
                                   movePolicies(parts_.settings.usesBaselinePolicies),
                                   core::timing::currentWallTime,
-                                  std::random_device{}()};
+                                  std::random_device{}(),
+                                  parts_.source.makeHolder()};
         ControlPlane::Listener &planeListener = *this;
         core::timing::TimerService::Listener &timerListener = *this;
         plane_ = std::make_unique<ControlPlane>(std::move(parts), transport, parts_.thread,
@@ -80,6 +80,7 @@
         timer_ = std::make_unique<core::timing::ScopedTimer>(parts_.thread, timerListener,
                                                              upkeepPeriod);
         plane_->start();
+        parts_.source.attach(*plane_);
     });
 }
 
@@ -92,6 +93,8 @@
 {
     parts_.thread.post([this]() {
         timer_.reset();
+        if (plane_)
+            parts_.source.detach();
         plane_.reset();
     });
 }
@@ -104,26 +107,51 @@
 
 void ControlService::upstreamAnnounced(const UpstreamStatus &status)
 {
-    post([this, status](ControlPlane &plane) {
-        announcedAt_ = parts_.thread.now();
-        const bool isChanged = !upstream_ || upstream_->instance != status.instance
-                               || upstream_->record != status.record
-                               || upstream_->address != status.address;
-        if (!isChanged)
+    post([this, status](ControlPlane &plane) { takeStatus(plane, status); });
+}
+
+void ControlService::upstreamAnnounced(const UpstreamAnnouncement &announcement,
+                                       const std::function<void()> &whenBound)
+{
+    post([this, announcement, whenBound](ControlPlane &plane) {
+        UpstreamStatus status = announcement.status;
+        const bool isLeaving
+                = announcement.isDeparture || status.record.state == UpstreamState::Draining;
+        if (!lineage_.accept(announcement.stamp, isLeaving)) {
+            whenBound();
             return;
-        const bool isDraining = status.record.state == UpstreamState::Draining;
-        core::events::logEvent(isDraining ? EventCode::UpstreamDraining
-                                          : EventCode::UpstreamAnnounced,
-                               isDraining ? "upstream draining" : "upstream announced",
-                               {{"service", status.record.service.value()},
-                                {"version", status.record.version.value()},
-                                {"address", status.address.toString()}});
-        upstream_ = status;
-        upstreamSink_(upstream_);
-        plane.upstreamAnnounced(status.record);
+        }
+        if (announcement.isDeparture && upstream_) {
+            // The upstream finishes what it has, so that all but the state stays as it was.
+            status = *upstream_;
+            status.record.state = UpstreamState::Draining;
+        }
+        if (!announcement.isDeparture || upstream_)
+            takeStatus(plane, status);
+        whenBound();
     });
 }
 
+void ControlService::takeStatus(ControlPlane &plane, const UpstreamStatus &status)
+{
+    announcedAt_ = parts_.thread.now();
+    const bool isChanged = !upstream_ || upstream_->instance != status.instance
+                           || upstream_->record != status.record
+                           || upstream_->address != status.address
+                           || upstream_->coldLeft != status.coldLeft;
+    if (!isChanged)
+        return;
+    const bool isDraining = status.record.state == UpstreamState::Draining;
+    core::events::logEvent(isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced,
+                           isDraining ? "upstream draining" : "upstream announced",
+                           {{"service", status.record.service.value()},
+                            {"version", status.record.version.value()},
+                            {"address", status.address.toString()}});
+    upstream_ = status;
+    upstreamSink_(upstream_);
+    plane.upstreamAnnounced(status.record);
+}
+
 void ControlService::callEnded(const control::moves::CallEvidence &evidence)
 {
     post([evidence](ControlPlane &plane) { plane.callEnded(evidence); });
@@ -259,7 +287,7 @@
 {
     expireUpstream(now);
     recordMoves(now);
-    parts_.watcher.setActive(parts_.settings.watchesAlways || plane_->isWatcher());
+    parts_.source.upkeep();
     isViewStale_ = isViewStale_ || ramp_.isRamping(now);
     publishIfStale();
 }
@@ -291,7 +319,7 @@
 
 void ControlService::expireUpstream(MonotonicTime now)
 {
-    if (!upstream_ || now - announcedAt_ < announcementLife)
+    if (!upstream_ || now - announcedAt_ < parts_.settings.announcementLife)
         return;
     core::events::logEvent(EventCode::UpstreamLost, "upstream lost",
                            {{"service", upstream_->record.service.value()}});
@@ -311,7 +339,7 @@
         return;
     std::uniform_int_distribution<std::int64_t> spread(0, recordSpread.count());
     nextRecordAt_ = now + recordInterval + std::chrono::milliseconds(spread(random_));
-    parts_.recorder.record(records.front(), plane_->holder().revision());
+    parts_.source.record(records.front());
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -2,18 +2,18 @@
 #pragma once
 
 #include "control/distribution/ControlPlane.h"
+#include "control/membership/UpstreamLineage.h"
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
 #include "daemon/service/ControlThread.h"
-#include "daemon/service/MoveRecorder.h"
+#include "daemon/service/IntentSource.h"
 #include "daemon/service/RevisionBoard.h"
-#include "daemon/service/StoreWatcher.h"
 #include "daemon/settings/NodeSettings.h"
 #include "traffic/routing/ReturnRamp.h"
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/links/PeerEventSink.h"
 #include "transport/links/PeerRequestHandler.h"
-#include "transport/serving/UpstreamStatus.h"
+#include "transport/serving/UpstreamAnnouncement.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,8 +36,7 @@
         const settings::NodeSettings &settings;
         control::membership::MemberRecord self;
         ControlThread &thread;
-        StoreWatcher &watcher;
-        MoveRecorder &recorder;
+        IntentSource &source;
         core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         RevisionBoard &revisions;
         core::counters::CounterRegistry &counters;
@@ -62,6 +61,11 @@
     /** Takes an announcement of the upstream; called on any thread. */
     void upstreamAnnounced(const transport::serving::UpstreamStatus &status);
 
+    /** Takes an announcement whose place among others is known; called on any thread.
+        @param whenBound is called on the control thread once the announcement binds this node */
+    void upstreamAnnounced(const transport::serving::UpstreamAnnouncement &announcement,
+                           const std::function<void()> &whenBound);
+
     /** Takes the outcome of a call; called on any thread. */
     void callEnded(const control::moves::CallEvidence &evidence);
 
@@ -105,6 +109,8 @@
     // Runs a task on the control thread, and publishes a new view if the task changed it.
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
     void publishIfStale();
+    void takeStatus(control::distribution::ControlPlane &plane,
+                    const transport::serving::UpstreamStatus &status);
     void expireUpstream(core::timing::MonotonicTime now);
     void recordMoves(core::timing::MonotonicTime now);
 
@@ -115,6 +121,7 @@
     traffic::routing::ReturnRamp ramp_;
     bool isViewStale_ = false;
     std::optional<transport::serving::UpstreamStatus> upstream_;
+    control::membership::UpstreamLineage lineage_;
     core::timing::MonotonicTime announcedAt_{};
     core::timing::MonotonicTime nextRecordAt_{};
     std::mt19937_64 random_{std::random_device{}()};
--- /dev/null
+++ b/packages/daemon/service/EnvelopeSource.h
@@ -0,0 +1,44 @@
+/** The product's own form of the intent: one envelope under one key. */
+#pragma once
+
+#include "daemon/service/IntentSource.h"
+#include "daemon/service/MoveRecorder.h"
+#include "daemon/service/StoreWatcher.h"
+
+namespace boragetrack::daemon::service {
+
+/** Watches the envelope while this node is among the watchers of its data centre, and records moves
+    in it. */
+class EnvelopeSource : public IntentSource
+{
+public:
+    /** @param watcher and @param recorder outlive the source
+        @param watchesAlways lets every node watch, for measurements */
+    EnvelopeSource(StoreWatcher &watcher, MoveRecorder &recorder, bool watchesAlways)
+        : watcher_(watcher)
+        , recorder_(recorder)
+        , watchesAlways_(watchesAlways)
+    {}
+
+    std::unique_ptr<control::distribution::HeldIntent> makeHolder() override
+    {
+        return std::make_unique<control::distribution::IntentHolder>();
+    }
+
+    void attach(control::distribution::ControlPlane &plane) override { plane_ = &plane; }
+    void detach() override { plane_ = nullptr; }
+    void upkeep() override { watcher_.setActive(watchesAlways_ || plane_->isWatcher()); }
+
+    void record(const control::moves::MoveRecord &record) override
+    {
+        recorder_.record(record, plane_->holder().revision());
+    }
+
+private:
+    StoreWatcher &watcher_;
+    MoveRecorder &recorder_;
+    bool watchesAlways_;
+    control::distribution::ControlPlane *plane_ = nullptr;
+};
+
+} // namespace boragetrack::daemon::service
--- /dev/null
+++ b/packages/daemon/service/RecordSource.cpp
@@ -0,0 +1,138 @@
+/** Implements RecordSource. */
+#include "daemon/service/RecordSource.h"
+
+#include "control/records/NodeEntry.h"
+#include "core/events/EventLog.h"
+
+#include <algorithm>
+#include <random>
+
+namespace boragetrack::daemon::service {
+
+using control::distribution::ControlPlane;
+using control::distribution::RecordIntent;
+using control::moves::MoveRecord;
+using control::records::OperatorRecord;
+using core::events::EventCode;
+using core::identity::Revision;
+
+namespace {
+
+constexpr std::chrono::milliseconds recordTimeout{1500};
+
+const char *nameOf(control::intent::MoveState state)
+{
+    switch (state) {
+    case control::intent::MoveState::Done:
+        return "done";
+    case control::intent::MoveState::TakenBack:
+        return "taken back";
+    case control::intent::MoveState::Running:
+        break;
+    }
+    return "running";
+}
+
+} // namespace
+
+std::unique_ptr<control::distribution::HeldIntent> RecordSource::makeHolder()
+{
+    auto holder = std::make_unique<RecordIntent>(parts_.makeReader());
+    holder_ = holder.get();
+    return holder;
+}
+
+void RecordSource::attach(ControlPlane &plane)
+{
+    plane_ = &plane;
+    plane_->storeReachable(false);
+    keeper_.emplace(parts_.store, parts_.timers, control::records::nodeEntryKey(parts_.node),
+                    control::records::nodeEntryText(parts_.peerAddress));
+    control::records::StoreFollower::Listener &listener = *this;
+    follower_.emplace(parts_.store, parts_.timers, listener, std::random_device{}());
+    follower_->start();
+}
+
+void RecordSource::detach()
+{
+    follower_.reset();
+    keeper_.reset();
+    plane_ = nullptr;
+    holder_ = nullptr;
+}
+
+//==============================================================================
+void RecordSource::recordsListed(const std::vector<OperatorRecord> &records, Revision revision)
+{
+    core::events::logEvent(EventCode::StoreListed, "store listed",
+                           {{"revision", std::to_string(revision.number())},
+                            {"entries", std::to_string(records.size())}});
+    plane_->storeReachable(true);
+    plane_->storeNewsTaken(holder_->takeListing(records, revision));
+    keeper_->recordsListed(records);
+    discover(records);
+}
+
+void RecordSource::recordsChanged(const control::records::RecordChanges &changes)
+{
+    plane_->storeNewsTaken(holder_->takeChanges(changes));
+    for (const OperatorRecord &record : changes.changes)
+        keeper_->recordChanged(record);
+    discover(changes.changes);
+}
+
+void RecordSource::discover(const std::vector<OperatorRecord> &records)
+{
+    std::vector<core::identity::NetworkAddress> addresses;
+    for (const OperatorRecord &record : records) {
+        if (record.isRemoved || !record.key.starts_with(control::records::nodeEntryPrefix))
+            continue;
+        if (const auto address = control::records::readNodeEntry(record.text))
+            addresses.push_back(*address);
+    }
+    plane_->peersDiscovered(addresses);
+}
+
+void RecordSource::storeLost(const absl::Status &error)
+{
+    plane_->storeReachable(false);
+    core::events::logEvent(EventCode::StoreUnavailable, "platform unavailable",
+                           {{"error", std::string(error.message())}});
+}
+
+void RecordSource::storeRegained()
+{
+    plane_->storeReachable(true);
+    core::events::logEvent(EventCode::StoreRecovered, "platform answers again");
+}
+
+//==============================================================================
+void RecordSource::record(const MoveRecord &record)
+{
+    const auto &moves = plane_->snapshot()->document().moves;
+    const auto move = std::find_if(moves.begin(), moves.end(), [&](const auto &candidate) {
+        return candidate.id == record.moveId;
+    });
+    if (isRecording_ || move == moves.end())
+        return;
+    isRecording_ = true;
+    parts_.store.commit(parts_.moveWriter->writesFor(*move, record, holder_->table()),
+                        recordTimeout, [this, record](const absl::StatusOr<Revision> &answer) {
+                            recordEnded(record, answer);
+                        });
+}
+
+void RecordSource::recordEnded(const MoveRecord &record, const absl::StatusOr<Revision> &answer)
+{
+    isRecording_ = false;
+    // A conflict means that another node was first; the watch brings its record.
+    if (absl::IsAborted(answer.status()))
+        return;
+    core::events::logEvent(answer.ok() ? EventCode::MoveRecorded : EventCode::MoveRecordFailed,
+                           answer.ok() ? "move recorded" : "move not recorded yet",
+                           {{"move", record.moveId},
+                            {"state", nameOf(record.state)},
+                            {"error", answer.ok() ? "" : std::string(answer.status().message())}});
+}
+
+} // namespace boragetrack::daemon::service
--- /dev/null
+++ b/packages/daemon/service/RecordSource.h
@@ -0,0 +1,60 @@
+/** The intent as entries of the platform's store. */
+#pragma once
+
+#include "control/distribution/RecordIntent.h"
+#include "control/records/EntryKeeper.h"
+#include "control/records/MoveWriter.h"
+#include "control/records/StoreFollower.h"
+#include "daemon/service/IntentSource.h"
+
+#include <functional>
+#include <optional>
+
+namespace boragetrack::daemon::service {
+
+/** Follows the store's entries, keeps this node's own one and records moves. */
+class RecordSource : public IntentSource, private control::records::StoreFollower::Listener
+{
+public:
+    /** What a source works with; references outlive it. */
+    struct Parts
+    {
+        control::records::RecordStore &store;
+        core::timing::TimerService &timers;
+        /** Makes the reader of the entries. */
+        std::function<std::unique_ptr<control::records::RecordReader>()> makeReader;
+        std::unique_ptr<control::records::MoveWriter> moveWriter;
+        core::identity::NodeId node;
+        core::identity::NetworkAddress peerAddress;
+    };
+
+    explicit RecordSource(Parts parts)
+        : parts_(std::move(parts))
+    {}
+
+    std::unique_ptr<control::distribution::HeldIntent> makeHolder() override;
+    void attach(control::distribution::ControlPlane &plane) override;
+    void detach() override;
+    void upkeep() override {}
+    void record(const control::moves::MoveRecord &record) override;
+
+private:
+    void recordsListed(const std::vector<control::records::OperatorRecord> &records,
+                       core::identity::Revision revision) override;
+    void recordsChanged(const control::records::RecordChanges &changes) override;
+    void storeLost(const absl::Status &error) override;
+    void storeRegained() override;
+    void discover(const std::vector<control::records::OperatorRecord> &records);
+    void recordEnded(const control::moves::MoveRecord &record,
+                     const absl::StatusOr<core::identity::Revision> &answer);
+
+    Parts parts_;
+    // Belongs to the control plane; set between makeHolder() and detach().
+    control::distribution::RecordIntent *holder_ = nullptr;
+    control::distribution::ControlPlane *plane_ = nullptr;
+    std::optional<control::records::StoreFollower> follower_;
+    std::optional<control::records::EntryKeeper> keeper_;
+    bool isRecording_ = false;
+};
+
+} // namespace boragetrack::daemon::service
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -4,7 +4,10 @@
 #include "core/identity/DataCentreId.h"
 #include "core/identity/NetworkAddress.h"
 #include "core/identity/NodeId.h"
+#include "core/identity/ServiceName.h"
+#include "daemon/settings/NodeInterface.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -18,8 +21,20 @@
     core::identity::NetworkAddress callers;
     core::identity::NetworkAddress peers;
     core::identity::NetworkAddress operators;
+    /** Allows operators to read a node's state; without one nobody may. */
     std::string operatorToken;
     core::identity::NetworkAddress platform;
+    /** What callers, upstreams and the platform's store speak. */
+    NodeInterface interface = NodeInterface::Own;
+    /** Where the upstream announces itself and the platform asks for readiness; only with the
+        platform's interface. */
+    core::identity::NetworkAddress announcements;
+    core::identity::NetworkAddress readiness;
+    /** The service on this node's VM, and all data centres; only with the platform's interface. */
+    core::identity::ServiceName service;
+    std::vector<core::identity::DataCentreId> dataCentres;
+    /** How long the upstream may be silent before it counts as gone. */
+    std::chrono::milliseconds announcementLife{3000};
     /** Peers to ask first; may name this node, which is then passed over. */
     std::vector<core::identity::NetworkAddress> seeds;
     /** Runs the baseline policies of routing, admission, retries and moves, for measurements. */
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -3,8 +3,8 @@
 
 #include "core/findings/SchemaValidator.h"
 #include "core/findings/TextFile.h"
+#include "core/identity/AddressText.h"
 
-#include <arpa/inet.h>
 #include <map>
 
 namespace boragetrack::daemon::settings {
@@ -18,12 +18,15 @@
 constexpr const char *schema = R"json({
 "type": "object",
 "additionalProperties": false,
-"required": ["node", "dataCentre", "callers", "peers", "operators", "operatorToken", "platform",
-             "seeds"],
-"definitions": {"address": {
-  "type": "object", "additionalProperties": false, "required": ["host", "port"],
-  "properties": {"host": {"type": "string"},
-                 "port": {"type": "integer", "minimum": 1, "maximum": 65535}}}},
+"required": ["node", "dataCentre", "callers", "peers", "operators", "platform", "seeds"],
+"if": {"properties": {"interface": {"const": "platform"}}, "required": ["interface"]},
+"then": {"required": ["announcements", "readiness", "service", "dataCentres"]},
+"else": {"required": ["operatorToken"]},
+"definitions": {"address": {"oneOf": [
+  {"type": "string"},
+  {"type": "object", "additionalProperties": false, "required": ["host", "port"],
+   "properties": {"host": {"type": "string"},
+                  "port": {"type": "integer", "minimum": 1, "maximum": 65535}}}]}},
 "properties": {
   "node": {"type": "string", "pattern": "^[A-Za-z0-9._-]+$"},
   "dataCentre": {"type": "string", "minLength": 1},
@@ -33,15 +36,26 @@
   "operatorToken": {"type": "string", "minLength": 8},
   "platform": {"$ref": "#/definitions/address"},
   "seeds": {"type": "array", "items": {"$ref": "#/definitions/address"}},
+  "interface": {"enum": ["own", "platform"]},
+  "announcements": {"$ref": "#/definitions/address"},
+  "readiness": {"$ref": "#/definitions/address"},
+  "service": {"type": "string", "minLength": 1},
+  "dataCentres": {"type": "array", "items": {"type": "string", "minLength": 1}},
+  "announcementLifeMs": {"type": "integer", "minimum": 1},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
 
 NetworkAddress readAddress(const json &object, const std::string &pointer, FindingList &findings)
 {
+    if (object.is_string()) {
+        const auto parsed = core::identity::parseAddress(object.get<std::string>());
+        if (!parsed)
+            findings.add(pointer, object.dump() + " is not an address like 10.0.0.1:80");
+        return parsed.value_or(NetworkAddress{});
+    }
     const NetworkAddress address{object["host"], object["port"].get<std::uint16_t>()};
-    in_addr parsed{};
-    if (inet_pton(AF_INET, address.host.c_str(), &parsed) != 1)
+    if (!core::identity::isIpNumber(address.host))
         findings.add(pointer + "/host", "'" + address.host + "' is not an IP number");
     return address;
 }
@@ -63,6 +77,20 @@
 
 } // namespace
 
+void readPlatformPart(const json &root, NodeSettings &settings, FindingList &findings)
+{
+    settings.announcementLife = std::chrono::milliseconds(
+            root.value("announcementLifeMs", settings.announcementLife.count()));
+    if (root.value("interface", "own") != "platform")
+        return;
+    settings.interface = NodeInterface::Platform;
+    settings.announcements = readAddress(root["announcements"], "/announcements", findings);
+    settings.readiness = readAddress(root["readiness"], "/readiness", findings);
+    settings.service = core::identity::ServiceName(root["service"]);
+    for (const json &name : root["dataCentres"])
+        settings.dataCentres.emplace_back(name.get<std::string>());
+}
+
 std::optional<NodeSettings> readSettings(const std::string &text, FindingList &findings)
 {
     static const core::findings::SchemaValidator validator{std::string(schema)};
@@ -76,7 +104,7 @@
     settings.callers = readAddress(root["callers"], "/callers", findings);
     settings.peers = readAddress(root["peers"], "/peers", findings);
     settings.operators = readAddress(root["operators"], "/operators", findings);
-    settings.operatorToken = root["operatorToken"];
+    settings.operatorToken = root.value("operatorToken", "");
     settings.platform = readAddress(root["platform"], "/platform", findings);
     for (std::size_t i = 0; i < root["seeds"].size(); ++i)
         settings.seeds.push_back(
@@ -84,6 +112,7 @@
     const json experiment = root.value("experiment", json::object());
     settings.usesBaselinePolicies = experiment.value("baselinePolicies", false);
     settings.watchesAlways = experiment.value("watchAlways", false);
+    readPlatformPart(root, settings, findings);
     checkDistinct(settings, findings);
     if (!findings.isEmpty())
         return std::nullopt;
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -47,11 +47,7 @@
     {
         ++server_.activeCalls_;
     }
-    ~Call()
-    {
-        --server_.activeCalls_;
-        server_.lastAnswerAt_ = currentTime();
-    }
+    ~Call() { --server_.activeCalls_; }
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
 
@@ -174,10 +170,4 @@
             {limits.headerBytes, limits.bodyBytes}, limits.headerTimeout, limits.idleTimeout};
 }
 
-void CallerServer::stop(bool refusesCalls)
-{
-    isStopping_ = true;
-    refusesCalls_ = refusesCalls;
-}
-
 } // namespace boragetrack::transport::callers
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -37,15 +37,14 @@
     http::ServerLimits limits() const override;
     bool isStopping() const override { return isStopping_; }
 
-    /** Closes connections after their next answer from here on. @param refusesCalls whether new
-        calls are refused as not run, or still served */
-    void stop(bool refusesCalls);
+    /** Closes connections after their next answer from here on. */
+    void beginStop() { isStopping_ = true; }
 
-    /** Returns the calls that were read and not answered. */
-    int activeCalls() const { return activeCalls_; }
+    /** Refuses new calls as not run from here on. */
+    void refuseCalls() { refusesCalls_ = true; }
 
-    /** Returns when the last call was answered. */
-    core::timing::MonotonicTime lastAnswerAt() const { return lastAnswerAt_; }
+    /** Returns whether new calls are refused and all earlier ones were answered. */
+    bool isQuiet() const { return refusesCalls_ && activeCalls_ == 0; }
 
 private:
     class Call;
@@ -57,7 +56,6 @@
     bool refusesCalls_ = false;
     // Invariant: not negative.
     int activeCalls_ = 0;
-    core::timing::MonotonicTime lastAnswerAt_{};
     core::counters::Counter &calls_;
     core::counters::Counter &attempts_;
     core::counters::Counter &refusals_;
--- a/packages/transport/dialect/UpstreamVerdict.h
+++ b/packages/transport/dialect/UpstreamVerdict.h
@@ -13,6 +13,8 @@
     WrongInstance,
     /** The response belongs to another call. */
     Foreign,
+    /** The response answers no call; this one may have run. */
+    Garbled,
 };
 
 } // namespace boragetrack::transport::dialect
--- /dev/null
+++ b/packages/transport/http/AsyncClient.cpp
@@ -0,0 +1,143 @@
+/** Implements AsyncClient. */
+#include "transport/http/AsyncClient.h"
+
+#include "transport/http/KeepAlive.h"
+#include "transport/http/MessageWriter.h"
+
+namespace boragetrack::transport::http {
+
+namespace {
+
+kj::Duration toKj(std::chrono::nanoseconds time)
+{
+    return time.count() * kj::NANOSECONDS;
+}
+
+} // namespace
+
+/** One kept connection. */
+class AsyncClient::Connection
+{
+public:
+    explicit Connection(kj::Own<kj::AsyncIoStream> stream)
+        : stream_(kj::mv(stream))
+        , reader_(stream_, MessageLimits{64 * 1024, maximumResponseBytes})
+    {}
+
+    ReadAheadStream &stream() { return stream_; }
+    MessageReader<ResponseHead> &reader() { return reader_; }
+
+    bool isReusable() const { return !stream_.isEnded() && stream_.bytes().empty(); }
+
+    // Lets a close by the server show before the connection is used again.
+    void watch() { watching_ = stream_.more().eagerlyEvaluate(nullptr); }
+
+private:
+    ReadAheadStream stream_;
+    MessageReader<ResponseHead> reader_;
+    kj::Promise<void> watching_ = nullptr;
+};
+
+/** One request and its response. */
+class AsyncClient::Exchange
+{
+public:
+    Exchange(AsyncClient &client, kj::Own<Connection> connection, HttpRequest request)
+        : client_(client)
+        , connection_(kj::mv(connection))
+    {
+        RequestHead head{request.method, request.target, std::move(request.headers)};
+        head.headers.push_back({"Host", client_.server_.toString()});
+        text_ = toText(head, request.body.size()) + request.body;
+    }
+
+    kj::Promise<Result> run()
+    {
+        return connection_->stream()
+                .write(kj::arrayPtr(text_.data(), text_.size()))
+                .then([this]() { return connection_->reader().readHead(); })
+                .then([this](MessageReader<ResponseHead>::HeadResult &&result)
+                              -> kj::Promise<Result> {
+                    auto *head = std::get_if<ResponseHead>(&result);
+                    if (head == nullptr)
+                        return Result(absl::UnknownError("the connection gave no response"));
+                    response_.status = head->status;
+                    response_.headers = std::move(head->headers);
+                    return readBody();
+                })
+                .catch_([](kj::Exception &&exception) {
+                    return Result(absl::UnknownError(exception.getDescription().cStr()));
+                });
+    }
+
+private:
+    kj::Promise<Result> readBody()
+    {
+        return connection_->reader()
+                .readBodyUpTo(maximumResponseBytes)
+                .then([this](BodyPiece &&body) {
+                    if (!body.isLast)
+                        return Result(absl::UnknownError("the response is too large"));
+                    response_.body = std::move(body.bytes);
+                    if (connection_->reader().message().keepsConnection()) {
+                        connection_->watch();
+                        client_.idle_.push_back(kj::mv(connection_));
+                    }
+                    return Result(std::move(response_));
+                });
+    }
+
+    AsyncClient &client_;
+    kj::Own<Connection> connection_;
+    std::string text_;
+    HttpResponse response_;
+};
+
+AsyncClient::AsyncClient(kj::Network &network, kj::Timer &timer,
+                         core::identity::NetworkAddress server)
+    : network_(network)
+    , timer_(timer)
+    , server_(std::move(server))
+{}
+
+AsyncClient::~AsyncClient() noexcept = default;
+
+kj::Promise<absl::StatusOr<HttpResponse>> AsyncClient::send(HttpRequest request,
+                                                            std::chrono::milliseconds timeout)
+{
+    auto exchange = acquire().then(
+            [this, request = std::move(request)](kj::Own<Connection> &&connection) mutable {
+                auto held = kj::heap<Exchange>(*this, kj::mv(connection), std::move(request));
+                auto running = held->run();
+                return running.attach(kj::mv(held));
+            },
+            [](kj::Exception &&exception) -> kj::Promise<Result> {
+                return Result(absl::UnavailableError(exception.getDescription().cStr()));
+            });
+    return timer_.timeoutAfter(toKj(timeout), kj::mv(exchange))
+            .catch_([](kj::Exception && /*exception*/) {
+                return Result(absl::UnknownError("no response in time"));
+            });
+}
+
+kj::Promise<kj::Own<AsyncClient::Connection>> AsyncClient::acquire()
+{
+    while (!idle_.empty()) {
+        kj::Own<Connection> connection = kj::mv(idle_.back());
+        idle_.pop_back();
+        if (connection->isReusable())
+            return kj::mv(connection);
+    }
+    auto connecting = network_.parseAddress(server_.toString())
+                              .then([](kj::Own<kj::NetworkAddress> &&address) {
+                                  auto promise = address->connect();
+                                  return promise.attach(kj::mv(address));
+                              })
+                              .then([](kj::Own<kj::AsyncIoStream> &&stream) {
+                                  enableKeepAlive(*stream);
+                                  return kj::heap<Connection>(kj::mv(stream));
+                              });
+    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
+}
+
+} // namespace boragetrack::transport::http
--- /dev/null
+++ b/packages/transport/http/AsyncClient.h
@@ -0,0 +1,50 @@
+/** Sends HTTP requests on the traffic thread. */
+#pragma once
+
+#include "core/identity/NetworkAddress.h"
+#include "transport/http/HttpRequest.h"
+#include "transport/http/HttpResponse.h"
+#include "transport/http/MessageReader.h"
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <kj/timer.h>
+#include <vector>
+
+namespace boragetrack::transport::http {
+
+/** Sends requests to one server over connections that it keeps; for control purposes, not for
+    calls. */
+class AsyncClient
+{
+public:
+    /** The largest response that is read, in bytes. */
+    static constexpr std::size_t maximumResponseBytes = std::size_t{8} * 1024 * 1024;
+    /** The time to connect; beyond it the server counts as unreachable. */
+    static constexpr std::chrono::milliseconds connectTimeout{1000};
+
+    /** @param network and @param timer outlive the client */
+    AsyncClient(kj::Network &network, kj::Timer &timer, core::identity::NetworkAddress server);
+    ~AsyncClient() noexcept;
+    AsyncClient(const AsyncClient &) = delete;
+    AsyncClient &operator=(const AsyncClient &) = delete;
+
+    /** Returns the response; never rejects. Errors: Unavailable when the server certainly did not
+        get the request, Unknown when the answer was lost or late. */
+    kj::Promise<absl::StatusOr<HttpResponse>> send(HttpRequest request,
+                                                   std::chrono::milliseconds timeout);
+
+private:
+    class Connection;
+    class Exchange;
+    using Result = absl::StatusOr<HttpResponse>;
+
+    kj::Promise<kj::Own<Connection>> acquire();
+
+    kj::Network &network_;
+    kj::Timer &timer_;
+    core::identity::NetworkAddress server_;
+    std::vector<kj::Own<Connection>> idle_;
+};
+
+} // namespace boragetrack::transport::http
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -17,7 +17,7 @@
 {
 public:
     /** Bytes that are held at most before reading pauses. */
-    static constexpr std::size_t capacity = 64 * 1024;
+    static constexpr std::size_t capacity = std::size_t{64} * 1024;
 
     explicit ReadAheadStream(kj::Own<kj::AsyncIoStream> stream)
         : stream_(kj::mv(stream))
@@ -63,7 +63,7 @@
     bool isReading_ = false;
     bool isEnded_ = false;
     bool isBroken_ = false;
-    kj::Array<char> chunk_ = kj::heapArray<char>(8 * 1024);
+    kj::Array<char> chunk_ = kj::heapArray<char>(std::size_t{8} * 1024);
     kj::ForkedPromise<void> reading_ = nullptr;
 };
 
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -96,15 +96,20 @@
     serving::UpstreamGate &gate() { return gate_; }
     callers::CallerServer &callers() { return callers_; }
 
-    kj::Promise<bool> callersQuiet(std::chrono::milliseconds quietTime, kj::TimePoint limit)
+    kj::Promise<bool> callersQuiet(kj::TimePoint limit)
     {
-        const bool isQuiet
-                = callers_.activeCalls() == 0
-                  && std::chrono::steady_clock::now() - callers_.lastAnswerAt() >= quietTime;
-        if (isQuiet || timer_.now() >= limit)
-            return isQuiet;
+        if (callers_.isQuiet() || timer_.now() >= limit)
+            return callers_.isQuiet();
         return timer_.afterDelay(drainCheckInterval.count() * kj::MILLISECONDS)
-                .then([this, quietTime, limit]() { return callersQuiet(quietTime, limit); });
+                .then([this, limit]() { return callersQuiet(limit); });
+    }
+
+    void stopCallers(std::chrono::milliseconds servingTime)
+    {
+        callers_.beginStop();
+        add(timer_.afterDelay(servingTime.count() * kj::MILLISECONDS).then([this]() {
+            callers_.refuseCalls();
+        }));
     }
 
     kj::Promise<bool> drained(kj::TimePoint limit)
@@ -215,21 +220,19 @@
     mailbox_.post([this, status]() { loop_->gate().setUpstream(status); });
 }
 
-void LinkThread::stopCallers(bool refusesCalls)
+void LinkThread::stopCallers(std::chrono::milliseconds servingTime)
 {
-    mailbox_.post([this, refusesCalls]() { loop_->callers().stop(refusesCalls); });
+    mailbox_.post([this, servingTime]() { loop_->stopCallers(servingTime); });
 }
 
-bool LinkThread::awaitQuietCallers(std::chrono::milliseconds quietTime,
-                                   std::chrono::milliseconds timeout)
+bool LinkThread::awaitQuietCallers(std::chrono::milliseconds timeout)
 {
     auto promise = std::make_shared<std::promise<bool>>();
     auto quiet = promise->get_future();
-    const bool isPosted = mailbox_.post([this, quietTime, timeout, promise]() {
-        loop_->add(
-                loop_->callersQuiet(quietTime, loop_->after(timeout)).then([promise](bool isQuiet) {
-                    promise->set_value(isQuiet);
-                }));
+    const bool isPosted = mailbox_.post([this, timeout, promise]() {
+        loop_->add(loop_->callersQuiet(loop_->after(timeout)).then([promise](bool isQuiet) {
+            promise->set_value(isQuiet);
+        }));
     });
     return !isPosted || quiet.get();
 }
--- a/packages/transport/links/LinkThread.h
+++ b/packages/transport/links/LinkThread.h
@@ -63,13 +63,13 @@
     /** Passes on what is known of the upstream beside this node. */
     void setUpstream(const std::optional<serving::UpstreamStatus> &status);
 
-    /** Closes callers' connections after their next answer. @param refusesCalls whether new calls
-        are refused as not run from here on, or still served */
-    void stopCallers(bool refusesCalls);
+    /** Closes callers' connections after their next answer, and refuses new calls as not run once
+        a time has passed. */
+    void stopCallers(std::chrono::milliseconds servingTime);
 
-    /** Waits until no caller waits for an answer and none came for a while.
+    /** Waits until new calls are refused and no caller waits for an answer.
         @returns whether that came within the time */
-    bool awaitQuietCallers(std::chrono::milliseconds quietTime, std::chrono::milliseconds timeout);
+    bool awaitQuietCallers(std::chrono::milliseconds timeout);
 
     /** Refuses new calls for the upstream and waits until those taken are answered.
         @returns whether all were answered within the time */
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -106,21 +106,23 @@
                 .readBodyUpTo(maximumAnswerBytes)
                 .then(
                         [this, head = std::move(head)](
-                                http::BodyPiece &&body) mutable -> kj::Promise<CallAnswer> {
+                                http::BodyPiece &&body) -> kj::Promise<CallAnswer> {
                             if (!body.isLast)
                                 return lost("the upstream's answer is too large");
-                            return judge(std::move(head), std::move(body.bytes));
+                            return judge(head, std::move(body.bytes));
                         },
-                        [this](kj::Exception &&exception) -> kj::Promise<CallAnswer> {
+                        [](kj::Exception &&exception) -> kj::Promise<CallAnswer> {
                             return lost(exception.getDescription().cStr());
                         });
     }
 
-    kj::Promise<CallAnswer> judge(http::ResponseHead head, std::string body)
+    kj::Promise<CallAnswer> judge(const http::ResponseHead &head, std::string body)
     {
         const UpstreamVerdict verdict = client_.dialect_.judge(head, request_);
         if (verdict == UpstreamVerdict::Foreign)
             return readAnswer();
+        if (verdict == UpstreamVerdict::Garbled)
+            return lost("the upstream sent what is no answer");
         CallAnswer answer;
         answer.outcome = verdict == UpstreamVerdict::Answered ? CallOutcome::Answered
                                                               : CallOutcome::NotRun;
--- a/packages/transport/serving/UpstreamStatus.h
+++ b/packages/transport/serving/UpstreamStatus.h
@@ -4,6 +4,8 @@
 #include "control/membership/UpstreamRecord.h"
 #include "core/identity/NetworkAddress.h"
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace boragetrack::transport::serving {
@@ -15,6 +17,8 @@
     core::identity::NetworkAddress address;
     /** Differs after each restart of the upstream. */
     std::string instance;
+    /** How much longer the upstream bears little after its start; zero when it is warm. */
+    std::chrono::milliseconds coldLeft{0};
 };
 
 } // namespace boragetrack::transport::serving
