Log each call with its attempts, and each decision of the gate

Change: one line for each call at its node and at the gate, with request id, inputs and outcome, bounded a second and never blocking, on standard output; counters every ten seconds. A node that stops goes on serving callers until they have noticed; a new connection is not closed before its first request.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -9,7 +9,7 @@
 from fleet import Fleet, http
 from load import percentile
 
-IN_FORCE = re.compile(r"^I(\d{8} [\d:.]+) .* E200 intent in force revision=(\d+)")
+IN_FORCE = re.compile(r"^(\S+) E200 intent in force revision=(\d+)")
 KEY = "/v1/kv/boragetrack/intent"
 
 
@@ -52,7 +52,7 @@
     for line in node.process.log.read_text().splitlines():
         match = IN_FORCE.match(line)
         if match:
-            at = datetime.strptime(match.group(1), "%Y%m%d %H:%M:%S.%f")
+            at = datetime.strptime(match.group(1), "%Y-%m-%dT%H:%M:%S.%f%z")
             times.append((int(match.group(2)), at.timestamp()))
     return times
 
--- a/packages/core/counters/CounterRegistry.cpp
+++ b/packages/core/counters/CounterRegistry.cpp
@@ -21,4 +21,15 @@
     return text;
 }
 
+std::string CounterRegistry::toLine() const
+{
+    const std::lock_guard lock(mutex_);
+    std::string line;
+    for (const auto &[name, counter] : counters_) {
+        if (counter->value() > 0)
+            line += (line.empty() ? "" : " ") + name + "=" + std::to_string(counter->value());
+    }
+    return line;
+}
+
 } // namespace boragetrack::core::counters
--- a/packages/core/counters/CounterRegistry.h
+++ b/packages/core/counters/CounterRegistry.h
@@ -20,6 +20,9 @@
     /** Returns one line "name value" for each counter, ordered by name. */
     std::string toText() const;
 
+    /** Returns one line "name=value name=value ..." with the counters above zero. */
+    std::string toLine() const;
+
 private:
     mutable std::mutex mutex_;
     std::map<std::string, std::unique_ptr<Counter>> counters_;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -8,6 +8,8 @@
     NodeStarted = 100,
     NodeStopping = 101,
     NodeStopped = 102,
+    Counters = 103,
+    LinesLeftOut = 104,
     SettingsRefused = 110,
     IntentApplied = 200,
     IntentRefused = 201,
@@ -29,6 +31,13 @@
     MoveStopped = 400,
     MoveRecorded = 401,
     MoveRecordFailed = 402,
+    CallAnswered = 500,
+    CallNotRun = 501,
+    CallUnknown = 502,
+    CallerLeft = 503,
+    ExchangeFailed = 504,
+    CallServed = 510,
+    CallTurnedAway = 511,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/core/events/EventLog.cpp
+++ b/packages/core/events/EventLog.cpp
@@ -1,16 +1,82 @@
-/** Implements the numbered log events on glog. */
+/** Implements the numbered log events. */
 #include "core/events/EventLog.h"
 
+#include "core/events/LineBudget.h"
+#include "core/events/StandardOutput.h"
+#include "core/timing/WallTime.h"
+
 #include <glog/logging.h>
 
 namespace boragetrack::core::events {
 
-void logEvent(EventCode code, const std::string &message, std::initializer_list<EventField> fields)
+namespace {
+
+// Lines a second for calls that went well, and for the others: some kilobytes a second at most,
+// which a fifth of a core writes in about a hundredth of its time.
+constexpr double ordinaryLinesPerSecond = 20;
+constexpr double otherLinesPerSecond = 60;
+
+LineBudget &ordinaryBudget()
+{
+    static LineBudget budget(ordinaryLinesPerSecond);
+    return budget;
+}
+
+LineBudget &otherBudget()
+{
+    static LineBudget budget(otherLinesPerSecond);
+    return budget;
+}
+
+void appendValue(std::string &line, const std::string &value)
+{
+    const bool isPlain = !value.empty() && value.find_first_of(" \"=\n") == std::string::npos;
+    if (isPlain) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\')
+            line += '\\';
+        line += letter == '\n' ? ' ' : letter;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void logEvent(EventCode code, std::string_view message, std::initializer_list<EventField> fields)
+{
+    std::string line = timing::formatWallTimeMillis(timing::currentWallTime()) + " E"
+                       + std::to_string(static_cast<int>(code)) + " ";
+    line += message;
+    for (const auto &[name, value] : fields) {
+        line += " ";
+        line += name;
+        line += "=";
+        appendValue(line, value);
+    }
+    StandardOutput::instance().write(std::move(line));
+}
+
+void logCall(EventCode code, std::string_view message, bool isOrdinary,
+             std::initializer_list<EventField> fields)
+{
+    LineBudget &budget = isOrdinary ? ordinaryBudget() : otherBudget();
+    if (budget.take(std::chrono::steady_clock::now()))
+        logEvent(code, message, fields);
+}
+
+void logLinesLeftOut()
 {
-    std::string line = "E" + std::to_string(static_cast<int>(code)) + " " + message;
-    for (const auto &[name, value] : fields)
-        line += std::string(" ") + name + "=" + value;
-    LOG(INFO) << line;
+    const std::uint64_t ordinary = ordinaryBudget().takeLeftOut();
+    const std::uint64_t other = otherBudget().takeLeftOut();
+    if (ordinary + other > 0)
+        logEvent(EventCode::LinesLeftOut, "lines left out",
+                 {{"ordinary", std::to_string(ordinary)},
+                  {"other", std::to_string(other)},
+                  {"dropped", std::to_string(StandardOutput::instance().dropped())}});
 }
 
 void startLogging(const char *programName)
--- a/packages/core/timing/WallTime.cpp
+++ b/packages/core/timing/WallTime.cpp
@@ -1,6 +1,7 @@
 /** Implements reading and writing of RFC 3339 times. */
 #include "core/timing/WallTime.h"
 
+#include <cstdio>
 #include <ctime>
 
 namespace boragetrack::core::timing {
@@ -19,6 +20,16 @@
     return std::string(text, length);
 }
 
+std::string formatWallTimeMillis(WallTime time)
+{
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
+    char fraction[8];
+    std::snprintf(fraction, sizeof(fraction), ".%03dZ", static_cast<int>((time - seconds).count()));
+    std::string text = formatWallTime(seconds);
+    text.replace(text.size() - 1, 1, fraction);
+    return text;
+}
+
 std::optional<WallTime> parseWallTime(const std::string &text)
 {
     std::tm parts{};
--- a/packages/core/timing/WallTime.h
+++ b/packages/core/timing/WallTime.h
@@ -13,6 +13,9 @@
 /** Returns the time in RFC 3339 form, in UTC and whole seconds. */
 std::string formatWallTime(WallTime time);
 
+/** Returns the time in RFC 3339 form, in UTC and with milliseconds. */
+std::string formatWallTimeMillis(WallTime time);
+
 /** Reads a time in RFC 3339 form in UTC ("2026-12-04T09:00:00Z"); returns nothing otherwise. */
 std::optional<WallTime> parseWallTime(const std::string &text);
 
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -29,6 +29,8 @@
 
 constexpr std::chrono::milliseconds upkeepPeriod{200};
 constexpr std::chrono::milliseconds recordInterval{1000};
+// For those who have only the logs: rates follow from two lines.
+constexpr std::chrono::milliseconds countersPeriod{10'000};
 constexpr std::chrono::milliseconds recordSpread{500};
 
 std::unique_ptr<control::moves::MovePolicies> movePolicies(bool isBaseline)
@@ -287,6 +289,7 @@
 {
     expireUpstream(now);
     recordMoves(now);
+    logCounters(now);
     parts_.source.upkeep();
     isViewStale_ = isViewStale_ || ramp_.isRamping(now);
     publishIfStale();
@@ -330,6 +333,15 @@
     plane_->upstreamAnnounced(gone);
 }
 
+void ControlService::logCounters(MonotonicTime now)
+{
+    if (now < nextCountersAt_)
+        return;
+    nextCountersAt_ = now + countersPeriod;
+    core::events::logEvent(EventCode::Counters, "counters " + parts_.counters.toLine());
+    core::events::logLinesLeftOut();
+}
+
 void ControlService::recordMoves(MonotonicTime now)
 {
     if (now < nextRecordAt_ || !plane_->followsMoves())
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -113,6 +113,7 @@
                     const transport::serving::UpstreamStatus &status);
     void expireUpstream(core::timing::MonotonicTime now);
     void recordMoves(core::timing::MonotonicTime now);
+    void logCounters(core::timing::MonotonicTime now);
 
     Parts parts_;
     UpstreamSink upstreamSink_;
@@ -124,6 +125,7 @@
     control::membership::UpstreamLineage lineage_;
     core::timing::MonotonicTime announcedAt_{};
     core::timing::MonotonicTime nextRecordAt_{};
+    core::timing::MonotonicTime nextCountersAt_{};
     std::mt19937_64 random_{std::random_device{}()};
     std::unique_ptr<core::timing::ScopedTimer> timer_;
 };
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -19,7 +19,7 @@
     std::shared_ptr<const control::intent::IntentSnapshot> intent;
     core::identity::NodeId self;
     core::identity::DataCentreId dataCentre;
-    /** Whether this node takes new calls; false before the first intent and while it stops. */
+    /** Whether this node knows where calls go; false before the first intent. */
     bool isServing = false;
     /** Whether a move is followed, so that outcomes of calls count as evidence. */
     bool needsEvidence = false;
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -59,8 +59,7 @@
     snapshot->self = self.id;
     snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
-    snapshot->isServing
-            = intent->revision() != core::identity::Revision{} && self.state == MemberState::Alive;
+    snapshot->isServing = intent->revision() != core::identity::Revision{};
     snapshot->targets.reserve(intent->routes().size());
     for (const auto &entry : intent->routes())
         snapshot->targets.push_back(targetOf(entry, shareOf));
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -1,10 +1,12 @@
 /** Implements CallerServer. */
 #include "transport/callers/CallerServer.h"
 
+#include "core/events/EventLog.h"
 #include "transport/callers/CallBuilder.h"
 
 namespace boragetrack::transport::callers {
 
+using core::events::EventCode;
 using core::timing::MonotonicTime;
 using traffic::calls::CallAnswer;
 using traffic::calls::CallOutcome;
@@ -32,6 +34,34 @@
     return target.substr(0, target.find('?'));
 }
 
+std::string millisecondsSince(MonotonicTime time)
+{
+    const auto passed = currentTime() - time;
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(passed).count());
+}
+
+EventCode eventOf(const CallAnswer &answer)
+{
+    if (answer.outcome == CallOutcome::Answered)
+        return EventCode::CallAnswered;
+    return answer.outcome == CallOutcome::NotRun ? EventCode::CallNotRun : EventCode::CallUnknown;
+}
+
+std::string nameOf(const CallAnswer &answer)
+{
+    if (answer.outcome == CallOutcome::Answered)
+        return std::to_string(answer.status);
+    return answer.outcome == CallOutcome::NotRun ? "not-run" : "unknown";
+}
+
+std::size_t sizeOf(const http::HeaderList &headers)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : headers)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
 } // namespace
 
 /** One call from its request to its answer. */
@@ -47,7 +77,12 @@
     {
         ++server_.activeCalls_;
     }
-    ~Call() { --server_.activeCalls_; }
+    ~Call()
+    {
+        --server_.activeCalls_;
+        if (!isAnswered_)
+            logEnd(EventCode::CallerLeft, "caller left", CallAnswer{});
+    }
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
 
@@ -80,9 +115,15 @@
         if (attempt == nullptr)
             return answer(std::get<CallAnswer>(std::move(step)));
         server_.attempts_.add();
+        const bool isOther = attempt->endpoint.dataCentre != snapshot_->dataCentre;
+        const std::size_t sent = sizeOf(attempt->request.headers) + attempt->request.body.size();
         return server_.parts_.sender
                 .send(attempt->endpoint.node, attempt->endpoint.address, attempt->request)
-                .then([this](CallAnswer &&ended) {
+                .then([this, isOther, sent, node = attempt->endpoint.node](CallAnswer &&ended) {
+                    notePath(node, ended);
+                    if (isOther)
+                        server_.bytesToOthers_.add(sent + sizeOf(ended.headers)
+                                                   + ended.body.size());
                     return perform(plan_->attemptEnded(ended, currentTime()));
                 });
     }
@@ -121,12 +162,42 @@
 
     kj::Promise<void> answerTooLarge()
     {
+        logEnd(EventCode::CallNotRun, "call ended", CallAnswer::notRun("request body too large"));
         exchange_.closeAfterAnswer();
         return exchange_.answer(http::ResponseHead{tooLargeStatus, {}}, "request body too large\n");
     }
 
+    // Adds an attempt to the account of the call: "node:outcome@milliseconds since the arrival".
+    void notePath(const core::identity::NodeId &node, const CallAnswer &ended)
+    {
+        path_ += path_.empty() ? "" : ",";
+        path_ += node.value() + ":" + nameOf(ended);
+        if (ended.outcome != CallOutcome::Answered)
+            path_ += "(" + ended.reason + ")";
+        path_ += "@" + millisecondsSince(arrivedAt_);
+    }
+
+    void logEnd(EventCode code, const char *message, const CallAnswer &answer)
+    {
+        isAnswered_ = true;
+        const bool isGood = code == EventCode::CallAnswered && answer.status < 500;
+        core::events::logCall(
+                code, message, isGood,
+                {{"request", description_.requestId},
+                 {"route", target_ == nullptr ? "" : target_->entry.route.name.value()},
+                 {"status", std::to_string(answer.status)},
+                 {"ms", millisecondsSince(arrivedAt_)},
+                 {"budgetMs",
+                  std::to_string(description_.timeLeft.value_or(std::chrono::milliseconds::zero())
+                                         .count())},
+                 {"intent", std::to_string(snapshot_->intent->revision().number())},
+                 {"path", path_},
+                 {"reason", answer.reason}});
+    }
+
     kj::Promise<void> answer(CallAnswer answer)
     {
+        logEnd(eventOf(answer), "call ended", answer);
         const dialect::CallDialect &dialect = server_.parts_.dialect;
         if (server_.isStopping_)
             exchange_.closeAfterAnswer();
@@ -145,6 +216,8 @@
     MonotonicTime arrivedAt_;
     const RouteTarget *target_ = nullptr;
     std::optional<CallPlan> plan_;
+    std::string path_;
+    bool isAnswered_ = false;
 };
 
 CallerServer::CallerServer(Parts parts)
@@ -153,6 +226,7 @@
     , attempts_(parts_.counters.counter("call_attempts"))
     , refusals_(parts_.counters.counter("calls_not_run"))
     , unknowns_(parts_.counters.counter("calls_unknown"))
+    , bytesToOthers_(parts_.counters.counter("call_bytes_other_data_centres"))
 {}
 
 kj::Promise<void> CallerServer::handle(http::ServerExchange &exchange)
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -35,7 +35,6 @@
 
     kj::Promise<void> handle(http::ServerExchange &exchange) override;
     http::ServerLimits limits() const override;
-    bool isStopping() const override { return isStopping_; }
 
     /** Closes connections after their next answer from here on. */
     void beginStop() { isStopping_ = true; }
@@ -60,6 +59,7 @@
     core::counters::Counter &attempts_;
     core::counters::Counter &refusals_;
     core::counters::Counter &unknowns_;
+    core::counters::Counter &bytesToOthers_;
 };
 
 } // namespace boragetrack::transport::callers
--- a/packages/transport/http/ExchangeHandler.h
+++ b/packages/transport/http/ExchangeHandler.h
@@ -24,9 +24,6 @@
     {
         return ResponseHead{fault.status, {}};
     }
-
-    /** Returns whether idle connections are to be closed. */
-    virtual bool isStopping() const { return false; }
 };
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -27,8 +27,6 @@
 
 kj::Promise<void> ServerConnection::awaitRequest()
 {
-    if (handler_.isStopping() && stream_.bytes().empty())
-        return close();
     const ServerLimits limits = handler_.limits();
     reader_.setLimits(limits.message);
     if (!stream_.bytes().empty())
--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -56,8 +56,10 @@
     auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_);
     auto running = connection->run();
     auto count = kj::heap<ScopedCount>(connections_);
-    tasks_.add(running.catch_([](kj::Exception && /*exception*/) {
-                          // A client that resets its connection needs no answer.
+    tasks_.add(running.catch_([](kj::Exception &&exception) {
+                          core::events::logCall(core::events::EventCode::ExchangeFailed,
+                                                "exchange failed", false,
+                                                {{"error", exception.getDescription().cStr()}});
                       })
                        .attach(kj::mv(connection))
                        .attach(kj::mv(count)));
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -1,6 +1,8 @@
 /** Implements UpstreamGate. */
 #include "transport/serving/UpstreamGate.h"
 
+#include "core/events/EventLog.h"
+
 #include <algorithm>
 
 namespace boragetrack::transport::serving {
@@ -141,8 +143,7 @@
     // A repeat is answered from memory even when the upstream has changed since.
     const bool isKnown = isKeyed && replays_.answer(request.key).has_value();
     if (obstacle && !isKnown) {
-        callsRefused_.add();
-        return CallAnswer::notRun(*obstacle);
+        return turnAway(request, *obstacle);
     }
     ++activeCalls_;
     auto message = kj::heap<CallRequest>(std::move(request));
@@ -273,7 +274,7 @@
             .then([this, &call](Place place) -> kj::Promise<CallAnswer> {
                 KJ_IF_MAYBE (admission, place)
                     return send(call, kj::mv(*admission));
-                return CallAnswer::notRun("the upstream has no room");
+                return turnAway(call, "the upstream has no room");
             })
             .attach(kj::mv(request));
 }
@@ -286,10 +287,8 @@
     const AdmissionDecision decision = queue_.arrive(ticket, deadline, now);
     if (decision == AdmissionDecision::Run)
         return Place(kj::heap<ScopedAdmission>(*this));
-    if (decision == AdmissionDecision::Refuse) {
-        callsRefused_.add();
+    if (decision == AdmissionDecision::Refuse)
         return Place(nullptr);
-    }
     auto pair = kj::newPromiseAndFulfiller<Place>();
     auto wait = kj::heap<ScopedWait>(*this, ticket, kj::mv(pair.fulfiller));
     return parts_.timer.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
@@ -312,9 +311,45 @@
             });
 }
 
+CallAnswer UpstreamGate::turnAway(const CallRequest &request, const std::string &reason)
+{
+    callsRefused_.add();
+    const auto load = queue_.load();
+    core::events::logCall(core::events::EventCode::CallTurnedAway, "call turned away", false,
+                          {{"request", request.requestId},
+                           {"service", request.service.value()},
+                           {"version", request.version.value()},
+                           {"budgetMs", std::to_string(request.budget.count() / 1000)},
+                           {"inFlight", std::to_string(load.inFlight)},
+                           {"queued", std::to_string(load.queued)},
+                           {"limit", std::to_string(load.limit)},
+                           {"reason", reason}});
+    return CallAnswer::notRun(reason);
+}
+
+void UpstreamGate::logServed(const CallRequest &request, const CallAnswer &answer,
+                             std::chrono::nanoseconds latency)
+{
+    const bool isGood = answer.outcome == CallOutcome::Answered && answer.status < 500;
+    const auto load = queue_.load();
+    core::events::logCall(
+            core::events::EventCode::CallServed, "call served", isGood,
+            {{"request", request.requestId},
+             {"instance", status_ ? status_->instance : ""},
+             {"status", std::to_string(answer.status)},
+             {"ms",
+              std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())},
+             {"inFlight", std::to_string(load.inFlight)},
+             {"queued", std::to_string(load.queued)},
+             {"limit", std::to_string(load.limit)},
+             {"reason", answer.reason}});
+}
+
 void UpstreamGate::noteEnd(const CallRequest &request, const CallAnswer &answer,
                            std::chrono::nanoseconds latency, ScopedAdmission &admission)
 {
+    logServed(request, answer, latency);
     admission.end(answer, latency);
     if (answer.outcome == CallOutcome::NotRun)
         return;
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -89,6 +89,8 @@
     kj::Promise<Answer> admitAndSend(kj::Own<Request> request);
     kj::Promise<Place> admit(const Request &request);
     kj::Promise<Answer> send(Request &request, kj::Own<ScopedAdmission> admission);
+    Answer turnAway(const Request &request, const std::string &reason);
+    void logServed(const Request &request, const Answer &answer, std::chrono::nanoseconds latency);
     void noteEnd(const Request &request, const Answer &answer, std::chrono::nanoseconds latency,
                  ScopedAdmission &admission);
     // Returns why a call may not go to the upstream now, if so.
