--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -8,8 +8,8 @@
 #include "traffic/admission/FixedConcurrency.h"
 #include "traffic/retry/BudgetedRetry.h"
 #include "traffic/retry/PlainRetry.h"
+#include "traffic/routing/EarliestFinishRouting.h"
 #include "traffic/routing/RoundRobinRouting.h"
-#include "traffic/routing/TwoChoicesRouting.h"
 
 namespace boragetrack::daemon {
 
@@ -25,10 +25,10 @@
     return snapshot;
 }
 
-std::unique_ptr<traffic::admission::AdmissionPolicy> admissionPolicy(bool isBaseline)
+std::unique_ptr<traffic::admission::AdmissionPolicy> admissionPolicy(bool trustsSlots)
 {
     const traffic::admission::AdmissionLimits limits;
-    if (isBaseline)
+    if (trustsSlots)
         return std::make_unique<traffic::admission::FixedConcurrency>(limits);
     return std::make_unique<traffic::admission::AdaptiveConcurrency>(limits);
 }
@@ -37,7 +37,7 @@
 {
     if (isBaseline)
         return std::make_unique<traffic::routing::RoundRobinRouting>();
-    return std::make_unique<traffic::routing::TwoChoicesRouting>();
+    return std::make_unique<traffic::routing::EarliestFinishRouting>();
 }
 
 std::unique_ptr<traffic::retry::RetryPolicy> makeRetryPolicy(bool isBaseline)
@@ -60,8 +60,10 @@
                 counters_})
     , links_({settings_.node, control::membership::processIdOf(self_), settings_.peers,
               settings_.callers, settings_.service, environment_->dialect(), control_, control_,
-              routing_, admissionPolicy(settings_.usesBaselinePolicies), *routingPolicy_,
-              *retryPolicy_, environment_->loopParts(),
+              routing_,
+              admissionPolicy(settings_.usesBaselinePolicies
+                              || settings_.interface == settings::NodeInterface::Platform),
+              *routingPolicy_, *retryPolicy_, environment_->loopParts(),
               [this](const control::moves::CallEvidence &evidence) {
                   control_.callEnded(evidence);
               },
--- a/packages/traffic/admission/AdmissionQueue.cpp
+++ b/packages/traffic/admission/AdmissionQueue.cpp
@@ -9,7 +9,15 @@
 using core::timing::MonotonicTime;
 
 namespace {
-constexpr int latencySmoothing = 8;
+
+// A request that ran longer than usual still has some way to go: a part of its usual time.
+constexpr int residualPart = 4;
+// How often the queue is looked at while requests wait, for those whose time becomes too short.
+constexpr std::chrono::milliseconds lookPeriod{20};
+// Requests that can only meet their deadline and wait all the same, for each place at the upstream:
+// they use what is left over, and further ones are better told to come back.
+constexpr double latePerPlace = 1.0;
+
 } // namespace
 
 AdmissionQueue::AdmissionQueue(std::unique_ptr<AdmissionPolicy> policy,
@@ -24,43 +32,61 @@
     policy_->setLimits(limits);
 }
 
+void AdmissionQueue::upstreamStarted()
+{
+    policy_->upstreamStarted();
+    work_.clear();
+}
+
+//==============================================================================
 AdmissionDecision AdmissionQueue::arrive(Ticket ticket, MonotonicTime deadline, MonotonicTime now)
 {
-    if (isDraining_ || deadline <= now)
+    return arrive(Arrival{ticket, {}, 1, deadline, deadline}, now);
+}
+
+AdmissionDecision AdmissionQueue::arrive(const Arrival &arrival, MonotonicTime now)
+{
+    if (isDraining_ || arrival.deadline <= now)
         return AdmissionDecision::Refuse;
-    if (waiting_.empty() && inFlight_ < policy_->limit()) {
-        ++inFlight_;
+    const Waiting waiting{arrival, work_.usual(arrival.route)};
+    if (waiting_.empty() && hasFreePlace(now)) {
+        begin(waiting.work, now);
         return AdmissionDecision::Run;
     }
-    const bool isFull = waiting_.size() >= static_cast<std::size_t>(limits_.queue);
-    if (isFull || !canFinish(deadline, waiting_.size() + 1, now))
+    if (waiting_.size() >= static_cast<std::size_t>(limits_.queue))
+        return AdmissionDecision::Refuse;
+    const MonotonicTime start = now + expectedWait(arrival.rank, now);
+    if (!canMeet(waiting, arrival.deadline, start))
         return AdmissionDecision::Refuse;
-    waiting_.push_back(Waiting{ticket, deadline});
+    const bool isLate = !canMeet(waiting, arrival.objective, start);
+    if (isLate && static_cast<double>(countLate(now)) >= latePerPlace * policy_->limit())
+        return AdmissionDecision::Refuse;
+    waiting_.push_back(waiting);
     return AdmissionDecision::Wait;
 }
 
 void AdmissionQueue::ended(const AdmissionSample &sample, MonotonicTime now)
 {
-    assert(inFlight_ > 0);
-    --inFlight_;
+    abandoned();
     policy_->requestEnded(sample, now);
     if (!sample.isOverload)
-        typicalLatency_ += (sample.latency - typicalLatency_) / latencySmoothing;
+        work_.note(sample.route, sample.latency);
 }
 
 void AdmissionQueue::abandoned()
 {
-    assert(inFlight_ > 0);
-    --inFlight_;
+    assert(!running_.empty());
+    running_.erase(running_.begin());
 }
 
-std::vector<AdmissionQueue::Ticket> AdmissionQueue::takeRunnable(MonotonicTime /*now*/)
+std::vector<AdmissionQueue::Ticket> AdmissionQueue::takeRunnable(MonotonicTime now)
 {
     std::vector<Ticket> tickets;
-    while (!waiting_.empty() && inFlight_ < policy_->limit()) {
-        tickets.push_back(waiting_.front().ticket);
-        waiting_.pop_front();
-        ++inFlight_;
+    while (!waiting_.empty() && hasFreePlace(now)) {
+        const auto next = nextToRun(now);
+        tickets.push_back(next->arrival.ticket);
+        begin(next->work, now);
+        waiting_.erase(next);
     }
     return tickets;
 }
@@ -69,9 +95,9 @@
 {
     std::vector<Ticket> tickets;
     std::erase_if(waiting_, [&](const Waiting &waiting) {
-        const bool isExpired = !canFinish(waiting.deadline, 0, now);
+        const bool isExpired = !canMeet(waiting, waiting.arrival.deadline, now);
         if (isExpired)
-            tickets.push_back(waiting.ticket);
+            tickets.push_back(waiting.arrival.ticket);
         return isExpired;
     });
     return tickets;
@@ -79,18 +105,95 @@
 
 void AdmissionQueue::withdraw(Ticket ticket)
 {
-    std::erase_if(waiting_, [&](const Waiting &waiting) { return waiting.ticket == ticket; });
+    std::erase_if(waiting_,
+                  [&](const Waiting &waiting) { return waiting.arrival.ticket == ticket; });
+}
+
+std::optional<std::chrono::nanoseconds> AdmissionQueue::untilNextLook(MonotonicTime now)
+{
+    if (waiting_.empty())
+        return std::nullopt;
+    if (!pacer_.isCold(now))
+        return lookPeriod;
+    return std::clamp<std::chrono::nanoseconds>(pacer_.timeFor(1.0, now),
+                                                std::chrono::milliseconds(1), lookPeriod);
+}
+
+//==============================================================================
+std::chrono::nanoseconds AdmissionQueue::expectedWait(int rank, MonotonicTime now)
+{
+    std::chrono::nanoseconds ahead{0};
+    double requests = 1.0;
+    for (const Waiting &waiting : waiting_) {
+        if (waiting.arrival.rank > rank)
+            continue;
+        ahead += waiting.work;
+        requests += 1.0;
+    }
+    const auto paced = pacer_.timeFor(requests, now);
+    const int limit = std::max(1, policy_->limit());
+    const bool isFree = running_.size() < static_cast<std::size_t>(limit);
+    if (ahead.count() == 0 && isFree)
+        return paced;
+    return std::max(paced, (ahead + runningWork(now)) / limit);
+}
+
+calls::LoadReport AdmissionQueue::load(MonotonicTime now)
+{
+    calls::LoadReport report;
+    report.inFlight = static_cast<int>(running_.size());
+    report.queued = static_cast<int>(waiting_.size());
+    report.limit = policy_->limit();
+    for (std::size_t rank = 0; rank < report.waits.size(); ++rank) {
+        report.waits[rank] = std::chrono::duration_cast<std::chrono::microseconds>(
+                expectedWait(static_cast<int>(rank), now));
+    }
+    return report;
 }
 
-calls::LoadReport AdmissionQueue::load() const
+bool AdmissionQueue::canMeet(const Waiting &waiting, MonotonicTime end, MonotonicTime start) const
 {
-    return calls::LoadReport{inFlight_, static_cast<int>(waiting_.size()), policy_->limit()};
+    return start + waiting.work < end;
+}
+
+bool AdmissionQueue::hasFreePlace(MonotonicTime now)
+{
+    return running_.size() < static_cast<std::size_t>(std::max(1, policy_->limit()))
+           && pacer_.mayTake(now);
+}
+
+void AdmissionQueue::begin(std::chrono::nanoseconds work, MonotonicTime now)
+{
+    pacer_.take(now);
+    running_.push_back(Running{now, work});
+}
+
+std::size_t AdmissionQueue::countLate(MonotonicTime now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) {
+                return !canMeet(waiting, waiting.arrival.objective, now);
+            }));
+}
+
+std::chrono::nanoseconds AdmissionQueue::runningWork(MonotonicTime now) const
+{
+    std::chrono::nanoseconds work{0};
+    for (const Running &running : running_) {
+        const std::chrono::nanoseconds left = running.work - (now - running.begunAt);
+        work += std::max(left, running.work / residualPart);
+    }
+    return work;
 }
 
-bool AdmissionQueue::canFinish(MonotonicTime deadline, std::size_t ahead, MonotonicTime now) const
+std::vector<AdmissionQueue::Waiting>::iterator AdmissionQueue::nextToRun(MonotonicTime now)
 {
-    const auto rounds = static_cast<std::int64_t>(ahead) / std::max(1, policy_->limit()) + 1;
-    return now + typicalLatency_ * rounds < deadline;
+    const auto isBefore = [&](const Waiting &a, const Waiting &b) {
+        const bool isLateA = !canMeet(a, a.arrival.objective, now);
+        const bool isLateB = !canMeet(b, b.arrival.objective, now);
+        return isLateA != isLateB ? isLateB : a.arrival.rank < b.arrival.rank;
+    };
+    return std::min_element(waiting_.begin(), waiting_.end(), isBefore);
 }
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/admission/AdmissionQueue.h
+++ b/packages/traffic/admission/AdmissionQueue.h
@@ -3,17 +3,27 @@
 
 #include "traffic/admission/AdmissionDecision.h"
 #include "traffic/admission/AdmissionPolicy.h"
+#include "traffic/admission/Arrival.h"
+#include "traffic/admission/ColdPacer.h"
+#include "traffic/admission/WorkTable.h"
 #include "traffic/calls/LoadReport.h"
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::traffic::admission {
 
-/** Admits requests up to the policy's limit and lets a few wait as long as their deadlines allow.
- */
+/**
+    Admits requests up to the policy's limit and lets others wait while they can still be in time.
+
+    Meant for loads above what the upstream bears. Among those that wait, requests that can still
+    meet their objective go before those that can only meet their deadline, then lower ranks, then
+    earlier arrivals. A request is refused on arrival when the work ahead of it will take too long,
+    and as soon as its own time has become too short; it never waits for a hopeless turn.
+*/
 class AdmissionQueue
 {
 public:
@@ -21,16 +31,25 @@
 
     AdmissionQueue(std::unique_ptr<AdmissionPolicy> policy, const AdmissionLimits &limits);
 
+    //==============================================================================
     /** Takes new bounds. */
     void setLimits(const AdmissionLimits &limits);
 
     /** Notes that the upstream started anew. */
-    void upstreamStarted() { policy_->upstreamStarted(); }
+    void upstreamStarted();
+
+    /** Notes how long the upstream stays cold. @param rate requests a second that it then bears;
+        zero when not known */
+    void setCold(core::timing::MonotonicTime until, double rate) { pacer_.setCold(until, rate); }
 
     /** Stops or resumes admission; requests under way and waiting still run. */
     void setDraining(bool isDraining) { isDraining_ = isDraining; }
 
+    //==============================================================================
     /** Decides about an arriving request. */
+    AdmissionDecision arrive(const Arrival &arrival, core::timing::MonotonicTime now);
+
+    /** Decides about an arriving request without an objective of its own. */
     AdmissionDecision arrive(Ticket ticket, core::timing::MonotonicTime deadline,
                              core::timing::MonotonicTime now);
 
@@ -49,8 +68,15 @@
     /** Removes a waiting request whose caller went. */
     void withdraw(Ticket ticket);
 
+    /** Returns how long until waiting requests should be looked at again, if any wait. */
+    std::optional<std::chrono::nanoseconds> untilNextLook(core::timing::MonotonicTime now);
+
+    //==============================================================================
+    /** Returns how long a request of a rank that arrives now would wait. */
+    std::chrono::nanoseconds expectedWait(int rank, core::timing::MonotonicTime now);
+
     /** Returns the load that answers carry back. */
-    calls::LoadReport load() const;
+    calls::LoadReport load(core::timing::MonotonicTime now);
 
     /** Returns the policy. */
     const AdmissionPolicy &policy() const { return *policy_; }
@@ -58,20 +84,34 @@
 private:
     struct Waiting
     {
-        Ticket ticket;
-        core::timing::MonotonicTime deadline;
+        Arrival arrival;
+        std::chrono::nanoseconds work;
+    };
+
+    struct Running
+    {
+        core::timing::MonotonicTime begunAt;
+        std::chrono::nanoseconds work;
     };
 
-    bool canFinish(core::timing::MonotonicTime deadline, std::size_t ahead,
-                   core::timing::MonotonicTime now) const;
+    bool canMeet(const Waiting &waiting, core::timing::MonotonicTime end,
+                 core::timing::MonotonicTime now) const;
+    bool hasFreePlace(core::timing::MonotonicTime now);
+    void begin(std::chrono::nanoseconds work, core::timing::MonotonicTime now);
+    std::size_t countLate(core::timing::MonotonicTime now) const;
+    std::chrono::nanoseconds runningWork(core::timing::MonotonicTime now) const;
+    std::vector<Waiting>::iterator nextToRun(core::timing::MonotonicTime now);
 
     std::unique_ptr<AdmissionPolicy> policy_;
     AdmissionLimits limits_;
     bool isDraining_ = false;
-    // Invariant: requests that were admitted and have not ended.
-    int inFlight_ = 0;
-    std::deque<Waiting> waiting_;
-    std::chrono::nanoseconds typicalLatency_{0};
+    WorkTable work_;
+    ColdPacer pacer_;
+    // Invariant: one element for each request that was admitted and has not ended; which element
+    // belongs to which request does not matter, so the earliest goes first.
+    std::vector<Running> running_;
+    // Invariant: in the order of arrival.
+    std::vector<Waiting> waiting_;
 };
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/admission/AdmissionSample.h
+++ b/packages/traffic/admission/AdmissionSample.h
@@ -1,6 +1,8 @@
 /** The end of a request as admission learns from it. */
 #pragma once
 
+#include "core/identity/RouteName.h"
+
 #include <chrono>
 
 namespace boragetrack::traffic::admission {
@@ -13,6 +15,7 @@
     bool isOverload = false;
     /** Requests at once when this one began, itself included. */
     int inFlight = 0;
+    core::identity::RouteName route{};
 };
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/calls/CallAnswer.h
+++ b/packages/traffic/calls/CallAnswer.h
@@ -26,6 +26,8 @@
     std::string reason;
     /** When the caller may try again with a chance; only for calls that did not run. */
     std::optional<std::chrono::milliseconds> retryAfter;
+    /** How long the upstream worked on the call; zero when it did not. */
+    std::chrono::microseconds served{0};
     /** Whether the request was sent to the upstream, even if that refused it. */
     bool reachedUpstream = false;
     /** The node that holds the claim, when outcome is Claimed. */
--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -31,6 +31,8 @@
     core::identity::ServiceName callerService;
     /** Whether the call may run more than once. */
     bool isIdempotent = false;
+    /** Whether a running request waits for this call. */
+    bool isNested = false;
     /** The rank among calls when there is not room for all; 0 is the most urgent. */
     int priority = 0;
     /** What remains of the time within which an answer is worth most; may be negative. */
@@ -42,6 +44,9 @@
     int hops = 0;
     /** One for the first attempt; carried along, so that nested calls of a repeat do not repeat. */
     int attempt = 1;
+
+    /** Returns the rank in queues: calls that a running request waits for go before new ones. */
+    int rank() const { return isNested ? 0 : 1 + priority; }
 };
 
 } // namespace boragetrack::traffic::calls
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -5,6 +5,16 @@
 
 namespace boragetrack::traffic::retry {
 
+namespace {
+
+// Nodes that a call is offered to at most; each visit that is turned away takes a trip.
+constexpr int visitLimit = 4;
+// A caller's wait for its return is at most one part in so many of the time it has left.
+constexpr int returnPart = 3;
+constexpr std::chrono::milliseconds shortestReturn{20};
+
+} // namespace
+
 using calls::CallAnswer;
 using calls::CallOutcome;
 using core::timing::MonotonicTime;
@@ -26,6 +36,7 @@
 PlanStep CallPlan::start(MonotonicTime now)
 {
     deadline_ = now + request_.budget;
+    objective_ = now + request_.objective;
     shared_.retries.callBegan(target_.entry.settings.retryBudgetPercent);
     isTrial_ = std::uniform_real_distribution<>(0.0, 100.0)(random_) < share_.secondaryPercent;
     last_ = CallAnswer::notRun("no upstream of service '" + request_.service.value()
@@ -35,27 +46,60 @@
 
 PlanStep CallPlan::attemptEnded(const CallAnswer &answer, MonotonicTime now)
 {
-    shared_.loads.end(current_.node, answer, now);
+    shared_.loads.end(current_.node, request_.route, answer, begunAt_, now);
     if (answer.outcome == CallOutcome::Claimed)
         return attemptAtHolder(answer.claimHolder, now);
     if (answer.outcome == CallOutcome::Answered && !answer.isFailure())
         return finish(answer);
     last_ = answer;
+    if (answer.outcome != CallOutcome::NotRun)
+        mayHaveRun_ = answer;
+    // A claim holder's word is final: another node must not run what this one may have run.
+    if (wentToHolder_)
+        return finish(answer);
+    if (isTurnedAway(answer)) {
+        if (visits_ >= visitLimit || remaining(now).count() <= 0)
+            return refuse(answer, answer.retryAfter.value_or(std::chrono::milliseconds::zero()),
+                          now);
+        return nextAttempt(now);
+    }
+    ++attempts_;
     const RetryQuestion question{&answer,         request_.isIdempotent,
                                  attempts_,       target_.entry.settings.attemptLimit,
                                  isNestedRepeat_, remaining(now)};
-    // A claim holder's word is final: another node must not run what this one may have run.
-    if (wentToHolder_ || !shared_.retries.mayRetry(question))
-        return finish(answer);
+    if (!shared_.retries.mayRetry(question))
+        return answer.outcome == CallOutcome::NotRun
+                       ? refuse(answer, std::chrono::milliseconds::zero(), now)
+                       : finish(answer);
     return nextAttempt(now);
 }
 
+// A call that no upstream saw is placed again without using up an attempt.
+bool CallPlan::isTurnedAway(const CallAnswer &answer) const
+{
+    return answer.outcome == CallOutcome::NotRun && !answer.reachedUpstream;
+}
+
 PlanStep CallPlan::nextAttempt(MonotonicTime now)
 {
     const std::vector<Candidate> found = candidates(now);
     if (found.empty())
-        return finish(last_);
-    return sendTo(*found[shared_.routing.choose(found, random_)].endpoint, now);
+        return refuseOrFinish(std::chrono::milliseconds::zero(), now);
+    const routing::CallNeeds needs{
+            request_.rank(),
+            std::chrono::duration_cast<std::chrono::microseconds>(objective_ - now),
+            remaining(now)};
+    const auto choice = shared_.routing.choose(found, needs, random_);
+    if (choice.index)
+        return sendTo(*found[*choice.index].endpoint, now);
+    if (visits_ == 0)
+        last_ = CallAnswer::notRun("no upstream can answer in time");
+    return refuseOrFinish(choice.shortestWait, now);
+}
+
+PlanStep CallPlan::refuseOrFinish(std::chrono::milliseconds wait, MonotonicTime now)
+{
+    return last_.outcome == CallOutcome::NotRun ? refuse(last_, wait, now) : finish(last_);
 }
 
 PlanStep CallPlan::attemptAtHolder(const core::identity::NodeId &holder, MonotonicTime now)
@@ -74,24 +118,44 @@
 PlanStep CallPlan::sendTo(const Endpoint &endpoint, MonotonicTime now)
 {
     current_ = endpoint;
+    begunAt_ = now;
     tried_.insert(endpoint.node);
-    ++attempts_;
+    ++visits_;
     request_.version = endpoint.version;
     SendAttempt step{endpoint, request_};
-    step.request.attempt = isNestedRepeat_ ? request_.attempt : attempts_;
-    // An idempotent call keeps time for another attempt in case this endpoint stays silent.
-    const int attemptsLeft = target_.entry.settings.attemptLimit - attempts_ + 1;
-    const bool isDivided = request_.isIdempotent && !isNestedRepeat_ && attemptsLeft > 1;
-    step.request.budget = isDivided ? remaining(now) / 2 : remaining(now);
-    shared_.loads.begin(endpoint.node);
+    step.request.attempt = isNestedRepeat_ ? request_.attempt : visits_;
+    step.request.budget = remaining(now);
+    step.request.objective
+            = std::chrono::duration_cast<std::chrono::microseconds>(objective_ - now);
+    shared_.loads.begin(endpoint.node, now);
     return step;
 }
 
-PlanStep CallPlan::finish(const CallAnswer &answer) const
+PlanStep CallPlan::finish(const CallAnswer &answer)
+{
+    return answer;
+}
+
+PlanStep CallPlan::refuse(CallAnswer answer, std::chrono::milliseconds wait, MonotonicTime now)
 {
+    // "Not run" must hold for every attempt.
+    if (mayHaveRun_)
+        return finish(*mayHaveRun_);
+    answer.retryAfter = returnTime(wait, now);
     return answer;
 }
 
+// Callers come back once there may be room, spread over a while so that they do not return as one.
+std::chrono::milliseconds CallPlan::returnTime(std::chrono::milliseconds wait, MonotonicTime now)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(remaining(now));
+    const auto latest = left / returnPart;
+    const auto earliest = std::min(std::max(wait, shortestReturn), latest);
+    std::uniform_int_distribution<std::int64_t> spread(earliest.count(),
+                                                       std::max(earliest, latest).count());
+    return std::chrono::milliseconds(spread(random_));
+}
+
 std::vector<Candidate> CallPlan::candidates(MonotonicTime now) const
 {
     const auto &endpoints = snapshot_->endpointsOf(request_.service);
@@ -101,7 +165,8 @@
             const bool isEligible
                     = isWanted(endpoint.version) && (mayBeTried || !tried_.contains(endpoint.node));
             if (isEligible)
-                found.push_back(Candidate{&endpoint, shared_.loads.load(endpoint.node, now),
+                found.push_back(Candidate{&endpoint,
+                                          shared_.loads.load(endpoint.node, request_.route, now),
                                           endpoint.dataCentre == snapshot_->dataCentre});
         }
         return found;
@@ -109,7 +174,7 @@
     // During a move either version may serve; a repeat prefers the primary one.
     const auto isPrimary = [&](const auto &version) { return share_.isPrimary(version); };
     const auto isSecondary = [&](const auto &version) { return share_.isSecondary(version); };
-    const bool prefersSecondary = attempts_ == 0 && isTrial_;
+    const bool prefersSecondary = visits_ == 0 && isTrial_;
     std::vector<Candidate> found
             = prefersSecondary ? collect(isSecondary, false) : collect(isPrimary, false);
     if (found.empty() && prefersSecondary)
--- a/packages/traffic/retry/CallPlan.h
+++ b/packages/traffic/retry/CallPlan.h
@@ -9,6 +9,7 @@
 #include "traffic/routing/RoutingSnapshot.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace boragetrack::traffic::retry {
@@ -39,12 +40,21 @@
     /** Returns the step after an attempt ended. */
     PlanStep attemptEnded(const calls::CallAnswer &answer, core::timing::MonotonicTime now);
 
+    /** Notes that the caller went while an attempt was under way. */
+    void abandoned() { shared_.loads.abandoned(current_.node, begunAt_); }
+
 private:
+    bool isTurnedAway(const calls::CallAnswer &answer) const;
     PlanStep nextAttempt(core::timing::MonotonicTime now);
     PlanStep attemptAtHolder(const core::identity::NodeId &holder, core::timing::MonotonicTime now);
     PlanStep sendTo(const routing::Endpoint &endpoint, core::timing::MonotonicTime now);
-    PlanStep finish(const calls::CallAnswer &answer) const;
+    static PlanStep finish(const calls::CallAnswer &answer);
+    PlanStep refuseOrFinish(std::chrono::milliseconds wait, core::timing::MonotonicTime now);
+    PlanStep refuse(calls::CallAnswer answer, std::chrono::milliseconds wait,
+                    core::timing::MonotonicTime now);
     std::vector<routing::Candidate> candidates(core::timing::MonotonicTime now) const;
+    std::chrono::milliseconds returnTime(std::chrono::milliseconds wait,
+                                         core::timing::MonotonicTime now);
     std::chrono::microseconds remaining(core::timing::MonotonicTime now) const;
 
     Shared shared_;
@@ -54,15 +64,21 @@
     calls::CallRequest request_;
     std::mt19937_64 &random_;
     core::timing::MonotonicTime deadline_{};
+    core::timing::MonotonicTime objective_{};
     bool isNestedRepeat_;
     // Whether the first attempt goes to the secondary version.
     bool isTrial_ = false;
+    // Attempts that may have reached an upstream, and all visits to nodes.
     int attempts_ = 0;
+    int visits_ = 0;
+    core::timing::MonotonicTime begunAt_{};
     bool wentToHolder_ = false;
     routing::Endpoint current_;
     std::set<core::identity::NodeId> tried_;
     /** The answer to fall back on when a repeat finds no endpoint. */
     calls::CallAnswer last_;
+    /** The last answer of an attempt that ran or may have run, if any. */
+    std::optional<calls::CallAnswer> mayHaveRun_;
 };
 
 } // namespace boragetrack::traffic::retry
--- a/packages/traffic/routing/EndpointLoad.h
+++ b/packages/traffic/routing/EndpointLoad.h
@@ -3,16 +3,28 @@
 
 #include "traffic/calls/LoadReport.h"
 
+#include <chrono>
+
 namespace boragetrack::traffic::routing {
 
-/** Joins the load that an endpoint reported last to the calls that this node has under way. */
+/** Joins the load that an endpoint reported last to what this node saw of it since. */
 struct EndpointLoad
 {
     calls::LoadReport reported;
+    /** The age of the report. */
+    std::chrono::nanoseconds age{0};
     /** Calls from this node that were begun and not ended. */
     int ownInFlight = 0;
+    /** Calls from this node that were begun since the report. */
+    int begunSince = 0;
+    /** The usual time that the upstream works on a call of the route; zero when not known. */
+    std::chrono::nanoseconds work{0};
+    /** The share of the last calls that failed there, 0 to 1. */
+    double failureShare = 0.0;
     /** Whether calls failed there so lately that the endpoint rests. */
     bool isResting = false;
+    /** Whether calls have waited there for an answer far longer than usual and none came. */
+    bool isSilent = false;
 };
 
 } // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/LoadBoard.cpp
+++ b/packages/traffic/routing/LoadBoard.cpp
@@ -6,61 +6,102 @@
 namespace boragetrack::traffic::routing {
 
 using core::identity::NodeId;
+using core::identity::RouteName;
 using core::timing::MonotonicTime;
 
 namespace {
 
-// An older report says little; own calls then count alone.
-constexpr std::chrono::milliseconds reportLife{1000};
 constexpr int longestDoubling = 6;
+// The weight of the last call in the share of failures: some ten calls decide.
+constexpr double failureSmoothing = 0.1;
+// A call without an answer for so long, while no other call to the endpoint got one, means a silent
+// link rather than a slow upstream.
+constexpr std::chrono::milliseconds silence{600};
 
-bool isEndpointFailure(const calls::CallAnswer &answer)
+// A node that can not be reached says nothing of its load.
+bool isUnreachable(const calls::CallAnswer &answer)
 {
-    // A refusal that carries a load report comes from a live node that is merely busy.
-    const bool isBusy = answer.load.limit > 0;
-    return answer.outcome == calls::CallOutcome::Unknown
-           || (answer.outcome == calls::CallOutcome::NotRun && !isBusy);
+    return answer.outcome != calls::CallOutcome::Answered && answer.load.limit == 0;
+}
+
+bool isUpstreamFailure(const calls::CallAnswer &answer)
+{
+    const bool isShed = answer.outcome == calls::CallOutcome::NotRun && answer.reachedUpstream;
+    return answer.isFailure() || isShed || answer.outcome == calls::CallOutcome::Unknown;
 }
 
 } // namespace
 
-EndpointLoad LoadBoard::load(const NodeId &node, MonotonicTime now) const
+EndpointLoad LoadBoard::load(const NodeId &node, const RouteName &route, MonotonicTime now) const
 {
-    const std::lock_guard lock(mutex_);
+    EndpointLoad load;
     const auto found = entries_.find(node);
     if (found == entries_.end())
-        return EndpointLoad{};
+        return load;
     const Entry &entry = found->second;
-    EndpointLoad load{entry.reported, entry.ownInFlight, now < entry.restsUntil};
-    if (now - entry.reportedAt > reportLife) {
-        load.reported.inFlight = 0;
-        load.reported.queued = 0;
-    }
+    load.reported = entry.reported;
+    load.age = now - entry.reportedAt;
+    load.ownInFlight = static_cast<int>(entry.underWay.size());
+    load.begunSince = entry.begunSince;
+    load.work = entry.work.usual(route);
+    load.failureShare = entry.failureShare;
+    load.isResting = now < entry.restsUntil;
+    load.isSilent = isSilent(entry, now);
     return load;
 }
 
-void LoadBoard::begin(const NodeId &node)
+void LoadBoard::begin(const NodeId &node, MonotonicTime now)
 {
-    const std::lock_guard lock(mutex_);
-    ++entries_[node].ownInFlight;
+    Entry &entry = entries_[node];
+    entry.underWay.push_back(now);
+    ++entry.begunSince;
 }
 
-void LoadBoard::end(const NodeId &node, const calls::CallAnswer &answer, MonotonicTime now)
+void LoadBoard::end(const NodeId &node, const RouteName &route, const calls::CallAnswer &answer,
+                    MonotonicTime begunAt, MonotonicTime now)
 {
-    const std::lock_guard lock(mutex_);
     Entry &entry = entries_[node];
-    --entry.ownInFlight;
+    endCall(entry, begunAt);
+    if (isUnreachable(answer)) {
+        const int doublings = std::min(entry.failuresInRow, longestDoubling);
+        entry.restsUntil = now + std::min(longestRest, firstRest * (1 << doublings));
+        ++entry.failuresInRow;
+        return;
+    }
+    entry.failuresInRow = 0;
+    entry.lastAnswerAt = now;
     if (answer.load.limit > 0) {
         entry.reported = answer.load;
         entry.reportedAt = now;
+        entry.begunSince = 0;
     }
-    if (!isEndpointFailure(answer)) {
-        entry.failuresInRow = 0;
+    const bool isTurnedAway
+            = answer.outcome == calls::CallOutcome::NotRun && !answer.reachedUpstream;
+    if (isTurnedAway)
         return;
-    }
-    const int doublings = std::min(entry.failuresInRow, longestDoubling);
-    entry.restsUntil = now + std::min(longestRest, firstRest * (1 << doublings));
-    ++entry.failuresInRow;
+    const double failed = isUpstreamFailure(answer) ? 1.0 : 0.0;
+    entry.failureShare += failureSmoothing * (failed - entry.failureShare);
+    if (answer.served.count() > 0 && failed == 0.0)
+        entry.work.note(route, answer.served);
+}
+
+void LoadBoard::abandoned(const NodeId &node, MonotonicTime begunAt)
+{
+    endCall(entries_[node], begunAt);
+}
+
+void LoadBoard::endCall(Entry &entry, MonotonicTime begunAt)
+{
+    const auto found = std::find(entry.underWay.begin(), entry.underWay.end(), begunAt);
+    if (found != entry.underWay.end())
+        entry.underWay.erase(found);
+}
+
+bool LoadBoard::isSilent(const Entry &entry, MonotonicTime now)
+{
+    if (entry.underWay.empty())
+        return false;
+    return now - std::max(entry.underWay.front(), entry.lastAnswerAt) > silence;
 }
 
 } // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/LoadBoard.h
+++ b/packages/traffic/routing/LoadBoard.h
@@ -3,15 +3,16 @@
 
 #include "core/identity/NodeId.h"
 #include "core/timing/MonotonicTime.h"
+#include "traffic/admission/WorkTable.h"
 #include "traffic/calls/CallAnswer.h"
 #include "traffic/routing/EndpointLoad.h"
 
-#include <mutex>
+#include <deque>
 #include <unordered_map>
 
 namespace boragetrack::traffic::routing {
 
-/** Learns loads and failures from the outcomes of calls; shared by all traffic threads. */
+/** Learns loads, speeds and failures from the outcomes of this node's own calls. */
 class LoadBoard
 {
 public:
@@ -19,27 +20,39 @@
     static constexpr std::chrono::milliseconds firstRest{200};
     static constexpr std::chrono::milliseconds longestRest{5000};
 
-    /** Returns what is known of an endpoint. */
-    EndpointLoad load(const core::identity::NodeId &node, core::timing::MonotonicTime now) const;
+    /** Returns what is known of an endpoint. @param route the route whose work is asked for */
+    EndpointLoad load(const core::identity::NodeId &node, const core::identity::RouteName &route,
+                      core::timing::MonotonicTime now) const;
 
     /** Notes that a call to the endpoint begins. */
-    void begin(const core::identity::NodeId &node);
+    void begin(const core::identity::NodeId &node, core::timing::MonotonicTime now);
 
-    /** Notes how a call to the endpoint ended. */
-    void end(const core::identity::NodeId &node, const calls::CallAnswer &answer,
+    /** Notes how a call to the endpoint ended. @param begunAt when it began */
+    void end(const core::identity::NodeId &node, const core::identity::RouteName &route,
+             const calls::CallAnswer &answer, core::timing::MonotonicTime begunAt,
              core::timing::MonotonicTime now);
 
+    /** Notes that a call was given up by its caller, which says nothing of the endpoint. */
+    void abandoned(const core::identity::NodeId &node, core::timing::MonotonicTime begunAt);
+
 private:
     struct Entry
     {
         calls::LoadReport reported;
-        int ownInFlight = 0;
+        core::timing::MonotonicTime reportedAt{};
+        int begunSince = 0;
         int failuresInRow = 0;
         core::timing::MonotonicTime restsUntil{};
-        core::timing::MonotonicTime reportedAt{};
+        double failureShare = 0.0;
+        admission::WorkTable work;
+        // Invariant: the beginnings of the calls under way, in their order.
+        std::deque<core::timing::MonotonicTime> underWay;
+        core::timing::MonotonicTime lastAnswerAt{};
     };
 
-    mutable std::mutex mutex_;
+    static void endCall(Entry &entry, core::timing::MonotonicTime begunAt);
+    static bool isSilent(const Entry &entry, core::timing::MonotonicTime now);
+
     std::unordered_map<core::identity::NodeId, Entry> entries_;
 };
 
--- a/packages/traffic/routing/TwoChoicesRouting.cpp
+++ b/packages/traffic/routing/TwoChoicesRouting.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// An older report says little; own calls then count alone.
+constexpr std::chrono::milliseconds reportLife{1000};
+
 int capacityOf(const Candidate &candidate)
 {
     const int reported = candidate.load.reported.limit;
@@ -18,7 +21,9 @@
 // the two views counts: reports lag, own calls miss those of other nodes.
 double loadOf(const Candidate &candidate)
 {
-    const int reported = candidate.load.reported.inFlight + candidate.load.reported.queued;
+    const bool isFresh = candidate.load.age <= reportLife;
+    const int reported
+            = isFresh ? candidate.load.reported.inFlight + candidate.load.reported.queued : 0;
     const int known = std::max(reported, candidate.load.ownInFlight);
     return (known + 1.0) / capacityOf(candidate);
 }
@@ -80,13 +85,14 @@
 
 } // namespace
 
-std::size_t TwoChoicesRouting::choose(std::span<const Candidate> candidates,
-                                      std::mt19937_64 &random)
+RoutingChoice TwoChoicesRouting::choose(std::span<const Candidate> candidates,
+                                        const CallNeeds & /*needs*/, std::mt19937_64 &random)
 {
     const std::vector<std::size_t> indices = bestClass(candidates, random);
     const std::size_t first = draw(candidates, indices, random);
     const std::size_t second = draw(candidates, indices, random);
-    return loadOf(candidates[second]) < loadOf(candidates[first]) ? second : first;
+    const bool isSecondFreer = loadOf(candidates[second]) < loadOf(candidates[first]);
+    return RoutingChoice{isSecondFreer ? second : first, {}};
 }
 
 } // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/TwoChoicesRouting.h
+++ b/packages/traffic/routing/TwoChoicesRouting.h
@@ -10,7 +10,8 @@
 class TwoChoicesRouting : public RoutingPolicy
 {
 public:
-    std::size_t choose(std::span<const Candidate> candidates, std::mt19937_64 &random) override;
+    RoutingChoice choose(std::span<const Candidate> candidates, const CallNeeds &needs,
+                         std::mt19937_64 &random) override;
 };
 
 } // namespace boragetrack::traffic::routing
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -71,7 +71,8 @@
     Call(CallerServer &server, http::ServerExchange &exchange)
         : server_(server)
         , exchange_(exchange)
-        , description_(server.parts_.dialect.describe(exchange.head()))
+        , description_(server.parts_.dialect.describe(exchange.head(),
+                                                      exchange.peerHost() == server.parts_.host))
         , snapshot_(server.parts_.routing.current())
         , arrivedAt_(currentTime())
     {
@@ -80,8 +81,11 @@
     ~Call()
     {
         --server_.activeCalls_;
-        if (!isAnswered_)
-            logEnd(EventCode::CallerLeft, "caller left", CallAnswer{});
+        if (isAnswered_)
+            return;
+        if (plan_)
+            plan_->abandoned();
+        logEnd(EventCode::CallerLeft, "caller left", CallAnswer{});
     }
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -26,6 +26,8 @@
         links::CallSender &sender;
         traffic::routing::RoutingPolicy &routingPolicy;
         traffic::retry::RetryPolicy &retryPolicy;
+        /** This node's own VM, by IP number. */
+        std::string host;
         /** The service on this node's VM. */
         core::identity::ServiceName service;
         core::counters::CounterRegistry &counters;
--- a/packages/transport/dialect/CallDescription.h
+++ b/packages/transport/dialect/CallDescription.h
@@ -21,6 +21,8 @@
     core::identity::IdempotencyKey key;
     /** Whether the method alone allows the call to run more than once. */
     bool hasSafeMethod = false;
+    /** Whether a running request waits for this one. */
+    bool isNested = false;
     /** Calls that this one is nested in. */
     int hops = 0;
     /** One for a first attempt; higher for calls that belong to a repeat. */
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -49,7 +49,7 @@
 public:
     explicit ScopedAdmission(UpstreamGate &gate)
         : gate_(gate)
-        , inFlight_(gate.queue_.load().inFlight)
+        , inFlight_(gate.queue_.load(currentTime()).inFlight)
     {}
     ~ScopedAdmission()
     {
@@ -60,10 +60,12 @@
     ScopedAdmission(const ScopedAdmission &) = delete;
     ScopedAdmission &operator=(const ScopedAdmission &) = delete;
 
-    void end(const CallAnswer &answer, std::chrono::nanoseconds latency)
+    void end(const core::identity::RouteName &route, const CallAnswer &answer,
+             std::chrono::nanoseconds latency)
     {
         isEnded_ = true;
-        gate_.queue_.ended(AdmissionSample{latency, isOverload(answer), inFlight_}, currentTime());
+        gate_.queue_.ended(AdmissionSample{latency, isOverload(answer), inFlight_, route},
+                           currentTime());
     }
 
 private:
@@ -120,15 +122,25 @@
     if (!status_)
         return;
     upstream_.setAddress(status_->address);
+    if (!isNewProcess)
+        updateCold();
     limitsIntent_.reset();
     updateLimits();
     if (!isNewProcess)
         return;
     upstream_.forgetConnections();
     queue_.upstreamStarted();
+    updateCold();
     answersSinceStart_ = 0;
 }
 
+void UpstreamGate::updateCold()
+{
+    const auto *service = parts_.routing.current()->intent->service(status_->record.service);
+    const double rate = service == nullptr ? 0.0 : service->coldRate;
+    queue_.setCold(currentTime() + status_->coldLeft, rate);
+}
+
 void UpstreamGate::drain()
 {
     queue_.setDraining(true);
@@ -150,7 +162,7 @@
     auto answer = isKeyed ? serveKeyed(kj::mv(message)) : admitAndSend(kj::mv(message));
     return answer
             .then([this](CallAnswer &&ended) {
-                ended.load = queue_.load();
+                ended.load = queue_.load(currentTime());
                 return kj::mv(ended);
             })
             .attach(kj::defer([this]() { --activeCalls_; }));
@@ -282,15 +294,18 @@
 kj::Promise<UpstreamGate::Place> UpstreamGate::admit(const CallRequest &request)
 {
     const MonotonicTime now = currentTime();
-    const MonotonicTime deadline = now + request.budget;
     const AdmissionQueue::Ticket ticket = ++lastTicket_;
-    const AdmissionDecision decision = queue_.arrive(ticket, deadline, now);
+    const AdmissionDecision decision = queue_.arrive(
+            traffic::admission::Arrival{ticket, request.route, request.rank(),
+                                        now + request.objective, now + request.budget},
+            now);
     if (decision == AdmissionDecision::Run)
         return Place(kj::heap<ScopedAdmission>(*this));
     if (decision == AdmissionDecision::Refuse)
         return Place(nullptr);
     auto pair = kj::newPromiseAndFulfiller<Place>();
     auto wait = kj::heap<ScopedWait>(*this, ticket, kj::mv(pair.fulfiller));
+    lookLater();
     return parts_.timer.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
             .catch_([](kj::Exception && /*exception*/) { return Place(nullptr); })
             .attach(kj::mv(wait));
@@ -305,7 +320,9 @@
     return upstream_.send(request, *status_)
             .then([this, &request, begun,
                    admission = kj::mv(admission)](CallAnswer &&answer) mutable {
-                noteEnd(request, answer, currentTime() - begun, *admission);
+                const auto latency = currentTime() - begun;
+                noteEnd(request, answer, latency, *admission);
+                answer.served = std::chrono::duration_cast<std::chrono::microseconds>(latency);
                 answer.version = request.version;
                 return kj::mv(answer);
             });
@@ -314,7 +331,7 @@
 CallAnswer UpstreamGate::turnAway(const CallRequest &request, const std::string &reason)
 {
     callsRefused_.add();
-    const auto load = queue_.load();
+    const auto load = queue_.load(currentTime());
     core::events::logCall(core::events::EventCode::CallTurnedAway, "call turned away", false,
                           {{"request", request.requestId},
                            {"service", request.service.value()},
@@ -331,7 +348,7 @@
                              std::chrono::nanoseconds latency)
 {
     const bool isGood = answer.outcome == CallOutcome::Answered && answer.status < 500;
-    const auto load = queue_.load();
+    const auto load = queue_.load(currentTime());
     core::events::logCall(
             core::events::EventCode::CallServed, "call served", isGood,
             {{"request", request.requestId},
@@ -350,7 +367,7 @@
                            std::chrono::nanoseconds latency, ScopedAdmission &admission)
 {
     logServed(request, answer, latency);
-    admission.end(answer, latency);
+    admission.end(request.route, answer, latency);
     if (answer.outcome == CallOutcome::NotRun)
         return;
     const bool isBroken = answer.outcome == CallOutcome::Unknown;
@@ -417,6 +434,20 @@
         decide(ticket, Place(kj::heap<ScopedAdmission>(*this)));
 }
 
+// While requests wait, time alone changes what may run or has become hopeless.
+void UpstreamGate::lookLater()
+{
+    const auto wait = queue_.untilNextLook(currentTime());
+    if (isLookPlanned_ || !wait)
+        return;
+    isLookPlanned_ = true;
+    tasks_.add(parts_.timer.afterDelay(toKj(*wait)).then([this]() {
+        isLookPlanned_ = false;
+        pump();
+        lookLater();
+    }));
+}
+
 void UpstreamGate::decide(AdmissionQueue::Ticket ticket, Place place)
 {
     const auto found = waits_.find(ticket);
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -97,6 +97,8 @@
     std::optional<std::string> obstacleFor(const Request &request) const;
     bool isUpstreamCold() const;
     void updateLimits();
+    void updateCold();
+    void lookLater();
     void pump();
     void decide(traffic::admission::AdmissionQueue::Ticket ticket, Place place);
     void taskFailed(kj::Exception &&exception) override;
@@ -118,6 +120,7 @@
                        std::vector<kj::Own<kj::PromiseFulfiller<Answer>>>>
             keyedWaiters_;
     int activeCalls_ = 0;
+    bool isLookPlanned_ = false;
     int answersSinceStart_ = 0;
     core::timing::MonotonicTime firstAnswerAt_{};
     core::counters::Counter &callsRun_;
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -7,6 +7,7 @@
 using traffic::calls::CallOutcome;
 using traffic::calls::CallRequest;
 using traffic::calls::HeaderField;
+using traffic::calls::LoadReport;
 
 namespace {
 
@@ -66,6 +67,7 @@
     message.setCallerService(request.callerService.value());
     message.setPriority(static_cast<std::uint16_t>(request.priority));
     message.setObjectiveMicros(request.objective.count());
+    message.setNested(request.isNested);
 }
 
 CallRequest decode(schema::CallRequest::Reader message)
@@ -87,6 +89,7 @@
     request.callerService = core::identity::ServiceName(message.getCallerService());
     request.priority = message.getPriority();
     request.objective = std::chrono::microseconds(message.getObjectiveMicros());
+    request.isNested = message.getNested();
     return request;
 }
 
@@ -106,6 +109,10 @@
     if (answer.retryAfter)
         message.setRetryAfterMillis(static_cast<std::int32_t>(answer.retryAfter->count()));
     message.setReachedUpstream(answer.reachedUpstream);
+    message.setServedMicros(static_cast<std::uint32_t>(answer.served.count()));
+    auto waits = message.initWaitMicros(LoadReport::rankCount);
+    for (unsigned int rank = 0; rank < LoadReport::rankCount; ++rank)
+        waits.set(rank, static_cast<std::uint32_t>(answer.load.waits[rank].count()));
 }
 
 CallAnswer decode(schema::CallAnswer::Reader message)
@@ -118,8 +125,14 @@
     answer.reason = message.getReason();
     answer.claimHolder = core::identity::NodeId(message.getClaimHolder());
     answer.version = core::identity::VersionName(message.getVersion());
-    answer.load = traffic::calls::LoadReport{message.getInFlight(), message.getQueued(),
-                                             message.getLimit()};
+    answer.load.inFlight = message.getInFlight();
+    answer.load.queued = message.getQueued();
+    answer.load.limit = message.getLimit();
+    const auto waits = message.getWaitMicros();
+    for (unsigned int rank = 0; rank < std::min<std::size_t>(waits.size(), LoadReport::rankCount);
+         ++rank)
+        answer.load.waits[rank] = std::chrono::microseconds(waits[rank]);
+    answer.served = std::chrono::microseconds(message.getServedMicros());
     if (message.getRetryAfterMillis() >= 0)
         answer.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
     answer.reachedUpstream = message.getReachedUpstream();
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -26,6 +26,7 @@
   callerService @13 :Text;
   priority @14 :UInt16;
   objectiveMicros @15 :Int64;
+  nested @16 :Bool;
 }
 
 struct CallAnswer {
@@ -42,6 +43,9 @@
   # Negative when the answer does not say when to come back.
   retryAfterMillis @10 :Int32 = -1;
   reachedUpstream @11 :Bool;
+  servedMicros @12 :UInt32;
+  # How long a call of each rank would wait.
+  waitMicros @13 :List(UInt32);
 }
 
 struct Address {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -91,7 +91,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(effadd7d71af8138, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(effadd7d71af8138, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -596,6 +596,8 @@
 
   inline  ::int64_t getObjectiveMicros() const;
 
+  inline bool getNested() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -712,6 +714,9 @@
   inline  ::int64_t getObjectiveMicros();
   inline void setObjectiveMicros( ::int64_t value);
 
+  inline bool getNested();
+  inline void setNested(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -784,6 +789,11 @@
 
   inline bool getReachedUpstream() const;
 
+  inline  ::uint32_t getServedMicros() const;
+
+  inline bool hasWaitMicros() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaitMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -868,6 +878,17 @@
   inline bool getReachedUpstream();
   inline void setReachedUpstream(bool value);
 
+  inline  ::uint32_t getServedMicros();
+  inline void setServedMicros( ::uint32_t value);
+
+  inline bool hasWaitMicros();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWaitMicros();
+  inline void setWaitMicros( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWaitMicros(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWaitMicros(unsigned int size);
+  inline void adoptWaitMicros(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWaitMicros();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3438,6 +3459,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallRequest::Reader::getNested() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallRequest::Builder::getNested() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setNested(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t CallAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3706,6 +3741,58 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t CallAnswer::Reader::getServedMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallAnswer::Builder::getServedMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CallAnswer::Builder::setServedMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CallAnswer::Reader::hasWaitMicros() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallAnswer::Builder::hasWaitMicros() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader CallAnswer::Reader::getWaitMicros() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CallAnswer::Builder::getWaitMicros() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CallAnswer::Builder::setWaitMicros( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void CallAnswer::Builder::setWaitMicros(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder CallAnswer::Builder::initWaitMicros(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void CallAnswer::Builder::adoptWaitMicros(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> CallAnswer::Builder::disownWaitMicros() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool Address::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
