Compress links between data centres; share the budget of repeats

Repeats of what shedding upstreams refused went over the budget that all nodes share.

Ruled out: bodies can not be compressed; the headers and the frames of the RPC are what repeats.

Change: a link to another data centre is deflated with a small window, so that what was sent before serves as dictionary. RetryBudget counts a service's calls and repeats in a sliding window, and each node uses half of its part of the platform's bound.

--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -40,11 +40,11 @@
     return std::make_unique<traffic::routing::EarliestFinishRouting>();
 }
 
-std::unique_ptr<traffic::retry::RetryPolicy> makeRetryPolicy(bool isBaseline)
+std::unique_ptr<traffic::retry::RetryPolicy> makeRetryPolicy(const settings::NodeSettings &settings)
 {
-    if (isBaseline)
+    if (settings.usesBaselinePolicies)
         return std::make_unique<traffic::retry::PlainRetry>();
-    return std::make_unique<traffic::retry::BudgetedRetry>();
+    return std::make_unique<traffic::retry::BudgetedRetry>(settings.repeats);
 }
 
 } // namespace
@@ -54,7 +54,7 @@
     , self_(selfRecord(settings_))
     , routing_(emptySnapshot())
     , routingPolicy_(makeRoutingPolicy(settings_.usesBaselinePolicies))
-    , retryPolicy_(makeRetryPolicy(settings_.usesBaselinePolicies))
+    , retryPolicy_(makeRetryPolicy(settings_))
     , environment_(makeEnvironment())
     , control_({settings_, self_, controlThread_, environment_->source(), routing_, revisions_,
                 counters_})
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -6,6 +6,7 @@
 #include "core/identity/NodeId.h"
 #include "core/identity/ServiceName.h"
 #include "daemon/settings/NodeInterface.h"
+#include "traffic/retry/RepeatLimits.h"
 
 #include <chrono>
 #include <string>
@@ -37,6 +38,8 @@
     std::chrono::milliseconds announcementLife{3000};
     /** Peers to ask first; may name this node, which is then passed over. */
     std::vector<core::identity::NetworkAddress> seeds;
+    /** Bounds the repeats of calls. */
+    traffic::retry::RepeatLimits repeats;
     /** Runs the baseline policies of routing, admission, retries and moves, for measurements. */
     bool usesBaselinePolicies = false;
     /** Lets every node watch the platform, as the baseline that measurements compare with. */
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -41,11 +41,19 @@
   "readiness": {"$ref": "#/definitions/address"},
   "service": {"type": "string", "minLength": 1},
   "dataCentres": {"type": "array", "items": {"type": "string", "minLength": 1}},
+  "repeats": {"type": "object", "additionalProperties": false,
+    "required": ["windowSeconds", "reserve"],
+    "properties": {"windowSeconds": {"type": "number", "minimum": 0.1},
+                   "reserve": {"type": "number", "minimum": 0}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
 
+// Nodes do not tell each other what they spent, and some calls are repeats that none can tell
+// apart.
+constexpr double usedPartOfSharedBudget = 0.5;
+
 NetworkAddress readAddress(const json &object, const std::string &pointer, FindingList &findings)
 {
     if (object.is_string()) {
@@ -77,6 +85,18 @@
 
 } // namespace
 
+// The platform's bound is one for all nodes together, and counts the calls of repeated calls too.
+traffic::retry::RepeatLimits readRepeats(const json &object)
+{
+    traffic::retry::RepeatLimits limits;
+    limits.window = std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double>(object["windowSeconds"].get<double>()));
+    limits.reserve = object["reserve"].get<double>() * usedPartOfSharedBudget;
+    limits.isReserveShared = true;
+    limits.usedPart = usedPartOfSharedBudget;
+    return limits;
+}
+
 void readPlatformPart(const json &root, NodeSettings &settings, FindingList &findings)
 {
     settings.announcementLife = std::chrono::milliseconds(
@@ -84,6 +104,8 @@
     if (root.value("interface", "own") != "platform")
         return;
     settings.interface = NodeInterface::Platform;
+    if (root.contains("repeats"))
+        settings.repeats = readRepeats(root["repeats"]);
     settings.announcements = readAddress(root["announcements"], "/announcements", findings);
     settings.readiness = readAddress(root["readiness"], "/readiness", findings);
     settings.service = core::identity::ServiceName(root["service"]);
--- a/packages/traffic/retry/BudgetedRetry.h
+++ b/packages/traffic/retry/BudgetedRetry.h
@@ -4,6 +4,8 @@
 #include "traffic/retry/RetryBudget.h"
 #include "traffic/retry/RetryPolicy.h"
 
+#include <unordered_map>
+
 namespace boragetrack::traffic::retry {
 
 /** Repeats a call that certainly did not run, or an idempotent one; nested calls of a repeat are
@@ -11,11 +13,19 @@
 class BudgetedRetry : public RetryPolicy
 {
 public:
-    void callBegan(int budgetPercent) override { budget_.earn(budgetPercent); }
-    bool mayRetry(const RetryQuestion &question) override;
+    explicit BudgetedRetry(const RepeatLimits &limits = {})
+        : limits_(limits)
+    {}
+
+    void callBegan(const core::identity::ServiceName &service,
+                   core::timing::MonotonicTime now) override;
+    bool mayRetry(const RetryQuestion &question, core::timing::MonotonicTime now) override;
 
 private:
-    RetryBudget budget_;
+    RetryBudget &budgetOf(const core::identity::ServiceName &service);
+
+    RepeatLimits limits_;
+    std::unordered_map<core::identity::ServiceName, RetryBudget> budgets_;
 };
 
 } // namespace boragetrack::traffic::retry
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -37,7 +37,7 @@
 {
     deadline_ = now + request_.budget;
     objective_ = now + request_.objective;
-    shared_.retries.callBegan(target_.entry.settings.retryBudgetPercent);
+    shared_.retries.callBegan(request_.service, now);
     isTrial_ = std::uniform_real_distribution<>(0.0, 100.0)(random_) < share_.secondaryPercent;
     last_ = CallAnswer::notRun("no upstream of service '" + request_.service.value()
                                + "' takes new work");
@@ -64,10 +64,17 @@
         return nextAttempt(now);
     }
     ++attempts_;
-    const RetryQuestion question{&answer,         request_.isIdempotent,
-                                 attempts_,       target_.entry.settings.attemptLimit,
-                                 isNestedRepeat_, remaining(now)};
-    if (!shared_.retries.mayRetry(question))
+    RetryQuestion question;
+    question.answer = &answer;
+    question.service = request_.service;
+    question.isIdempotent = request_.isIdempotent;
+    question.attempts = attempts_;
+    question.attemptLimit = target_.entry.settings.attemptLimit;
+    question.budgetPercent = target_.entry.settings.retryBudgetPercent;
+    question.nodes = static_cast<int>(snapshot_->registrars.size());
+    question.isNestedRepeat = isNestedRepeat_;
+    question.remaining = remaining(now);
+    if (!shared_.retries.mayRetry(question, now))
         return answer.outcome == CallOutcome::NotRun
                        ? refuse(answer, std::chrono::milliseconds::zero(), now)
                        : finish(answer);
--- a/packages/traffic/retry/RetryBudget.h
+++ b/packages/traffic/retry/RetryBudget.h
@@ -1,40 +1,48 @@
 /** The budget of repeats. */
 #pragma once
 
-#include <algorithm>
-#include <mutex>
+#include "core/timing/MonotonicTime.h"
+#include "traffic/retry/RepeatLimits.h"
+
+#include <array>
+#include <cstdint>
 
 namespace boragetrack::traffic::retry {
 
-/** Earns a part of a repeat with each call, so that repeats never exceed that part of all calls
-    for long; shared by all traffic threads. */
+/** Bounds the repeats of one service within a sliding window by a part of its calls. */
 class RetryBudget
 {
 public:
-    /** Repeats that may be saved up. */
-    static constexpr double capacity = 50.0;
+    /** The default reserve. */
+    static constexpr double capacity = RepeatLimits{}.reserve;
 
-    /** Earns from one call. */
-    void earn(int percent)
-    {
-        const std::lock_guard lock(mutex_);
-        available_ = std::min(capacity, available_ + percent / 100.0);
-    }
+    explicit RetryBudget(std::chrono::milliseconds window)
+        : window_(window)
+    {}
 
-    /** Spends one repeat. @returns false when the budget is used up */
-    bool spend()
-    {
-        const std::lock_guard lock(mutex_);
-        if (available_ < 1.0)
-            return false;
-        available_ -= 1.0;
-        return true;
-    }
+    /** Notes a first attempt. */
+    void earn(core::timing::MonotonicTime now);
+
+    /** Spends one repeat. @param part repeats allowed for each first attempt
+        @param reserve repeats allowed besides @returns false when the budget is used up */
+    bool spend(double part, double reserve, core::timing::MonotonicTime now);
 
 private:
-    std::mutex mutex_;
-    // Invariant: between zero and capacity.
-    double available_ = capacity;
+    static constexpr std::size_t sliceCount = 10;
+
+    // The attempts of one tenth of a window.
+    struct Slice
+    {
+        std::int64_t number = -1;
+        double firsts = 0.0;
+        double repeats = 0.0;
+    };
+
+    Slice &sliceAt(core::timing::MonotonicTime now);
+
+    std::chrono::milliseconds window_;
+    // One more than fits the window: the slice under way is not whole yet.
+    std::array<Slice, sliceCount + 1> slices_{};
 };
 
 } // namespace boragetrack::traffic::retry
--- a/packages/traffic/retry/RetryPolicy.h
+++ b/packages/traffic/retry/RetryPolicy.h
@@ -1,21 +1,25 @@
 /** Decides whether a call may be tried again. */
 #pragma once
 
+#include "core/identity/ServiceName.h"
+#include "core/timing/MonotonicTime.h"
 #include "traffic/retry/RetryQuestion.h"
 
 namespace boragetrack::traffic::retry {
 
-/** Decides about repeats; called by several traffic threads at once. */
+/** Decides about repeats of all calls of a node. */
 class RetryPolicy
 {
 public:
     virtual ~RetryPolicy() = default;
 
-    /** Notes the first attempt of a call. @param budgetPercent repeats allowed per 100 calls */
-    virtual void callBegan(int budgetPercent) = 0;
+    /** Notes the first attempt of a call. */
+    virtual void callBegan(const core::identity::ServiceName &service,
+                           core::timing::MonotonicTime now)
+            = 0;
 
     /** Returns whether the call may be tried again; a "yes" spends from the budget. */
-    virtual bool mayRetry(const RetryQuestion &question) = 0;
+    virtual bool mayRetry(const RetryQuestion &question, core::timing::MonotonicTime now) = 0;
 };
 
 } // namespace boragetrack::traffic::retry
--- a/packages/traffic/retry/RetryQuestion.h
+++ b/packages/traffic/retry/RetryQuestion.h
@@ -1,6 +1,7 @@
 /** What a retry policy decides upon. */
 #pragma once
 
+#include "core/identity/ServiceName.h"
 #include "traffic/calls/CallAnswer.h"
 
 #include <chrono>
@@ -11,10 +12,15 @@
 struct RetryQuestion
 {
     const calls::CallAnswer *answer = nullptr;
+    core::identity::ServiceName service;
     bool isIdempotent = false;
     /** Attempts so far. */
     int attempts = 1;
     int attemptLimit = 1;
+    /** Repeats allowed per 100 calls. */
+    int budgetPercent = 0;
+    /** The nodes that share a budget. */
+    int nodes = 1;
     /** Whether the call belongs to a repeated attempt of an outer call. */
     bool isNestedRepeat = false;
     std::chrono::microseconds remaining{0};
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -2,7 +2,6 @@
 #include "transport/links/LinkThread.h"
 
 #include "core/events/EventLog.h"
-#include "transport/links/CountedStream.h"
 #include "transport/links/PeerLinks.h"
 #include "transport/links/PeerServer.h"
 
@@ -47,7 +46,10 @@
     Loop(Parts &parts, kj::AsyncIoContext &io)
         : timer_(io.provider->getTimer())
         , counters_(parts.counters)
-        , links_(io.provider->getNetwork(), timer_, counters_)
+        , routing_(parts.routing)
+        , links_(
+                  io.provider->getNetwork(), timer_,
+                  [this](const NetworkAddress &address) { return framingOf(address); }, counters_)
         , gate_(serving::UpstreamGate::Parts{parts.self, parts.process, links_,
                                              io.provider->getNetwork(), timer_, parts.dialect,
                                              parts.routing, std::move(parts.admission),
@@ -145,15 +147,32 @@
 
     void serve(kj::Own<kj::AsyncIoStream> accepted)
     {
-        auto stream = kj::heap<CountedStream>(kj::mv(accepted), counters_.linkBytesSent,
-                                              counters_.linkBytesReceived);
+        tasks_.add(frameAccepted(kj::mv(accepted), counters_)
+                           .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+                               return serveFramed(kj::mv(stream));
+                           }));
+    }
+
+    kj::Promise<void> serveFramed(kj::Own<kj::AsyncIoStream> stream)
+    {
         auto network = kj::heap<capnp::TwoPartyVatNetwork>(
                 *stream, capnp::rpc::twoparty::Side::SERVER, readerOptions());
         auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
                 capnp::makeRpcServer(*network, server_));
         auto closed = network->onDisconnect();
         // One attachment at a time: of several in one call, the last would be destroyed first.
-        tasks_.add(closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream)));
+        return closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream));
+    }
+
+    // Bytes between data centres are dear; those within one are not worth the work.
+    LinkFraming framingOf(const NetworkAddress &address) const
+    {
+        const auto snapshot = routing_.current();
+        for (const auto &member : snapshot->registrars) {
+            if (member.address == address && member.dataCentre == snapshot->dataCentre)
+                return LinkFraming::Plain;
+        }
+        return LinkFraming::Compressed;
     }
 
     void taskFailed(kj::Exception &&exception) override
@@ -164,6 +183,7 @@
 
     kj::Timer &timer_;
     LinkCounters counters_;
+    const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
     PeerLinks links_;
     serving::UpstreamGate gate_;
     callers::CallerServer callers_;
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -1,7 +1,6 @@
 /** Implements PeerLinks. */
 #include "transport/links/PeerLinks.h"
 
-#include "transport/links/CountedStream.h"
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 
@@ -73,9 +72,11 @@
     kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
 };
 
-PeerLinks::PeerLinks(kj::Network &network, kj::Timer &timer, LinkCounters counters)
+PeerLinks::PeerLinks(kj::Network &network, kj::Timer &timer, FramingQuery framingOf,
+                     LinkCounters counters)
     : network_(network)
     , timer_(timer)
+    , framingOf_(std::move(framingOf))
     , counters_(counters)
     , tasks_(*this)
 {
@@ -211,7 +212,7 @@
     auto found = links_.find(address);
     if (found == links_.end()) {
         counters_.linksOpened.add();
-        found = links_.emplace(address, kj::refcounted<Link>(open(address))).first;
+        found = links_.emplace(address, kj::refcounted<Link>(open(peer))).first;
         Link *opened = found->second.get();
         // Removal waits for the next turn of the loop: it destroys the promise that reports it.
         // evalLater keeps a reference to a named function, so it is handed a copy.
@@ -227,17 +228,18 @@
     return link.whenReady().then([held = kj::addRef(link)]() mutable { return held->peer(); });
 }
 
-kj::Promise<kj::Own<kj::AsyncIoStream>> PeerLinks::open(const std::string &address)
+kj::Promise<kj::Own<kj::AsyncIoStream>> PeerLinks::open(const NetworkAddress &address)
 {
-    auto connecting = network_.parseAddress(address).then([](kj::Own<kj::NetworkAddress> &&parsed) {
-        auto promise = parsed->connect();
-        return promise.attach(kj::mv(parsed));
-    });
-    auto counted = connecting.then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-        return kj::Own<kj::AsyncIoStream>(kj::heap<CountedStream>(
-                kj::mv(stream), counters_.linkBytesSent, counters_.linkBytesReceived));
-    });
-    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(counted));
+    const LinkFraming framing = framingOf_(address);
+    auto connecting = network_.parseAddress(address.toString())
+                              .then([](kj::Own<kj::NetworkAddress> &&parsed) {
+                                  auto promise = parsed->connect();
+                                  return promise.attach(kj::mv(parsed));
+                              })
+                              .then([this, framing](kj::Own<kj::AsyncIoStream> &&stream) {
+                                  return frameOpened(kj::mv(stream), framing, counters_);
+                              });
+    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
 }
 
 void PeerLinks::dropLink(const std::string &address, const Link *link)
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -9,6 +9,7 @@
 #include "traffic/calls/CallAnswer.h"
 #include "traffic/calls/CallRequest.h"
 #include "transport/links/LinkCounters.h"
+#include "transport/links/LinkFraming.h"
 #include "transport/wire/peer.capnp.h"
 
 #include <chrono>
@@ -28,7 +29,11 @@
     /** A link that carried nothing for so long is closed. */
     static constexpr std::chrono::seconds idleTime{60};
 
-    PeerLinks(kj::Network &network, kj::Timer &timer, LinkCounters counters);
+    /** Tells how a link to an address is to be framed. */
+    using FramingQuery = std::function<LinkFraming(const core::identity::NetworkAddress &)>;
+
+    PeerLinks(kj::Network &network, kj::Timer &timer, FramingQuery framingOf,
+              LinkCounters counters);
     ~PeerLinks() noexcept(false);
 
     //==============================================================================
@@ -71,7 +76,7 @@
     class Link;
 
     kj::Promise<wire::schema::Peer::Client> connect(const core::identity::NetworkAddress &peer);
-    kj::Promise<kj::Own<kj::AsyncIoStream>> open(const std::string &address);
+    kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
     void dropLink(const std::string &address, const Link *link);
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
@@ -82,6 +87,7 @@
 
     kj::Network &network_;
     kj::Timer &timer_;
+    FramingQuery framingOf_;
     LinkCounters counters_;
     std::map<std::string, kj::Own<Link>> links_;
     kj::TaskSet tasks_;
