Keep a done move final where the old version ends; pace cold upstreams; reload settings

(3) SIGHUP ended the process.

Change: a move is final once done where the platform says so; the cold rate follows the intent; SIGHUP and a changed file make a node read its settings again. Tests for these and for the platform's reading, queue, placing and the order of announcements.

--- a/packages/control/intent/MoveIntent.h
+++ b/packages/control/intent/MoveIntent.h
@@ -22,6 +22,9 @@
     core::timing::WallTime doneBy{};
     /** Whether startAt was agreed on; otherwise the times count from when the move was learned. */
     bool isStartKnown = true;
+    /** Whether the old version ends as soon as the move is recorded as done, so that there is
+        nothing to go back to. */
+    bool isFinalOnceDone = false;
     MoveState state = MoveState::Running;
     std::string author;
     std::string reason;
--- a/packages/control/moves/MoveCoordinator.cpp
+++ b/packages/control/moves/MoveCoordinator.cpp
@@ -26,6 +26,8 @@
         // Without a named old version, the version taken back must stay known as excluded.
         if (move.state == MoveState::TakenBack && !move.from.isEmpty())
             continue;
+        if (move.state == MoveState::Done && move.isFinalOnceDone)
+            continue;
         auto found = trackers_.find(move.id);
         if (found == trackers_.end()) {
             found = trackers_.emplace(move.id, MoveTracker(move, *policies_)).first;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -11,6 +11,8 @@
     Counters = 103,
     LinesLeftOut = 104,
     SettingsRefused = 110,
+    SettingsReloaded = 111,
+    SettingsNeedRestart = 112,
     IntentApplied = 200,
     IntentRefused = 201,
     StoreUnavailable = 210,
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -111,6 +111,13 @@
     return absl::OkStatus();
 }
 
+void Node::applySettings(const settings::NodeSettings &changed)
+{
+    if (!settings_.isSameProcess(changed))
+        core::events::logEvent(EventCode::SettingsNeedRestart, "settings need a restart");
+    links_.post([this, limits = changed.repeats]() { retryPolicy_->setLimits(limits); });
+}
+
 bool Node::stop()
 {
     core::events::logEvent(EventCode::NodeStopping, "node stopping");
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -22,6 +22,9 @@
     /** Starts all parts. @returns the first listener's failure */
     absl::Status start();
 
+    /** Takes what can change in a running node; logs when the rest needs a restart. */
+    void applySettings(const settings::NodeSettings &changed);
+
     /** Stops gracefully: new work is refused as not run, work under way is finished.
         @returns whether all work under way was finished in time */
     bool stop();
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,7 +1,9 @@
 /** boragetrackd: the node beside an upstream. */
 #include "core/concurrency/StopSignals.h"
 #include "core/events/EventLog.h"
+#include "core/findings/TextFile.h"
 #include "daemon/Node.h"
+#include "daemon/settings/SettingsFile.h"
 #include "daemon/settings/SettingsReader.h"
 
 #include <boost/program_options.hpp>
@@ -12,6 +14,8 @@
 namespace options = boost::program_options;
 
 constexpr int wrongUse = 2;
+// The settings file may change without a signal.
+constexpr std::chrono::milliseconds settingsCheckPeriod{2000};
 constexpr int startFailed = 1;
 
 int run(const std::string &settingsPath)
@@ -24,13 +28,19 @@
         std::cerr << findings.toString() << std::endl;
         return wrongUse;
     }
-    const sigset_t signals = core::concurrency::blockStopSignals();
+    const sigset_t signals = core::concurrency::blockControlSignals();
+    daemon::settings::SettingsFile file(settingsPath,
+                                        core::findings::readTextFile(settingsPath).value_or(""));
     auto node = std::make_unique<daemon::Node>(*settings);
     if (const absl::Status status = node->start(); !status.ok()) {
         std::cerr << status.message() << std::endl;
         std::_Exit(startFailed);
     }
-    core::concurrency::waitForStopSignal(signals);
+    while (core::concurrency::waitForSignal(signals, settingsCheckPeriod)
+           != core::concurrency::SignalEvent::Stop) {
+        if (const auto changed = file.readIfChanged())
+            node->applySettings(*changed);
+    }
     node->stop();
     // A watch that waits at the platform can not be interrupted; it holds nothing that needs care.
     std::_Exit(0);
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -44,6 +44,16 @@
     bool usesBaselinePolicies = false;
     /** Lets every node watch the platform, as the baseline that measurements compare with. */
     bool watchesAlways = false;
+
+    /** Returns whether a process with other settings would be the same one: its identity and its
+        addresses agree. */
+    bool isSameProcess(const NodeSettings &other) const
+    {
+        return node == other.node && dataCentre == other.dataCentre && service == other.service
+               && callers == other.callers && peers == other.peers && operators == other.operators
+               && announcements == other.announcements && readiness == other.readiness
+               && platform == other.platform && interface == other.interface;
+    }
 };
 
 } // namespace boragetrack::daemon::settings
--- a/packages/traffic/retry/BudgetedRetry.cpp
+++ b/packages/traffic/retry/BudgetedRetry.cpp
@@ -12,6 +12,14 @@
 constexpr std::chrono::milliseconds shortestUsefulTime{5};
 } // namespace
 
+void BudgetedRetry::setLimits(const RepeatLimits &limits)
+{
+    // Windows of another length can not be converted; the next calls fill new ones.
+    if (limits.window != limits_.window)
+        budgets_.clear();
+    limits_ = limits;
+}
+
 void BudgetedRetry::callBegan(const ServiceName &service, MonotonicTime now)
 {
     budgetOf(service).earn(now);
--- a/packages/traffic/retry/BudgetedRetry.h
+++ b/packages/traffic/retry/BudgetedRetry.h
@@ -17,6 +17,7 @@
         : limits_(limits)
     {}
 
+    void setLimits(const RepeatLimits &limits) override;
     void callBegan(const core::identity::ServiceName &service,
                    core::timing::MonotonicTime now) override;
     bool mayRetry(const RetryQuestion &question, core::timing::MonotonicTime now) override;
--- a/packages/traffic/retry/RetryPolicy.h
+++ b/packages/traffic/retry/RetryPolicy.h
@@ -3,6 +3,7 @@
 
 #include "core/identity/ServiceName.h"
 #include "core/timing/MonotonicTime.h"
+#include "traffic/retry/RepeatLimits.h"
 #include "traffic/retry/RetryQuestion.h"
 
 namespace boragetrack::traffic::retry {
@@ -13,6 +14,9 @@
 public:
     virtual ~RetryPolicy() = default;
 
+    /** Takes new bounds; policies without bounds ignore them. */
+    virtual void setLimits(const RepeatLimits & /*limits*/) {}
+
     /** Notes the first attempt of a call. */
     virtual void callBegan(const core::identity::ServiceName &service,
                            core::timing::MonotonicTime now)
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -122,23 +122,22 @@
     if (!status_)
         return;
     upstream_.setAddress(status_->address);
-    if (!isNewProcess)
-        updateCold();
+    coldUntil_ = currentTime() + status_->coldLeft;
     limitsIntent_.reset();
     updateLimits();
     if (!isNewProcess)
         return;
     upstream_.forgetConnections();
     queue_.upstreamStarted();
-    updateCold();
     answersSinceStart_ = 0;
 }
 
+// The intent may become known only after the upstream has announced itself.
 void UpstreamGate::updateCold()
 {
-    const auto *service = parts_.routing.current()->intent->service(status_->record.service);
+    const auto *service = limitsIntent_->service(status_->record.service);
     const double rate = service == nullptr ? 0.0 : service->coldRate;
-    queue_.setCold(currentTime() + status_->coldLeft, rate);
+    queue_.setCold(coldUntil_, rate);
 }
 
 void UpstreamGate::drain()
@@ -410,6 +409,7 @@
     if (!status_ || snapshot->intent == limitsIntent_)
         return;
     limitsIntent_ = snapshot->intent;
+    updateCold();
     // All routes of the service share the upstream: its strictest limits hold, and the longest
     // queue, which deadlines bound besides.
     limits_ = AdmissionLimits{UpstreamClient::maximumConnections,
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -119,6 +119,7 @@
     std::unordered_map<core::identity::IdempotencyKey,
                        std::vector<kj::Own<kj::PromiseFulfiller<Answer>>>>
             keyedWaiters_;
+    core::timing::MonotonicTime coldUntil_{};
     int activeCalls_ = 0;
     bool isLookPlanned_ = false;
     int answersSinceStart_ = 0;
--- a/tests/unit/AdmissionTest.cpp
+++ b/tests/unit/AdmissionTest.cpp
@@ -107,3 +107,89 @@
     queue.setDraining(true);
     EXPECT_EQ(queue.arrive(1, MonotonicTime{} + milliseconds(500), {}), AdmissionDecision::Refuse);
 }
+
+namespace {
+
+Arrival arrival(AdmissionQueue::Ticket ticket, int rank, milliseconds objective,
+                milliseconds deadline)
+{
+    return Arrival{ticket, boragetrack::core::identity::RouteName("r"), rank,
+                   MonotonicTime{} + objective, MonotonicTime{} + deadline};
+}
+
+// Lets the queue learn that a request takes some time, and leaves it empty.
+void learn(AdmissionQueue &queue, milliseconds work)
+{
+    for (int i = 0; i < 30; ++i) {
+        ASSERT_EQ(queue.arrive(arrival(1, 1, milliseconds(10'000), milliseconds(10'000)), {}),
+                  AdmissionDecision::Run);
+        queue.ended({work, false, 1, boragetrack::core::identity::RouteName("r")}, {});
+    }
+}
+
+} // namespace
+
+// The load of calls inside calls: a request that runs holds its place until its calls are served.
+TEST(AdmissionQueue, letsCallsOfRunningRequestsGoFirstThenMoreUrgentOnes)
+{
+    AdmissionQueue queue = queueWith(1);
+    learn(queue, milliseconds(10));
+    const milliseconds ample(5000);
+    ASSERT_EQ(queue.arrive(arrival(1, 1, ample, ample), {}), AdmissionDecision::Run);
+    for (const auto &[ticket, rank] : {std::pair{2, 3}, std::pair{3, 1}, std::pair{4, 0}})
+        ASSERT_EQ(queue.arrive(arrival(ticket, rank, ample, ample), {}), AdmissionDecision::Wait);
+    std::vector<AdmissionQueue::Ticket> order;
+    for (int i = 0; i < 3; ++i) {
+        queue.abandoned();
+        for (const auto ticket : queue.takeRunnable({}))
+            order.push_back(ticket);
+    }
+    EXPECT_EQ(order, (std::vector<AdmissionQueue::Ticket>{4, 3, 2}));
+}
+
+TEST(AdmissionQueue, prefersWhatCanStillMeetItsObjective)
+{
+    AdmissionQueue queue = queueWith(1);
+    learn(queue, milliseconds(100));
+    ASSERT_EQ(queue.arrive(arrival(1, 1, milliseconds(5000), milliseconds(5000)), {}),
+              AdmissionDecision::Run);
+    ASSERT_EQ(queue.arrive(arrival(2, 1, milliseconds(50), milliseconds(2000)), {}),
+              AdmissionDecision::Wait);
+    ASSERT_EQ(queue.arrive(arrival(3, 2, milliseconds(1000), milliseconds(2000)), {}),
+              AdmissionDecision::Wait);
+    queue.abandoned();
+    EXPECT_EQ(queue.takeRunnable({}), std::vector<AdmissionQueue::Ticket>{3});
+}
+
+// The load of a lasting excess: what can only be late uses what is left over, and no more of it
+// waits than there are places.
+TEST(AdmissionQueue, turnsAwayAtOnceWhatWouldWaitForNothing)
+{
+    AdmissionQueue queue = queueWith(2);
+    learn(queue, milliseconds(100));
+    int waiting = 0;
+    for (AdmissionQueue::Ticket ticket = 1; ticket <= 20; ++ticket)
+        waiting += queue.arrive(arrival(ticket, 1, milliseconds(20), milliseconds(900)), {})
+                   == AdmissionDecision::Wait;
+    EXPECT_EQ(waiting, 2);
+}
+
+TEST(AdmissionQueue, spacesTheRequestsOfAColdUpstream)
+{
+    AdmissionQueue queue = queueWith(10);
+    queue.setCold(MonotonicTime{} + milliseconds(3000), 13.0);
+    int begun = 0;
+    AdmissionQueue::Ticket ticket = 0;
+    for (milliseconds now{0}; now < milliseconds(1000); now += milliseconds(5)) {
+        const MonotonicTime time = MonotonicTime{} + now;
+        const auto decision = queue.arrive(
+                arrival(++ticket, 1, now + milliseconds(200), now + milliseconds(400)), time);
+        begun += decision == AdmissionDecision::Run;
+        begun += static_cast<int>(queue.takeRunnable(time).size());
+        queue.takeExpired(time);
+        while (queue.load(time).inFlight > 0)
+            queue.abandoned();
+    }
+    EXPECT_GE(begun, 12);
+    EXPECT_LE(begun, 16);
+}
--- /dev/null
+++ b/tests/unit/HeartbeatTest.cpp
@@ -0,0 +1,90 @@
+/** Tests what upstreams say of themselves: its reading, and its order. */
+#include "platform/HeartbeatReader.h"
+
+#include "control/membership/UpstreamLineage.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using control::membership::AnnouncementStamp;
+using control::membership::UpstreamLineage;
+using control::membership::UpstreamState;
+using core::timing::WallTime;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string good = R"({"service":"payments","address":"10.0.0.9:8080","zone":"ikeja",
+  "version":"v1","slots":9,"state":"ready","coldLeftS":2.5,"seqNum":4,"born":1760000000000})";
+
+AnnouncementStamp stamp(const std::string &instance, std::uint64_t sequence, int startedAt)
+{
+    return {instance, sequence, WallTime(milliseconds(startedAt))};
+}
+
+} // namespace
+
+TEST(HeartbeatReader, readsAHeartbeat)
+{
+    core::findings::FindingList findings("heartbeat");
+    const auto heartbeat = platform::readHeartbeat("i-1", good, findings);
+    ASSERT_TRUE(heartbeat) << findings.toString();
+    EXPECT_EQ(heartbeat->status.record.state, UpstreamState::Serving);
+    EXPECT_EQ(heartbeat->status.address.port, 8080);
+    EXPECT_EQ(heartbeat->status.coldLeft, milliseconds(2500));
+    EXPECT_EQ(heartbeat->stamp.sequence, 4U);
+    EXPECT_EQ(heartbeat->stamp.startedAt, WallTime(milliseconds(1'760'000'000'000)));
+}
+
+TEST(HeartbeatReader, refusesWhatNamesNoUpstream)
+{
+    for (const std::string &bad :
+         {std::string("not json"), std::string("[]"), std::string("{}"),
+          std::string(
+                  R"({"service":7,"address":"10.0.0.9:1","version":"v","slots":1,"state":"ready"})"),
+          std::string(
+                  R"({"service":"s","address":"nowhere","version":"v","slots":1,"state":"ready"})"),
+          std::string(
+                  R"({"service":"s","address":"10.0.0.9:1","version":"v","slots":1,"state":"odd"})"),
+          std::string(
+                  R"({"service":"s","address":"10.0.0.9:1","version":"v","slots":"1","state":"ready"})")}) {
+        core::findings::FindingList findings("heartbeat");
+        EXPECT_FALSE(platform::readHeartbeat("i-1", bad, findings)) << bad;
+        EXPECT_FALSE(findings.isEmpty());
+    }
+}
+
+TEST(UpstreamLineage, ignoresLateAnnouncementsOfTheSameProcess)
+{
+    UpstreamLineage lineage;
+    EXPECT_TRUE(lineage.accept(stamp("i-1", 5, 100), false));
+    EXPECT_FALSE(lineage.accept(stamp("i-1", 4, 100), false));
+    EXPECT_FALSE(lineage.accept(stamp("i-1", 5, 100), false));
+    EXPECT_TRUE(lineage.accept(stamp("i-1", 6, 100), false));
+}
+
+TEST(UpstreamLineage, neverTakesAProcessThatLeavesForServing)
+{
+    UpstreamLineage lineage;
+    lineage.accept(stamp("i-1", 5, 100), false);
+    EXPECT_TRUE(lineage.accept({"i-1", 0, std::nullopt}, true)) << "a departure may lack its start";
+    EXPECT_FALSE(lineage.accept(stamp("i-1", 7, 100), false));
+    EXPECT_TRUE(lineage.isLeaving());
+}
+
+TEST(UpstreamLineage, ignoresAFormerProcessThatIsHeardOfLate)
+{
+    UpstreamLineage lineage;
+    lineage.accept(stamp("i-1", 90, 100), false);
+    EXPECT_TRUE(lineage.accept(stamp("i-2", 1, 200), false));
+    EXPECT_FALSE(lineage.accept(stamp("i-1", 91, 100), false));
+}
+
+TEST(UpstreamLineage, takesARestartUnderTheSameNameForANewProcess)
+{
+    UpstreamLineage lineage;
+    lineage.accept(stamp("i-1", 90, 100), true);
+    EXPECT_TRUE(lineage.accept(stamp("i-1", 1, 200), false));
+    EXPECT_FALSE(lineage.isLeaving());
+    EXPECT_FALSE(lineage.accept(stamp("i-1", 91, 100), true));
+}
--- a/tests/unit/MovesTest.cpp
+++ b/tests/unit/MovesTest.cpp
@@ -148,3 +148,56 @@
     EXPECT_FALSE(recordOutcome(document, {"m", MoveState::Done, "good"}, {}).ok());
     EXPECT_FALSE(recordOutcome(document, {"m", MoveState::TakenBack, "twice"}, {}).ok());
 }
+
+namespace {
+
+class SilentListener : public MoveCoordinator::Listener
+{
+public:
+    void moveStopped(const intent::MoveIntent & /*move*/, const std::string & /*evidence*/) override
+    {}
+};
+
+} // namespace
+
+// Once the old version's upstreams have been stopped, a verdict would leave nothing to serve.
+TEST(MoveCoordinator, doesNotTakeBackAMoveThatIsFinalOnceDone)
+{
+    SilentListener listener;
+    MoveCoordinator coordinator(NodeId("a"), 1, std::make_unique<StandardMovePolicies>(), listener);
+    intent::IntentDocument document;
+    document.moves.push_back(runningMove());
+    document.moves[0].from = VersionName();
+    document.moves[0].isFinalOnceDone = true;
+    const core::timing::WallTime start{};
+    coordinator.update(document, start);
+    document.moves[0].state = MoveState::Done;
+    coordinator.update(document, start + std::chrono::seconds(120));
+    for (int i = 0; i < 50; ++i) {
+        CallEvidence call;
+        call.service = document.moves[0].service;
+        call.version = VersionName("v2");
+        call.route = RouteName("deposits");
+        call.isFailed = true;
+        coordinator.noteCall(call);
+    }
+    const auto share = coordinator.shareOf(document.moves[0].service, RouteName("deposits"), {},
+                                           start + std::chrono::seconds(121));
+    EXPECT_TRUE(share.mayServe(VersionName("v2")));
+}
+
+TEST(MoveCoordinator, keepsAVersionTakenBackExcludedWhenTheOldOneHasNoName)
+{
+    SilentListener listener;
+    MoveCoordinator coordinator(NodeId("a"), 1, std::make_unique<StandardMovePolicies>(), listener);
+    intent::IntentDocument document;
+    document.moves.push_back(runningMove());
+    document.moves[0].from = VersionName();
+    document.moves[0].state = MoveState::TakenBack;
+    coordinator.update(document, {});
+    const auto share
+            = coordinator.shareOf(document.moves[0].service, RouteName("deposits"), {}, {});
+    EXPECT_FALSE(share.mayServe(VersionName("v2")));
+    EXPECT_TRUE(share.mayServe(VersionName("v1")));
+    EXPECT_TRUE(share.mayServe(VersionName("v3")));
+}
--- /dev/null
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -0,0 +1,159 @@
+/** Tests what the platform's entries become: routes, evacuations, moves, and what is refused. */
+#include "platform/MoveCodec.h"
+#include "platform/PlatformIntentReader.h"
+
+#include "control/distribution/RecordIntent.h"
+#include "control/intent/IntentSnapshot.h"
+
+#include <gmock/gmock.h>
+
+using namespace boragetrack;
+using control::distribution::OfferResult;
+using control::distribution::RecordIntent;
+using control::intent::MoveState;
+using control::records::OperatorRecord;
+using core::identity::DataCentreId;
+using core::identity::Revision;
+using std::chrono::milliseconds;
+
+namespace {
+
+const char *const configuration = R"({"version":"r7","baseVersion":"r5",
+  "limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15.5},
+  "listeners":[
+    {"host":"a.example","ruleSet":[
+      {"name":"deposits","kind":"unsafe","targetLatencyS":0.6,"priority":1,
+       "match":{"prefix":"/d/"},
+       "action":{"service":"payments","timeoutS":1.5,"maxAttempts":2}},
+      {"name":"deposits-long","kind":"safe","targetLatencyS":0.5,"priority":2,
+       "match":{"prefix":"/d/long/"},
+       "action":{"weightedSplit":[{"service":"payments","weight":90},
+                                  {"service":"catalogue","weight":10}],
+                 "timeoutS":1.2,"maxAttempts":1}}]}],
+  "clusters":[
+    {"name":"payments","healthPath":"/health","maxConns":110,"coldStartS":3.0,"coldPerS":13.0},
+    {"name":"catalogue","healthPath":"/health","maxConns":110}]})";
+
+OperatorRecord record(const std::string &key, std::uint64_t revision, const std::string &text)
+{
+    return OperatorRecord{key, Revision(revision), text, false};
+}
+
+class PlatformIntentTest : public testing::Test
+{
+protected:
+    OfferResult take(std::uint64_t revision, std::vector<OperatorRecord> changes)
+    {
+        return intent_.takeChanges({std::move(changes), Revision(revision)});
+    }
+
+    const control::intent::MoveIntent &onlyMove() { return intent_.document().moves.at(0); }
+
+    RecordIntent intent_{std::make_unique<platform::PlatformIntentReader>(
+            std::vector{DataCentreId("ikeja"), DataCentreId("lekki")})};
+};
+
+} // namespace
+
+TEST_F(PlatformIntentTest, readsRoutesServicesAndLimits)
+{
+    EXPECT_EQ(take(10, {record("op/config", 10, configuration)}), OfferResult::Held);
+    const auto &document = intent_.document();
+    EXPECT_EQ(intent_.revision(), Revision(10));
+    EXPECT_EQ(document.callerLimits.headerBytes, 4096U);
+    EXPECT_EQ(document.callerLimits.idleTimeout, milliseconds(15'500));
+    const control::intent::IntentSnapshot snapshot(Revision(10), document, DataCentreId("ikeja"),
+                                                   {});
+    const auto *plain = snapshot.routeFor("a.example", "/d/1");
+    ASSERT_NE(plain, nullptr);
+    EXPECT_FALSE(plain->route.isIdempotent);
+    EXPECT_EQ(plain->route.priority, 1);
+    EXPECT_EQ(plain->route.latencyObjective, milliseconds(600));
+    EXPECT_EQ(plain->settings.callTimeout, milliseconds(1500));
+    EXPECT_EQ(plain->settings.attemptLimit, 2);
+    const auto *split = snapshot.routeFor("a.example", "/d/long/1");
+    ASSERT_NE(split, nullptr);
+    EXPECT_TRUE(split->route.isIdempotent);
+    ASSERT_EQ(split->route.split.size(), 2U);
+    EXPECT_EQ(split->route.split[1].weight, 10);
+    EXPECT_EQ(snapshot.routeFor("b.example", "/d/1"), nullptr);
+    EXPECT_EQ(snapshot.service(core::identity::ServiceName("payments"))->coldRate, 13.0);
+}
+
+TEST_F(PlatformIntentTest, holdsNothingBeforeTheFirstConfiguration)
+{
+    take(5, {record("op/evacuate/ikeja", 5, "{}")});
+    EXPECT_EQ(intent_.revision(), Revision(0));
+}
+
+TEST_F(PlatformIntentTest, keepsTheLastReadableConfigurationAndAppliesTheRest)
+{
+    take(10, {record("op/config", 10, configuration)});
+    const auto result = take(12, {record("op/config", 11, R"({"listeners": 7, "clusters": [{}]})"),
+                                  record("op/evacuate/lekki", 12, "{}")});
+    EXPECT_EQ(result, OfferResult::HeldInPart);
+    EXPECT_EQ(intent_.document().routes.size(), 2U);
+    EXPECT_TRUE(intent_.document().dataCentres.at(1).isOut);
+    EXPECT_THAT(intent_.refusal(), testing::HasSubstr("clusters"));
+}
+
+TEST_F(PlatformIntentTest, neverGoesBackToAnOlderChangeOfAKey)
+{
+    take(10, {record("op/config", 10, configuration)});
+    take(20, {record("op/evacuate/ikeja", 20, "{}")});
+    EXPECT_EQ(take(15, {OperatorRecord{"op/evacuate/ikeja", Revision(15), {}, true}}),
+              OfferResult::NotNewer);
+    EXPECT_TRUE(intent_.document().dataCentres.at(0).isOut);
+    EXPECT_EQ(intent_.revision(), Revision(20));
+}
+
+TEST_F(PlatformIntentTest, takesAKeyThatAListingLacksForRemoved)
+{
+    take(10, {record("op/config", 10, configuration)});
+    take(20, {record("op/evacuate/ikeja", 20, "{}")});
+    intent_.takeListing({record("op/config", 10, configuration)}, Revision(30));
+    EXPECT_FALSE(intent_.document().dataCentres.at(0).isOut);
+}
+
+TEST_F(PlatformIntentTest, givesPeersTheChangesThatTheyLack)
+{
+    take(10, {record("op/config", 10, configuration)});
+    RecordIntent peer(std::make_unique<platform::PlatformIntentReader>(
+            std::vector{DataCentreId("ikeja"), DataCentreId("lekki")}));
+    const auto all = intent_.transferSince(Revision(0));
+    ASSERT_TRUE(peer.unpack(all));
+    EXPECT_EQ(peer.offer(*peer.unpack(all)), OfferResult::Held);
+    take(20, {record("op/evacuate/ikeja", 20, "{}")});
+    const auto later = intent_.transferSince(peer.revision());
+    EXPECT_LT(later.payload.size(), all.payload.size());
+    EXPECT_EQ(peer.offer(*peer.unpack(later)), OfferResult::Held);
+    EXPECT_TRUE(peer.document().dataCentres.at(0).isOut);
+    EXPECT_EQ(peer.revision(), Revision(20));
+}
+
+TEST_F(PlatformIntentTest, joinsAnOrderToItsRecordedState)
+{
+    take(10, {record("op/config", 10, configuration)});
+    const std::string order = R"({"service":"payments","targetVersion":"v2","rampS":12})";
+    take(20, {record("op/rollout/payments", 20, order)});
+    EXPECT_EQ(onlyMove().to.value(), "v2");
+    EXPECT_FALSE(onlyMove().isStartKnown);
+    EXPECT_EQ(onlyMove().doneBy - onlyMove().startAt, std::chrono::seconds(12));
+
+    const control::moves::MoveRecord bad{onlyMove().id, MoveState::TakenBack, "it fails",
+                                         core::timing::WallTime(milliseconds(5000))};
+    std::vector<OperatorRecord> written;
+    for (const auto &write :
+         platform::PlatformMoveWriter().writesFor(onlyMove(), bad, intent_.table()))
+        written.push_back(record(write.key, 21, write.text));
+    EXPECT_EQ(written.at(0).key, "status/rollout/payments");
+    EXPECT_THAT(written.at(0).text, testing::HasSubstr("rolled_back"));
+    take(21, written);
+    EXPECT_EQ(onlyMove().state, MoveState::TakenBack);
+    EXPECT_EQ(onlyMove().startAt, core::timing::WallTime(milliseconds(5000)));
+
+    // A state that was recorded for an earlier order says nothing of the next one.
+    take(30, {record("op/rollout/payments", 30, order)});
+    EXPECT_EQ(onlyMove().state, MoveState::Running);
+    EXPECT_FALSE(onlyMove().isStartKnown);
+}
--- /dev/null
+++ b/tests/unit/RoutingTest.cpp
@@ -0,0 +1,147 @@
+/** Tests where calls are sent, and what endpoints are believed to be able to do. */
+#include "traffic/routing/EarliestFinishRouting.h"
+#include "traffic/routing/LoadBoard.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using namespace boragetrack::traffic;
+using core::identity::NodeId;
+using core::identity::RouteName;
+using core::timing::MonotonicTime;
+using routing::CallNeeds;
+using routing::Candidate;
+using std::chrono::milliseconds;
+
+namespace {
+
+class RoutingTest : public testing::Test
+{
+protected:
+    void add(bool isLocal, milliseconds wait, milliseconds work)
+    {
+        endpoints_.push_back(std::make_unique<routing::Endpoint>());
+        endpoints_.back()->slots = 10;
+        Candidate candidate;
+        candidate.endpoint = endpoints_.back().get();
+        candidate.isLocal = isLocal;
+        candidate.load.reported.limit = 10;
+        candidate.load.reported.inFlight = wait.count() > 0 ? 10 : 5;
+        candidate.load.reported.waits.fill(wait);
+        candidate.load.work = work;
+        candidates_.push_back(candidate);
+    }
+
+    routing::RoutingChoice choose(milliseconds objective, milliseconds budget)
+    {
+        return policy_.choose(candidates_, CallNeeds{1, objective, budget}, random_);
+    }
+
+    std::vector<std::unique_ptr<routing::Endpoint>> endpoints_;
+    std::vector<Candidate> candidates_;
+    routing::EarliestFinishRouting policy_;
+    std::mt19937_64 random_{3};
+};
+
+calls::CallAnswer answered(int status, milliseconds served)
+{
+    calls::CallAnswer answer;
+    answer.outcome = calls::CallOutcome::Answered;
+    answer.status = status;
+    answer.served = served;
+    answer.load.limit = 10;
+    return answer;
+}
+
+} // namespace
+
+TEST_F(RoutingTest, staysLocalWhileThatIsOnTime)
+{
+    add(true, milliseconds(80), milliseconds(100));
+    add(false, milliseconds(0), milliseconds(50));
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(choose(milliseconds(300), milliseconds(1000)).index, 0U);
+}
+
+TEST_F(RoutingTest, goesElsewhereWhenTheLocalAnswerWouldBeLate)
+{
+    add(true, milliseconds(250), milliseconds(100));
+    add(false, milliseconds(0), milliseconds(50));
+    EXPECT_EQ(choose(milliseconds(300), milliseconds(1000)).index, 1U);
+}
+
+TEST_F(RoutingTest, staysLocalWhenNoneIsOnTime)
+{
+    add(true, milliseconds(250), milliseconds(100));
+    add(false, milliseconds(250), milliseconds(90));
+    EXPECT_EQ(choose(milliseconds(100), milliseconds(1000)).index, 0U);
+}
+
+TEST_F(RoutingTest, turnsAwayWhatNoneCanAnswerAndTellsTheShortestWait)
+{
+    add(true, milliseconds(700), milliseconds(100));
+    add(false, milliseconds(600), milliseconds(100));
+    const auto choice = choose(milliseconds(300), milliseconds(500));
+    EXPECT_FALSE(choice.index);
+    EXPECT_EQ(choice.shortestWait, milliseconds(600));
+}
+
+TEST_F(RoutingTest, avoidsWhatRestsOrIsSilentWhileThereIsAnother)
+{
+    add(true, milliseconds(0), milliseconds(50));
+    add(true, milliseconds(0), milliseconds(50));
+    add(false, milliseconds(0), milliseconds(50));
+    candidates_[0].load.isResting = true;
+    candidates_[1].load.isSilent = true;
+    EXPECT_EQ(choose(milliseconds(300), milliseconds(500)).index, 2U);
+    candidates_.pop_back();
+    EXPECT_TRUE(choose(milliseconds(300), milliseconds(500)).index);
+}
+
+TEST(LoadBoard, takesAnEndpointWithoutAnswersForSilent)
+{
+    routing::LoadBoard board;
+    const NodeId node("n");
+    const MonotonicTime begun{};
+    board.begin(node, begun);
+    EXPECT_FALSE(board.load(node, RouteName("r"), begun + milliseconds(300)).isSilent);
+    EXPECT_TRUE(board.load(node, RouteName("r"), begun + milliseconds(900)).isSilent);
+    board.begin(node, begun + milliseconds(850));
+    board.end(node, RouteName("r"), answered(200, milliseconds(40)), begun + milliseconds(850),
+              begun + milliseconds(890));
+    EXPECT_FALSE(board.load(node, RouteName("r"), begun + milliseconds(900)).isSilent)
+            << "another call was answered just now, so this one is merely long";
+}
+
+TEST(LoadBoard, learnsWorkAndFailuresButNotFromRefusals)
+{
+    routing::LoadBoard board;
+    const NodeId node("n");
+    for (int i = 0; i < 50; ++i) {
+        board.begin(node, {});
+        board.end(node, RouteName("r"), answered(200, milliseconds(40)), {}, {});
+    }
+    auto refusal = calls::CallAnswer::notRun("no room");
+    refusal.load.limit = 10;
+    board.begin(node, {});
+    board.end(node, RouteName("r"), refusal, {}, {});
+    const auto good = board.load(node, RouteName("r"), {});
+    EXPECT_NEAR(std::chrono::duration<double>(good.work).count(), 0.040, 0.001);
+    EXPECT_EQ(good.failureShare, 0.0);
+    EXPECT_FALSE(good.isResting);
+    for (int i = 0; i < 20; ++i) {
+        board.begin(node, {});
+        board.end(node, RouteName("r"), answered(500, milliseconds(5)), {}, {});
+    }
+    EXPECT_GT(board.load(node, RouteName("r"), {}).failureShare, 0.8);
+}
+
+TEST(LoadBoard, restsAnEndpointThatCanNotBeReached)
+{
+    routing::LoadBoard board;
+    const NodeId node("n");
+    board.begin(node, {});
+    board.end(node, RouteName("r"), calls::CallAnswer::notRun("refused"), {}, {});
+    EXPECT_TRUE(board.load(node, RouteName("r"), MonotonicTime{} + milliseconds(100)).isResting);
+    EXPECT_FALSE(board.load(node, RouteName("r"), MonotonicTime{} + milliseconds(300)).isResting);
+}
