Put the calls of running requests first; count what will overtake a waiting one

Waits were estimated without the requests that arrive meanwhile and go first, so that low ranks waited for nothing.

Ruled out: telling them by address (callers have the VM's own) or by the caller-service header (callers send it too).

Change: a request whose id is that of a call running beside this node, with a part of its own, is nested in it. OfferedWork measures what arrives for each rank. Changes of the store that come in quick succession are fetched together. Repeats of calls that ran and failed get a smaller part of the budget.

--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -90,9 +90,12 @@
     }
     answered();
     revision_ = std::max(revision_, answer->revision);
-    if (!answer->changes.empty())
-        listener_.recordsChanged(*answer);
-    watch();
+    if (answer->changes.empty()) {
+        watch();
+        return;
+    }
+    listener_.recordsChanged(*answer);
+    timers_.addListener(*this, changePause);
 }
 
 //==============================================================================
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -45,6 +45,9 @@
     /** How long an answer may take beyond that; the store answers in milliseconds, or in a quarter
         of a second when it is slow. */
     static constexpr std::chrono::milliseconds answerTime{1500};
+    /** The pause after changes came. Changes in quick succession then come together, which saves
+        priced calls; it is a small part of the two seconds in which a change must be in force. */
+    static constexpr std::chrono::milliseconds changePause{400};
     /** The wait after a first failure; doubles with each further one and is spread at random. */
     static constexpr std::chrono::milliseconds firstBackoff{150};
     /** Bounds the time for which a change stays unnoticed after the store is back. */
--- a/packages/traffic/admission/AdmissionQueue.cpp
+++ b/packages/traffic/admission/AdmissionQueue.cpp
@@ -12,6 +12,9 @@
 
 // A request that ran longer than usual still has some way to go: a part of its usual time.
 constexpr int residualPart = 4;
+// What higher ranks leave to a request is never taken for less than a part of one place: the
+// estimate of what arrives lags.
+constexpr double leastPlaces = 0.5;
 // How often the queue is looked at while requests wait, for those whose time becomes too short.
 constexpr std::chrono::milliseconds lookPeriod{20};
 // Requests that can only meet their deadline and wait all the same, for each place at the upstream:
@@ -49,6 +52,7 @@
     if (isDraining_ || arrival.deadline <= now)
         return AdmissionDecision::Refuse;
     const Waiting waiting{arrival, work_.usual(arrival.route)};
+    offered_.note(arrival.rank, waiting.work, now);
     if (waiting_.empty() && hasFreePlace(now)) {
         begin(waiting.work, now);
         return AdmissionDecision::Run;
@@ -135,7 +139,9 @@
     const bool isFree = running_.size() < static_cast<std::size_t>(limit);
     if (ahead.count() == 0 && isFree)
         return paced;
-    return std::max(paced, (ahead + runningWork(now)) / limit);
+    const double left = std::max(leastPlaces, limit - offered_.rateBelow(rank, now));
+    const std::chrono::duration<double> work = ahead + runningWork(now);
+    return std::max(paced, std::chrono::duration_cast<std::chrono::nanoseconds>(work / left));
 }
 
 calls::LoadReport AdmissionQueue::load(MonotonicTime now)
--- a/packages/traffic/admission/AdmissionQueue.h
+++ b/packages/traffic/admission/AdmissionQueue.h
@@ -5,6 +5,7 @@
 #include "traffic/admission/AdmissionPolicy.h"
 #include "traffic/admission/Arrival.h"
 #include "traffic/admission/ColdPacer.h"
+#include "traffic/admission/OfferedWork.h"
 #include "traffic/admission/WorkTable.h"
 #include "traffic/calls/LoadReport.h"
 
@@ -21,8 +22,9 @@
 
     Meant for loads above what the upstream bears. Among those that wait, requests that can still
     meet their objective go before those that can only meet their deadline, then lower ranks, then
-    earlier arrivals. A request is refused on arrival when the work ahead of it will take too long,
-    and as soon as its own time has become too short; it never waits for a hopeless turn.
+    earlier arrivals. A request is refused on arrival when the work ahead of it, and that which will
+    arrive meanwhile and go first, will take too long; and as soon as its own time has become too
+    short. It never waits for a hopeless turn.
 */
 class AdmissionQueue
 {
@@ -106,6 +108,7 @@
     AdmissionLimits limits_;
     bool isDraining_ = false;
     WorkTable work_;
+    OfferedWork offered_;
     ColdPacer pacer_;
     // Invariant: one element for each request that was admitted and has not ended; which element
     // belongs to which request does not matter, so the earliest goes first.
--- a/packages/traffic/retry/BudgetedRetry.cpp
+++ b/packages/traffic/retry/BudgetedRetry.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 constexpr std::chrono::milliseconds shortestUsefulTime{5};
+// A call that failed for want of a call inside it fails again, and its repeat makes those calls
+// again; most of the budget is kept for calls that an upstream refused.
+constexpr double partForFailures = 0.4;
 } // namespace
 
 void BudgetedRetry::setLimits(const RepeatLimits &limits)
@@ -22,7 +25,9 @@
 
 void BudgetedRetry::callBegan(const ServiceName &service, MonotonicTime now)
 {
-    budgetOf(service).earn(now);
+    Budgets &budgets = budgetsOf(service);
+    budgets.all.earn(now);
+    budgets.ofFailures.earn(now);
 }
 
 bool BudgetedRetry::mayRetry(const RetryQuestion &question, MonotonicTime now)
@@ -34,13 +39,21 @@
     if (question.isNestedRepeat || question.remaining < shortestUsefulTime)
         return false;
     const double nodes = limits_.isReserveShared ? std::max(1, question.nodes) : 1.0;
-    return budgetOf(question.service)
-            .spend(question.budgetPercent / 100.0 * limits_.usedPart, limits_.reserve / nodes, now);
+    const double part = question.budgetPercent / 100.0 * limits_.usedPart;
+    const double reserve = limits_.reserve / nodes;
+    Budgets &budgets = budgetsOf(question.service);
+    const bool isFailure = question.answer->isFailure();
+    if (isFailure
+        && !budgets.ofFailures.spend(part * partForFailures, reserve * partForFailures, now))
+        return false;
+    return budgets.all.spend(part, reserve, now);
 }
 
-RetryBudget &BudgetedRetry::budgetOf(const ServiceName &service)
+BudgetedRetry::Budgets &BudgetedRetry::budgetsOf(const ServiceName &service)
 {
-    return budgets_.try_emplace(service, limits_.window).first->second;
+    return budgets_
+            .try_emplace(service, Budgets{RetryBudget(limits_.window), RetryBudget(limits_.window)})
+            .first->second;
 }
 
 } // namespace boragetrack::traffic::retry
--- a/packages/traffic/retry/BudgetedRetry.h
+++ b/packages/traffic/retry/BudgetedRetry.h
@@ -23,10 +23,17 @@
     bool mayRetry(const RetryQuestion &question, core::timing::MonotonicTime now) override;
 
 private:
-    RetryBudget &budgetOf(const core::identity::ServiceName &service);
+    // What one service may spend on all repeats, and on those of calls that ran and failed.
+    struct Budgets
+    {
+        RetryBudget all;
+        RetryBudget ofFailures;
+    };
+
+    Budgets &budgetsOf(const core::identity::ServiceName &service);
 
     RepeatLimits limits_;
-    std::unordered_map<core::identity::ServiceName, RetryBudget> budgets_;
+    std::unordered_map<core::identity::ServiceName, Budgets> budgets_;
 };
 
 } // namespace boragetrack::traffic::retry
--- a/packages/transport/callers/CallBuilder.cpp
+++ b/packages/transport/callers/CallBuilder.cpp
@@ -19,7 +19,7 @@
     call.headers = http::forwardedHeaders(head.headers);
     call.route = route.name;
     call.isIdempotent = route.isIdempotent || description.hasSafeMethod;
-    call.isNested = description.isNested;
+    call.isNested = description.hops > 1;
     call.priority = route.priority;
     call.key = description.key;
     const std::chrono::milliseconds allowed = entry.settings.callTimeout;
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -71,8 +71,7 @@
     Call(CallerServer &server, http::ServerExchange &exchange)
         : server_(server)
         , exchange_(exchange)
-        , description_(server.parts_.dialect.describe(exchange.head(),
-                                                      exchange.peerHost() == server.parts_.host))
+        , description_(server.parts_.dialect.describe(exchange.head()))
         , snapshot_(server.parts_.routing.current())
         , arrivedAt_(currentTime())
     {
@@ -140,6 +139,10 @@
         call.body = std::move(body);
         call.service = route.split.empty() ? route.service : drawService(route);
         call.callerService = server_.parts_.service;
+        if (const auto attempt = server_.parts_.running.attemptOf(description_.parentId)) {
+            call.isNested = true;
+            call.attempt = std::max(call.attempt, *attempt);
+        }
         return call;
     }
 
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -3,6 +3,7 @@
 
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
+#include "traffic/calls/RunningCalls.h"
 #include "traffic/retry/CallPlan.h"
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/dialect/CallDialect.h"
@@ -26,8 +27,8 @@
         links::CallSender &sender;
         traffic::routing::RoutingPolicy &routingPolicy;
         traffic::retry::RetryPolicy &retryPolicy;
-        /** This node's own VM, by IP number. */
-        std::string host;
+        /** What the upstream beside this node runs. */
+        const traffic::calls::RunningCalls &running;
         /** The service on this node's VM. */
         core::identity::ServiceName service;
         core::counters::CounterRegistry &counters;
--- a/packages/transport/dialect/CallDescription.h
+++ b/packages/transport/dialect/CallDescription.h
@@ -21,8 +21,8 @@
     core::identity::IdempotencyKey key;
     /** Whether the method alone allows the call to run more than once. */
     bool hasSafeMethod = false;
-    /** Whether a running request waits for this one. */
-    bool isNested = false;
+    /** The request that this one may be nested in, by that one's id; empty when it does not say. */
+    std::string parentId;
     /** Calls that this one is nested in. */
     int hops = 0;
     /** One for a first attempt; higher for calls that belong to a repeat. */
--- a/packages/transport/dialect/CallDialect.h
+++ b/packages/transport/dialect/CallDialect.h
@@ -20,9 +20,8 @@
     virtual ~CallDialect() = default;
 
     //==============================================================================
-    /** Returns what a caller's request says of itself.
-        @param isFromOwnVm whether a process on this node's VM sent it */
-    virtual CallDescription describe(const http::RequestHead &head, bool isFromOwnVm) const = 0;
+    /** Returns what a caller's request says of itself. */
+    virtual CallDescription describe(const http::RequestHead &head) const = 0;
 
     /** Returns the head of the answer to a call that no upstream answered. */
     virtual http::ResponseHead refusalHead(const traffic::calls::CallAnswer &answer) const = 0;
--- a/packages/transport/dialect/OwnDialect.cpp
+++ b/packages/transport/dialect/OwnDialect.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-CallDescription OwnDialect::describe(const http::RequestHead &head, bool /*isFromOwnVm*/) const
+CallDescription OwnDialect::describe(const http::RequestHead &head) const
 {
     CallDescription description;
     if (const long left = numberIn(head.headers, traffic::calls::deadlineHeader, -1); left >= 0)
@@ -62,7 +62,6 @@
     description.hasSafeMethod = isSafeMethod(head.method);
     description.hops
             = static_cast<int>(numberIn(head.headers, traffic::calls::hopCountHeader, 0)) + 1;
-    description.isNested = description.hops > 1;
     description.attempt
             = static_cast<int>(numberIn(head.headers, traffic::calls::attemptHeader, 1));
     return description;
--- a/packages/transport/dialect/OwnDialect.h
+++ b/packages/transport/dialect/OwnDialect.h
@@ -9,7 +9,7 @@
 class OwnDialect : public CallDialect
 {
 public:
-    CallDescription describe(const http::RequestHead &head, bool isFromOwnVm) const override;
+    CallDescription describe(const http::RequestHead &head) const override;
     http::ResponseHead refusalHead(const traffic::calls::CallAnswer &answer) const override;
     http::HeaderList answerHeaders(const traffic::calls::CallAnswer &answer) const override;
     http::HeaderList upstreamHeaders(const traffic::calls::CallRequest &request,
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -3,8 +3,6 @@
 
 #include "transport/http/MessageWriter.h"
 
-#include <arpa/inet.h>
-
 namespace boragetrack::transport::http {
 
 namespace {
@@ -22,20 +20,6 @@
 
 } // namespace
 
-std::string ServerConnection::peerHostOf(kj::AsyncIoStream &stream)
-{
-    sockaddr_in address{};
-    kj::uint length = sizeof(address);
-    try {
-        stream.getpeername(reinterpret_cast<sockaddr *>(&address), &length);
-    } catch (const kj::Exception & /*exception*/) {
-        // The peer is gone already; reading will show it.
-        return {};
-    }
-    char text[INET_ADDRSTRLEN] = {};
-    return inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text)) == nullptr ? "" : text;
-}
-
 kj::Promise<void> ServerConnection::run()
 {
     return awaitRequest();
@@ -76,7 +60,7 @@
 
 kj::Promise<void> ServerConnection::serve(RequestHead head)
 {
-    exchange_ = kj::heap<ServerExchange>(std::move(head), peerHost_, reader_, stream_);
+    exchange_ = kj::heap<ServerExchange>(std::move(head), reader_, stream_);
     return handler_.handle(*exchange_)
             .then([]() { return false; })
             .exclusiveJoin(stream_.whenEnded().then([]() { return true; }))
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -14,8 +14,7 @@
 public:
     /** @param handler and @param timer outlive the connection */
     ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer)
-        : peerHost_(peerHostOf(*stream))
-        , stream_(kj::mv(stream))
+        : stream_(kj::mv(stream))
         , reader_(stream_, {})
         , handler_(handler)
         , timer_(timer)
@@ -27,7 +26,6 @@
 private:
     using Reader = MessageReader<RequestHead>;
 
-    static std::string peerHostOf(kj::AsyncIoStream &stream);
     kj::Promise<void> awaitRequest();
     kj::Promise<void> readRequest();
     kj::Promise<void> serve(RequestHead head);
@@ -36,7 +34,6 @@
     kj::Promise<void> close();
     kj::Promise<void> discardInput(std::size_t budget);
 
-    const std::string peerHost_;
     ReadAheadStream stream_;
     Reader reader_;
     ExchangeHandler &handler_;
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -9,10 +9,8 @@
 class ServerExchange
 {
 public:
-    ServerExchange(RequestHead head, const std::string &peerHost,
-                   MessageReader<RequestHead> &reader, ReadAheadStream &stream)
+    ServerExchange(RequestHead head, MessageReader<RequestHead> &reader, ReadAheadStream &stream)
         : head_(std::move(head))
-        , peerHost_(peerHost)
         , reader_(reader)
         , stream_(stream)
     {}
@@ -22,9 +20,6 @@
     /** Returns the request's head. */
     const RequestHead &head() const { return head_; }
 
-    /** Returns the IP number that the request came from; empty when it is not known. */
-    const std::string &peerHost() const { return peerHost_; }
-
     /** Returns the next piece of the request's body; rejects when the client breaks off. */
     kj::Promise<BodyPiece> readBody() { return reader_.readBody(); }
 
@@ -63,7 +58,6 @@
     kj::Promise<void> writeText(std::string text);
 
     RequestHead head_;
-    const std::string &peerHost_;
     MessageReader<RequestHead> &reader_;
     ReadAheadStream &stream_;
     bool mustClose_ = false;
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -56,7 +56,7 @@
                                              parts.evidence, parts.counters})
         , callers_(callers::CallerServer::Parts{parts.routing, parts.dialect, *this,
                                                 parts.routingPolicy, parts.retryPolicy,
-                                                parts.callers.host, parts.service, parts.counters})
+                                                gate_.running(), parts.service, parts.counters})
         , callerListener_(io.provider->getNetwork(), timer_, callers_)
         , server_(kj::heap<PeerServer>(parts.requests, gate_))
         , self_(parts.self)
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -316,7 +316,10 @@
     if (!status_)
         return CallAnswer::notRun("the upstream is gone");
     const MonotonicTime begun = currentTime();
+    auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
+            running_, request.requestId, request.attempt);
     return upstream_.send(request, *status_)
+            .attach(kj::mv(registration))
             .then([this, &request, begun,
                    admission = kj::mv(admission)](CallAnswer &&answer) mutable {
                 const auto latency = currentTime() - begun;
@@ -333,7 +336,9 @@
     const auto load = queue_.load(currentTime());
     core::events::logCall(core::events::EventCode::CallTurnedAway, "call turned away", false,
                           {{"request", request.requestId},
-                           {"service", request.service.value()},
+                           {"route", request.route.value()},
+                           {"rank", std::to_string(request.rank())},
+                           {"objectiveMs", std::to_string(request.objective.count() / 1000)},
                            {"version", request.version.value()},
                            {"budgetMs", std::to_string(request.budget.count() / 1000)},
                            {"inFlight", std::to_string(load.inFlight)},
@@ -351,6 +356,8 @@
     core::events::logCall(
             core::events::EventCode::CallServed, "call served", isGood,
             {{"request", request.requestId},
+             {"route", request.route.value()},
+             {"rank", std::to_string(request.rank())},
              {"instance", status_ ? status_->instance : ""},
              {"status", std::to_string(answer.status)},
              {"ms",
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -5,6 +5,7 @@
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
 #include "traffic/admission/AdmissionQueue.h"
+#include "traffic/calls/RunningCalls.h"
 #include "traffic/deduplication/ClaimRegister.h"
 #include "traffic/deduplication/ReplayTable.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -57,6 +58,9 @@
     /** Refuses new calls from here on; those admitted still finish. */
     void drain();
 
+    /** Returns what the upstream runs. */
+    const traffic::calls::RunningCalls &running() const { return running_; }
+
     /** Returns the calls that were taken and not answered. */
     int activeCalls() const { return activeCalls_; }
 
@@ -111,6 +115,7 @@
     traffic::deduplication::ReplayTable replays_;
     traffic::deduplication::ClaimRegister claimRegister_;
     std::optional<UpstreamStatus> status_;
+    traffic::calls::RunningCalls running_;
     // The intent that limits_ follow.
     std::shared_ptr<const control::intent::IntentSnapshot> limitsIntent_;
     traffic::admission::AdmissionQueue::Ticket lastTicket_ = 0;
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -94,7 +94,7 @@
     entry.settings.callTimeout = std::chrono::milliseconds(800);
     transport::http::RequestHead head{"POST", "/x", {}};
     const auto build = [&]() {
-        return transport::callers::buildCall(head, dialect.describe(head, false), entry, {});
+        return transport::callers::buildCall(head, dialect.describe(head), entry, {});
     };
     head.headers = {{"x-deadline-ms", "300"},
                     {"X-Hop-Count", "15"},
