Split the gate: rules, admission and keyed calls apart from sending

Cause: UpstreamGate joined its decisions with the sending of bytes in 400 lines; most of what must hold exactly is decided there.

A call that waited is checked again before it is sent. Besides: nodes look for members that are gone, since a restarted one may know nobody while the store is away; a move's record is written by further nodes when the chosen ones do not; links and upstream connections that fell silent are not used again.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -22,10 +22,15 @@
 constexpr std::size_t evidencePerExchange = 10;
 constexpr std::size_t evidencePeers = 3;
 constexpr std::size_t recordersPerMove = 2;
+// One more node records a move for each such time that the record is missing: the chosen ones may
+// be cut off from the store.
+constexpr std::chrono::milliseconds recorderPatience{500};
 
 // Every so many exchanges go to a seed, so that the two sides of a healed cut find each other.
 constexpr std::uint64_t seedExchangeInterval = 10;
 constexpr std::chrono::milliseconds memberFetchInterval{3000};
+// Nodes that look for gone members at each tick: enough to find a restarted one within seconds.
+constexpr std::size_t searchersPerTick = 3;
 
 // The budget of urgent exchanges; periodic ones spend some 800 bytes a second besides.
 constexpr double urgentBytesPerSecond = 1000;
@@ -188,7 +193,7 @@
     return moves_.shareOf(name, route.name, service->version, wallClock_());
 }
 
-std::vector<moves::MoveRecord> ControlPlane::missingMoveRecords() const
+std::vector<moves::MoveRecord> ControlPlane::missingMoveRecords()
 {
     const auto serves = [this](const auto &service, const auto &version) {
         const auto &records = membership_.table().records();
@@ -200,15 +205,23 @@
         });
     };
     std::vector<moves::MoveRecord> records;
+    std::map<std::pair<std::string, intent::MoveState>, MonotonicTime> missing;
     for (moves::MoveRecord &record : moves_.missingRecords(wallClock_(), serves)) {
-        if (isRecorderOf(record.moveId))
+        const auto key = std::pair(record.moveId, record.state);
+        const auto known = missingSince_.find(key);
+        const MonotonicTime since = known == missingSince_.end() ? timers_.now() : known->second;
+        missing.emplace(key, since);
+        const auto overdue
+                = std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now() - since);
+        if (isRecorderOf(record.moveId, overdue))
             records.push_back(std::move(record));
     }
+    missingSince_ = std::move(missing);
     return records;
 }
 
 // The service's own nodes hold the evidence, so two of them write the record.
-bool ControlPlane::isRecorderOf(const std::string &moveId) const
+bool ControlPlane::isRecorderOf(const std::string &moveId, std::chrono::milliseconds overdue) const
 {
     const auto &moves = snapshot_->document().moves;
     const auto move = std::find_if(moves.begin(), moves.end(),
@@ -219,8 +232,10 @@
     const auto isConcerned
             = [&](const MemberRecord &record) { return record.upstream.service == move->service; };
     return isConcerned(self)
-           && membership::isAmongChosen(self, membership_.table(), moveId, recordersPerMove,
-                                        isConcerned);
+           && membership::isAmongChosen(
+                   self, membership_.table(), moveId,
+                   recordersPerMove + static_cast<std::size_t>(overdue / recorderPatience),
+                   isConcerned);
 }
 
 //==============================================================================
@@ -279,6 +294,8 @@
     membership_.tick(now);
     if (const auto peer = nextExchangePeer())
         sendExchangeTo(*peer, newsPerExchange);
+    if (const auto gone = nextGonePeer())
+        sendExchangeTo(*gone, newsPerExchange);
     for (const NodeId &target : membership_.takeConfirmationTargets()) {
         if (const auto contact = contactOf(target))
             sendExchangeTo(*contact, 0);
@@ -416,6 +433,22 @@
     return contacts;
 }
 
+// A restarted node may know nobody while the store is away, so those who remember its address look
+// for it. Each gone member is looked for by all others in turn.
+std::optional<PeerContact> ControlPlane::nextGonePeer()
+{
+    std::vector<const MemberRecord *> gone;
+    for (const auto &[id, record] : membership_.table().records()) {
+        if (record.state == MemberState::Dead || record.state == MemberState::Left)
+            gone.push_back(&record);
+    }
+    const std::size_t searchers = membership_.table().records().size() - gone.size();
+    if (gone.empty() || random_() % std::max<std::size_t>(1, searchers / searchersPerTick) != 0)
+        return std::nullopt;
+    const MemberRecord &record = *gone[random_() % gone.size()];
+    return PeerContact{record.id, record.peerAddress};
+}
+
 std::optional<PeerContact> ControlPlane::nextExchangePeer()
 {
     ++exchangeCount_;
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -153,7 +153,7 @@
                               const core::identity::ServiceName &service) const;
 
     /** Returns the outcomes of moves that the intent lacks and this node should record. */
-    std::vector<moves::MoveRecord> missingMoveRecords() const;
+    std::vector<moves::MoveRecord> missingMoveRecords();
 
     /** Returns the members, as messages carry them, that differ from a peer's table. */
     std::vector<membership::MemberRecord>
@@ -177,7 +177,7 @@
     }
     void moveStopped(const intent::MoveIntent &move, const std::string &evidence) override;
 
-    bool isRecorderOf(const std::string &moveId) const;
+    bool isRecorderOf(const std::string &moveId, std::chrono::milliseconds overdue) const;
     void exchangeTick(core::timing::MonotonicTime now);
     void decisionTick(core::timing::MonotonicTime now);
     void sendEvidence();
@@ -190,6 +190,7 @@
     core::identity::NodeId idAt(const core::identity::NetworkAddress &address) const;
     std::vector<PeerContact> neighbourContacts() const;
     std::optional<PeerContact> nextExchangePeer();
+    std::optional<PeerContact> nextGonePeer();
 
     PeerTransport &transport_;
     core::timing::TimerService &timers_;
@@ -213,6 +214,8 @@
     std::uint64_t evidenceMark_ = 0;
     core::timing::MonotonicTime lastMemberFetch_{};
     BytePacer pacer_;
+    // Since when each record of a move's state has been missing.
+    std::map<std::pair<std::string, intent::MoveState>, core::timing::MonotonicTime> missingSince_;
     // Whether news arrived that must not wait for the next exchange.
     bool hasUrgentNews_ = false;
     bool isLeaving_ = false;
--- a/packages/control/intent/IntentSnapshot.cpp
+++ b/packages/control/intent/IntentSnapshot.cpp
@@ -40,8 +40,10 @@
     std::sort(routes_.begin(), routes_.end(), [](const RouteEntry &a, const RouteEntry &b) {
         return a.route.pathPrefix.size() > b.route.pathPrefix.size();
     });
-    for (std::size_t i = 0; i < routes_.size(); ++i)
+    for (std::size_t i = 0; i < routes_.size(); ++i) {
         routesOfHost_[routes_[i].route.host].push_back(i);
+        routesByName_.emplace(routes_[i].route.name, i);
+    }
 }
 
 const RouteEntry *IntentSnapshot::routeFor(const std::string &host, const std::string &path) const
@@ -50,6 +52,12 @@
     return entry != nullptr || host.empty() ? entry : longestPrefix({}, path);
 }
 
+const RouteEntry *IntentSnapshot::routeNamed(const core::identity::RouteName &name) const
+{
+    const auto found = routesByName_.find(name);
+    return found == routesByName_.end() ? nullptr : &routes_[found->second];
+}
+
 const RouteEntry *IntentSnapshot::longestPrefix(const std::string &host,
                                                 const std::string &path) const
 {
--- a/packages/control/intent/IntentSnapshot.h
+++ b/packages/control/intent/IntentSnapshot.h
@@ -32,6 +32,9 @@
         those for any host; null without one. @param host without a port */
     const RouteEntry *routeFor(const std::string &host, const std::string &path) const;
 
+    /** Returns a route by its name, or null. */
+    const RouteEntry *routeNamed(const core::identity::RouteName &name) const;
+
     /** Returns the routes, longest prefix first. */
     const std::vector<RouteEntry> &routes() const { return routes_; }
 
@@ -50,6 +53,7 @@
     std::vector<RouteEntry> routes_;
     // Invariant: indices into routes_, in its order, under each route's host.
     std::unordered_map<std::string, std::vector<std::size_t>> routesOfHost_;
+    std::unordered_map<core::identity::RouteName, std::size_t> routesByName_;
 };
 
 } // namespace boragetrack::control::intent
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -10,6 +10,7 @@
     NodeStopped = 102,
     Counters = 103,
     LinesLeftOut = 104,
+    InternalFault = 105,
     SettingsRefused = 110,
     SettingsReloaded = 111,
     SettingsNeedRestart = 112,
--- a/packages/traffic/routing/RoutingSnapshot.cpp
+++ b/packages/traffic/routing/RoutingSnapshot.cpp
@@ -8,17 +8,18 @@
 const RouteTarget *RoutingSnapshot::targetFor(const std::string &host,
                                               const std::string &path) const
 {
-    const control::intent::RouteEntry *entry = intent->routeFor(host, path);
-    return entry == nullptr ? nullptr
-                            : &targets[static_cast<std::size_t>(entry - intent->routes().data())];
+    return targetOf(intent->routeFor(host, path));
 }
 
 const RouteTarget *RoutingSnapshot::targetNamed(const core::identity::RouteName &name) const
 {
-    const auto found = std::find_if(targets.begin(), targets.end(), [&](const RouteTarget &target) {
-        return target.entry.route.name == name;
-    });
-    return found == targets.end() ? nullptr : &*found;
+    return targetOf(intent->routeNamed(name));
+}
+
+const RouteTarget *RoutingSnapshot::targetOf(const control::intent::RouteEntry *entry) const
+{
+    return entry == nullptr ? nullptr
+                            : &targets[static_cast<std::size_t>(entry - intent->routes().data())];
 }
 
 const std::vector<Endpoint> &
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -37,6 +37,9 @@
     /** Returns a route's target by name, or null. */
     const RouteTarget *targetNamed(const core::identity::RouteName &name) const;
 
+    /** Returns the target of a route of the intent; null for null. */
+    const RouteTarget *targetOf(const control::intent::RouteEntry *entry) const;
+
     /** Returns the endpoints of a service; empty for an unknown one. */
     const std::vector<Endpoint> &endpointsOf(const core::identity::ServiceName &service) const;
 };
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -63,6 +63,9 @@
     void use(kj::TimePoint now) { lastUse_ = now; }
     kj::TimePoint lastUse() const { return lastUse_; }
 
+    void noteAnswer(kj::TimePoint now) { lastAnswer_ = now; }
+    kj::TimePoint lastAnswer() const { return lastAnswer_; }
+
 private:
     // Destroyed in reverse: the client before the stream that it speaks over.
     kj::Own<kj::AsyncIoStream> stream_;
@@ -70,6 +73,7 @@
     wire::schema::Peer::Client peer_ = nullptr;
     kj::ForkedPromise<void> ready_;
     kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
+    kj::TimePoint lastAnswer_ = kj::origin<kj::TimePoint>();
 };
 
 PeerLinks::PeerLinks(kj::Network &network, kj::Timer &timer, FramingQuery framingOf,
@@ -90,17 +94,23 @@
 {
     const kj::TimePoint deadline = timer_.now() + toKj(request.budget + answerMargin);
     auto message = std::make_shared<CallRequest>(request);
+    const kj::TimePoint begun = timer_.now();
     // Until the link is open, nothing was sent, so a failure up to here proves "not run".
     return connect(peer).then(
-            [this, message, deadline](wire::schema::Peer::Client client) {
+            [this, message, deadline, begun, peer](wire::schema::Peer::Client client) {
                 auto call = client.callRequest(capnp::MessageSize{
                         callSizeHint(message->body.size() + message->target.size()), 0});
                 wire::encode(*message, call.initRequest());
                 return timer_.timeoutAt(deadline, call.send())
-                        .then([](auto &&response) { return wire::decode(response.getAnswer()); },
-                              [](kj::Exception &&exception) {
-                                  return CallAnswer::unknown(exception.getDescription().cStr());
-                              });
+                        .then(
+                                [this, peer](auto &&response) {
+                                    noteAnswer(peer);
+                                    return wire::decode(response.getAnswer());
+                                },
+                                [this, peer, begun](kj::Exception &&exception) {
+                                    dropIfSilent(peer, begun);
+                                    return CallAnswer::unknown(exception.getDescription().cStr());
+                                });
             },
             [](kj::Exception &&exception) {
                 return CallAnswer::notRun(exception.getDescription().cStr());
@@ -242,6 +252,21 @@
     return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
 }
 
+void PeerLinks::noteAnswer(const NetworkAddress &peer)
+{
+    if (const auto found = links_.find(peer.toString()); found != links_.end())
+        found->second->noteAnswer(timer_.now());
+}
+
+// A link may fall silent without breaking while a new one to the same peer would work. Calls under
+// way on it keep it alive until they end.
+void PeerLinks::dropIfSilent(const NetworkAddress &peer, kj::TimePoint since)
+{
+    const auto found = links_.find(peer.toString());
+    if (found != links_.end() && found->second->lastAnswer() < since)
+        links_.erase(found);
+}
+
 void PeerLinks::dropLink(const std::string &address, const Link *link)
 {
     const auto found = links_.find(address);
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -78,6 +78,8 @@
     kj::Promise<wire::schema::Peer::Client> connect(const core::identity::NetworkAddress &peer);
     kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
     void dropLink(const std::string &address, const Link *link);
+    void noteAnswer(const core::identity::NetworkAddress &peer);
+    void dropIfSilent(const core::identity::NetworkAddress &peer, kj::TimePoint since);
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
 
--- /dev/null
+++ b/packages/transport/serving/AdmissionDesk.cpp
@@ -0,0 +1,153 @@
+/** Implements AdmissionDesk. */
+#include "transport/serving/AdmissionDesk.h"
+
+#include "core/events/EventLog.h"
+
+namespace boragetrack::transport::serving {
+
+using core::timing::MonotonicTime;
+using traffic::admission::AdmissionDecision;
+using traffic::admission::AdmissionSample;
+using traffic::admission::Arrival;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+
+namespace {
+
+MonotonicTime currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+kj::Duration toKj(std::chrono::nanoseconds time)
+{
+    return time.count() * kj::NANOSECONDS;
+}
+
+} // namespace
+
+AdmissionDesk::ScopedPlace::ScopedPlace(AdmissionDesk &desk)
+    : desk_(desk)
+    , inFlight_(desk.load().inFlight)
+{}
+
+AdmissionDesk::ScopedPlace::~ScopedPlace() noexcept
+{
+    if (!isEnded_)
+        desk_.queue_.abandoned();
+    desk_.pump();
+}
+
+void AdmissionDesk::ScopedPlace::end(const core::identity::RouteName &route,
+                                     const CallAnswer &answer, std::chrono::nanoseconds latency)
+{
+    isEnded_ = true;
+    const bool isOverload = answer.outcome != CallOutcome::Answered;
+    desk_.queue_.ended(AdmissionSample{latency, isOverload, inFlight_, route}, currentTime());
+}
+
+/** Holds one place in the queue. */
+class AdmissionDesk::ScopedWait
+{
+public:
+    ScopedWait(AdmissionDesk &desk, Ticket ticket, kj::Own<kj::PromiseFulfiller<Place>> fulfiller)
+        : desk_(desk)
+        , ticket_(ticket)
+        , fulfiller_(kj::mv(fulfiller))
+    {
+        desk_.waits_[ticket_] = this;
+    }
+    ~ScopedWait()
+    {
+        if (desk_.waits_.erase(ticket_) > 0)
+            desk_.queue_.withdraw(ticket_);
+    }
+    ScopedWait(const ScopedWait &) = delete;
+    ScopedWait &operator=(const ScopedWait &) = delete;
+
+    void decide(Place place) { fulfiller_->fulfill(kj::mv(place)); }
+
+private:
+    AdmissionDesk &desk_;
+    Ticket ticket_;
+    kj::Own<kj::PromiseFulfiller<Place>> fulfiller_;
+};
+
+AdmissionDesk::AdmissionDesk(std::unique_ptr<traffic::admission::AdmissionPolicy> policy,
+                             kj::Timer &timer)
+    : queue_(std::move(policy), {})
+    , timer_(timer)
+    , tasks_(*this)
+{}
+
+AdmissionDesk::~AdmissionDesk() noexcept = default;
+
+kj::Promise<AdmissionDesk::Place> AdmissionDesk::admit(const CallRequest &request)
+{
+    const MonotonicTime now = currentTime();
+    const Ticket ticket = ++lastTicket_;
+    const Arrival arrival{ticket, request.route, request.rank(), now + request.objective,
+                          now + request.budget};
+    const AdmissionDecision decision = queue_.arrive(arrival, now);
+    if (decision == AdmissionDecision::Run)
+        return Place(kj::heap<ScopedPlace>(*this));
+    if (decision == AdmissionDecision::Refuse)
+        return Place(nullptr);
+    auto pair = kj::newPromiseAndFulfiller<Place>();
+    auto wait = kj::heap<ScopedWait>(*this, ticket, kj::mv(pair.fulfiller));
+    lookLater();
+    return timer_.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
+            .catch_([](kj::Exception && /*exception*/) {
+                // The caller's time is over, which the queue would have found at its next look.
+                return Place(nullptr);
+            })
+            .attach(kj::mv(wait));
+}
+
+traffic::calls::LoadReport AdmissionDesk::load()
+{
+    return queue_.load(currentTime());
+}
+
+void AdmissionDesk::pump()
+{
+    const MonotonicTime now = currentTime();
+    for (const Ticket ticket : queue_.takeExpired(now))
+        decide(ticket, Place(nullptr));
+    for (const Ticket ticket : queue_.takeRunnable(now))
+        decide(ticket, Place(kj::heap<ScopedPlace>(*this)));
+}
+
+// While requests wait, time alone changes what may run or has become hopeless.
+void AdmissionDesk::lookLater()
+{
+    const auto wait = queue_.untilNextLook(currentTime());
+    if (isLookPlanned_ || !wait)
+        return;
+    isLookPlanned_ = true;
+    tasks_.add(timer_.afterDelay(toKj(*wait)).then([this]() {
+        isLookPlanned_ = false;
+        pump();
+        lookLater();
+    }));
+}
+
+void AdmissionDesk::decide(Ticket ticket, Place place)
+{
+    const auto found = waits_.find(ticket);
+    // A place that nobody waits for any more goes back to the queue when it is destroyed.
+    if (found == waits_.end())
+        return;
+    ScopedWait *wait = found->second;
+    waits_.erase(found);
+    wait->decide(kj::mv(place));
+}
+
+void AdmissionDesk::taskFailed(kj::Exception &&exception)
+{
+    core::events::logEvent(core::events::EventCode::InternalFault, "admission failed",
+                           {{"error", exception.getDescription().cStr()}});
+}
+
+} // namespace boragetrack::transport::serving
--- /dev/null
+++ b/packages/transport/serving/KeyedCalls.cpp
@@ -0,0 +1,134 @@
+/** Implements KeyedCalls. */
+#include "transport/serving/KeyedCalls.h"
+
+#include "core/events/EventLog.h"
+
+namespace boragetrack::transport::serving {
+
+using core::identity::IdempotencyKey;
+using traffic::calls::CallAnswer;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::deduplication::ClaimBallot;
+using traffic::deduplication::ReplayState;
+
+namespace {
+
+core::timing::MonotonicTime currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+bool KeyedCalls::isAnswered(const IdempotencyKey &key) const
+{
+    return replays_.answer(key).has_value();
+}
+
+kj::Promise<CallAnswer> KeyedCalls::serve(kj::Own<CallRequest> request)
+{
+    replays_.expire(currentTime());
+    const IdempotencyKey key = request->key;
+    const auto budget = request->budget;
+    switch (replays_.begin(key)) {
+    case ReplayState::Finished:
+        ++replayed_;
+        return *replays_.answer(key);
+    case ReplayState::Running:
+        ++replayed_;
+        return await(key, budget);
+    case ReplayState::New:
+        break;
+    }
+    if (!replays_.hasRoom()) {
+        replays_.release(key);
+        return CallAnswer::notRun("too many keyed requests are remembered");
+    }
+    auto answer = await(key, budget);
+    start(kj::mv(request));
+    return answer;
+}
+
+void KeyedCalls::start(kj::Own<CallRequest> request)
+{
+    // A keyed request runs to its end even when its caller goes, so that a repeat gets its answer.
+    CallRequest &call = *request;
+    const IdempotencyKey key = call.key;
+    const Snapshot snapshot = parts_.routing.current();
+    auto running = parts_.desk.admit(call).then(
+            [this, &call, snapshot](AdmissionDesk::Place place) -> kj::Promise<CallAnswer> {
+                KJ_IF_MAYBE (admitted, place)
+                    return claimAndSend(call, kj::mv(*admitted), snapshot);
+                return CallAnswer::notRun("the upstream has no room");
+            });
+    tasks_.add(running.catch_([](kj::Exception &&exception) {
+                          return CallAnswer::unknown(exception.getDescription().cStr());
+                      })
+                       .then([this, key](CallAnswer &&answer) { finish(key, answer); })
+                       .attach(kj::mv(request)));
+}
+
+kj::Promise<CallAnswer> KeyedCalls::claimAndSend(CallRequest &request,
+                                                 kj::Own<AdmissionDesk::ScopedPlace> place,
+                                                 const Snapshot &snapshot)
+{
+    return parts_.claims.claim(request.key, parts_.process, snapshot->registrars)
+            .then([this, &request, snapshot, place = kj::mv(place)](
+                          const ClaimBallot &ballot) mutable -> kj::Promise<CallAnswer> {
+                const auto releaseWith = [this, &request, snapshot](const CallAnswer &answer) {
+                    return parts_.claims.release(request.key, parts_.process, snapshot->registrars)
+                            .then([answer]() { return answer; });
+                };
+                if (ballot.isGranted()) {
+                    return parts_.send(request, kj::mv(place))
+                            .then([releaseWith](CallAnswer &&answer) -> kj::Promise<CallAnswer> {
+                                if (answer.outcome == CallOutcome::NotRun)
+                                    return releaseWith(answer);
+                                return kj::mv(answer);
+                            });
+                }
+                CallAnswer refusal = CallAnswer::notRun("too few registrars of the key answer");
+                if (!ballot.vetoHolder().isEmpty()) {
+                    refusal.outcome = CallOutcome::Claimed;
+                    refusal.claimHolder = ballot.vetoHolder();
+                }
+                return releaseWith(refusal);
+            });
+}
+
+void KeyedCalls::finish(const IdempotencyKey &key, const CallAnswer &answer)
+{
+    const bool didRun
+            = answer.outcome == CallOutcome::Answered || answer.outcome == CallOutcome::Unknown;
+    if (didRun)
+        replays_.finish(key, answer, currentTime());
+    else
+        replays_.release(key);
+    const auto found = waiters_.find(key);
+    if (found == waiters_.end())
+        return;
+    auto waiters = std::move(found->second);
+    waiters_.erase(found);
+    for (auto &waiter : waiters)
+        waiter->fulfill(CallAnswer(answer));
+}
+
+kj::Promise<CallAnswer> KeyedCalls::await(const IdempotencyKey &key,
+                                          std::chrono::microseconds budget)
+{
+    auto pair = kj::newPromiseAndFulfiller<CallAnswer>();
+    waiters_[key].push_back(kj::mv(pair.fulfiller));
+    return parts_.timer.timeoutAfter(budget.count() * kj::MICROSECONDS, kj::mv(pair.promise))
+            .catch_([](kj::Exception && /*exception*/) {
+                return CallAnswer::unknown("the request is still running");
+            });
+}
+
+void KeyedCalls::taskFailed(kj::Exception &&exception)
+{
+    core::events::logEvent(core::events::EventCode::InternalFault, "keyed call failed",
+                           {{"error", exception.getDescription().cStr()}});
+}
+
+} // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 /** Implements UpstreamClient. */
 #include "transport/serving/UpstreamClient.h"
 
+#include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
 
 #include <cstdlib>
@@ -155,10 +156,12 @@
 };
 
 UpstreamClient::UpstreamClient(kj::Network &network, kj::Timer &timer,
-                               const dialect::CallDialect &dialect)
+                               const dialect::CallDialect &dialect,
+                               core::counters::Counter &connectionsOpened)
     : network_(network)
     , timer_(timer)
     , dialect_(dialect)
+    , connectionsOpened_(connectionsOpened)
 {}
 
 void UpstreamClient::setAddress(const core::identity::NetworkAddress &address)
@@ -187,7 +190,9 @@
                 return CallAnswer::notRun(exception.getDescription().cStr());
             });
     return timer_.timeoutAfter(budget, kj::mv(answer))
-            .catch_([](kj::Exception && /*exception*/) {
+            .catch_([this](kj::Exception && /*exception*/) {
+                // Other connections may have fallen silent like this one.
+                forgetConnections();
                 CallAnswer late = CallAnswer::unknown("the upstream did not answer in time");
                 late.reachedUpstream = true;
                 return late;
@@ -208,13 +213,14 @@
 
 kj::Promise<UpstreamClient::Connection> UpstreamClient::connect()
 {
-    ++connectionsOpened_;
+    connectionsOpened_.add();
     return network_.parseAddress(address_.toString())
             .then([](kj::Own<kj::NetworkAddress> &&parsed) {
                 auto promise = parsed->connect();
                 return promise.attach(kj::mv(parsed));
             })
             .then([](kj::Own<kj::AsyncIoStream> &&stream) {
+                http::enableKeepAlive(*stream);
                 return kj::heap<UpstreamConnection>(kj::mv(stream));
             });
 }
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -1,6 +1,7 @@
 /** Sends calls to the upstream beside this node. */
 #pragma once
 
+#include "core/counters/Counter.h"
 #include "core/identity/NetworkAddress.h"
 #include "traffic/calls/CallAnswer.h"
 #include "traffic/calls/CallRequest.h"
@@ -32,7 +33,8 @@
     static constexpr std::chrono::milliseconds idleTime{4000};
 
     /** @param network, @param timer and @param dialect outlive the client */
-    UpstreamClient(kj::Network &network, kj::Timer &timer, const dialect::CallDialect &dialect);
+    UpstreamClient(kj::Network &network, kj::Timer &timer, const dialect::CallDialect &dialect,
+                   core::counters::Counter &connectionsOpened);
 
     /** Sets where the upstream listens; connections to a former address are dropped. */
     void setAddress(const core::identity::NetworkAddress &address);
@@ -45,9 +47,6 @@
     kj::Promise<traffic::calls::CallAnswer> send(const traffic::calls::CallRequest &request,
                                                  const UpstreamStatus &upstream);
 
-    /** Returns connections opened so far. */
-    std::uint64_t connectionsOpened() const { return connectionsOpened_; }
-
 private:
     class ScopedSlot;
     class Exchange;
@@ -64,7 +63,7 @@
     std::vector<Connection> idle_;
     // Invariant: calls that were begun and have not ended.
     int busy_ = 0;
-    std::uint64_t connectionsOpened_ = 0;
+    core::counters::Counter &connectionsOpened_;
 };
 
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -2,23 +2,17 @@
 #include "transport/serving/UpstreamGate.h"
 
 #include "core/events/EventLog.h"
-
-#include <algorithm>
+#include "traffic/gate/GateRules.h"
 
 namespace boragetrack::transport::serving {
 
+using core::events::EventCode;
 using core::identity::IdempotencyKey;
 using core::identity::NodeId;
 using core::timing::MonotonicTime;
-using traffic::admission::AdmissionDecision;
-using traffic::admission::AdmissionLimits;
-using traffic::admission::AdmissionQueue;
-using traffic::admission::AdmissionSample;
 using traffic::calls::CallAnswer;
 using traffic::calls::CallOutcome;
 using traffic::calls::CallRequest;
-using traffic::deduplication::ClaimBallot;
-using traffic::deduplication::ReplayState;
 
 namespace {
 
@@ -31,86 +25,43 @@
     return std::chrono::steady_clock::now();
 }
 
-kj::Duration toKj(std::chrono::nanoseconds time)
-{
-    return time.count() * kj::NANOSECONDS;
-}
-
-bool isOverload(const CallAnswer &answer)
+std::string millisecondsOf(std::chrono::nanoseconds time)
 {
-    return answer.outcome != CallOutcome::Answered;
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
 }
 
 } // namespace
 
-/** Holds one admitted place beside the upstream. */
-class UpstreamGate::ScopedAdmission
-{
-public:
-    explicit ScopedAdmission(UpstreamGate &gate)
-        : gate_(gate)
-        , inFlight_(gate.queue_.load(currentTime()).inFlight)
-    {}
-    ~ScopedAdmission()
-    {
-        if (!isEnded_)
-            gate_.queue_.abandoned();
-        gate_.pump();
-    }
-    ScopedAdmission(const ScopedAdmission &) = delete;
-    ScopedAdmission &operator=(const ScopedAdmission &) = delete;
-
-    void end(const core::identity::RouteName &route, const CallAnswer &answer,
-             std::chrono::nanoseconds latency)
-    {
-        isEnded_ = true;
-        gate_.queue_.ended(AdmissionSample{latency, isOverload(answer), inFlight_, route},
-                           currentTime());
-    }
-
-private:
-    UpstreamGate &gate_;
-    int inFlight_;
-    bool isEnded_ = false;
-};
-
-/** Holds one place in the queue. */
-class UpstreamGate::ScopedWait
+/** Counts one call under way for the length of a scope. */
+class UpstreamGate::ScopedCount
 {
 public:
-    ScopedWait(UpstreamGate &gate, AdmissionQueue::Ticket ticket,
-               kj::Own<kj::PromiseFulfiller<Place>> fulfiller)
-        : gate_(gate)
-        , ticket_(ticket)
-        , fulfiller_(kj::mv(fulfiller))
-    {
-        gate_.waits_[ticket_] = this;
-    }
-    ~ScopedWait()
+    explicit ScopedCount(int &count)
+        : count_(count)
     {
-        if (gate_.waits_.erase(ticket_) > 0)
-            gate_.queue_.withdraw(ticket_);
+        ++count_;
     }
-    ScopedWait(const ScopedWait &) = delete;
-    ScopedWait &operator=(const ScopedWait &) = delete;
-
-    void decide(Place place) { fulfiller_->fulfill(kj::mv(place)); }
+    ~ScopedCount() { --count_; }
+    ScopedCount(const ScopedCount &) = delete;
+    ScopedCount &operator=(const ScopedCount &) = delete;
 
 private:
-    UpstreamGate &gate_;
-    AdmissionQueue::Ticket ticket_;
-    kj::Own<kj::PromiseFulfiller<Place>> fulfiller_;
+    int &count_;
 };
 
 UpstreamGate::UpstreamGate(Parts parts)
     : parts_(std::move(parts))
-    , upstream_(parts_.network, parts_.timer, parts_.dialect)
+    , upstream_(parts_.network, parts_.timer, parts_.dialect,
+                parts_.counters.counter("upstream_connections_opened"))
     , claims_(parts_.links, *this, parts_.self)
-    , queue_(std::move(parts_.admission), limits_)
+    , desk_(std::move(parts_.admission), parts_.timer)
+    , keyed_({parts_.process, claims_, desk_,
+              [this](CallRequest &request, kj::Own<AdmissionDesk::ScopedPlace> place) {
+                  return send(request, kj::mv(place));
+              },
+              parts_.timer, parts_.routing})
     , callsRun_(parts_.counters.counter("upstream_calls_run"))
     , callsRefused_(parts_.counters.counter("upstream_calls_refused"))
-    , callsReplayed_(parts_.counters.counter("upstream_calls_replayed"))
-    , tasks_(*this)
 {}
 
 UpstreamGate::~UpstreamGate() noexcept = default;
@@ -124,47 +75,36 @@
     upstream_.setAddress(status_->address);
     coldUntil_ = currentTime() + status_->coldLeft;
     limitsIntent_.reset();
-    updateLimits();
+    followIntent();
     if (!isNewProcess)
         return;
     upstream_.forgetConnections();
-    queue_.upstreamStarted();
+    desk_.queue().upstreamStarted();
     answersSinceStart_ = 0;
 }
 
-// The intent may become known only after the upstream has announced itself.
-void UpstreamGate::updateCold()
-{
-    const auto *service = limitsIntent_->service(status_->record.service);
-    const double rate = service == nullptr ? 0.0 : service->coldRate;
-    queue_.setCold(coldUntil_, rate);
-}
-
 void UpstreamGate::drain()
 {
-    queue_.setDraining(true);
+    desk_.queue().setDraining(true);
 }
 
 //==============================================================================
 kj::Promise<CallAnswer> UpstreamGate::serve(CallRequest request)
 {
-    updateLimits();
+    followIntent();
     const std::optional<std::string> obstacle = obstacleFor(request);
     const bool isKeyed = !request.key.isEmpty() && !request.isIdempotent;
     // A repeat is answered from memory even when the upstream has changed since.
-    const bool isKnown = isKeyed && replays_.answer(request.key).has_value();
-    if (obstacle && !isKnown) {
+    if (obstacle && !(isKeyed && keyed_.isAnswered(request.key)))
         return turnAway(request, *obstacle);
-    }
-    ++activeCalls_;
     auto message = kj::heap<CallRequest>(std::move(request));
-    auto answer = isKeyed ? serveKeyed(kj::mv(message)) : admitAndSend(kj::mv(message));
+    auto answer = isKeyed ? keyed_.serve(kj::mv(message)) : admitAndSend(kj::mv(message));
     return answer
             .then([this](CallAnswer &&ended) {
-                ended.load = queue_.load(currentTime());
+                ended.load = desk_.load();
                 return kj::mv(ended);
             })
-            .attach(kj::defer([this]() { --activeCalls_; }));
+            .attach(kj::heap<ScopedCount>(activeCalls_));
 }
 
 NodeId UpstreamGate::claim(const IdempotencyKey &key, const NodeId &claimant)
@@ -178,152 +118,40 @@
 }
 
 //==============================================================================
-kj::Promise<CallAnswer> UpstreamGate::serveKeyed(kj::Own<CallRequest> request)
-{
-    replays_.expire(currentTime());
-    const IdempotencyKey key = request->key;
-    const auto budget = request->budget;
-    switch (replays_.begin(key)) {
-    case ReplayState::Finished:
-        callsReplayed_.add();
-        return *replays_.answer(key);
-    case ReplayState::Running:
-        callsReplayed_.add();
-        return awaitKeyed(key, budget);
-    case ReplayState::New:
-        break;
-    }
-    if (!replays_.hasRoom()) {
-        replays_.release(key);
-        return CallAnswer::notRun("too many keyed requests are remembered");
-    }
-    auto answer = awaitKeyed(key, budget);
-    startKeyed(kj::mv(request));
-    return answer;
-}
-
-void UpstreamGate::startKeyed(kj::Own<CallRequest> request)
-{
-    // A keyed request runs to its end even when its caller goes, so that a repeat gets its answer.
-    CallRequest &call = *request;
-    const IdempotencyKey key = call.key;
-    const Snapshot snapshot = parts_.routing.current();
-    auto running
-            = admit(call).then([this, &call, snapshot](Place place) -> kj::Promise<CallAnswer> {
-                  KJ_IF_MAYBE (admission, place)
-                      return claimAndSend(call, kj::mv(*admission), snapshot);
-                  return CallAnswer::notRun("the upstream has no room");
-              });
-    tasks_.add(running.catch_([](kj::Exception &&exception) {
-                          return CallAnswer::unknown(exception.getDescription().cStr());
-                      })
-                       .then([this, key](CallAnswer &&answer) { finishKeyed(key, answer); })
-                       .attach(kj::mv(request)));
-}
-
-kj::Promise<CallAnswer> UpstreamGate::claimAndSend(CallRequest &request,
-                                                   kj::Own<ScopedAdmission> admission,
-                                                   const Snapshot &snapshot)
-{
-    return claims_.claim(request.key, parts_.process, snapshot->registrars)
-            .then([this, &request, snapshot, admission = kj::mv(admission)](
-                          const ClaimBallot &ballot) mutable -> kj::Promise<CallAnswer> {
-                const auto releaseWith = [this, &request, snapshot](const CallAnswer &answer) {
-                    return claims_.release(request.key, parts_.process, snapshot->registrars)
-                            .then([answer]() { return answer; });
-                };
-                if (ballot.isGranted()) {
-                    return send(request, kj::mv(admission))
-                            .then([releaseWith](CallAnswer &&answer) -> kj::Promise<CallAnswer> {
-                                if (answer.outcome == CallOutcome::NotRun)
-                                    return releaseWith(answer);
-                                return kj::mv(answer);
-                            });
-                }
-                CallAnswer refusal = CallAnswer::notRun("too few registrars of the key answer");
-                if (!ballot.vetoHolder().isEmpty()) {
-                    refusal.outcome = CallOutcome::Claimed;
-                    refusal.claimHolder = ballot.vetoHolder();
-                }
-                return releaseWith(refusal);
-            });
-}
-
-void UpstreamGate::finishKeyed(const IdempotencyKey &key, const CallAnswer &answer)
-{
-    const bool didRun
-            = answer.outcome == CallOutcome::Answered || answer.outcome == CallOutcome::Unknown;
-    if (didRun)
-        replays_.finish(key, answer, currentTime());
-    else
-        replays_.release(key);
-    const auto found = keyedWaiters_.find(key);
-    if (found == keyedWaiters_.end())
-        return;
-    auto waiters = std::move(found->second);
-    keyedWaiters_.erase(found);
-    for (auto &waiter : waiters)
-        waiter->fulfill(CallAnswer(answer));
-}
-
-kj::Promise<CallAnswer> UpstreamGate::awaitKeyed(const IdempotencyKey &key,
-                                                 std::chrono::microseconds budget)
+std::optional<std::string> UpstreamGate::obstacleFor(const CallRequest &request) const
 {
-    auto pair = kj::newPromiseAndFulfiller<CallAnswer>();
-    keyedWaiters_[key].push_back(kj::mv(pair.fulfiller));
-    return parts_.timer.timeoutAfter(toKj(budget), kj::mv(pair.promise))
-            .catch_([](kj::Exception && /*exception*/) {
-                return CallAnswer::unknown("the request is still running");
-            });
+    const auto record = status_ ? std::optional(status_->record) : std::nullopt;
+    return traffic::gate::obstacleTo(request, record, *parts_.routing.current());
 }
 
-//==============================================================================
 kj::Promise<CallAnswer> UpstreamGate::admitAndSend(kj::Own<CallRequest> request)
 {
     CallRequest &call = *request;
-    return admit(call)
-            .then([this, &call](Place place) -> kj::Promise<CallAnswer> {
-                KJ_IF_MAYBE (admission, place)
-                    return send(call, kj::mv(*admission));
+    return desk_.admit(call)
+            .then([this, &call](AdmissionDesk::Place place) -> kj::Promise<CallAnswer> {
+                KJ_IF_MAYBE (admitted, place)
+                    return send(call, kj::mv(*admitted));
                 return turnAway(call, "the upstream has no room");
             })
             .attach(kj::mv(request));
 }
 
-kj::Promise<UpstreamGate::Place> UpstreamGate::admit(const CallRequest &request)
-{
-    const MonotonicTime now = currentTime();
-    const AdmissionQueue::Ticket ticket = ++lastTicket_;
-    const AdmissionDecision decision = queue_.arrive(
-            traffic::admission::Arrival{ticket, request.route, request.rank(),
-                                        now + request.objective, now + request.budget},
-            now);
-    if (decision == AdmissionDecision::Run)
-        return Place(kj::heap<ScopedAdmission>(*this));
-    if (decision == AdmissionDecision::Refuse)
-        return Place(nullptr);
-    auto pair = kj::newPromiseAndFulfiller<Place>();
-    auto wait = kj::heap<ScopedWait>(*this, ticket, kj::mv(pair.fulfiller));
-    lookLater();
-    return parts_.timer.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
-            .catch_([](kj::Exception && /*exception*/) { return Place(nullptr); })
-            .attach(kj::mv(wait));
-}
-
-kj::Promise<CallAnswer> UpstreamGate::send(CallRequest &request, kj::Own<ScopedAdmission> admission)
+kj::Promise<CallAnswer> UpstreamGate::send(CallRequest &request,
+                                           kj::Own<AdmissionDesk::ScopedPlace> place)
 {
+    // Orders may have come while the request waited.
+    if (const auto obstacle = obstacleFor(request))
+        return turnAway(request, *obstacle);
     callsRun_.add();
-    if (!status_)
-        return CallAnswer::notRun("the upstream is gone");
     const MonotonicTime begun = currentTime();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
             running_, request.requestId, request.attempt);
     return upstream_.send(request, *status_)
             .attach(kj::mv(registration))
-            .then([this, &request, begun,
-                   admission = kj::mv(admission)](CallAnswer &&answer) mutable {
+            .then([this, &request, begun, place = kj::mv(place)](CallAnswer &&answer) mutable {
                 const auto latency = currentTime() - begun;
-                noteEnd(request, answer, latency, *admission);
+                place->end(request.route, answer, latency);
+                noteEnd(request, answer, latency);
                 answer.served = std::chrono::duration_cast<std::chrono::microseconds>(latency);
                 answer.version = request.version;
                 return kj::mv(answer);
@@ -333,47 +161,27 @@
 CallAnswer UpstreamGate::turnAway(const CallRequest &request, const std::string &reason)
 {
     callsRefused_.add();
-    const auto load = queue_.load(currentTime());
-    core::events::logCall(core::events::EventCode::CallTurnedAway, "call turned away", false,
+    const auto load = desk_.load();
+    core::events::logCall(EventCode::CallTurnedAway, "call turned away", false,
                           {{"request", request.requestId},
                            {"route", request.route.value()},
                            {"rank", std::to_string(request.rank())},
-                           {"objectiveMs", std::to_string(request.objective.count() / 1000)},
+                           {"objectiveMs", millisecondsOf(request.objective)},
+                           {"budgetMs", millisecondsOf(request.budget)},
                            {"version", request.version.value()},
-                           {"budgetMs", std::to_string(request.budget.count() / 1000)},
                            {"inFlight", std::to_string(load.inFlight)},
                            {"queued", std::to_string(load.queued)},
                            {"limit", std::to_string(load.limit)},
                            {"reason", reason}});
-    return CallAnswer::notRun(reason);
-}
-
-void UpstreamGate::logServed(const CallRequest &request, const CallAnswer &answer,
-                             std::chrono::nanoseconds latency)
-{
-    const bool isGood = answer.outcome == CallOutcome::Answered && answer.status < 500;
-    const auto load = queue_.load(currentTime());
-    core::events::logCall(
-            core::events::EventCode::CallServed, "call served", isGood,
-            {{"request", request.requestId},
-             {"route", request.route.value()},
-             {"rank", std::to_string(request.rank())},
-             {"instance", status_ ? status_->instance : ""},
-             {"status", std::to_string(answer.status)},
-             {"ms",
-              std::to_string(
-                      std::chrono::duration_cast<std::chrono::milliseconds>(latency).count())},
-             {"inFlight", std::to_string(load.inFlight)},
-             {"queued", std::to_string(load.queued)},
-             {"limit", std::to_string(load.limit)},
-             {"reason", answer.reason}});
+    CallAnswer answer = CallAnswer::notRun(reason);
+    answer.load = load;
+    return answer;
 }
 
 void UpstreamGate::noteEnd(const CallRequest &request, const CallAnswer &answer,
-                           std::chrono::nanoseconds latency, ScopedAdmission &admission)
+                           std::chrono::nanoseconds latency)
 {
     logServed(request, answer, latency);
-    admission.end(request.route, answer, latency);
     if (answer.outcome == CallOutcome::NotRun)
         return;
     const bool isBroken = answer.outcome == CallOutcome::Unknown;
@@ -385,87 +193,44 @@
         firstAnswerAt_ = currentTime();
 }
 
-bool UpstreamGate::isUpstreamCold() const
+void UpstreamGate::logServed(const CallRequest &request, const CallAnswer &answer,
+                             std::chrono::nanoseconds latency)
 {
-    return answersSinceStart_ < coldAnswers
-           && (answersSinceStart_ == 0 || currentTime() - firstAnswerAt_ < coldTime);
+    const bool isGood = answer.outcome == CallOutcome::Answered && answer.status < 500;
+    const auto load = desk_.load();
+    core::events::logCall(EventCode::CallServed, "call served", isGood,
+                          {{"request", request.requestId},
+                           {"route", request.route.value()},
+                           {"rank", std::to_string(request.rank())},
+                           {"instance", status_ ? status_->instance : ""},
+                           {"status", std::to_string(answer.status)},
+                           {"ms", millisecondsOf(latency)},
+                           {"inFlight", std::to_string(load.inFlight)},
+                           {"queued", std::to_string(load.queued)},
+                           {"limit", std::to_string(load.limit)},
+                           {"reason", answer.reason}});
 }
 
-std::optional<std::string> UpstreamGate::obstacleFor(const CallRequest &request) const
+bool UpstreamGate::isUpstreamCold() const
 {
-    if (!status_ || status_->record.service != request.service)
-        return "no upstream of the asked service runs beside this node";
-    if (status_->record.version != request.version)
-        return "no upstream of the asked version runs beside this node";
-    if (status_->record.state != control::membership::UpstreamState::Serving)
-        return "the upstream is draining";
-    // The caller's node may hold an older view than this one; a refusal here costs it one repeat.
-    const Snapshot snapshot = parts_.routing.current();
-    const auto *dataCentre = snapshot->intent->dataCentre(snapshot->dataCentre);
-    if (dataCentre != nullptr && dataCentre->isOut)
-        return "the data centre is out";
-    const auto *target = snapshot->targetNamed(request.route);
-    if (target != nullptr && !target->shareOf(request.service).mayServe(request.version))
-        return "the version takes no calls";
-    return std::nullopt;
+    if (currentTime() < coldUntil_)
+        return true;
+    return answersSinceStart_ < coldAnswers
+           && (answersSinceStart_ == 0 || currentTime() - firstAnswerAt_ < coldTime);
 }
 
-void UpstreamGate::updateLimits()
+// The bounds and the cold rate come with the intent, which may become known only after the upstream
+// has announced itself.
+void UpstreamGate::followIntent()
 {
-    const Snapshot snapshot = parts_.routing.current();
+    const auto snapshot = parts_.routing.current();
     if (!status_ || snapshot->intent == limitsIntent_)
         return;
     limitsIntent_ = snapshot->intent;
-    updateCold();
-    // All routes of the service share the upstream: its strictest limits hold, and the longest
-    // queue, which deadlines bound besides.
-    limits_ = AdmissionLimits{UpstreamClient::maximumConnections,
-                              std::max(1, status_->record.slots), 0};
-    for (const auto &target : snapshot->targets) {
-        if (target.entry.route.service != status_->record.service)
-            continue;
-        const auto &settings = target.entry.settings;
-        limits_.start = std::min(limits_.start, settings.startConcurrency);
-        limits_.maximum = std::min(limits_.maximum, settings.concurrencyLimit);
-        limits_.queue = std::max(limits_.queue, settings.queueLimit);
-    }
-    queue_.setLimits(limits_);
-}
-
-void UpstreamGate::pump()
-{
-    const MonotonicTime now = currentTime();
-    for (const AdmissionQueue::Ticket ticket : queue_.takeExpired(now))
-        decide(ticket, Place(nullptr));
-    for (const AdmissionQueue::Ticket ticket : queue_.takeRunnable(now))
-        decide(ticket, Place(kj::heap<ScopedAdmission>(*this)));
-}
-
-// While requests wait, time alone changes what may run or has become hopeless.
-void UpstreamGate::lookLater()
-{
-    const auto wait = queue_.untilNextLook(currentTime());
-    if (isLookPlanned_ || !wait)
-        return;
-    isLookPlanned_ = true;
-    tasks_.add(parts_.timer.afterDelay(toKj(*wait)).then([this]() {
-        isLookPlanned_ = false;
-        pump();
-        lookLater();
-    }));
-}
-
-void UpstreamGate::decide(AdmissionQueue::Ticket ticket, Place place)
-{
-    const auto found = waits_.find(ticket);
-    // A place that nobody waits for any more goes back to the queue when it is destroyed.
-    if (found == waits_.end())
-        return;
-    ScopedWait *wait = found->second;
-    waits_.erase(found);
-    wait->decide(kj::mv(place));
+    const auto *service = limitsIntent_->service(status_->record.service);
+    desk_.queue().setCold(coldUntil_, service == nullptr ? 0.0 : service->coldRate);
+    desk_.queue().setLimits(traffic::gate::limitsFor(status_->record, *snapshot,
+                                                     UpstreamClient::maximumConnections));
 }
 
-void UpstreamGate::taskFailed(kj::Exception && /*exception*/) {}
-
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -4,33 +4,31 @@
 #include "control/moves/CallEvidence.h"
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
-#include "traffic/admission/AdmissionQueue.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/deduplication/ClaimRegister.h"
-#include "traffic/deduplication/ReplayTable.h"
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/links/CallServer.h"
+#include "transport/serving/AdmissionDesk.h"
 #include "transport/serving/ClaimClient.h"
+#include "transport/serving/KeyedCalls.h"
 #include "transport/serving/UpstreamClient.h"
 #include "transport/serving/UpstreamStatus.h"
 
 #include <functional>
-#include <map>
 #include <optional>
-#include <unordered_map>
 
 namespace boragetrack::transport::serving {
 
 /**
-    Admits calls to the upstream, runs keyed ones at most once and reports outcomes as evidence.
+    Carries out what the rules of the gate and admission decide, and reports outcomes as evidence.
 
     It is the only place that talks to the upstream, so it knows for certain whether a call was
-    begun. It lives on the link thread.
+    begun. It lives on the traffic thread. @see traffic::gate::obstacleTo
 */
-class UpstreamGate : public links::CallServer, private kj::TaskSet::ErrorHandler
+class UpstreamGate : public links::CallServer
 {
 public:
-    /** Takes the outcome of each call; called on the link thread. */
+    /** Takes the outcome of each call; called on the traffic thread. */
     using EvidenceSink = std::function<void(const control::moves::CallEvidence &)>;
 
     /** What a gate is made of; all references outlive it. */
@@ -72,67 +70,36 @@
                  const core::identity::NodeId &claimant) override;
 
 private:
-    class ScopedAdmission;
-    class ScopedWait;
-
-    /** A place beside the upstream, or nothing when there was none. A null kj::Own will not do:
-        a promise takes it for a missing value and ends the process. */
-    using Place = kj::Maybe<kj::Own<ScopedAdmission>>;
+    class ScopedCount;
     using Answer = traffic::calls::CallAnswer;
     using Request = traffic::calls::CallRequest;
-    using Snapshot = std::shared_ptr<const traffic::routing::RoutingSnapshot>;
-
-    kj::Promise<Answer> serveKeyed(kj::Own<Request> request);
-    void startKeyed(kj::Own<Request> request);
-    kj::Promise<Answer> claimAndSend(Request &request, kj::Own<ScopedAdmission> admission,
-                                     const Snapshot &snapshot);
-    void finishKeyed(const core::identity::IdempotencyKey &key, const Answer &answer);
-    kj::Promise<Answer> awaitKeyed(const core::identity::IdempotencyKey &key,
-                                   std::chrono::microseconds budget);
 
+    std::optional<std::string> obstacleFor(const Request &request) const;
     kj::Promise<Answer> admitAndSend(kj::Own<Request> request);
-    kj::Promise<Place> admit(const Request &request);
-    kj::Promise<Answer> send(Request &request, kj::Own<ScopedAdmission> admission);
+    kj::Promise<Answer> send(Request &request, kj::Own<AdmissionDesk::ScopedPlace> place);
     Answer turnAway(const Request &request, const std::string &reason);
+    void noteEnd(const Request &request, const Answer &answer, std::chrono::nanoseconds latency);
     void logServed(const Request &request, const Answer &answer, std::chrono::nanoseconds latency);
-    void noteEnd(const Request &request, const Answer &answer, std::chrono::nanoseconds latency,
-                 ScopedAdmission &admission);
-    // Returns why a call may not go to the upstream now, if so.
-    std::optional<std::string> obstacleFor(const Request &request) const;
     bool isUpstreamCold() const;
-    void updateLimits();
-    void updateCold();
-    void lookLater();
-    void pump();
-    void decide(traffic::admission::AdmissionQueue::Ticket ticket, Place place);
-    void taskFailed(kj::Exception &&exception) override;
+    void followIntent();
 
     Parts parts_;
     UpstreamClient upstream_;
     ClaimClient claims_;
-    traffic::admission::AdmissionLimits limits_;
-    traffic::admission::AdmissionQueue queue_;
-    traffic::deduplication::ReplayTable replays_;
+    AdmissionDesk desk_;
+    KeyedCalls keyed_;
     traffic::deduplication::ClaimRegister claimRegister_;
     std::optional<UpstreamStatus> status_;
     traffic::calls::RunningCalls running_;
-    // The intent that limits_ follow.
+    // The intent that the bounds of admission follow.
     std::shared_ptr<const control::intent::IntentSnapshot> limitsIntent_;
-    traffic::admission::AdmissionQueue::Ticket lastTicket_ = 0;
-    // Invariant: one element for each request that waits in queue_.
-    std::map<traffic::admission::AdmissionQueue::Ticket, ScopedWait *> waits_;
-    std::unordered_map<core::identity::IdempotencyKey,
-                       std::vector<kj::Own<kj::PromiseFulfiller<Answer>>>>
-            keyedWaiters_;
     core::timing::MonotonicTime coldUntil_{};
+    // Invariant: not negative.
     int activeCalls_ = 0;
-    bool isLookPlanned_ = false;
     int answersSinceStart_ = 0;
     core::timing::MonotonicTime firstAnswerAt_{};
     core::counters::Counter &callsRun_;
     core::counters::Counter &callsRefused_;
-    core::counters::Counter &callsReplayed_;
-    kj::TaskSet tasks_;
 };
 
 } // namespace boragetrack::transport::serving
