Test the platform's interface with whole processes; avoid upstreams that fail

Writing the tests found faults: an upstream that stayed at the same time to warmth was not taken for cold again; a node that ended reset connections that it had just accepted; a local upstream whose every call failed went on getting calls until the budget of repeats was spent; after a move was done the old version still got calls while it ran.

A failed call counts as twice its objective in the choice of an endpoint, and is forgotten within seconds; a stop closes the listener before the last connections; a done move keeps its version alone.

--- a/packages/control/moves/MoveCoordinator.cpp
+++ b/packages/control/moves/MoveCoordinator.cpp
@@ -1,6 +1,7 @@
 /** Implements MoveCoordinator. */
 #include "control/moves/MoveCoordinator.h"
 
+#include <algorithm>
 #include <set>
 
 namespace boragetrack::control::moves {
@@ -26,8 +27,6 @@
         // Without a named old version, the version taken back must stay known as excluded.
         if (move.state == MoveState::TakenBack && !move.from.isEmpty())
             continue;
-        if (move.state == MoveState::Done && move.isFinalOnceDone)
-            continue;
         auto found = trackers_.find(move.id);
         if (found == trackers_.end()) {
             found = trackers_.emplace(move.id, MoveTracker(move, *policies_)).first;
@@ -95,11 +94,19 @@
     return verdicts;
 }
 
+bool MoveCoordinator::isActive() const
+{
+    return std::any_of(trackers_.begin(), trackers_.end(),
+                       [](const auto &entry) { return entry.second.needsEvidence(); });
+}
+
 std::vector<ServiceName> MoveCoordinator::services() const
 {
     std::vector<ServiceName> services;
-    for (const auto &[id, tracker] : trackers_)
-        services.push_back(tracker.move().service);
+    for (const auto &[id, tracker] : trackers_) {
+        if (tracker.needsEvidence())
+            services.push_back(tracker.move().service);
+    }
     return services;
 }
 
@@ -134,7 +141,7 @@
 {
     for (auto &[id, tracker] : trackers_) {
         const intent::MoveIntent &move = tracker.move();
-        if (move.service == service && move.concerns(version))
+        if (tracker.needsEvidence() && move.service == service && move.concerns(version))
             return &tracker;
     }
     return nullptr;
--- a/packages/control/moves/MoveCoordinator.h
+++ b/packages/control/moves/MoveCoordinator.h
@@ -50,8 +50,8 @@
     /** Returns all verdicts, for other nodes. */
     std::vector<MoveVerdict> verdicts() const;
 
-    /** Returns whether any move is followed. */
-    bool isActive() const { return !trackers_.empty(); }
+    /** Returns whether outcomes of calls matter for any move. */
+    bool isActive() const;
 
     /** Returns the services whose moves are followed. */
     std::vector<core::identity::ServiceName> services() const;
--- a/packages/control/moves/MoveTracker.cpp
+++ b/packages/control/moves/MoveTracker.cpp
@@ -33,13 +33,13 @@
 
 void MoveTracker::adopt(const std::string &evidence)
 {
-    if (!verdict_)
+    if (!verdict_ && !isSettled())
         verdict_ = evidence;
 }
 
 bool MoveTracker::judge()
 {
-    if (verdict_)
+    if (verdict_ || isSettled())
         return false;
     verdict_ = policy_->badEvidence();
     return verdict_.has_value();
@@ -47,6 +47,8 @@
 
 RouteShare MoveTracker::shareOf(const core::identity::RouteName &route, WallTime now) const
 {
+    if (isSettled())
+        return RouteShare{move_.to, {}, 0.0, {}};
     if (verdict_ || move_.state == MoveState::TakenBack)
         return RouteShare{move_.from, {}, 0.0, move_.to};
     if (move_.state == MoveState::Done)
@@ -60,7 +62,7 @@
 
 std::optional<MoveRecord> MoveTracker::missingRecord(WallTime now, bool hasUpstream) const
 {
-    if (move_.state == MoveState::TakenBack)
+    if (move_.state == MoveState::TakenBack || isSettled())
         return std::nullopt;
     if (verdict_)
         return recordOf(MoveState::TakenBack, *verdict_);
@@ -96,7 +98,7 @@
 
 bool MoveTracker::isOver(WallTime now) const
 {
-    return move_.state == MoveState::Done && now >= move_.endedAt + watchTime();
+    return move_.state == MoveState::Done && !isSettled() && now >= move_.endedAt + watchTime();
 }
 
 std::chrono::milliseconds MoveTracker::watchTime() const
--- a/packages/control/moves/MoveTracker.h
+++ b/packages/control/moves/MoveTracker.h
@@ -44,6 +44,12 @@
     /** Returns whether the move's watch period is over. */
     bool isOver(core::timing::WallTime now) const;
 
+    /** Returns whether outcomes of calls still matter for the move. */
+    bool needsEvidence() const
+    {
+        return !isSettled() && move_.state != intent::MoveState::TakenBack;
+    }
+
     /** Returns the move. */
     const intent::MoveIntent &move() const { return move_; }
 
@@ -51,6 +57,12 @@
     std::chrono::milliseconds watchTime() const;
 
 private:
+    // Whether the move is done for good, whatever was seen of it.
+    bool isSettled() const
+    {
+        return move_.state == intent::MoveState::Done && move_.isFinalOnceDone;
+    }
+
     MoveRecord recordOf(intent::MoveState state, std::string evidence) const;
     double elapsed(core::timing::WallTime now) const;
 
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -134,21 +134,30 @@
     });
 }
 
-void ControlService::takeStatus(ControlPlane &plane, const UpstreamStatus &status)
+void ControlService::logUpstream(const UpstreamStatus &status)
 {
-    announcedAt_ = parts_.thread.now();
-    const bool isChanged = !upstream_ || upstream_->instance != status.instance
-                           || upstream_->record != status.record
-                           || upstream_->address != status.address
-                           || upstream_->coldLeft != status.coldLeft;
-    if (!isChanged)
-        return;
     const bool isDraining = status.record.state == UpstreamState::Draining;
     core::events::logEvent(isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced,
                            isDraining ? "upstream draining" : "upstream announced",
                            {{"service", status.record.service.value()},
                             {"version", status.record.version.value()},
+                            {"instance", status.instance},
+                            {"coldMs", std::to_string(status.coldLeft.count())},
                             {"address", status.address.toString()}});
+}
+
+void ControlService::takeStatus(ControlPlane &plane, const UpstreamStatus &status)
+{
+    announcedAt_ = parts_.thread.now();
+    const bool isChanged = !upstream_ || upstream_->instance != status.instance
+                           || upstream_->record != status.record
+                           || upstream_->address != status.address;
+    // How long an upstream stays cold is news each time: it may have turned cold anew.
+    const bool wasCold = upstream_ && upstream_->coldLeft.count() > 0;
+    if (!isChanged && !wasCold && status.coldLeft.count() == 0)
+        return;
+    if (isChanged)
+        logUpstream(status);
     upstream_ = status;
     upstreamSink_(upstream_);
     plane.upstreamAnnounced(status.record);
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -109,6 +109,7 @@
     // Runs a task on the control thread, and publishes a new view if the task changed it.
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
     void publishIfStale();
+    static void logUpstream(const transport::serving::UpstreamStatus &status);
     void takeStatus(control::distribution::ControlPlane &plane,
                     const transport::serving::UpstreamStatus &status);
     void expireUpstream(core::timing::MonotonicTime now);
--- a/packages/traffic/routing/EarliestFinishRouting.cpp
+++ b/packages/traffic/routing/EarliestFinishRouting.cpp
@@ -19,8 +19,6 @@
 // Expected times that differ by less are as good as the same; choosing among them at random keeps
 // all nodes from sending to one endpoint.
 constexpr nanoseconds sameTime = std::chrono::milliseconds(8);
-// What a failed call costs the next choice, relative to a good one at the same place.
-constexpr double failureWeight = 3.0;
 
 nanoseconds expectedWait(const Candidate &candidate, int rank)
 {
@@ -38,11 +36,16 @@
     return reported + load.work * ownBeyond / limit;
 }
 
+// What a failed call costs, in times of its objective: it loses that time, and often the call.
+constexpr double failureCost = 2.0;
+
 struct Option
 {
     std::size_t index = 0;
     nanoseconds wait{0};
     nanoseconds finish{0};
+    // The expected time, with what failures cost.
+    nanoseconds cost{0};
     bool isLocal = false;
 };
 
@@ -68,9 +71,11 @@
         option.isLocal = candidate.isLocal;
         option.wait = expectedWait(candidate, needs.rank);
         const nanoseconds trip = candidate.isLocal ? nanoseconds::zero() : remoteTrip;
-        const double penalty = 1.0 + failureWeight * candidate.load.failureShare;
-        option.finish
-                = option.wait + trip + duration_cast<nanoseconds>(candidate.load.work * penalty);
+        option.finish = option.wait + trip + candidate.load.work;
+        const nanoseconds lost = std::max(microseconds::zero(), needs.objective);
+        option.cost
+                = option.finish
+                  + duration_cast<nanoseconds>(lost * failureCost * candidate.load.failureShare);
         options.push_back(option);
     }
     return options;
@@ -82,14 +87,14 @@
 {
     const Option *best = nullptr;
     for (const Option &option : options) {
-        if (holds(option) && (best == nullptr || option.finish < best->finish))
+        if (holds(option) && (best == nullptr || option.cost < best->cost))
             best = &option;
     }
     if (best == nullptr)
         return nullptr;
     std::vector<const Option *> equals;
     for (const Option &option : options) {
-        if (holds(option) && option.finish <= best->finish + sameTime)
+        if (holds(option) && option.cost <= best->cost + sameTime)
             equals.push_back(&option);
     }
     return equals[std::uniform_int_distribution<std::size_t>(0, equals.size() - 1)(random)];
@@ -106,7 +111,7 @@
         options = optionsAmong(candidates, needs, false, random);
     if (options.empty())
         return RoutingChoice{};
-    const auto isOnTime = [&](const Option &option) { return option.finish <= needs.objective; };
+    const auto isOnTime = [&](const Option &option) { return option.cost <= needs.objective; };
     const auto isInTime = [&](const Option &option) { return option.finish <= needs.budget; };
     const auto isLocal = [](const Option &option) { return option.isLocal; };
     const Option *chosen = earliest(
--- a/packages/traffic/routing/EarliestFinishRouting.h
+++ b/packages/traffic/routing/EarliestFinishRouting.h
@@ -10,8 +10,9 @@
 
     Meant for loads near and above what the upstreams bear, with upstreams of different speeds. The
     expected time is the wait that the endpoint reported for the call's rank, corrected for what
-    this node sent since and for the report's age, plus the usual work of the route there. A call
-    that no endpoint can answer in time is turned away at once.
+    this node sent since and for the report's age, plus the usual work of the route there. An
+    endpoint whose calls fail counts as slower by the time that they cost. A call that no endpoint
+    can answer in time is turned away at once.
 */
 class EarliestFinishRouting : public RoutingPolicy
 {
--- a/packages/traffic/routing/LoadBoard.cpp
+++ b/packages/traffic/routing/LoadBoard.cpp
@@ -2,6 +2,7 @@
 #include "traffic/routing/LoadBoard.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragetrack::traffic::routing {
 
@@ -14,6 +15,7 @@
 constexpr int longestDoubling = 6;
 // The weight of the last call in the share of failures: some ten calls decide.
 constexpr double failureSmoothing = 0.1;
+constexpr std::chrono::milliseconds failureFading{3000};
 // A call without an answer for so long, while no other call to the endpoint got one, means a silent
 // link rather than a slow upstream.
 constexpr std::chrono::milliseconds silence{600};
@@ -44,7 +46,7 @@
     load.ownInFlight = static_cast<int>(entry.underWay.size());
     load.begunSince = entry.begunSince;
     load.work = entry.work.usual(route);
-    load.failureShare = entry.failureShare;
+    load.failureShare = fadedFailureShare(entry, now);
     load.isResting = now < entry.restsUntil;
     load.isSilent = isSilent(entry, now);
     return load;
@@ -80,11 +82,21 @@
     if (isTurnedAway)
         return;
     const double failed = isUpstreamFailure(answer) ? 1.0 : 0.0;
-    entry.failureShare += failureSmoothing * (failed - entry.failureShare);
+    const double held = fadedFailureShare(entry, now);
+    entry.failureShare = held + failureSmoothing * (failed - held);
+    entry.failureShareAt = now;
     if (answer.served.count() > 0 && failed == 0.0)
         entry.work.note(route, answer.served);
 }
 
+// An endpoint that gets no calls could never show that it has recovered.
+double LoadBoard::fadedFailureShare(const Entry &entry, MonotonicTime now)
+{
+    const std::chrono::duration<double> age = now - entry.failureShareAt;
+    const std::chrono::duration<double> fading = failureFading;
+    return entry.failureShare * std::exp(-std::max(0.0, age / fading));
+}
+
 void LoadBoard::abandoned(const NodeId &node, MonotonicTime begunAt)
 {
     endCall(entries_[node], begunAt);
--- a/packages/traffic/routing/LoadBoard.h
+++ b/packages/traffic/routing/LoadBoard.h
@@ -44,6 +44,7 @@
         int failuresInRow = 0;
         core::timing::MonotonicTime restsUntil{};
         double failureShare = 0.0;
+        core::timing::MonotonicTime failureShareAt{};
         admission::WorkTable work;
         // Invariant: the beginnings of the calls under way, in their order.
         std::deque<core::timing::MonotonicTime> underWay;
@@ -51,6 +52,7 @@
     };
 
     static void endCall(Entry &entry, core::timing::MonotonicTime begunAt);
+    static double fadedFailureShare(const Entry &entry, core::timing::MonotonicTime now);
     static bool isSilent(const Entry &entry, core::timing::MonotonicTime now);
 
     std::unordered_map<core::identity::NodeId, Entry> entries_;
--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -37,10 +37,29 @@
         return absl::UnavailableError("cannot listen on " + address.toString() + ": "
                                       + exception.getDescription().cStr());
     }
-    tasks_.add(acceptNext());
+    beginAccepting();
     return absl::OkStatus();
 }
 
+void ServerListener::stopAccepting()
+{
+    accepting_ = nullptr;
+    receiver_ = nullptr;
+}
+
+void ServerListener::beginAccepting()
+{
+    accepting_ = acceptNext().eagerlyEvaluate([this](kj::Exception &&exception) {
+        core::events::logEvent(core::events::EventCode::ListenerFailed, "listener failed",
+                               {{"error", exception.getDescription().cStr()}});
+        // Accepting may fail for want of descriptors; it goes on after a pause.
+        tasks_.add(timer_.afterDelay(fullPause).then([this]() {
+            if (receiver_.get() != nullptr)
+                beginAccepting();
+        }));
+    });
+}
+
 kj::Promise<void> ServerListener::acceptNext()
 {
     if (connections_ >= maximumConnections)
@@ -67,10 +86,8 @@
 
 void ServerListener::taskFailed(kj::Exception &&exception)
 {
-    core::events::logEvent(core::events::EventCode::ListenerFailed, "listener failed",
+    core::events::logEvent(core::events::EventCode::InternalFault, "connection failed",
                            {{"error", exception.getDescription().cStr()}});
-    // Accepting may fail for want of descriptors; it goes on after a pause.
-    tasks_.add(timer_.afterDelay(fullPause).then([this]() { return acceptNext(); }));
 }
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -26,6 +26,9 @@
     /** Begins to listen. @returns Unavailable when the address can not be used */
     absl::Status listen(const core::identity::NetworkAddress &address, kj::WaitScope &scope);
 
+    /** Accepts no further connections; those accepted are served on. */
+    void stopAccepting();
+
     /** Returns the connections that are open. */
     std::size_t connections() const { return connections_; }
 
@@ -33,6 +36,7 @@
     class ScopedCount;
 
     kj::Promise<void> acceptNext();
+    void beginAccepting();
     void serve(kj::Own<kj::AsyncIoStream> stream);
     void taskFailed(kj::Exception &&exception) override;
 
@@ -42,6 +46,7 @@
     kj::Own<kj::ConnectionReceiver> receiver_;
     std::size_t connections_ = 0;
     kj::TaskSet tasks_;
+    kj::Promise<void> accepting_ = nullptr;
 };
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/links/LinkThread.cpp
+++ b/packages/transport/links/LinkThread.cpp
@@ -26,6 +26,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds drainCheckInterval{20};
+// The time in which a request on a connection that was accepted last has arrived.
+constexpr kj::Duration settleTime = 100 * kj::MILLISECONDS;
 
 // The largest message that a peer may send: a call's body with room for its headers.
 constexpr std::uint64_t maximumMessageWords = std::uint64_t{16} * 1024 * 1024 / sizeof(capnp::word);
@@ -106,6 +108,12 @@
                 .then([this, limit]() { return callersQuiet(limit); });
     }
 
+    kj::Promise<bool> closeCallers(kj::TimePoint limit)
+    {
+        callerListener_.stopAccepting();
+        return timer_.afterDelay(settleTime).then([this, limit]() { return callersQuiet(limit); });
+    }
+
     void stopCallers(std::chrono::milliseconds servingTime)
     {
         callers_.beginStop();
@@ -250,9 +258,12 @@
     auto promise = std::make_shared<std::promise<bool>>();
     auto quiet = promise->get_future();
     const bool isPosted = mailbox_.post([this, timeout, promise]() {
-        loop_->add(loop_->callersQuiet(loop_->after(timeout)).then([promise](bool isQuiet) {
-            promise->set_value(isQuiet);
-        }));
+        const kj::TimePoint limit = loop_->after(timeout);
+        loop_->add(loop_->callersQuiet(limit)
+                           .then([this, limit](bool /*isQuiet*/) {
+                               return loop_->closeCallers(limit);
+                           })
+                           .then([promise](bool isQuiet) { promise->set_value(isQuiet); }));
     });
     return !isPosted || quiet.get();
 }
--- a/packages/transport/links/LinkThread.h
+++ b/packages/transport/links/LinkThread.h
@@ -67,7 +67,8 @@
         a time has passed. */
     void stopCallers(std::chrono::milliseconds servingTime);
 
-    /** Waits until new calls are refused and no caller waits for an answer.
+    /** Waits until new calls are refused and no caller waits for an answer, accepts no further
+        connection and lets those just accepted get their answer.
         @returns whether that came within the time */
     bool awaitQuietCallers(std::chrono::milliseconds timeout);
 
--- /dev/null
+++ b/tests/platform/asyncserver.py
@@ -0,0 +1,153 @@
+"""A small HTTP/1.1 server for stand-ins, with control over each byte of an answer."""
+
+import asyncio
+import threading
+
+
+class Request:
+    """One request as it was received."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.path, _, query = target.partition("?")
+        self.query = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, missing=None):
+        return self.headers.get(name.lower(), missing)
+
+
+class Answer:
+    """An answer; raw bytes replace everything, and None breaks the connection off."""
+
+    def __init__(self, status=200, body=b"", headers=None, raw=None, close=False, extra=b""):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+        self.raw = raw
+        self.close = close
+        self.extra = extra
+
+    def to_bytes(self):
+        if self.raw is not None:
+            return self.raw
+        lines = [f"HTTP/1.1 {self.status} Status", f"Content-Length: {len(self.body)}"]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + self.body + self.extra
+
+
+async def read_request(reader):
+    """Returns the next request of a connection, or None at its end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while size := int((await reader.readline()).strip(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Request(method, target, headers, body)
+
+
+class AsyncWorld:
+    """An event loop on a thread of its own, for stand-ins of one test."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def run(self, coroutine):
+        """Runs a coroutine to its end and returns what it returns."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+
+    def call(self, function, *arguments):
+        """Calls a function on the loop's thread."""
+
+        async def invoke():
+            return function(*arguments)
+
+        return self.run(invoke())
+
+    def stop(self):
+        async def cancel_all():
+            tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.run(cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+
+
+class AsyncServer:
+    """Serves HTTP on a loopback port; subclasses answer in handle()."""
+
+    def __init__(self, world, port):
+        self.world = world
+        self.port = port
+        self.connections = 0
+        self._writers = set()
+        self._server = None
+
+    async def handle(self, request):
+        raise NotImplementedError
+
+    async def open(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    async def shut(self):
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def start(self):
+        self.world.run(self.open())
+
+    def stop(self):
+        self.world.run(self.shut())
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                answer = await self.answer_or_cancel(request, reader)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer.to_bytes())
+                await writer.drain()
+                if answer.close:
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def answer_or_cancel(self, request, reader):
+        """Handles a request, but drops the work when the client closes its connection."""
+        work = asyncio.ensure_future(self.handle(request))
+        left = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait([work, left], return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            work.cancel()
+            return None
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        return work.result()
--- /dev/null
+++ b/tests/platform/platform_fleet.py
@@ -0,0 +1,188 @@
+"""A deployment on the platform's interface: store, nodes and upstreams on loopback."""
+
+import http.client
+import itertools
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "bench"))
+
+from fleet import BUILD, TOKEN, PortPool, Process, counters_from, http as get_text  # noqa: E402
+
+from asyncserver import AsyncWorld  # noqa: E402
+from store import Store  # noqa: E402
+from upstream import ATTEMPT, STAMP, Upstream  # noqa: E402
+
+ZONES = ["ikeja", "lekki"]
+
+
+def rule(name, prefix, kind="safe", service=None, split=None, timeout=2.0, attempts=2, priority=1):
+    """Returns a routing rule of the operators' configuration."""
+    action = {"timeoutS": timeout, "maxAttempts": attempts}
+    if split:
+        action["weightedSplit"] = [{"service": s, "weight": w} for s, w in split.items()]
+    else:
+        action["service"] = service
+    return {"name": name, "kind": kind, "targetLatencyS": 0.5, "priority": priority,
+            "match": {"prefix": prefix}, "action": action}
+
+
+def configuration(number, rules, services, limits=None):
+    """Returns a configuration document with one host."""
+    clusters = [{"name": service, "healthPath": "/health", "maxConns": 110, "protocol": "h1",
+                 "tls": False, "coldStartS": 3.0, "coldPerS": 13.0} for service in services]
+    return {"version": f"r{number}", "baseVersion": f"r{number - 1}",
+            "limits": limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
+                                 "headerTimeoutS": 1, "idleTimeoutS": 15},
+            "listeners": [{"host": "shop.example", "ruleSet": rules}], "clusters": clusters}
+
+
+class Reply:
+    """What a caller got."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def stamp(self):
+        return self.headers.get(STAMP)
+
+
+class PlatformNode:
+    """One boragetrackd with the platform's interface, and its upstream."""
+
+    def __init__(self, fleet, name, zone, service):
+        self.fleet = fleet
+        self.name = name
+        self.zone = zone
+        self.service = service
+        take = fleet.ports.take
+        self.callers, self.peers, self.operators = take(), take(), take()
+        self.control, self.ready, self.application = take(), take(), take()
+        self.process = None
+        self.upstream = None
+
+    def write_settings(self, **changes):
+        address = lambda port: f"127.0.0.1:{port}"
+        settings = {
+            "interface": "platform", "node": self.name, "dataCentre": self.zone,
+            "service": self.service, "callers": address(self.callers),
+            "announcements": address(self.control), "readiness": address(self.ready),
+            "peers": address(self.peers), "operators": address(self.operators),
+            "platform": address(self.fleet.store.port), "dataCentres": ZONES,
+            "operatorToken": TOKEN, "announcementLifeMs": 1500, "repeats": {"windowSeconds": 10, "reserve": 50},
+            "seeds": [], **changes,
+        }
+        path = self.fleet.folder / f"{self.name}.json"
+        path.write_text(json.dumps(settings))
+        return path
+
+    def start(self):
+        """Starts the node, again after an end."""
+        if self.process is None:
+            log = self.fleet.folder / f"{self.name}.log"
+            self.process = Process([BUILD / "boragetrackd", "--settings", self.write_settings()],
+                                   log)
+        else:
+            self.process.start()
+
+    def add_upstream(self, version="v1", **options):
+        self.upstream = Upstream(self.fleet.world, self.application, self.control, self.service,
+                                 version, **options)
+        self.upstream.start()
+        return self.upstream
+
+    def is_ready(self):
+        return get_text("GET", self.ready, "/api/readiness", timeout=1.0)[0] == 200
+
+    def serving_upstreams(self):
+        """Returns how many upstreams this node knows to serve."""
+        code, text = get_text("GET", self.operators, "/v1/members", token=TOKEN, timeout=2.0)
+        members = json.loads(text) if code == 200 else []
+        return sum(1 for m in members if m["state"] == "alive" and m["upstream"] == "serving")
+
+    def metrics(self):
+        code, text = get_text("GET", self.operators, "/metrics", timeout=2.0)
+        return counters_from(text) if code == 200 else {}
+
+    def log_text(self):
+        return (self.fleet.folder / f"{self.name}.log").read_text(errors="replace")
+
+    def call(self, method="GET", path="/items/1", body=b"", budget=2000, attempt=None,
+             host="shop.example", headers=None):
+        """Sends one request as a caller does."""
+        attempt = attempt or self.fleet.next_attempt()
+        connection = http.client.HTTPConnection("127.0.0.1", self.callers, timeout=5)
+        try:
+            connection.request(method, path, body or None, {
+                "Host": host, ATTEMPT: attempt, "X-Boragetrack-Time-Budget-Ms": str(budget),
+                **(headers or {})})
+            response = connection.getresponse()
+            return Reply(response.status, dict(response.getheaders()), response.read())
+        finally:
+            connection.close()
+
+
+class PlatformFleet:
+    """Owns the store, the nodes and their upstreams."""
+
+    def __init__(self, first_port):
+        self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-",
+                                            dir=os.environ.get("BORAGETRACK_SCRATCH")))
+        self.world = AsyncWorld()
+        self.ports = PortPool(first_port)
+        self.store = Store(self.world, self.ports.take())
+        self.store.start()
+        self.nodes = []
+        self._attempts = itertools.count(1)
+
+    def next_attempt(self):
+        return f"a{next(self._attempts):08x}"
+
+    def add_node(self, name, zone, service):
+        node = PlatformNode(self, name, zone, service)
+        self.nodes.append(node)
+        return node
+
+    def start(self):
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            node.add_upstream()
+
+    def wait(self, condition, what, timeout=15.0):
+        """Waits until a condition holds; fails the test otherwise."""
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.02)
+        raise AssertionError(f"not within {timeout} s: {what}; logs in {self.folder}")
+
+    def wait_until_served(self, path="/items/1"):
+        for node in self.nodes:
+            self.wait(lambda n=node: n.call(path=path).status == 200, f"{node.name} serves")
+
+    def wait_until_known(self):
+        """Waits until every node knows every upstream."""
+        count = sum(1 for node in self.nodes if node.upstream)
+        for node in self.nodes:
+            self.wait(lambda n=node: n.serving_upstreams() == count, f"{node.name} knows all")
+
+    def stop(self):
+        for node in self.nodes:
+            if node.upstream:
+                node.upstream.stop()
+            if node.process and node.process.is_running():
+                node.process.kill()
+        self.store.stop()
+        self.world.stop()
--- /dev/null
+++ b/tests/platform/upstream.py
@@ -0,0 +1,109 @@
+"""A stand-in for a server of the platform: it runs requests, beats and leaves."""
+
+import asyncio
+import json
+import time
+
+from asyncserver import Answer, AsyncServer
+
+STAMP = "X-Boragetrack-Response-Stamp"
+ATTEMPT = "X-Boragetrack-Attempt-Id"
+INSTANCE = "X-Boragetrack-Instance-Id"
+EXPECTED = "X-Boragetrack-Target-Instance"
+NOT_RUN = "X-Boragetrack-Not-Executed"
+
+
+class Upstream(AsyncServer):
+    """One server; its behaviour can be changed while it runs."""
+
+    def __init__(self, world, port, control_port, service, version="v1", instance=None):
+        super().__init__(world, port)
+        self.control_port = control_port
+        self.service = service
+        self.version = version
+        self.instance = instance or f"i-{port}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.cold_left = 0.0
+        self.slots = 8
+        self.work = 0.005
+        self.runs = []
+        self.cancelled = []
+        # Returns an answer in place of the usual one, or None.
+        self.behave = lambda request: None
+        self.acknowledged = 0
+
+    async def handle(self, request):
+        expected = request.header(EXPECTED)
+        if expected and expected != self.instance:
+            return Answer(421, b"", {INSTANCE: self.instance})
+        if request.path == "/health":
+            status = 200 if self.state == "ready" else 503
+            return Answer(status, b"", {INSTANCE: self.instance})
+        attempt = request.header(ATTEMPT)
+        special = self.behave(request)
+        if special is not None and special.headers.get(NOT_RUN):
+            return special
+        self.runs.append((time.monotonic(), attempt, request))
+        try:
+            await asyncio.sleep(self.work)
+        except asyncio.CancelledError:
+            self.cancelled.append(attempt)
+            raise
+        return special or self.good(request)
+
+    def good(self, request):
+        body = f"{self.instance} ran {request.method} {request.target} ".encode() + request.body
+        return Answer(200, body, {ATTEMPT: request.header(ATTEMPT), STAMP: f"s.{self.instance}"})
+
+    # ------------------------------------------------------------------ announcing
+
+    def describe(self):
+        self.sequence += 1
+        return {
+            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "z",
+            "version": self.version, "slots": self.slots, "state": self.state,
+            "coldLeftS": self.cold_left, "seqNum": self.sequence, "born": self.born,
+        }
+
+    async def call(self, method, body):
+        """Sends one announcement. Returns the status, or None without an answer."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.control_port)
+            text = json.dumps(body).encode()
+            head = f"{method} /api/instances/{self.instance} HTTP/1.1\r\nHost: n\r\n"
+            head += f"Content-Length: {len(text)}\r\nConnection: close\r\n\r\n"
+            writer.write(head.encode() + text)
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+            return int(line.split()[1]) if line else None
+        except (OSError, asyncio.TimeoutError, IndexError):
+            return None
+
+    async def beat_forever(self):
+        while True:
+            if await self.call("PUT", self.describe()) == 200:
+                self.acknowledged += 1
+            await asyncio.sleep(0.3)
+
+    def start(self):
+        super().start()
+        self._beats = asyncio.run_coroutine_threadsafe(self.beat_forever(), self.world.loop)
+
+    def stop(self):
+        self._beats.cancel()
+        super().stop()
+
+    def drain(self):
+        """Reports that it leaves. Returns the status of the answer."""
+        self.state = "draining"
+        return self.world.run(self.call("PUT", self.describe()))
+
+    def leave(self):
+        """Says without notice that it is gone. Returns the status of the answer."""
+        self._beats.cancel()
+        return self.world.run(self.call("DELETE", {}))
+
+    def attempts(self):
+        return [attempt for _, attempt, _ in self.runs]
--- a/tests/unit/RoutingTest.cpp
+++ b/tests/unit/RoutingTest.cpp
@@ -98,6 +98,29 @@
     EXPECT_TRUE(choose(milliseconds(300), milliseconds(500)).index);
 }
 
+TEST_F(RoutingTest, avoidsAnEndpointWhoseCallsFailEvenIfItIsLocal)
+{
+    add(true, milliseconds(0), milliseconds(10));
+    add(false, milliseconds(0), milliseconds(60));
+    candidates_[0].load.failureShare = 0.9;
+    EXPECT_EQ(choose(milliseconds(500), milliseconds(1000)).index, 1U);
+    candidates_[0].load.failureShare = 0.05;
+    EXPECT_EQ(choose(milliseconds(500), milliseconds(1000)).index, 0U);
+}
+
+TEST(LoadBoard, forgetsFailuresWithTimeSoThatAnEndpointIsTriedAgain)
+{
+    routing::LoadBoard board;
+    const NodeId node("n");
+    for (int i = 0; i < 40; ++i) {
+        board.begin(node, {});
+        board.end(node, RouteName("r"), answered(500, milliseconds(5)), {}, {});
+    }
+    const double fresh = board.load(node, RouteName("r"), {}).failureShare;
+    EXPECT_LT(board.load(node, RouteName("r"), MonotonicTime{} + milliseconds(9000)).failureShare,
+              fresh / 10);
+}
+
 TEST(LoadBoard, takesAnEndpointWithoutAnswersForSilent)
 {
     routing::LoadBoard board;
