--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -32,11 +32,19 @@
     , readiness_([this, isServing = parts.isServing]() { return !isStopping_ && isServing(); })
     , heartbeatListener_(parts.settings.announcements, heartbeats_)
     , readinessListener_(parts.settings.readiness, readiness_)
-{}
+    , metrics_(parts.counters)
+{
+    if (parts.settings.metrics)
+        metricsListener_.emplace(*parts.settings.metrics, metrics_);
+}
 
 std::vector<transport::links::LoopPart *> PlatformEnvironment::loopParts()
 {
-    return {&store_, &heartbeatListener_, &readinessListener_};
+    std::vector<transport::links::LoopPart *> loopParts{&store_, &heartbeatListener_,
+                                                        &readinessListener_};
+    if (metricsListener_)
+        loopParts.push_back(&*metricsListener_);
+    return loopParts;
 }
 
 StopPlan PlatformEnvironment::stopPlan() const
--- a/packages/daemon/environment/PlatformEnvironment.h
+++ b/packages/daemon/environment/PlatformEnvironment.h
@@ -12,9 +12,11 @@
 #include "daemon/service/RecordSource.h"
 #include "daemon/settings/NodeSettings.h"
 #include "transport/http/HandlerPart.h"
+#include "transport/http/MetricsHandler.h"
 
 #include <atomic>
 #include <functional>
+#include <optional>
 
 namespace boragetrack::daemon::environment {
 
@@ -53,6 +55,8 @@
     platform::ReadinessHandler readiness_;
     transport::http::HandlerPart heartbeatListener_;
     transport::http::HandlerPart readinessListener_;
+    transport::http::MetricsHandler metrics_;
+    std::optional<transport::http::HandlerPart> metricsListener_;
 };
 
 } // namespace boragetrack::daemon::environment
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -9,6 +9,7 @@
 #include "traffic/retry/RepeatLimits.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
         platform's interface. */
     core::identity::NetworkAddress announcements;
     core::identity::NetworkAddress readiness;
+    /** Where counters are served besides the operators' address, if anywhere. */
+    std::optional<core::identity::NetworkAddress> metrics;
     /** The service on this node's VM, and all data centres; only with the platform's interface. */
     core::identity::ServiceName service;
     std::vector<core::identity::DataCentreId> dataCentres;
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -39,6 +39,7 @@
   "interface": {"enum": ["own", "platform"]},
   "announcements": {"$ref": "#/definitions/address"},
   "readiness": {"$ref": "#/definitions/address"},
+  "metrics": {"$ref": "#/definitions/address"},
   "service": {"type": "string", "minLength": 1},
   "dataCentres": {"type": "array", "items": {"type": "string", "minLength": 1}},
   "repeats": {"type": "object", "additionalProperties": false,
@@ -108,6 +109,8 @@
         settings.repeats = readRepeats(root["repeats"]);
     settings.announcements = readAddress(root["announcements"], "/announcements", findings);
     settings.readiness = readAddress(root["readiness"], "/readiness", findings);
+    if (root.contains("metrics"))
+        settings.metrics = readAddress(root["metrics"], "/metrics", findings);
     settings.service = core::identity::ServiceName(root["service"]);
     for (const json &name : root["dataCentres"])
         settings.dataCentres.emplace_back(name.get<std::string>());
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -187,6 +187,8 @@
     void logEnd(EventCode code, const char *message, const CallAnswer &answer)
     {
         isAnswered_ = true;
+        if (code == EventCode::CallAnswered)
+            server_.latencies_.add(currentTime() - arrivedAt_);
         const bool isGood = code == EventCode::CallAnswered && answer.status < 500;
         core::events::logCall(
                 code, message, isGood,
@@ -234,6 +236,7 @@
     , refusals_(parts_.counters.counter("calls_not_run"))
     , unknowns_(parts_.counters.counter("calls_unknown"))
     , bytesToOthers_(parts_.counters.counter("call_bytes_other_data_centres"))
+    , latencies_(parts_.counters, "call")
 {}
 
 kj::Promise<void> CallerServer::handle(http::ServerExchange &exchange)
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -3,6 +3,7 @@
 
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
+#include "core/counters/LatencyCounters.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/retry/CallPlan.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -63,6 +64,7 @@
     core::counters::Counter &refusals_;
     core::counters::Counter &unknowns_;
     core::counters::Counter &bytesToOthers_;
+    core::counters::LatencyCounters latencies_;
 };
 
 } // namespace boragetrack::transport::callers
--- a/packages/transport/serving/UpstreamGate.cpp
+++ b/packages/transport/serving/UpstreamGate.cpp
@@ -62,6 +62,7 @@
               parts_.timer, parts_.routing})
     , callsRun_(parts_.counters.counter("upstream_calls_run"))
     , callsRefused_(parts_.counters.counter("upstream_calls_refused"))
+    , latencies_(parts_.counters, "upstream")
 {}
 
 UpstreamGate::~UpstreamGate() noexcept = default;
@@ -184,6 +185,7 @@
     logServed(request, answer, latency);
     if (answer.outcome == CallOutcome::NotRun)
         return;
+    latencies_.add(latency);
     const bool isBroken = answer.outcome == CallOutcome::Unknown;
     if (parts_.routing.current()->needsEvidence)
         parts_.evidence(control::moves::CallEvidence{request.service, request.version,
--- a/packages/transport/serving/UpstreamGate.h
+++ b/packages/transport/serving/UpstreamGate.h
@@ -4,6 +4,7 @@
 #include "control/moves/CallEvidence.h"
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
+#include "core/counters/LatencyCounters.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/deduplication/ClaimRegister.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -100,6 +101,7 @@
     core::timing::MonotonicTime firstAnswerAt_{};
     core::counters::Counter &callsRun_;
     core::counters::Counter &callsRefused_;
+    core::counters::LatencyCounters latencies_;
 };
 
 } // namespace boragetrack::transport::serving
