Let a few nodes of each data centre follow the store; pack transfers between peers

A change of thousands of routes came to each node unpacked over links of 10 Mbit/s. Each news of a member made a new view of all routes, milliseconds of a tenth of a core.

Ruled out: a tree of watchers with fixed parents (a dead parent must be noticed first); pushing whole transfers to all neighbours (bytes between data centres are dear); longer pauses between watches (a change is to be in force within 2 s).

Change: FollowerRole chooses four followers or more in each data centre; the others ask them twice a second and follow the store themselves when no follower answered for 1.2 s. News is told at once and fetched from one peer in packed form. Only followers keep entries in the store. A revision that says nothing new is confirmed without making the intent again; views are made at most every 100 ms unless the intent changed.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -69,6 +69,7 @@
     , wallClock_(std::move(parts.wallClock))
     , random_(parts.randomSeed)
     , membership_(parts.self, std::move(parts.neighbours), *this)
+    , role_(membership_)
     , spreader_(
               transport, *this, [this] { return neighbourContacts(); }, std::move(parts.holder))
     , moves_(parts.self.id, parts.self.version.generation, std::move(parts.movePolicies), *this)
@@ -87,6 +88,8 @@
         sendExchangeTo(PeerContact{{}, seed}, newsPerExchange);
     timerParts_.push_back(
             std::make_unique<Timer>(*this, &ControlPlane::exchangeTick, exchangePeriod));
+    timerParts_.push_back(
+            std::make_unique<Timer>(*this, &ControlPlane::askTick, FollowerRole::askPeriod));
     timerParts_.push_back(
             std::make_unique<Timer>(*this, &ControlPlane::decisionTick, decisionPeriod));
 }
@@ -107,6 +110,19 @@
 void ControlPlane::storeNewsTaken(OfferResult result)
 {
     spreader_.newsFromDurableStore(result, timers_.now());
+    if (result != OfferResult::Held && result != OfferResult::HeldInPart)
+        return;
+    for (const NodeId &node : role_.takeDependants(timers_.now())) {
+        if (const auto contact = contactOf(node))
+            sendExchangeTo(*contact, 0);
+    }
+}
+
+void ControlPlane::storeFollowed(bool isFollowed)
+{
+    hasDurableStore_ = true;
+    isFollower_ = isFollowed;
+    spreader_.followStore(isFollowed);
 }
 
 void ControlPlane::peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses)
@@ -138,6 +154,8 @@
     const bool isDisbelieved = sender != nullptr && sender->state != MemberState::Alive;
     const MemberRecord belief = isDisbelieved ? *sender : MemberRecord{};
     const auto contact = contactOf(request.sender);
+    if (request.asksForNews)
+        role_.askedBy(request.sender, timers_.now());
     learnFrom(contact.value_or(PeerContact{request.sender, {}}), request);
     Exchange answer = makeExchange(request.sender, newsPerExchange);
     if (isDisbelieved)
@@ -148,6 +166,9 @@
 void ControlPlane::exchangeAnswered(const PeerContact &peer, const Exchange &answer)
 {
     const PeerContact contact{answer.sender, peer.address};
+    // A node that lags is covered once it has caught up.
+    if (answer.isFollower && answer.revision <= spreader_.holder().revision())
+        role_.covered(timers_.now());
     learnFrom(contact, answer);
     spreader_.learnFloor(std::max(answer.receiverFloor, answer.revision), timers_.now());
     fetchMembersIfDiffering(contact, answer.memberDigest);
@@ -241,7 +262,7 @@
 //==============================================================================
 void ControlPlane::intentInForce()
 {
-    resolveSnapshot(spreader_.served(), spreader_.holder().document());
+    resolveSnapshot(spreader_.holder().contentRevision(), spreader_.holder().document());
     listener_.intentInForce();
     listener_.viewChanged();
 }
@@ -302,6 +323,19 @@
     }
 }
 
+void ControlPlane::askTick(MonotonicTime /*now*/)
+{
+    if (!hasDurableStore_)
+        return;
+    const auto follower = role_.nextToAsk();
+    const auto contact = follower ? contactOf(*follower) : std::nullopt;
+    if (!contact)
+        return;
+    Exchange exchange = makeExchange(*follower, 0);
+    exchange.asksForNews = true;
+    transport_.sendExchange(*contact, exchange);
+}
+
 void ControlPlane::decisionTick(MonotonicTime now)
 {
     spreader_.tick(now);
@@ -395,6 +429,7 @@
     const auto floor = floors_.find(receiver);
     exchange.receiverFloor = floor == floors_.end() ? Revision{} : floor->second;
     exchange.memberDigest = membership_.table().digest();
+    exchange.isFollower = isFollower_;
     // A peer whose table was the same at the last exchange needs no news, unless this node's
     // changed since.
     const auto known = peerDigests_.find(receiver);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/distribution/BytePacer.h"
+#include "control/distribution/FollowerRole.h"
 #include "control/distribution/IntentSpreader.h"
 #include "control/distribution/PeerTransport.h"
 #include "control/intent/IntentSnapshot.h"
@@ -90,8 +91,14 @@
     /** Notes that the holder took news from the durable store that this node follows. */
     void storeNewsTaken(OfferResult result);
 
-    /** Notes whether the durable store that this node follows answers. */
-    void storeReachable(bool isReachable) { spreader_.followStore(isReachable); }
+    /** Notes whether this node follows the durable store at present and reaches it. */
+    void storeFollowed(bool isFollowed);
+
+    /** Returns whether this node is to follow the durable store now. */
+    bool mustFollowStore() const { return role_.mustFollow(timers_.now()); }
+
+    /** Returns whether this node is among those that other nodes find by the store. */
+    bool isChosenFollower() const { return role_.isChosen(); }
 
     /** Contacts nodes that the store names and this node does not know. */
     void peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses);
@@ -179,6 +186,7 @@
 
     bool isRecorderOf(const std::string &moveId, std::chrono::milliseconds overdue) const;
     void exchangeTick(core::timing::MonotonicTime now);
+    void askTick(core::timing::MonotonicTime now);
     void decisionTick(core::timing::MonotonicTime now);
     void sendEvidence();
     void sendNewsToNeighbours();
@@ -199,6 +207,7 @@
     WallClock wallClock_;
     std::mt19937_64 random_;
     membership::MembershipEngine membership_;
+    FollowerRole role_;
     IntentSpreader spreader_;
     moves::MoveCoordinator moves_;
     // Invariant: never null; its revision never falls.
@@ -216,6 +225,9 @@
     BytePacer pacer_;
     // Since when each record of a move's state has been missing.
     std::map<std::pair<std::string, intent::MoveState>, core::timing::MonotonicTime> missingSince_;
+    // Whether there is a durable store that nodes follow, and whether this node does so now.
+    bool hasDurableStore_ = false;
+    bool isFollower_ = false;
     // Whether news arrived that must not wait for the next exchange.
     bool hasUrgentNews_ = false;
     bool isLeaving_ = false;
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -22,6 +22,10 @@
     core::identity::Revision receiverFloor;
     /** The digest of the sender's member table. */
     std::uint64_t memberDigest = 0;
+    /** Whether the sender follows the durable store and reaches it. */
+    bool isFollower = false;
+    /** Whether the sender relies on the receiver for the store's news. */
+    bool asksForNews = false;
     std::vector<membership::MemberRecord> members;
     std::vector<membership::Suspicion> suspicions;
     std::vector<moves::MoveVerdict> verdicts;
--- a/packages/control/distribution/HeldIntent.h
+++ b/packages/control/distribution/HeldIntent.h
@@ -22,6 +22,9 @@
     /** Returns the held revision; zero before the first intent. */
     virtual core::identity::Revision revision() const = 0;
 
+    /** Returns the revision of the last change of what the held intent says; at most revision(). */
+    virtual core::identity::Revision contentRevision() const { return revision(); }
+
     /** Returns the held, validated document; empty before the first intent. */
     virtual const intent::IntentDocument &document() const = 0;
 
--- a/packages/control/distribution/IntentSpreader.cpp
+++ b/packages/control/distribution/IntentSpreader.cpp
@@ -17,6 +17,7 @@
 {
     if (result == OfferResult::Refused || result == OfferResult::HeldInPart)
         listener_.intentRefused();
+    hasNews_ = hasNews_ || result == OfferResult::Held || result == OfferResult::HeldInPart;
     isFloorKnown_ = true;
     confirmed_ = std::max(confirmed_, holder_->revision());
     floor_ = std::min(floor_, holder_->revision());
@@ -54,7 +55,17 @@
     if (!behindSince_)
         behindSince_ = now;
     if (!isStoreReachable_ || now - *behindSince_ >= toleratedLag)
-        transport_.fetchIntent(peer, holder_->revision());
+        fetchFrom(peer, peerRevision, now);
+}
+
+// Several peers may tell of one change at the same moment; it is fetched from one of them.
+void IntentSpreader::fetchFrom(const PeerContact &peer, Revision target, MonotonicTime now)
+{
+    if (target <= fetched_ && now - fetchedAt_ < fetchPatience)
+        return;
+    fetched_ = target;
+    fetchedAt_ = now;
+    transport_.fetchIntent(peer, holder_->revision());
 }
 
 void IntentSpreader::compareWith(const PeerContact &peer, Revision peerRevision, MonotonicTime now)
@@ -97,6 +108,7 @@
     if (result == OfferResult::Refused || result == OfferResult::NotNewer)
         return;
     heldSince_ = now;
+    hasNews_ = hasNews_ || result != OfferResult::Confirmed;
     if (isConfirmed)
         confirmed_ = std::max(confirmed_, holder_->revision());
     // Nodes that follow the store get their news from it.
@@ -117,6 +129,9 @@
     if (holder_->revision() <= served_ || !isAllowed(now))
         return;
     served_ = holder_->revision();
+    if (!hasNews_)
+        return;
+    hasNews_ = false;
     listener_.intentInForce();
 }
 
--- a/packages/control/distribution/IntentSpreader.h
+++ b/packages/control/distribution/IntentSpreader.h
@@ -44,6 +44,9 @@
         little later here. */
     static constexpr std::chrono::milliseconds toleratedLag{700};
 
+    /** How long an asked peer has to answer before the same revision is asked for again. */
+    static constexpr std::chrono::milliseconds fetchPatience{400};
+
     /** How long a node that reaches no peer waits before it serves what the platform holds. */
     static constexpr std::chrono::milliseconds aloneTime{2000};
 
@@ -100,6 +103,8 @@
     void pushToAll(core::identity::Revision previous);
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isAllowed(core::timing::MonotonicTime now) const;
+    void fetchFrom(const PeerContact &peer, core::identity::Revision target,
+                   core::timing::MonotonicTime now);
 
     PeerTransport &transport_;
     Listener &listener_;
@@ -113,6 +118,11 @@
     core::identity::Revision floor_;
     // The highest revision that another node is known to hold.
     core::identity::Revision confirmed_;
+    // Whether the held intent says something that is not served yet.
+    bool hasNews_ = false;
+    // The newest revision that a peer was asked for, and when.
+    core::identity::Revision fetched_;
+    core::timing::MonotonicTime fetchedAt_{};
     bool isFloorKnown_ = false;
     bool followsStore_ = false;
     bool isStoreReachable_ = false;
--- a/packages/control/distribution/OfferResult.h
+++ b/packages/control/distribution/OfferResult.h
@@ -10,6 +10,8 @@
     /** The envelope is newer and now held, but for entries that could not be read: those stay as
         they were last readable. */
     HeldInPart,
+    /** The held intent is confirmed as that of a later revision; what it says is the same. */
+    Confirmed,
     /** The envelope is the held one or older. */
     NotNewer,
     /** The envelope is invalid; the held one stays. */
--- a/packages/control/distribution/RecordIntent.cpp
+++ b/packages/control/distribution/RecordIntent.cpp
@@ -60,9 +60,10 @@
 OfferResult RecordIntent::readAgain(bool hasNews, Revision before)
 {
     if (!hasNews)
-        return revision() > before ? OfferResult::Held : OfferResult::NotNewer;
+        return revision() > before ? OfferResult::Confirmed : OfferResult::NotNewer;
     core::findings::FindingList findings("entries at revision "
                                          + std::to_string(revision().number()));
+    transfer_ = IntentTransfer{};
     document_ = reader_->read(table_, findings);
     if (findings.isEmpty())
         return OfferResult::Held;
@@ -78,6 +79,8 @@
 
 IntentTransfer RecordIntent::transferSince(Revision have) const
 {
+    if (!transfer_.payload.empty() && transfer_.target == revision() && transfer_.base == have)
+        return transfer_;
     json root{{"through", table_.revision().number()}, {"records", json::array()}};
     for (const OperatorRecord &record : table_.changesSince(have)) {
         json entry{{"key", record.key}, {"revision", record.revision.number()}};
@@ -90,6 +93,7 @@
     IntentTransfer transfer{revision(), have, 0,
                             root.dump(-1, ' ', false, json::error_handler_t::replace)};
     transfer.textHash = core::hashing::stableHash(transfer.payload);
+    transfer_ = transfer;
     return transfer;
 }
 
--- a/packages/control/distribution/RecordIntent.h
+++ b/packages/control/distribution/RecordIntent.h
@@ -30,6 +30,7 @@
 
     OfferResult offer(const std::string &text) override;
     core::identity::Revision revision() const override;
+    core::identity::Revision contentRevision() const override { return table_.lastChange(); }
     const intent::IntentDocument &document() const override { return document_; }
     core::identity::Revision refusedRevision() const override { return refusedRevision_; }
     const std::string &refusal() const override { return refusal_; }
@@ -45,6 +46,8 @@
     intent::IntentDocument document_;
     core::identity::Revision refusedRevision_;
     std::string refusal_;
+    // The last transfer that was made: several peers mostly lack the same changes.
+    mutable IntentTransfer transfer_;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/membership/WatcherElection.cpp
+++ b/packages/control/membership/WatcherElection.cpp
@@ -3,6 +3,9 @@
 
 #include "core/hashing/StableHash.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace boragetrack::control::membership {
 
 namespace {
@@ -25,6 +28,24 @@
     return higher < count;
 }
 
+std::vector<core::identity::NodeId> chosenMembers(const MemberTable &members,
+                                                  const std::string &topic, std::size_t count,
+                                                  const MemberFilter &filter)
+{
+    std::vector<std::pair<std::uint64_t, core::identity::NodeId>> weighed;
+    for (const auto &[id, record] : members.records()) {
+        if (record.state == MemberState::Alive && filter(record))
+            weighed.emplace_back(core::hashing::rendezvousWeight(topic, id.value()), id);
+    }
+    std::sort(weighed.begin(), weighed.end(), std::greater<>());
+    weighed.resize(std::min(weighed.size(), count));
+    std::vector<core::identity::NodeId> chosen;
+    chosen.reserve(weighed.size());
+    for (auto &[weight, id] : weighed)
+        chosen.push_back(std::move(id));
+    return chosen;
+}
+
 bool isWatcher(const MemberRecord &self, const MemberTable &members)
 {
     return isAmongChosen(
--- a/packages/control/membership/WatcherElection.h
+++ b/packages/control/membership/WatcherElection.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace boragetrack::control::membership {
 
@@ -17,6 +18,11 @@
 bool isAmongChosen(const MemberRecord &self, const MemberTable &members, const std::string &topic,
                    std::size_t count, const MemberFilter &filter);
 
+/** Returns the members alive with the highest rendezvous weights for a topic, the highest first. */
+std::vector<core::identity::NodeId> chosenMembers(const MemberTable &members,
+                                                  const std::string &topic, std::size_t count,
+                                                  const MemberFilter &filter);
+
 /** The number of nodes in each data centre that watch the platform. */
 inline constexpr std::size_t watchersPerDataCentre = 2;
 
--- a/packages/control/records/EntryKeeper.cpp
+++ b/packages/control/records/EntryKeeper.cpp
@@ -53,6 +53,21 @@
     if (record != nullptr && record->text == text_)
         becomePresent();
     else if (state_ != State::Writing && state_ != State::Retrying)
+        becomeAbsent();
+}
+
+void EntryKeeper::setWanted(bool isWanted)
+{
+    isWanted_ = isWanted;
+    if (isWanted_ && state_ == State::Absent)
+        write();
+}
+
+void EntryKeeper::becomeAbsent()
+{
+    state_ = State::Absent;
+    timers_.removeListener(*this);
+    if (isWanted_)
         write();
 }
 
@@ -120,12 +135,14 @@
     if (!absl::IsNotFound(answer.status()))
         return;
     lease_ = Lease{};
-    write();
+    becomeAbsent();
 }
 
 void EntryKeeper::timerElapsed(core::timing::MonotonicTime /*now*/)
 {
-    if (state_ == State::Present)
+    if (!isWanted_)
+        becomeAbsent();
+    else if (state_ == State::Present)
         store_.renewLease(lease_, answerTime, whileAlive(&EntryKeeper::leaseRenewed));
     else
         write();
--- a/packages/control/records/EntryKeeper.h
+++ b/packages/control/records/EntryKeeper.h
@@ -33,6 +33,9 @@
     EntryKeeper(const EntryKeeper &) = delete;
     EntryKeeper &operator=(const EntryKeeper &) = delete;
 
+    /** Sets whether the entry is to be there; one that is not needed any more ends with its lease. */
+    void setWanted(bool isWanted);
+
     /** Takes all entries of the store. */
     void recordsListed(const std::vector<OperatorRecord> &records);
 
@@ -40,7 +43,7 @@
     void recordChanged(const OperatorRecord &record);
 
 private:
-    enum class State { Unknown, Present, Writing, Retrying };
+    enum class State { Unknown, Absent, Present, Writing, Retrying };
 
     void timerElapsed(core::timing::MonotonicTime now) override;
     void observe(const OperatorRecord *record);
@@ -51,6 +54,7 @@
     void leaseRenewed(const absl::StatusOr<Lease> &answer);
     void retryLater();
     void becomePresent();
+    void becomeAbsent();
 
     template <typename Answer>
     RecordStore::Reply<Answer>
@@ -62,6 +66,7 @@
     const std::string text_;
     std::shared_ptr<EntryKeeper *> self_ = std::make_shared<EntryKeeper *>(this);
     State state_ = State::Unknown;
+    bool isWanted_ = true;
     Lease lease_;
     // The entry's last known change; zero when it does not exist.
     core::identity::Revision revision_;
--- a/packages/control/records/RecordTable.cpp
+++ b/packages/control/records/RecordTable.cpp
@@ -45,6 +45,14 @@
     return hasNews;
 }
 
+Revision RecordTable::lastChange() const
+{
+    Revision last;
+    for (const auto &[key, record] : records_)
+        last = std::max(last, record.revision);
+    return last;
+}
+
 const OperatorRecord *RecordTable::find(const std::string &key) const
 {
     const auto found = records_.find(key);
--- a/packages/control/records/RecordTable.h
+++ b/packages/control/records/RecordTable.h
@@ -30,6 +30,9 @@
     /** Returns the revision up to which every change is known. */
     core::identity::Revision revision() const { return revision_; }
 
+    /** Returns the revision of the newest change of any key; zero when there is none. */
+    core::identity::Revision lastChange() const;
+
     /** Returns a key's last change if it holds a value, or null. */
     const OperatorRecord *find(const std::string &key) const;
 
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -68,7 +68,28 @@
     answered();
     listener_.recordsListed(listed_, listingRevision_);
     listed_.clear();
-    watch();
+    timers_.addListener(*this, firstWatchPause);
+}
+
+void StoreFollower::setWanted(bool isWanted, core::identity::Revision known)
+{
+    revision_ = std::max(revision_, known);
+    isWanted_ = isWanted;
+    if (!isResting_ || !isWanted)
+        return;
+    isResting_ = false;
+    goOn();
+}
+
+void StoreFollower::goOn()
+{
+    isResting_ = isListed_ && !isWanted_;
+    if (isResting_)
+        return;
+    if (isListed_)
+        watch();
+    else
+        listFrom({});
 }
 
 void StoreFollower::watch()
@@ -91,7 +112,7 @@
     answered();
     revision_ = std::max(revision_, answer->revision);
     if (answer->changes.empty()) {
-        watch();
+        goOn();
         return;
     }
     listener_.recordsChanged(*answer);
@@ -126,10 +147,7 @@
 void StoreFollower::timerElapsed(core::timing::MonotonicTime /*now*/)
 {
     timers_.removeListener(*this);
-    if (isListed_)
-        watch();
-    else
-        listFrom({});
+    goOn();
 }
 
 } // namespace boragetrack::control::records
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -12,7 +12,8 @@
 /**
     Reads all entries once and then watches for changes, for as long as it lives.
 
-    States: listing, watching, and waiting before the next try after a failure. A watch goes on from
+    States: listing, watching, waiting before the next try after a failure, and resting while the
+    owner needs no news from here. A watch goes on from
     the revision of the last answer, so that no change is missed or taken twice; when the store has
     forgotten that revision, everything is listed again.
 */
@@ -48,6 +49,9 @@
     /** The pause after changes came. Changes in quick succession then come together, which saves
         priced calls; it is a small part of the two seconds in which a change must be in force. */
     static constexpr std::chrono::milliseconds changePause{400};
+    /** The pause between a listing and the first watch: meanwhile most new nodes learn from their
+        peers that they need no watch of their own. */
+    static constexpr std::chrono::milliseconds firstWatchPause{800};
     /** The wait after a first failure; doubles with each further one and is spread at random. */
     static constexpr std::chrono::milliseconds firstBackoff{150};
     /** Bounds the time for which a change stays unnoticed after the store is back. */
@@ -63,6 +67,13 @@
     /** Begins with a listing. */
     void start();
 
+    /** Ends the following once the present watch ends, or goes on with it. @param known the
+       revision that is known by other ways; only later changes are asked for */
+    void setWanted(bool isWanted, core::identity::Revision known);
+
+    /** Returns whether the store's changes are being followed and its last call was answered. */
+    bool isFollowing() const { return isStoreReachable() && !isResting_; }
+
     /** Returns whether the store answered the last call. */
     bool isStoreReachable() const { return failures_ == 0 && isListed_; }
 
@@ -71,6 +82,7 @@
     void listFrom(const std::string &after);
     void listAnswered(const absl::StatusOr<RecordPage> &answer);
     void watch();
+    void goOn();
     void watchAnswered(const absl::StatusOr<RecordChanges> &answer);
     void answered();
     void failed(const absl::Status &error);
@@ -93,6 +105,9 @@
     bool isListed_ = false;
     core::identity::Revision revision_;
     int failures_ = 0;
+    bool isWanted_ = true;
+    // Whether no call and no timer is pending because none is wanted.
+    bool isResting_ = false;
 };
 
 } // namespace boragetrack::control::records
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
@@ -17,6 +18,9 @@
 // The settings file may change without a signal.
 constexpr std::chrono::milliseconds settingsCheckPeriod{2000};
 constexpr int startFailed = 1;
+// Memory that one thread has freed serves the others: the few threads seldom allocate at the same
+// time, and each arena of its own would keep the peak of a change of the intent.
+constexpr int memoryArenas = 1;
 
 int run(const std::string &settingsPath)
 {
@@ -69,6 +73,7 @@
         std::cerr << "--settings FILE is required" << std::endl;
         return wrongUse;
     }
+    mallopt(M_ARENA_MAX, memoryArenas);
     boragetrack::core::events::startLogging(argv[0]);
     return run(values["settings"].as<std::string>());
 }
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -32,6 +32,9 @@
 // For those who have only the logs: rates follow from two lines.
 constexpr std::chrono::milliseconds countersPeriod{10'000};
 constexpr std::chrono::milliseconds recordSpread{500};
+// Changes of members often come in crowds, and a view of thousands of routes takes milliseconds to
+// make on a small VM. A change of the intent does not wait.
+constexpr std::chrono::milliseconds viewPeriod{100};
 
 std::unique_ptr<control::moves::MovePolicies> movePolicies(bool isBaseline)
 {
@@ -257,8 +260,7 @@
     core::events::logEvent(EventCode::IntentApplied, "intent in force",
                            {{"revision", std::to_string(revision.number())}});
     parts_.counters.counter("intents_applied").add();
-    isViewStale_ = true;
-    publishIfStale();
+    publishView();
     parts_.revisions.publish(revision);
 }
 
@@ -317,9 +319,14 @@
 
 void ControlService::publishIfStale()
 {
-    if (!isViewStale_ || !plane_)
-        return;
+    if (isViewStale_ && plane_ && parts_.thread.now() - publishedAt_ >= viewPeriod)
+        publishView();
+}
+
+void ControlService::publishView()
+{
     isViewStale_ = false;
+    publishedAt_ = parts_.thread.now();
     const auto shareOf = [this](const control::intent::Route &route,
                                 const core::identity::ServiceName &service) {
         return plane_->shareOf(route, service);
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -109,6 +109,7 @@
     // Runs a task on the control thread, and publishes a new view if the task changed it.
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
     void publishIfStale();
+    void publishView();
     static void logUpstream(const transport::serving::UpstreamStatus &status);
     void takeStatus(control::distribution::ControlPlane &plane,
                     const transport::serving::UpstreamStatus &status);
@@ -122,6 +123,7 @@
     std::unique_ptr<control::distribution::ControlPlane> plane_;
     traffic::routing::ReturnRamp ramp_;
     bool isViewStale_ = false;
+    core::timing::MonotonicTime publishedAt_{};
     std::optional<transport::serving::UpstreamStatus> upstream_;
     control::membership::UpstreamLineage lineage_;
     core::timing::MonotonicTime announcedAt_{};
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds recordTimeout{1500};
+// The time in which a new node has learned the members from the peers that the store names.
+constexpr std::chrono::milliseconds settlingTime{1500};
 
 const char *nameOf(control::intent::MoveState state)
 {
@@ -45,7 +47,7 @@
 void RecordSource::attach(ControlPlane &plane)
 {
     plane_ = &plane;
-    plane_->storeReachable(false);
+    plane_->storeFollowed(false);
     keeper_.emplace(parts_.store, parts_.timers, control::records::nodeEntryKey(parts_.node),
                     control::records::nodeEntryText(parts_.peerAddress));
     control::records::StoreFollower::Listener &listener = *this;
@@ -53,6 +55,21 @@
     follower_->start();
 }
 
+void RecordSource::upkeep()
+{
+    follower_->setWanted(plane_->mustFollowStore(), holder_->table().revision());
+    plane_->storeFollowed(follower_->isFollowing());
+    keeper_->setWanted(isEntryWanted());
+}
+
+// Each entry costs calls, of this node and of those that watch. A new node finds all others by the
+// entries of a few, and needs one of its own only if it is one of these.
+bool RecordSource::isEntryWanted() const
+{
+    const bool hasSettled = parts_.timers.now() - listedAt_ >= settlingTime;
+    return hasSettled ? plane_->isChosenFollower() : isAlone_;
+}
+
 void RecordSource::detach()
 {
     follower_.reset();
@@ -67,8 +84,14 @@
     core::events::logEvent(EventCode::StoreListed, "store listed",
                            {{"revision", std::to_string(revision.number())},
                             {"entries", std::to_string(records.size())}});
-    plane_->storeReachable(true);
+    plane_->storeFollowed(true);
     plane_->storeNewsTaken(holder_->takeListing(records, revision));
+    const std::string own = control::records::nodeEntryKey(parts_.node);
+    isAlone_ = std::none_of(records.begin(), records.end(), [&](const OperatorRecord &record) {
+        return record.key.starts_with(control::records::nodeEntryPrefix) && record.key != own;
+    });
+    listedAt_ = parts_.timers.now();
+    keeper_->setWanted(isEntryWanted());
     keeper_->recordsListed(records);
     discover(records);
 }
@@ -95,14 +118,14 @@
 
 void RecordSource::storeLost(const absl::Status &error)
 {
-    plane_->storeReachable(false);
+    plane_->storeFollowed(false);
     core::events::logEvent(EventCode::StoreUnavailable, "platform unavailable",
                            {{"error", std::string(error.message())}});
 }
 
 void RecordSource::storeRegained()
 {
-    plane_->storeReachable(true);
+    plane_->storeFollowed(true);
     core::events::logEvent(EventCode::StoreRecovered, "platform answers again");
 }
 
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -35,7 +35,7 @@
     std::unique_ptr<control::distribution::HeldIntent> makeHolder() override;
     void attach(control::distribution::ControlPlane &plane) override;
     void detach() override;
-    void upkeep() override {}
+    void upkeep() override;
     void record(const control::moves::MoveRecord &record) override;
 
 private:
@@ -44,6 +44,7 @@
     void recordsChanged(const control::records::RecordChanges &changes) override;
     void storeLost(const absl::Status &error) override;
     void storeRegained() override;
+    bool isEntryWanted() const;
     void discover(const std::vector<control::records::OperatorRecord> &records);
     void recordEnded(const control::moves::MoveRecord &record,
                      const absl::StatusOr<core::identity::Revision> &answer);
@@ -55,6 +56,9 @@
     std::optional<control::records::StoreFollower> follower_;
     std::optional<control::records::EntryKeeper> keeper_;
     bool isRecording_ = false;
+    // Whether the last listing named no other node, and when it came.
+    bool isAlone_ = false;
+    core::timing::MonotonicTime listedAt_{};
 };
 
 } // namespace boragetrack::daemon::service
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -179,10 +179,10 @@
 {
     return control<Revision>(
             peer,
-            [sender, transfer](wire::schema::Peer::Client &client) {
+            [this, sender, transfer](wire::schema::Peer::Client &client) {
                 auto message = client.pushIntentRequest();
                 message.setSender(sender.value());
-                wire::encode(transfer, message.initTransfer());
+                wire::encode(transfer, packer_, message.initTransfer());
                 return message;
             },
             [](auto &response) { return Revision(response.getRevision()); });
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -10,6 +10,7 @@
 #include "traffic/calls/CallRequest.h"
 #include "transport/links/LinkCounters.h"
 #include "transport/links/LinkFraming.h"
+#include "transport/wire/TextPacker.h"
 #include "transport/wire/peer.capnp.h"
 
 #include <chrono>
@@ -92,6 +93,7 @@
     FramingQuery framingOf_;
     LinkCounters counters_;
     std::map<std::string, kj::Own<Link>> links_;
+    wire::TextPacker packer_;
     kj::TaskSet tasks_;
 };
 
--- a/packages/transport/links/PeerServer.cpp
+++ b/packages/transport/links/PeerServer.cpp
@@ -66,8 +66,8 @@
 {
     auto [promise, reply] = makeReply<IntentTransfer>();
     control_.handleFetchIntent(Revision(context.getParams().getHave()), std::move(reply));
-    return promise.then([context](IntentTransfer &&transfer) mutable {
-        wire::encode(transfer, context.getResults().initTransfer());
+    return promise.then([this, context](IntentTransfer &&transfer) mutable {
+        wire::encode(transfer, packer_, context.getResults().initTransfer());
     });
 }
 
--- a/packages/transport/links/PeerServer.h
+++ b/packages/transport/links/PeerServer.h
@@ -3,6 +3,7 @@
 
 #include "transport/links/CallServer.h"
 #include "transport/links/PeerRequestHandler.h"
+#include "transport/wire/TextPacker.h"
 #include "transport/wire/peer.capnp.h"
 
 namespace boragetrack::transport::links {
@@ -28,6 +29,7 @@
 private:
     PeerRequestHandler &control_;
     CallServer &calls_;
+    wire::TextPacker packer_;
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -1,6 +1,9 @@
 /** Implements the encoding of control messages. */
 #include "transport/wire/ControlCodec.h"
 
+#include "core/hashing/StableHash.h"
+#include "transport/wire/PackedText.h"
+
 #include <algorithm>
 
 namespace boragetrack::transport::wire {
@@ -133,6 +136,8 @@
     message.setRevision(exchange.revision.number());
     message.setReceiverFloor(exchange.receiverFloor.number());
     message.setMemberDigest(exchange.memberDigest);
+    message.setFollower(exchange.isFollower);
+    message.setAsksForNews(exchange.asksForNews);
     encode(exchange.members, message.initMembers(sizeOf(exchange.members)));
     encodeList(exchange.suspicions, message.initSuspicions(sizeOf(exchange.suspicions)),
                encodeSuspicion);
@@ -151,6 +156,8 @@
     exchange.revision = Revision(message.getRevision());
     exchange.receiverFloor = Revision(message.getReceiverFloor());
     exchange.memberDigest = message.getMemberDigest();
+    exchange.isFollower = message.getFollower();
+    exchange.asksForNews = message.getAsksForNews();
     exchange.members = decode(message.getMembers());
     for (const auto entry : message.getSuspicions()) {
         exchange.suspicions.push_back(
@@ -165,18 +172,27 @@
     return exchange;
 }
 
-void encode(const IntentTransfer &transfer, schema::IntentTransfer::Builder message)
+void encode(const IntentTransfer &transfer, TextPacker &packer,
+            schema::IntentTransfer::Builder message)
 {
     message.setTarget(transfer.target.number());
     message.setBase(transfer.base.number());
     message.setTextHash(transfer.textHash);
-    message.setPayload(transfer.payload);
+    const std::string &packed
+            = packer.pack(transfer.payload, core::hashing::stableHash(transfer.payload));
+    message.setPacked(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(packed.data()), packed.size()));
 }
 
 IntentTransfer decode(schema::IntentTransfer::Reader message)
 {
-    return IntentTransfer{Revision(message.getTarget()), Revision(message.getBase()),
-                          message.getTextHash(), message.getPayload()};
+    IntentTransfer transfer{Revision(message.getTarget()), Revision(message.getBase()),
+                            message.getTextHash(), message.getPayload()};
+    const auto packed = message.getPacked().asChars();
+    // A payload that can not be unpacked fails the check of the hash.
+    if (packed.size() > 0)
+        transfer.payload = unpackText({packed.begin(), packed.size()}).value_or("");
+    return transfer;
 }
 
 void encode(const std::vector<MemberRecord> &records, capnp::List<schema::Member>::Builder list)
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -100,6 +100,8 @@
   suspicions @5 :List(Suspicion);
   verdicts @6 :List(Verdict);
   evidence @7 :List(Evidence);
+  follower @8 :Bool;
+  asksForNews @9 :Bool;
 }
 
 struct IntentTransfer {
@@ -107,6 +109,8 @@
   base @1 :UInt64;
   textHash @2 :UInt64;
   payload @3 :Text;
+  # The payload in the form of zlib, in place of the plain one.
+  packed @4 :Data;
 }
 
 interface Peer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -181,7 +181,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -196,7 +196,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8a80c56e47c49ca8, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8a80c56e47c49ca8, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1531,6 +1531,10 @@
   inline bool hasEvidence() const;
   inline  ::capnp::List< ::boragetrack::transport::wire::schema::Evidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
+  inline bool getFollower() const;
+
+  inline bool getAsksForNews() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1603,6 +1607,12 @@
   inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::Evidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::Evidence,  ::capnp::Kind::STRUCT>> disownEvidence();
 
+  inline bool getFollower();
+  inline void setFollower(bool value);
+
+  inline bool getAsksForNews();
+  inline void setAsksForNews(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1655,6 +1665,9 @@
   inline bool hasPayload() const;
   inline  ::capnp::Text::Reader getPayload() const;
 
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1699,6 +1712,13 @@
   inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPayload();
 
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4731,6 +4751,34 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Exchange::Reader::getFollower() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Exchange::Builder::getFollower() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setFollower(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Exchange::Reader::getAsksForNews() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool Exchange::Builder::getAsksForNews() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setAsksForNews(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4807,6 +4855,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool IntentTransfer::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool IntentTransfer::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader IntentTransfer::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder IntentTransfer::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void IntentTransfer::Builder::setPacked( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder IntentTransfer::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void IntentTransfer::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> IntentTransfer::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/tests/unit/FollowerRoleTest.cpp
@@ -0,0 +1,108 @@
+/** Tests which nodes follow the store, and that a node without cover follows it itself. */
+#include "control/distribution/FollowerRole.h"
+#include "control/membership/RingNeighbours.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using namespace boragetrack::control;
+using core::identity::NodeId;
+using core::timing::MonotonicTime;
+using distribution::FollowerRole;
+
+namespace {
+
+const MonotonicTime start = MonotonicTime{} + std::chrono::hours(1);
+
+membership::MemberRecord member(int number, const std::string &dataCentre)
+{
+    membership::MemberRecord record;
+    record.id = NodeId("n" + std::to_string(number));
+    record.dataCentre = core::identity::DataCentreId(dataCentre);
+    record.version.generation = 1;
+    return record;
+}
+
+/** One node among the members of its data centre. */
+class Node : public membership::MembershipEngine::Listener
+{
+public:
+    Node(int number, int members)
+        : engine_(member(number, "x"), std::make_unique<membership::RingNeighbours>(), *this)
+    {
+        for (int i = 0; i < members; ++i)
+            engine_.mergeRecords({member(i, "x"), member(1000 + i, "y")}, start);
+    }
+
+    FollowerRole &role() { return role_; }
+    void memberChanged(const membership::MemberRecord * /*previous*/,
+                       const membership::MemberRecord & /*record*/) override
+    {}
+    void dataCentreSilent(const core::identity::DataCentreId & /*name*/) override {}
+
+private:
+    membership::MembershipEngine engine_;
+    FollowerRole role_{engine_};
+};
+
+int countFollowers(int members)
+{
+    int count = 0;
+    for (int i = 0; i < members; ++i) {
+        Node node(i, members);
+        node.role().covered(start);
+        count += node.role().mustFollow(start);
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(FollowerRole, letsAFewOfEachDataCentreFollow)
+{
+    EXPECT_EQ(countFollowers(3), 3);
+    EXPECT_EQ(countFollowers(17), 4);
+    EXPECT_EQ(countFollowers(60), 12);
+}
+
+TEST(FollowerRole, asksAllFollowersInTurnUnlessItIsOne)
+{
+    constexpr int members = 17;
+    int askers = 0;
+    for (int i = 0; i < members; ++i) {
+        Node node(i, members);
+        node.role().covered(start);
+        const bool isFollower = node.role().mustFollow(start);
+        std::set<NodeId> asked;
+        for (std::size_t turn = 0; turn < FollowerRole::leastFollowers; ++turn) {
+            if (const auto next = node.role().nextToAsk())
+                asked.insert(*next);
+        }
+        EXPECT_EQ(asked.size(), isFollower ? 0 : FollowerRole::leastFollowers);
+        askers += isFollower ? 0 : 1;
+    }
+    EXPECT_EQ(askers, members - static_cast<int>(FollowerRole::leastFollowers));
+}
+
+// A node that is cut off from its peers but not from the store must not miss a change.
+TEST(FollowerRole, followsWithoutCoverInTimeForAChange)
+{
+    constexpr std::chrono::milliseconds changeInForce{2000};
+    for (int i = 0; i < 17; ++i) {
+        Node node(i, 17);
+        EXPECT_TRUE(node.role().mustFollow(start)) << "nobody has answered yet";
+        node.role().covered(start);
+        EXPECT_TRUE(node.role().mustFollow(start + changeInForce / 2 + FollowerRole::askPeriod));
+    }
+}
+
+TEST(FollowerRole, sendsNewsToThoseWhoAskedLately)
+{
+    Node node(0, 17);
+    node.role().askedBy(NodeId("n1"), start);
+    node.role().askedBy(NodeId("n2"), start + FollowerRole::askPeriod * 5);
+    EXPECT_EQ(node.role().takeDependants(start + FollowerRole::askPeriod * 5),
+              (std::vector<NodeId>{NodeId("n1"), NodeId("n2")}));
+    EXPECT_EQ(node.role().takeDependants(start + FollowerRole::askPeriod * 6),
+              (std::vector<NodeId>{NodeId("n2")}));
+}
--- a/tests/unit/IntentSpreaderTest.cpp
+++ b/tests/unit/IntentSpreaderTest.cpp
@@ -76,6 +76,19 @@
     EXPECT_EQ(spreader_.holder().refusedRevision(), Revision(2));
 }
 
+// All followers of a data centre tell of a change at the same moment.
+TEST_F(IntentSpreaderTest, fetchesAChangeOfTheStoreFromOnePeer)
+{
+    spreader_.followStore(false);
+    for (int peer = 0; peer < 4; ++peer)
+        spreader_.compareWith({}, Revision(5), now_);
+    EXPECT_EQ(transport_.fetches.size(), 1U);
+    spreader_.compareWith({}, Revision(6), now_);
+    EXPECT_EQ(transport_.fetches.size(), 2U) << "a later change is not in the first answer";
+    spreader_.compareWith({}, Revision(6), now_ + IntentSpreader::fetchPatience);
+    EXPECT_EQ(transport_.fetches.size(), 3U) << "the asked peer may be gone";
+}
+
 TEST_F(IntentSpreaderTest, servesNothingBelowTheFloorThatPeersKnow)
 {
     spreader_.start(now_);
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -106,12 +106,14 @@
            absl::StatusOr<RecordPage>(RecordPage{{record("c", 9)}, Revision(9), false}));
     EXPECT_EQ(listed_, 3U);
     EXPECT_EQ(revision_, Revision(7)) << "what changed between the pages comes by the watch";
+    timers_.advance(StoreFollower::firstWatchPause);
     EXPECT_EQ(store_.watches.front().first, Revision(7));
 }
 
 TEST_F(StoreFollowerTest, goesOnFromItsRevisionAfterAnOutage)
 {
     answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
     for (int failure = 0; failure < 6; ++failure) {
         answer(store_.watches, absl::StatusOr<RecordChanges>(absl::UnavailableError("out")));
         EXPECT_TRUE(store_.watches.empty());
@@ -131,14 +133,40 @@
 TEST_F(StoreFollowerTest, listsAgainWhenTheHistoryIsGone)
 {
     answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
     answer(store_.watches, absl::StatusOr<RecordChanges>(absl::OutOfRangeError("compacted")));
     ASSERT_FALSE(store_.lists.empty());
     answer(store_.lists,
            absl::StatusOr<RecordPage>(RecordPage{{record("a", 20)}, Revision(20), false}));
     EXPECT_EQ(listed_, 1U);
+    timers_.advance(StoreFollower::firstWatchPause);
     EXPECT_EQ(store_.watches.front().first, Revision(20));
 }
 
+TEST_F(StoreFollowerTest, restsWhileItIsNotWantedAndGoesOnFromWhatIsKnown)
+{
+    follower_.setWanted(false, Revision(0));
+    answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
+    EXPECT_TRUE(store_.watches.empty()) << "a watch is a priced call";
+    EXPECT_FALSE(follower_.isFollowing());
+    follower_.setWanted(true, Revision(12));
+    EXPECT_EQ(store_.watches.front().first, Revision(12));
+    EXPECT_TRUE(follower_.isFollowing());
+}
+
+TEST_F(StoreFollowerTest, endsWithTheWatchThatIsUnderWay)
+{
+    answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
+    follower_.setWanted(false, Revision(7));
+    answer(store_.watches,
+           absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(8)}));
+    EXPECT_EQ(changed_, 1U);
+    timers_.advance(StoreFollower::changePause * 3);
+    EXPECT_TRUE(store_.watches.empty());
+}
+
 namespace {
 
 class EntryKeeperTest : public testing::Test
@@ -163,6 +191,16 @@
     EXPECT_NE(write().lease.id, 0U);
 }
 
+TEST_F(EntryKeeperTest, writesNothingUntilTheEntryIsWanted)
+{
+    keeper_.setWanted(false);
+    keeper_.recordsListed({});
+    keeper_.recordChanged(record("own", 9, true));
+    EXPECT_TRUE(store_.commits.empty());
+    keeper_.setWanted(true);
+    EXPECT_FALSE(store_.commits.empty());
+}
+
 TEST_F(EntryKeeperTest, settlesAWriteWhoseAnswerWasLostByWhatTheWatchTells)
 {
     keeper_.recordsListed({});
