Notice a store that swallows watches; soak whole processes under random faults

Ruled out: shorter watches (each is a priced call, and two seconds would need one a second); relying on peers (all may be deaf at once).

Change: each watch goes with a cheap probe on another connection; without its answer the watch is given up. The first watch after a failure is a short one.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -112,7 +112,7 @@
     spreader_.newsFromDurableStore(result, timers_.now());
     if (result != OfferResult::Held && result != OfferResult::HeldInPart)
         return;
-    for (const NodeId &node : role_.takeDependants(timers_.now())) {
+    for (const NodeId &node : role_.receiversOfNews(timers_.now())) {
         if (const auto contact = contactOf(node))
             sendExchangeTo(*contact, 0);
     }
--- a/packages/control/distribution/FollowerRole.cpp
+++ b/packages/control/distribution/FollowerRole.cpp
@@ -37,15 +37,18 @@
     return chosen[++turn_ % chosen.size()];
 }
 
-std::vector<NodeId> FollowerRole::takeDependants(MonotonicTime now)
+std::vector<NodeId> FollowerRole::receiversOfNews(MonotonicTime now)
 {
+    std::vector<NodeId> receivers = followers();
     // A node asks each follower of its data centre in turn.
-    const auto life = askPeriod * static_cast<int>(followers().size() + 1);
+    const auto life = askPeriod * static_cast<int>(receivers.size() + 1);
+    std::erase(receivers, members_.self().id);
     std::erase_if(askedBy_, [&](const auto &entry) { return now - entry.second > life; });
-    std::vector<NodeId> dependants;
-    for (const auto &[node, askedAt] : askedBy_)
-        dependants.push_back(node);
-    return dependants;
+    for (const auto &[node, askedAt] : askedBy_) {
+        if (std::find(receivers.begin(), receivers.end(), node) == receivers.end())
+            receivers.push_back(node);
+    }
+    return receivers;
 }
 
 std::vector<NodeId> FollowerRole::followers() const
--- a/packages/control/distribution/FollowerRole.h
+++ b/packages/control/distribution/FollowerRole.h
@@ -58,8 +58,9 @@
         askedBy_[node] = now;
     }
 
-    /** Returns the nodes that asked lately, to which news is sent at once. */
-    std::vector<core::identity::NodeId> takeDependants(core::timing::MonotonicTime now);
+    /** Returns the nodes to which news is sent at once: those that asked lately, and the other
+        followers of the data centre, whose own watch may be lost without their knowing. */
+    std::vector<core::identity::NodeId> receiversOfNews(core::timing::MonotonicTime now);
 
 private:
     std::vector<core::identity::NodeId> followers() const;
--- a/packages/control/distribution/IntentSpreader.cpp
+++ b/packages/control/distribution/IntentSpreader.cpp
@@ -48,14 +48,25 @@
 void IntentSpreader::compareBesidesStore(const PeerContact &peer, Revision peerRevision,
                                          MonotonicTime now)
 {
-    if (peerRevision <= holder_->revision()) {
-        behindSince_.reset();
+    if (peerRevision <= holder_->revision())
+        return;
+    if (!lead_)
+        lead_ = Lead{peer, peerRevision, now};
+    lead_->peer = peer;
+    lead_->revision = std::max(lead_->revision, peerRevision);
+    fetchIfLagging(now);
+}
+
+void IntentSpreader::fetchIfLagging(MonotonicTime now)
+{
+    if (!lead_)
+        return;
+    if (lead_->revision <= holder_->revision()) {
+        lead_.reset();
         return;
     }
-    if (!behindSince_)
-        behindSince_ = now;
-    if (!isStoreReachable_ || now - *behindSince_ >= toleratedLag)
-        fetchFrom(peer, peerRevision, now);
+    if (!isStoreReachable_ || now - lead_->since >= toleratedLag)
+        fetchFrom(lead_->peer, lead_->revision, now);
 }
 
 // Several peers may tell of one change at the same moment; it is fetched from one of them.
@@ -96,6 +107,7 @@
 
 void IntentSpreader::tick(MonotonicTime now)
 {
+    fetchIfLagging(now);
     serveIfAllowed(now);
 }
 
--- a/packages/control/distribution/IntentSpreader.h
+++ b/packages/control/distribution/IntentSpreader.h
@@ -100,6 +100,7 @@
     void take(const std::string &text, bool isConfirmed, core::timing::MonotonicTime now);
     void compareBesidesStore(const PeerContact &peer, core::identity::Revision peerRevision,
                              core::timing::MonotonicTime now);
+    void fetchIfLagging(core::timing::MonotonicTime now);
     void pushToAll(core::identity::Revision previous);
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isAllowed(core::timing::MonotonicTime now) const;
@@ -126,8 +127,14 @@
     bool isFloorKnown_ = false;
     bool followsStore_ = false;
     bool isStoreReachable_ = false;
-    // When a peer was first seen to be ahead of this node, if one is.
-    std::optional<core::timing::MonotonicTime> behindSince_;
+    // The peer that was first seen to be ahead of this node, if one is, what it held and when.
+    struct Lead
+    {
+        PeerContact peer;
+        core::identity::Revision revision;
+        core::timing::MonotonicTime since;
+    };
+    std::optional<Lead> lead_;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/records/EntryKeeper.h
+++ b/packages/control/records/EntryKeeper.h
@@ -33,7 +33,8 @@
     EntryKeeper(const EntryKeeper &) = delete;
     EntryKeeper &operator=(const EntryKeeper &) = delete;
 
-    /** Sets whether the entry is to be there; one that is not needed any more ends with its lease. */
+    /** Sets whether the entry is to be there; one that is not needed any more ends with its lease.
+     */
     void setWanted(bool isWanted);
 
     /** Takes all entries of the store. */
--- a/packages/control/records/RecordStore.h
+++ b/packages/control/records/RecordStore.h
@@ -39,6 +39,11 @@
                        Reply<RecordChanges> reply)
             = 0;
 
+    /** Asks whether the store answers, at a small part of a call's price. The answer is a revision
+        that may be some seconds old. */
+    virtual void probe(std::chrono::milliseconds timeout, Reply<core::identity::Revision> reply)
+            = 0;
+
     /** Writes all or nothing; the answer is the revision of the change. */
     virtual void commit(const std::vector<RecordWrite> &writes, std::chrono::milliseconds timeout,
                         Reply<core::identity::Revision> reply)
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -5,6 +5,8 @@
 
 namespace boragetrack::control::records {
 
+using core::identity::Revision;
+
 namespace {
 
 // All keys: the operators' entries, the moves' states and the nodes' own entries.
@@ -94,12 +96,31 @@
 
 void StoreFollower::watch()
 {
-    store_.watch(wholeStore, revision_, watchTime, watchTime + answerTime,
-                 whileAlive(&StoreFollower::watchAnswered));
+    const auto wait = failures_ > 0 ? trialWatchTime : watchTime;
+    const std::uint64_t number = ++watchNumber_;
+    store_.watch(wholeStore, revision_, wait, wait + answerTime,
+                 [self = self_, number](const absl::StatusOr<RecordChanges> &answer) {
+                     if (*self != nullptr && (*self)->watchNumber_ == number)
+                         (*self)->watchAnswered(answer);
+                 });
+    store_.probe(probeTime, [self = self_, number](const absl::StatusOr<Revision> &answer) {
+        if (*self != nullptr && (*self)->watchNumber_ == number)
+            (*self)->probeAnswered(answer);
+    });
+}
+
+void StoreFollower::probeAnswered(const absl::StatusOr<Revision> &answer)
+{
+    // A refusal is an answer: the watch gets its own.
+    if (answer.ok() || !absl::IsUnknown(answer.status()))
+        return;
+    ++watchNumber_;
+    failed(answer.status());
 }
 
 void StoreFollower::watchAnswered(const absl::StatusOr<RecordChanges> &answer)
 {
+    ++watchNumber_;
     if (absl::IsOutOfRange(answer.status())) {
         isListed_ = false;
         listFrom({});
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -43,6 +43,13 @@
 
     /** How long one watch waits at the store; each watch is a priced call. */
     static constexpr std::chrono::milliseconds watchTime{25'000};
+    /** How long the first watch after a failure waits. A store that is not well may take a call and
+        never answer it; a long watch is only sent to one that has just answered. */
+    static constexpr std::chrono::milliseconds trialWatchTime{500};
+    /** How long the store may take to answer the probe that goes with each watch. A store that
+       takes calls without answering them would otherwise leave the node deaf for the whole watch.
+     */
+    static constexpr std::chrono::milliseconds probeTime{1000};
     /** How long an answer may take beyond that; the store answers in milliseconds, or in a quarter
         of a second when it is slow. */
     static constexpr std::chrono::milliseconds answerTime{1500};
@@ -83,6 +90,7 @@
     void listAnswered(const absl::StatusOr<RecordPage> &answer);
     void watch();
     void goOn();
+    void probeAnswered(const absl::StatusOr<core::identity::Revision> &answer);
     void watchAnswered(const absl::StatusOr<RecordChanges> &answer);
     void answered();
     void failed(const absl::Status &error);
@@ -105,6 +113,8 @@
     bool isListed_ = false;
     core::identity::Revision revision_;
     int failures_ = 0;
+    // Counts the beginnings and ends of watches; what belongs to an earlier number is ignored.
+    std::uint64_t watchNumber_ = 0;
     bool isWanted_ = true;
     // Whether no call and no timer is pending because none is wanted.
     bool isResting_ = false;
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -151,7 +151,7 @@
     control::membership::MemberRecord record;
     record.id = settings.node;
     record.dataCentre = settings.dataCentre;
-    record.peerAddress = settings.peers;
+    record.peerAddress = settings.peersReachableAt;
     record.operatorAddress = settings.operators;
     record.version.generation = static_cast<std::uint64_t>(
             core::timing::currentWallTime().time_since_epoch().count());
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -27,7 +27,7 @@
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
                },
                std::make_unique<platform::PlatformMoveWriter>(), parts.settings.node,
-               parts.settings.peers})
+               parts.settings.peersReachableAt})
     , heartbeats_(parts.announcements)
     , readiness_([this, isServing = parts.isServing]() { return !isStopping_ && isServing(); })
     , heartbeatListener_(parts.settings.announcements, heartbeats_)
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -23,6 +23,8 @@
     core::identity::DataCentreId dataCentre;
     core::identity::NetworkAddress callers;
     core::identity::NetworkAddress peers;
+    /** Where peers reach that address, if a proxy stands before it. */
+    core::identity::NetworkAddress peersReachableAt;
     core::identity::NetworkAddress operators;
     /** Allows operators to read a node's state; without one nobody may. */
     std::string operatorToken;
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -32,6 +32,7 @@
   "dataCentre": {"type": "string", "minLength": 1},
   "callers": {"$ref": "#/definitions/address"},
   "peers": {"$ref": "#/definitions/address"},
+  "peersReachableAt": {"$ref": "#/definitions/address"},
   "operators": {"$ref": "#/definitions/address"},
   "operatorToken": {"type": "string", "minLength": 8},
   "platform": {"$ref": "#/definitions/address"},
@@ -130,6 +131,10 @@
     settings.dataCentre = core::identity::DataCentreId(root["dataCentre"]);
     settings.callers = readAddress(root["callers"], "/callers", findings);
     settings.peers = readAddress(root["peers"], "/peers", findings);
+    settings.peersReachableAt = settings.peers;
+    if (root.contains("peersReachableAt"))
+        settings.peersReachableAt
+                = readAddress(root["peersReachableAt"], "/peersReachableAt", findings);
     settings.operators = readAddress(root["operators"], "/operators", findings);
     settings.operatorToken = root.value("operatorToken", "");
     settings.platform = readAddress(root["platform"], "/platform", findings);
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -67,6 +67,7 @@
         self.control, self.ready, self.application = take(), take(), take()
         self.process = None
         self.upstream = None
+        self.extra_settings = {}
 
     def write_settings(self, **changes):
         address = lambda port: f"127.0.0.1:{port}"
@@ -77,7 +78,7 @@
             "peers": address(self.peers), "operators": address(self.operators),
             "platform": address(self.fleet.store.port), "dataCentres": ZONES,
             "operatorToken": TOKEN, "announcementLifeMs": 1500, "repeats": {"windowSeconds": 10, "reserve": 50},
-            "seeds": [], **changes,
+            "seeds": [], **self.extra_settings, **changes,
         }
         path = self.fleet.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,57 @@
+"""Callers that keep their connections open until the node is gone."""
+
+import http.client
+import random
+import threading
+import time
+
+from platform_fleet import Reply
+from upstream import ATTEMPT
+
+BUDGET_MS = 1500
+
+
+class Caller:
+    """One caller of one node; it sends one request after the other."""
+
+    def __init__(self, soak, node, seed):
+        self.soak = soak
+        self.node = node
+        self._random = random.Random(seed)
+        self._connection = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def join(self):
+        self._thread.join()
+
+    def _run(self):
+        while not self.soak.is_over.is_set():
+            service = self._random.choice(("items", "orders"))
+            method = "GET" if service == "items" else "POST"
+            self.send(method, f"/{service}/{self._random.randrange(1000)}")
+            time.sleep(self._random.uniform(0.0, 0.03))
+
+    def send(self, method, target):
+        attempt = self.soak.fleet.next_attempt()
+        try:
+            if self._connection is None:
+                self._connection = http.client.HTTPConnection(
+                    "127.0.0.1", self.node.callers, timeout=4)
+            self._connection.request(method, target, b"x" if method == "POST" else None, {
+                "Host": "shop.example", ATTEMPT: attempt,
+                "X-Boragetrack-Time-Budget-Ms": str(BUDGET_MS)})
+            response = self._connection.getresponse()
+            reply = Reply(response.status, dict(response.getheaders()), response.read())
+        except (OSError, http.client.HTTPException):
+            # A killed, frozen or stopping node promises nothing.
+            self._close()
+            return
+        self.soak.promises.answered(attempt, method, target, reply)
+        if response.getheader("Connection") == "close":
+            self._close()
+
+    def _close(self):
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,267 @@
+"""A randomized soak: real nodes as processes, faults from outside, promises checked from outside.
+
+Usage: soak.py [--seconds N] [--nodes N] [--fresh N | SEED...]; without seeds the kept ones are
+played. A seed plays the same series of faults again; their timing against the traffic varies.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).resolve().parents[1] / "platform"),
+                str(Path(__file__).resolve().parent)]
+
+from callers import Caller  # noqa: E402
+from platform_fleet import PlatformFleet, configuration, rule  # noqa: E402
+from promises import Promises  # noqa: E402
+from proxy import MODES, Proxy  # noqa: E402
+
+# Seeds that failed once, each with its cause, and a few that cover all kinds of faults.
+KEPT_SEEDS = {
+    1: "one follower's watch was swallowed by a silent store; it waited for its peers' next exchange",
+    2: "all watches were swallowed by a silent store, and every node was deaf for 26 s",
+    3: "covers kills, drains and cuts",
+}
+ZONES = ("ikeja", "lekki")
+SERVICES = ("items", "orders")
+FIRST_PORT = 15000
+# A change is in force on every node that reaches the store within this time, and a fault is over
+# for a node after the time in which its connections are known to be sound.
+IN_FORCE_SECONDS = 2.0
+CALM_SECONDS = 4.0
+# Calls on a calm deployment may meet one upstream that still seems to be away.
+CALM_TRIES = 3
+
+
+class Soak:
+    """One deployment with proxies before the store and the nodes' links, and a series of faults."""
+
+    def __init__(self, seed, nodes, first_port):
+        self.random = random.Random(seed)
+        self.fleet = PlatformFleet(first_port)
+        self.promises = Promises()
+        self.is_over = threading.Event()
+        self.version = 0
+        self.incarnations = {}
+        self.upstreams = []
+        self.store_proxies = {}
+        self.link_proxies = {}
+        for number in range(nodes):
+            self._add_node(number)
+
+    def _add_node(self, number):
+        node = self.fleet.add_node(f"n{number}", ZONES[number % 2], SERVICES[number // 2 % 2])
+        take = self.fleet.ports.take
+        store = Proxy(self.fleet.world, take(), self.fleet.store.port)
+        links = Proxy(self.fleet.world, take(), node.peers)
+        self.store_proxies[node.name] = store
+        self.link_proxies[node.name] = links
+        node.extra_settings = {"platform": f"127.0.0.1:{store.port}",
+                               "peersReachableAt": f"127.0.0.1:{links.port}"}
+        self.incarnations[node.name] = 0
+
+    def play(self, seconds):
+        """Plays faults for a while, lets the deployment calm down, and returns what broke."""
+        try:
+            self._change()
+            self.fleet.start()
+            self.upstreams = [node.upstream for node in self.fleet.nodes]
+            for path in ("/items/1", "/orders/1"):
+                self.fleet.wait_until_served(path)
+            callers = [Caller(self, node, self.random.random()) for node in self.fleet.nodes]
+            prober = threading.Thread(target=self._probe_versions)
+            prober.start()
+            self._inject(time.monotonic() + seconds)
+            self._heal()
+            self._check_calm()
+            self.is_over.set()
+            for caller in callers:
+                caller.join()
+            prober.join()
+            self.promises.check_end(self.upstreams)
+        except AssertionError as error:
+            self.promises.fail(str(error))
+        finally:
+            self.is_over.set()
+            for proxy in (*self.store_proxies.values(), *self.link_proxies.values()):
+                proxy.stop()
+            self.fleet.stop()
+        return self.promises.broken
+
+    # ------------------------------------------------------------------ the operator
+
+    def _change(self):
+        """Writes the next configuration; only its own marker route names its number."""
+        self.version += 1
+        rules = [rule("items", "/items/", service="items"),
+                 rule("orders", "/orders/", kind="unsafe", service="orders"),
+                 rule(f"m{self.version}", f"/marker-{self.version}/", service="items")]
+        self.fleet.store.put("op/config", configuration(self.version, rules, SERVICES))
+
+    def _probe_versions(self):
+        """Watches that no process goes back to an older configuration."""
+        while not self.is_over.is_set():
+            for node in self.fleet.nodes:
+                incarnation = self.incarnations[node.name]
+                known = self.promises.newest_version(node.name, incarnation)
+                newest = self.version
+                for number in {newest, known} - {0}:
+                    self._probe(node, incarnation, number, known)
+            time.sleep(0.05)
+
+    def _probe(self, node, incarnation, number, known):
+        try:
+            status = node.call(path=f"/marker-{number}/", budget=500).status
+        except OSError:
+            return
+        if status == 200:
+            if number < known:
+                self.promises.fail(f"{node.name} went back from {known} to {number}")
+            self.promises.saw_version(node.name, incarnation, number)
+
+    # ------------------------------------------------------------------ faults
+
+    def _inject(self, end):
+        faults = (self._kill, self._stop_gracefully, self._freeze, self._cut_from_store,
+                  self._harm_links, self._store_outage, self._forget, self._end_leases,
+                  self._change_often, self._drain)
+        while time.monotonic() < end:
+            fault = self.random.choice(faults)
+            print(f"  {fault.__name__.strip('_')}", flush=True)
+            fault(self.random.choice(self.fleet.nodes))
+            # Faults overlap: some last longer than the pause.
+            time.sleep(self.random.uniform(0.05, 0.8))
+
+    def _later(self, seconds, action, *arguments):
+        timer = threading.Timer(seconds, action, arguments)
+        timer.daemon = True
+        timer.start()
+
+    def _restart(self, node):
+        if not self.is_over.is_set() and not node.process.is_running():
+            self.incarnations[node.name] += 1
+            node.start()
+
+    def _kill(self, node):
+        for victim in self.random.sample(self.fleet.nodes, self.random.choice((1, 1, 2, 5))):
+            if victim.process.is_running():
+                victim.process.kill()
+            self._later(self.random.uniform(0.1, 1.0), self._restart, victim)
+
+    def _stop_gracefully(self, node):
+        node.process.terminate()
+
+        def wait_and_restart():
+            node.process.wait(8.0)
+            self._restart(node)
+
+        threading.Thread(target=wait_and_restart, daemon=True).start()
+
+    def _freeze(self, node):
+        node.process.signal(signal.SIGSTOP)
+        self._later(self.random.uniform(0.2, 3.0), node.process.signal, signal.SIGCONT)
+
+    def _harm(self, proxy):
+        if self.random.random() < 0.3:
+            proxy.reset_all()
+            return
+        proxy.set_mode(self.random.choice(MODES))
+        self._later(self.random.uniform(0.3, 3.0), proxy.set_mode, "open")
+
+    def _cut_from_store(self, node):
+        self._harm(self.store_proxies[node.name])
+
+    def _harm_links(self, node):
+        self._harm(self.link_proxies[node.name])
+
+    def _store_outage(self, node):
+        self.fleet.store.fault = self.random.choice(("out", "silent", "lost"))
+        self._later(self.random.uniform(0.3, 2.5), setattr, self.fleet.store, "fault", None)
+
+    def _forget(self, node):
+        self.fleet.store.forget_history()
+
+    def _end_leases(self, node):
+        self.fleet.store.end_leases()
+
+    def _change_often(self, node):
+        for _ in range(self.random.choice((1, 1, 4))):
+            self._change()
+            time.sleep(self.random.uniform(0.0, 0.1))
+
+    def _drain(self, node):
+        """One upstream leaves, and another starts in its place."""
+        old = node.upstream
+        if not node.process.is_running() or old.drain() != 200:
+            return
+        self.promises.drained(old, time.monotonic())
+
+        def replace():
+            old.stop()
+            if not self.is_over.is_set():
+                node.add_upstream(instance=f"{old.instance}+")
+                self.upstreams.append(node.upstream)
+
+        self._later(3.0, replace)
+
+    # ------------------------------------------------------------------ calm again
+
+    def _heal(self):
+        self.fleet.store.fault = None
+        # Timers of faults that are still under way end meanwhile.
+        time.sleep(CALM_SECONDS)
+        for proxy in (*self.store_proxies.values(), *self.link_proxies.values()):
+            proxy.set_mode("open")
+        for node in self.fleet.nodes:
+            node.process.signal(signal.SIGCONT)
+            self._restart(node)
+        time.sleep(CALM_SECONDS)
+
+    def _check_calm(self):
+        """A change is in force everywhere in time, and calls are served."""
+        self._change()
+        changed_at = time.monotonic()
+        marker = f"/marker-{self.version}/"
+        for node in self.fleet.nodes:
+            left = changed_at + IN_FORCE_SECONDS - time.monotonic()
+            self.fleet.wait(lambda n=node: n.call(path=marker).status == 200,
+                            f"{node.name} has version {self.version} in force", max(left, 0.2))
+        for node in self.fleet.nodes:
+            for path in ("/items/7", "/orders/7"):
+                statuses = [node.call(path=path).status for _ in range(CALM_TRIES)]
+                if 200 not in statuses:
+                    self.promises.fail(f"{node.name} answers {path} with {statuses} when calm")
+
+
+def main():
+    """Plays seeds and prints what broke."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seeds", nargs="*", type=int)
+    parser.add_argument("--seconds", type=float, default=12.0, help="length of the faults")
+    parser.add_argument("--nodes", type=int, default=12)
+    parser.add_argument("--fresh", type=int, default=0, help="play so many new seeds")
+    options = parser.parse_args()
+    seeds = options.seeds or list(KEPT_SEEDS)
+    if options.fresh:
+        seeds = [random.randrange(10**6) for _ in range(options.fresh)]
+    failed = []
+    for turn, seed in enumerate(seeds):
+        print(f"seed {seed}", flush=True)
+        soak = Soak(seed, options.nodes, FIRST_PORT + turn % 8 * 400)
+        broken = soak.play(options.seconds)
+        print(f"  statuses {dict(soak.promises.statuses)}")
+        for line in broken:
+            print(f"  BROKEN {line}")
+        if broken:
+            print(f"  logs in {soak.fleet.folder}")
+            failed.append(seed)
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed" + (f": {failed}" if failed else ""))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/unit/FollowerRoleTest.cpp
+++ b/tests/unit/FollowerRoleTest.cpp
@@ -96,13 +96,17 @@
     }
 }
 
-TEST(FollowerRole, sendsNewsToThoseWhoAskedLately)
+TEST(FollowerRole, sendsNewsToThoseWhoAskedLatelyAndToTheOtherFollowers)
 {
     Node node(0, 17);
-    node.role().askedBy(NodeId("n1"), start);
-    node.role().askedBy(NodeId("n2"), start + FollowerRole::askPeriod * 5);
-    EXPECT_EQ(node.role().takeDependants(start + FollowerRole::askPeriod * 5),
-              (std::vector<NodeId>{NodeId("n1"), NodeId("n2")}));
-    EXPECT_EQ(node.role().takeDependants(start + FollowerRole::askPeriod * 6),
-              (std::vector<NodeId>{NodeId("n2")}));
+    const auto later = start + FollowerRole::askPeriod * 5;
+    node.role().covered(later);
+    const bool isFollower = node.role().mustFollow(later);
+    node.role().askedBy(NodeId("asker"), start);
+    const auto receivers = node.role().receiversOfNews(later);
+    EXPECT_EQ(receivers.size(), FollowerRole::leastFollowers + (isFollower ? 0 : 1));
+    EXPECT_EQ(receivers.back(), NodeId("asker"));
+    EXPECT_EQ(std::count(receivers.begin(), receivers.end(), NodeId("n0")), 0);
+    const auto afterwards = node.role().receiversOfNews(later + FollowerRole::askPeriod);
+    EXPECT_EQ(afterwards.size(), receivers.size() - 1) << "the asker has gone to others";
 }
--- a/tests/unit/IntentSpreaderTest.cpp
+++ b/tests/unit/IntentSpreaderTest.cpp
@@ -89,6 +89,16 @@
     EXPECT_EQ(transport_.fetches.size(), 3U) << "the asked peer may be gone";
 }
 
+// The store may have taken a follower's watch and never answer it.
+TEST_F(IntentSpreaderTest, fetchesWhatItsOwnWatchDoesNotBringWithoutHearingOfItAgain)
+{
+    spreader_.followStore(true);
+    spreader_.compareWith({}, Revision(5), now_);
+    EXPECT_TRUE(transport_.fetches.empty()) << "the store brings it in a moment";
+    spreader_.tick(now_ + IntentSpreader::toleratedLag);
+    EXPECT_EQ(transport_.fetches.size(), 1U);
+}
+
 TEST_F(IntentSpreaderTest, servesNothingBelowTheFloorThatPeersKnow)
 {
     spreader_.start(now_);
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -23,12 +23,18 @@
         lists.push_back({after, std::move(reply)});
     }
 
-    void watch(const std::string & /*prefix*/, Revision after, milliseconds /*wait*/,
+    void watch(const std::string & /*prefix*/, Revision after, milliseconds wait,
                milliseconds /*timeout*/, Reply<RecordChanges> reply) override
     {
+        waits.push_back(wait);
         watches.push_back({after, std::move(reply)});
     }
 
+    void probe(milliseconds /*timeout*/, Reply<Revision> reply) override
+    {
+        probes.push_back({Revision(0), std::move(reply)});
+    }
+
     void commit(const std::vector<RecordWrite> &writes, milliseconds /*timeout*/,
                 Reply<Revision> reply) override
     {
@@ -49,7 +55,9 @@
 
     std::deque<std::pair<std::string, Reply<RecordPage>>> lists;
     std::deque<std::pair<Revision, Reply<RecordChanges>>> watches;
+    std::deque<std::pair<Revision, Reply<Revision>>> probes;
     std::deque<std::pair<std::vector<RecordWrite>, Reply<Revision>>> commits;
+    std::vector<milliseconds> waits;
     std::uint64_t leases = 0;
 };
 
@@ -130,6 +138,37 @@
     EXPECT_EQ(store_.watches.front().first, Revision(8));
 }
 
+TEST_F(StoreFollowerTest, triesAStoreThatFailedWithAShortWatchFirst)
+{
+    answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::watchTime);
+    answer(store_.watches, absl::StatusOr<RecordChanges>(absl::UnknownError("no response")));
+    timers_.advance(StoreFollower::longestBackoff);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::trialWatchTime);
+    answer(store_.watches, absl::StatusOr<RecordChanges>(RecordChanges{{}, Revision(7)}));
+    EXPECT_EQ(store_.waits.back(), StoreFollower::watchTime);
+}
+
+// A silent store takes the watch and forgets it; the node would be deaf until the watch times out.
+TEST_F(StoreFollowerTest, givesUpAWatchThatTheStoreMayHaveForgotten)
+{
+    answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchPause);
+    const auto forgotten = store_.watches.front().second;
+    store_.watches.clear();
+    answer(store_.probes, absl::StatusOr<Revision>(absl::UnknownError("no response in time")));
+    timers_.advance(StoreFollower::longestBackoff);
+    ASSERT_EQ(store_.watches.size(), 1U);
+    forgotten(RecordChanges{{record("a", 8)}, Revision(8)});
+    EXPECT_EQ(changed_, 0U) << "the next watch brings it";
+    answer(store_.watches,
+           absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(8)}));
+    EXPECT_EQ(changed_, 1U);
+    answer(store_.probes, absl::StatusOr<Revision>(absl::UnknownError("late")));
+    EXPECT_EQ(lost_, 1) << "the probe of a watch that was answered says nothing";
+}
+
 TEST_F(StoreFollowerTest, listsAgainWhenTheHistoryIsGone)
 {
     answer(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
