Read large configurations fast; notice a data centre that is cut off from a few calls

Cause: a configuration of 2,400 routes took 16 ms of a whole core to read, 160 ms on the small VMs, and each change in a storm of them: calls waited up to 1 s at nodes that were busy reading. In a cut, each of some fifty silent endpoints had to be found silent by a call of its own, 250 ms each, four in a row, before the caller was refused.

Ruled out: patches of the configuration from the operators (there are none); fewer versions applied in a storm (each must be in force in time).

Change: RapidJSON, without recursion, for what others write; transfers between peers are written and read by it and carry entries of any bytes. DataCentreReach takes a data centre for cut off once two of its nodes were silent; it then gets one call each 300 ms, and what only it could serve is refused at once.

--- a/packages/control/distribution/RecordIntent.cpp
+++ b/packages/control/distribution/RecordIntent.cpp
@@ -1,17 +1,55 @@
 /** Implements RecordIntent. */
 #include "control/distribution/RecordIntent.h"
 
+#include "core/findings/JsonText.h"
 #include "core/hashing/StableHash.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 
 namespace boragetrack::control::distribution {
 
+using core::findings::JsonDocument;
+using core::findings::JsonValue;
+using core::findings::TextEncoding;
 using core::identity::Revision;
-using nlohmann::json;
 using records::OperatorRecord;
 
+namespace {
+
+// A removed entry has no text.
+void writeRecord(const OperatorRecord &record, rapidjson::Writer<rapidjson::StringBuffer> &writer)
+{
+    writer.StartObject();
+    writer.Key("key");
+    writer.String(record.key.data(), static_cast<rapidjson::SizeType>(record.key.size()));
+    writer.Key("revision");
+    writer.Uint64(record.revision.number());
+    if (!record.isRemoved) {
+        writer.Key("text");
+        writer.String(record.text.data(), static_cast<rapidjson::SizeType>(record.text.size()));
+    }
+    writer.EndObject();
+}
+
+std::optional<OperatorRecord> readRecord(const JsonValue &entry)
+{
+    const bool isRecord = entry.IsObject() && entry.HasMember("key") && entry["key"].IsString()
+                          && entry.HasMember("revision") && entry["revision"].IsUint64();
+    if (!isRecord)
+        return std::nullopt;
+    OperatorRecord record{
+            entry["key"].GetString(), Revision(entry["revision"].GetUint64()), {}, true};
+    if (entry.HasMember("text") && entry["text"].IsString()) {
+        record.text.assign(entry["text"].GetString(), entry["text"].GetStringLength());
+        record.isRemoved = false;
+    }
+    return record;
+}
+
+} // namespace
+
 OfferResult RecordIntent::takeListing(const std::vector<OperatorRecord> &listed, Revision revision)
 {
     const Revision before = this->revision();
@@ -32,18 +70,22 @@
 
 OfferResult RecordIntent::offer(const std::string &text)
 {
-    const json root = json::parse(text, nullptr, false);
-    if (!root.is_object() || !root.contains("records"))
+    const JsonDocument root = core::findings::readJson(text, TextEncoding::AsIs);
+    const bool isTransfer = root.IsObject() && root.HasMember("records")
+                            && root["records"].IsArray() && root.HasMember("through")
+                            && root["through"].IsUint64();
+    if (!isTransfer)
         return OfferResult::Refused;
     const Revision before = revision();
     std::vector<OperatorRecord> changes;
-    for (const json &entry : root["records"]) {
-        changes.push_back(OperatorRecord{entry.value("key", ""),
-                                         Revision(entry.value("revision", std::uint64_t{0})),
-                                         entry.value("text", ""), entry.value("removed", false)});
+    for (const JsonValue &entry : root["records"].GetArray()) {
+        auto record = readRecord(entry);
+        if (!record)
+            return OfferResult::Refused;
+        changes.push_back(std::move(*record));
     }
     const bool hasNews = merge(changes);
-    table_.completeThrough(Revision(root.value("through", std::uint64_t{0})));
+    table_.completeThrough(Revision(root["through"].GetUint64()));
     return readAgain(hasNews, before);
 }
 
@@ -81,17 +123,18 @@
 {
     if (!transfer_.payload.empty() && transfer_.target == revision() && transfer_.base == have)
         return transfer_;
-    json root{{"through", table_.revision().number()}, {"records", json::array()}};
-    for (const OperatorRecord &record : table_.changesSince(have)) {
-        json entry{{"key", record.key}, {"revision", record.revision.number()}};
-        if (record.isRemoved)
-            entry["removed"] = true;
-        else
-            entry["text"] = record.text;
-        root["records"].push_back(std::move(entry));
-    }
-    IntentTransfer transfer{revision(), have, 0,
-                            root.dump(-1, ' ', false, json::error_handler_t::replace)};
+    rapidjson::StringBuffer text;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+    writer.StartObject();
+    writer.Key("through");
+    writer.Uint64(table_.revision().number());
+    writer.Key("records");
+    writer.StartArray();
+    for (const OperatorRecord &record : table_.changesSince(have))
+        writeRecord(record, writer);
+    writer.EndArray();
+    writer.EndObject();
+    IntentTransfer transfer{revision(), have, 0, std::string(text.GetString(), text.GetSize())};
     transfer.textHash = core::hashing::stableHash(transfer.payload);
     transfer_ = transfer;
     return transfer;
--- a/packages/control/intent/IntentReferences.cpp
+++ b/packages/control/intent/IntentReferences.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_set>
 
 namespace boragetrack::control::intent {
 
@@ -20,7 +21,8 @@
 void checkUnique(const std::vector<Element> &elements, const char *list, const char *field,
                  KeyOf keyOf, FindingList &findings)
 {
-    std::set<std::string> seen;
+    std::unordered_set<std::string> seen;
+    seen.reserve(elements.size());
     for (std::size_t i = 0; i < elements.size(); ++i) {
         const std::string key = keyOf(elements[i]);
         if (!seen.insert(key).second)
--- a/packages/traffic/calls/CallAnswer.h
+++ b/packages/traffic/calls/CallAnswer.h
@@ -39,6 +39,10 @@
     /** Returns whether the upstream ran the call and failed. */
     bool isFailure() const { return outcome == CallOutcome::Answered && status >= 500; }
 
+    /** Returns whether the node beside the upstream answered; a node that can not be reached says
+        nothing of its load. */
+    bool hasReachedNode() const { return outcome == CallOutcome::Answered || load.limit > 0; }
+
     /** Returns an answer that says that the call did not run. */
     static CallAnswer notRun(std::string reason)
     {
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -49,6 +49,7 @@
 PlanStep CallPlan::attemptEnded(const CallAnswer &answer, MonotonicTime now)
 {
     shared_.loads.end(current_.node, request_.route, answer, begunAt_, now);
+    noteReach(answer, now);
     if (answer.outcome == CallOutcome::Answered)
         shared_.loads.noteSize(request_.route, calls::sizeOf(request_) + calls::sizeOf(answer));
     if (answer.outcome == CallOutcome::Claimed)
@@ -85,6 +86,14 @@
     return nextAttempt(now);
 }
 
+void CallPlan::noteReach(const CallAnswer &answer, MonotonicTime now)
+{
+    if (answer.hasReachedNode())
+        shared_.loads.reach().answered(current_.dataCentre);
+    else if (current_.dataCentre != snapshot_->dataCentre)
+        shared_.loads.reach().failed(current_.dataCentre, current_.node, now - begunAt_, now);
+}
+
 // A call that no upstream saw is placed again without using up an attempt.
 bool CallPlan::isTurnedAway(const CallAnswer &answer) const
 {
@@ -139,6 +148,7 @@
     step.request.objective
             = std::chrono::duration_cast<std::chrono::microseconds>(objective_ - now);
     shared_.loads.begin(endpoint.node, now);
+    shared_.loads.reach().begin(endpoint.dataCentre, now);
     return step;
 }
 
@@ -170,15 +180,18 @@
 std::vector<Candidate> CallPlan::candidates(MonotonicTime now) const
 {
     const auto &endpoints = snapshot_->endpointsOf(request_.service);
+    const auto &reach = shared_.loads.reach();
     const auto collect = [&](auto isWanted, bool mayBeTried) {
         std::vector<Candidate> found;
         for (const Endpoint &endpoint : endpoints) {
             const bool isEligible
                     = isWanted(endpoint.version) && (mayBeTried || !tried_.contains(endpoint.node));
-            if (isEligible)
-                found.push_back(Candidate{&endpoint,
-                                          shared_.loads.load(endpoint.node, request_.route, now),
-                                          endpoint.dataCentre == snapshot_->dataCentre});
+            if (!isEligible)
+                continue;
+            found.push_back(Candidate{&endpoint,
+                                      shared_.loads.load(endpoint.node, request_.route, now),
+                                      endpoint.dataCentre == snapshot_->dataCentre});
+            found.back().load.isCutOff = reach.isSilent(endpoint.dataCentre, now);
         }
         return found;
     };
--- a/packages/traffic/retry/CallPlan.h
+++ b/packages/traffic/retry/CallPlan.h
@@ -44,6 +44,7 @@
     void abandoned() { shared_.loads.abandoned(current_.node, begunAt_); }
 
 private:
+    void noteReach(const calls::CallAnswer &answer, core::timing::MonotonicTime now);
     bool isTurnedAway(const calls::CallAnswer &answer) const;
     PlanStep nextAttempt(core::timing::MonotonicTime now);
     PlanStep attemptAtHolder(const core::identity::NodeId &holder, core::timing::MonotonicTime now);
--- /dev/null
+++ b/packages/traffic/routing/DataCentreReach.h
@@ -0,0 +1,75 @@
+/** Which data centres a node reaches. */
+#pragma once
+
+#include "core/identity/DataCentreId.h"
+#include "core/identity/NodeId.h"
+#include "core/timing/MonotonicTime.h"
+
+#include <chrono>
+#include <set>
+#include <unordered_map>
+
+namespace boragetrack::traffic::routing {
+
+/**
+    Notices from a few calls that another data centre is cut off.
+
+    Meant for cuts, when each of many endpoints there would otherwise have to be found silent by a
+    call of its own, which waits for its connection to time out. Once two nodes of a data centre
+   were silent and none answered, it gets one call for each trial period until one is answered.
+*/
+class DataCentreReach
+{
+public:
+    /** Silent nodes in a row that tell a cut from a single lost VM. */
+    static constexpr std::size_t nodesThatTell = 2;
+    /** A connection that is refused fails at once; one that fails after this time met silence. It
+       is just below the time in which links connect. */
+    static constexpr std::chrono::milliseconds silentAfter{200};
+    /** The time between two calls that try a silent data centre: the delay after a cut has healed.
+     */
+    static constexpr std::chrono::milliseconds trialPeriod{300};
+
+    /** Notes that a call to a node of a data centre begins. */
+    void begin(const core::identity::DataCentreId &dataCentre, core::timing::MonotonicTime now)
+    {
+        const auto found = cases_.find(dataCentre);
+        if (found != cases_.end())
+            found->second.nextTrialAt = now + trialPeriod;
+    }
+
+    /** Notes that a node answered. */
+    void answered(const core::identity::DataCentreId &dataCentre) { cases_.erase(dataCentre); }
+
+    /** Notes that a node could not be reached. @param waited how long that took to show */
+    void failed(const core::identity::DataCentreId &dataCentre, const core::identity::NodeId &node,
+                std::chrono::nanoseconds waited, core::timing::MonotonicTime now)
+    {
+        if (waited < silentAfter)
+            return;
+        Case &held = cases_[dataCentre];
+        held.silentNodes.insert(node);
+        held.nextTrialAt = now + trialPeriod;
+    }
+
+    /** Returns whether a call should go elsewhere if it can. */
+    bool isSilent(const core::identity::DataCentreId &dataCentre,
+                  core::timing::MonotonicTime now) const
+    {
+        const auto found = cases_.find(dataCentre);
+        return found != cases_.end() && found->second.silentNodes.size() >= nodesThatTell
+               && now < found->second.nextTrialAt;
+    }
+
+private:
+    struct Case
+    {
+        // Invariant: not empty; none of its data centre has answered since the first.
+        std::set<core::identity::NodeId> silentNodes;
+        core::timing::MonotonicTime nextTrialAt;
+    };
+
+    std::unordered_map<core::identity::DataCentreId, Case> cases_;
+};
+
+} // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/EndpointLoad.h
+++ b/packages/traffic/routing/EndpointLoad.h
@@ -27,6 +27,8 @@
     bool isResting = false;
     /** Whether calls have waited there for an answer far longer than usual and none came. */
     bool isSilent = false;
+    /** Whether its whole data centre can not be reached at present. */
+    bool isCutOff = false;
 };
 
 } // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/LoadBoard.cpp
+++ b/packages/traffic/routing/LoadBoard.cpp
@@ -21,12 +21,6 @@
 // link rather than a slow upstream.
 constexpr std::chrono::milliseconds silence{600};
 
-// A node that can not be reached says nothing of its load.
-bool isUnreachable(const calls::CallAnswer &answer)
-{
-    return answer.outcome != calls::CallOutcome::Answered && answer.load.limit == 0;
-}
-
 bool isUpstreamFailure(const calls::CallAnswer &answer)
 {
     const bool isShed = answer.outcome == calls::CallOutcome::NotRun && answer.reachedUpstream;
@@ -68,7 +62,7 @@
 {
     Entry &entry = entries_[node];
     endCall(entry, begunAt);
-    if (isUnreachable(answer)) {
+    if (!answer.hasReachedNode()) {
         const int doublings = std::min(entry.failuresInRow, longestDoubling);
         entry.restsUntil = now + std::min(longestRest, firstRest * (1 << doublings));
         ++entry.failuresInRow;
--- a/packages/traffic/routing/LoadBoard.h
+++ b/packages/traffic/routing/LoadBoard.h
@@ -5,6 +5,7 @@
 #include "core/timing/MonotonicTime.h"
 #include "traffic/admission/WorkTable.h"
 #include "traffic/calls/CallAnswer.h"
+#include "traffic/routing/DataCentreReach.h"
 #include "traffic/routing/EndpointLoad.h"
 
 #include <deque>
@@ -32,6 +33,9 @@
              const calls::CallAnswer &answer, core::timing::MonotonicTime begunAt,
              core::timing::MonotonicTime now);
 
+    /** Returns which data centres this node reaches. */
+    DataCentreReach &reach() { return reach_; }
+
     /** Notes the size of a call, its request and its answer together. */
     void noteSize(const core::identity::RouteName &route, std::size_t bytes);
 
@@ -59,6 +63,7 @@
     static bool isSilent(const Entry &entry, core::timing::MonotonicTime now);
 
     std::unordered_map<core::identity::NodeId, Entry> entries_;
+    DataCentreReach reach_;
     // Smoothed bytes of the calls of each route.
     std::unordered_map<core::identity::RouteName, double> sizes_;
 };
--- a/packages/traffic/routing/OnTimeRouting.cpp
+++ b/packages/traffic/routing/OnTimeRouting.cpp
@@ -117,7 +117,7 @@
     std::uniform_real_distribution<> chance(0.0, 1.0);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
-        if (mustBeUsable && !isUsable(candidate))
+        if (candidate.load.isCutOff || (mustBeUsable && !isUsable(candidate)))
             continue;
         // A data centre that is coming back takes part in as many choices as its share says.
         if (candidate.endpoint->weight < 1.0 && chance(random) >= candidate.endpoint->weight)
@@ -153,7 +153,8 @@
                                     std::mt19937_64 &random)
 {
     std::vector<Option> options = optionsAmong(candidates, needs, true, crossingCost_, random);
-    // What can not be reached for sure is still better than nothing.
+    // What can not be reached for sure is still better than nothing. A data centre that is cut off
+    // is no hope: a call to it would only wait, and be told at the end what is known now.
     if (options.empty())
         options = optionsAmong(candidates, needs, false, crossingCost_, random);
     if (options.empty())
--- a/tests/unit/PlatformIntentTest.cpp
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -131,6 +131,26 @@
     EXPECT_EQ(peer.revision(), Revision(20));
 }
 
+// An entry that another writer garbled must not keep the others from a peer.
+TEST_F(PlatformIntentTest, givesPeersTheOtherEntriesBesideOneOfAnyBytes)
+{
+    const std::string bytes = std::string("\xff\x00\x80\"\\\n", 6);
+    take(10, {record("op/config", 10, configuration), record("op/rollout/payments", 9, bytes)});
+    RecordIntent peer(std::make_unique<platform::PlatformIntentReader>(
+            std::vector{DataCentreId("ikeja"), DataCentreId("lekki")}));
+    EXPECT_EQ(peer.offer(*peer.unpack(intent_.transferSince(Revision(0)))),
+              OfferResult::HeldInPart);
+    EXPECT_EQ(peer.document().routes.size(), 2U);
+    EXPECT_EQ(peer.table().find("op/rollout/payments")->text, bytes);
+}
+
+TEST_F(PlatformIntentTest, refusesATransferThatIsNone)
+{
+    for (const char *text : {"", "[]", "{}", R"({"through":-1,"records":[]})",
+                             R"({"through":5,"records":[7]})", R"({"through":5,"records":[{}]})"})
+        EXPECT_EQ(intent_.offer(text), OfferResult::Refused) << text;
+}
+
 TEST_F(PlatformIntentTest, joinsAnOrderToItsRecordedState)
 {
     take(10, {record("op/config", 10, configuration)});
--- a/tests/unit/RoutingTest.cpp
+++ b/tests/unit/RoutingTest.cpp
@@ -98,6 +98,18 @@
     EXPECT_TRUE(choose(milliseconds(300), milliseconds(500)).index);
 }
 
+// All that is left lies in a data centre that is cut off: a call there would wait for nothing.
+TEST_F(RoutingTest, turnsAwayAtOnceWhatOnlyACutOffDataCentreCouldServe)
+{
+    add(false, milliseconds(0), milliseconds(50));
+    add(false, milliseconds(0), milliseconds(50));
+    for (auto &candidate : candidates_)
+        candidate.load.isCutOff = true;
+    EXPECT_FALSE(choose(milliseconds(300), milliseconds(500)).index);
+    candidates_[1].load.isCutOff = false;
+    EXPECT_EQ(choose(milliseconds(300), milliseconds(500)).index, 1U) << "the call that tries it";
+}
+
 TEST_F(RoutingTest, avoidsAnEndpointWhoseCallsFailEvenIfItIsLocal)
 {
     add(true, milliseconds(0), milliseconds(10));
