--- /dev/null
+++ b/bench/load_plans.py
@@ -0,0 +1,51 @@
+"""Plays load plans in emulated time with the present policies, former ones and the baseline."""
+
+import json
+import subprocess
+from pathlib import Path
+
+from fleet import BUILD
+
+PLANS = Path(__file__).parent / "load" / "plans"
+# What a plot shows of each second, and how.
+SERIES = {"asked": "black", "inTime": "forest-green", "late": "orange", "refused": "blue",
+          "failed": "red"}
+
+
+def add_options(parser):
+    """Adds the measurement's options."""
+    parser.add_argument("--plans", nargs="*", default=[path.stem for path in PLANS.glob("*.json")])
+    parser.add_argument("--seed", type=int, default=11)
+    parser.add_argument("--days", type=int, default=1)
+    parser.add_argument("--plot", help="a PNG file; draws the first plan, a row for each policy")
+
+
+def run(options):
+    """Plays the plans; returns each policy's account by plan."""
+    files = [str(PLANS / f"{name}.json") for name in sorted(options.plans)]
+    output = subprocess.run(
+        [str(BUILD / "bench-load"), "--seed", str(options.seed), "--days", str(options.days),
+         *files],
+        check=True, capture_output=True, text=True,
+    ).stdout
+    results = json.loads(output)
+    if options.plot:
+        draw(results[0], options.plot)
+    return {"plans": results}
+
+
+def draw(result, path):
+    """Draws offered, served in time, late, refused and failed requests of each second."""
+    policies = result["policies"]
+    script = [f"set terminal png size 900,{300 * len(policies)}", f"set output '{path}'",
+              f"set multiplot layout {len(policies)},1 title '{result['plan']}'",
+              "set xlabel 'second'", "set ylabel 'requests'", "set key outside"]
+    for name, days in policies.items():
+        script.append(f"set title '{name}'")
+        script.append("plot " + ", ".join(
+            f"'-' using 1:2 with lines lc rgb '{color}' title '{series}'"
+            for series, color in SERIES.items()))
+        for series in SERIES:
+            script += [f"{second['second']} {second[series]}" for second in days[0]["seconds"]]
+            script.append("e")
+    subprocess.run(["gnuplot"], input="\n".join(script), text=True, check=True)
--- a/bench/main.py
+++ b/bench/main.py
@@ -5,15 +5,17 @@
 import json
 import sys
 
-NAMES = ("overhead", "convergence", "departure", "overload", "moves")
+# Names on the command line and the modules behind them.
+MODULES = {"overhead": "overhead", "convergence": "convergence", "departure": "departure",
+           "overload": "overload", "moves": "moves", "load": "load_plans"}
 
 
 def main():
     """Parses the arguments and runs the measurement."""
-    if len(sys.argv) < 2 or sys.argv[1] not in NAMES:
-        print(f"usage: scripts/bench NAME [OPTIONS], NAME one of {', '.join(NAMES)}")
+    if len(sys.argv) < 2 or sys.argv[1] not in MODULES:
+        print(f"usage: scripts/bench NAME [OPTIONS], NAME one of {', '.join(MODULES)}")
         return 2
-    module = importlib.import_module(sys.argv[1])
+    module = importlib.import_module(MODULES[sys.argv[1]])
     parser = argparse.ArgumentParser(prog=f"scripts/bench {sys.argv[1]}")
     module.add_options(parser)
     print(json.dumps(module.run(parser.parse_args(sys.argv[2:]))))
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -26,11 +26,7 @@
 // be cut off from the store.
 constexpr std::chrono::milliseconds recorderPatience{500};
 
-// Every so many exchanges go to a seed, so that the two sides of a healed cut find each other.
-constexpr std::uint64_t seedExchangeInterval = 10;
 constexpr std::chrono::milliseconds memberFetchInterval{3000};
-// Nodes that look for gone members at each tick: enough to find a restarted one within seconds.
-constexpr std::size_t searchersPerTick = 3;
 
 // The budget of urgent exchanges; periodic ones spend some 800 bytes a second besides.
 constexpr double urgentBytesPerSecond = 1000;
@@ -65,26 +61,25 @@
     : transport_(transport)
     , timers_(timers)
     , listener_(listener)
-    , seeds_(std::move(parts.seeds))
     , wallClock_(std::move(parts.wallClock))
     , random_(parts.randomSeed)
     , membership_(parts.self, std::move(parts.neighbours), *this)
+    , peers_(membership_, std::move(parts.seeds), random_)
     , role_(membership_)
     , spreader_(
-              transport, *this, [this] { return neighbourContacts(); }, std::move(parts.holder))
+              transport, *this, [this] { return peers_.neighbourContacts(); },
+              std::move(parts.holder))
     , moves_(parts.self.id, parts.self.version.generation, std::move(parts.movePolicies), *this)
     , snapshot_(std::make_shared<intent::IntentSnapshot>())
     , pacer_(urgentBytesPerSecond, urgentBurstBytes)
-{
-    std::erase(seeds_, parts.self.peerAddress);
-}
+{}
 
 ControlPlane::~ControlPlane() = default;
 
 void ControlPlane::start()
 {
     spreader_.start(timers_.now());
-    for (const auto &seed : seeds_)
+    for (const auto &seed : peers_.seeds())
         sendExchangeTo(PeerContact{{}, seed}, newsPerExchange);
     timerParts_.push_back(
             std::make_unique<Timer>(*this, &ControlPlane::exchangeTick, exchangePeriod));
@@ -113,7 +108,7 @@
     if (result != OfferResult::Held && result != OfferResult::HeldInPart)
         return;
     for (const NodeId &node : role_.receiversOfNews(timers_.now())) {
-        if (const auto contact = contactOf(node))
+        if (const auto contact = peers_.contactOf(node))
             sendExchangeTo(*contact, 0);
     }
 }
@@ -128,12 +123,7 @@
 void ControlPlane::peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses)
 {
     for (const auto &address : addresses) {
-        const bool isOwn = address == membership_.self().peerAddress;
-        const bool isSeed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
-        if (isOwn || isSeed)
-            continue;
-        seeds_.push_back(address);
-        if (idAt(address).isEmpty())
+        if (peers_.addSeed(address))
             sendExchangeTo(PeerContact{{}, address}, newsPerExchange);
     }
 }
@@ -153,7 +143,7 @@
     // A sender that is taken for unreachable learns of it here and refutes it.
     const bool isDisbelieved = sender != nullptr && sender->state != MemberState::Alive;
     const MemberRecord belief = isDisbelieved ? *sender : MemberRecord{};
-    const auto contact = contactOf(request.sender);
+    const auto contact = peers_.contactOf(request.sender);
     if (request.asksForNews)
         role_.askedBy(request.sender, timers_.now());
     learnFrom(contact.value_or(PeerContact{request.sender, {}}), request);
@@ -176,7 +166,7 @@
 
 void ControlPlane::exchangeFailed(const PeerContact &peer)
 {
-    const NodeId id = peer.id.isEmpty() ? idAt(peer.address) : peer.id;
+    const NodeId id = peer.id.isEmpty() ? peers_.idAt(peer.address) : peer.id;
     if (!id.isEmpty())
         membership_.memberFailed(id, timers_.now());
 }
@@ -185,7 +175,7 @@
 {
     PeerContact source = peer;
     if (source.address.port == 0)
-        source = contactOf(peer.id).value_or(peer);
+        source = peers_.contactOf(peer.id).value_or(peer);
     spreader_.offerFromPeer(source, transfer, timers_.now());
     return spreader_.holder().revision();
 }
@@ -313,12 +303,12 @@
 void ControlPlane::exchangeTick(MonotonicTime now)
 {
     membership_.tick(now);
-    if (const auto peer = nextExchangePeer())
+    if (const auto peer = peers_.nextExchangePeer())
         sendExchangeTo(*peer, newsPerExchange);
-    if (const auto gone = nextGonePeer())
+    if (const auto gone = peers_.nextGonePeer())
         sendExchangeTo(*gone, newsPerExchange);
     for (const NodeId &target : membership_.takeConfirmationTargets()) {
-        if (const auto contact = contactOf(target))
+        if (const auto contact = peers_.contactOf(target))
             sendExchangeTo(*contact, 0);
     }
 }
@@ -328,7 +318,7 @@
     if (!hasDurableStore_)
         return;
     const auto follower = role_.nextToAsk();
-    const auto contact = follower ? contactOf(*follower) : std::nullopt;
+    const auto contact = follower ? peers_.contactOf(*follower) : std::nullopt;
     if (!contact)
         return;
     Exchange exchange = makeExchange(*follower, 0);
@@ -372,13 +362,13 @@
         exchange.evidence = entries;
         if (pacer_.take(exchangeBytes + newsBytes * static_cast<double>(entries.size()),
                         timers_.now()))
-            transport_.sendExchange(*contactOf(id), exchange);
+            transport_.sendExchange(*peers_.contactOf(id), exchange);
     }
 }
 
 void ControlPlane::sendNewsToNeighbours()
 {
-    const auto contacts = neighbourContacts();
+    const auto contacts = peers_.neighbourContacts();
     const double cost = static_cast<double>(contacts.size())
                         * (exchangeBytes + newsBytes * newsPerUrgentExchange / 4);
     // Without budget the news goes by the periodic exchanges.
@@ -441,60 +431,4 @@
     return exchange;
 }
 
-std::optional<PeerContact> ControlPlane::contactOf(const NodeId &id) const
-{
-    const MemberRecord *record = membership_.table().find(id);
-    if (record == nullptr)
-        return std::nullopt;
-    return PeerContact{id, record->peerAddress};
-}
-
-NodeId ControlPlane::idAt(const core::identity::NetworkAddress &address) const
-{
-    for (const auto &[id, record] : membership_.table().records()) {
-        if (record.peerAddress == address)
-            return id;
-    }
-    return NodeId{};
-}
-
-std::vector<PeerContact> ControlPlane::neighbourContacts() const
-{
-    std::vector<PeerContact> contacts;
-    for (const NodeId &id : membership_.neighbours()) {
-        if (const auto contact = contactOf(id))
-            contacts.push_back(*contact);
-    }
-    return contacts;
-}
-
-// A restarted node may know nobody while the store is away, so those who remember its address look
-// for it. Each gone member is looked for by all others in turn.
-std::optional<PeerContact> ControlPlane::nextGonePeer()
-{
-    std::vector<const MemberRecord *> gone;
-    for (const auto &[id, record] : membership_.table().records()) {
-        if (record.state == MemberState::Dead || record.state == MemberState::Left)
-            gone.push_back(&record);
-    }
-    const std::size_t searchers = membership_.table().records().size() - gone.size();
-    if (gone.empty() || random_() % std::max<std::size_t>(1, searchers / searchersPerTick) != 0)
-        return std::nullopt;
-    const MemberRecord &record = *gone[random_() % gone.size()];
-    return PeerContact{record.id, record.peerAddress};
-}
-
-std::optional<PeerContact> ControlPlane::nextExchangePeer()
-{
-    ++exchangeCount_;
-    const auto &neighbours = membership_.neighbours();
-    const bool isSeedTurn = neighbours.empty() || exchangeCount_ % seedExchangeInterval == 0;
-    if (isSeedTurn && !seeds_.empty())
-        return PeerContact{{}, seeds_[random_() % seeds_.size()]};
-    if (neighbours.empty())
-        return std::nullopt;
-    nextNeighbour_ = (nextNeighbour_ + 1) % neighbours.size();
-    return contactOf(neighbours[nextNeighbour_]);
-}
-
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "control/distribution/BytePacer.h"
 #include "control/distribution/FollowerRole.h"
 #include "control/distribution/IntentSpreader.h"
+#include "control/distribution/PeerSelector.h"
 #include "control/distribution/PeerTransport.h"
 #include "control/intent/IntentSnapshot.h"
 #include "control/membership/MembershipEngine.h"
@@ -194,19 +195,14 @@
     void learnFrom(const PeerContact &peer, const Exchange &exchange);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumNews);
-    std::optional<PeerContact> contactOf(const core::identity::NodeId &id) const;
-    core::identity::NodeId idAt(const core::identity::NetworkAddress &address) const;
-    std::vector<PeerContact> neighbourContacts() const;
-    std::optional<PeerContact> nextExchangePeer();
-    std::optional<PeerContact> nextGonePeer();
 
     PeerTransport &transport_;
     core::timing::TimerService &timers_;
     Listener &listener_;
-    std::vector<core::identity::NetworkAddress> seeds_;
     WallClock wallClock_;
     std::mt19937_64 random_;
     membership::MembershipEngine membership_;
+    PeerSelector peers_;
     FollowerRole role_;
     IntentSpreader spreader_;
     moves::MoveCoordinator moves_;
@@ -218,8 +214,6 @@
     std::map<core::identity::NodeId, core::identity::Revision> floors_;
     // The digest of each peer's member table at the last exchange with it.
     std::map<core::identity::NodeId, std::uint64_t> peerDigests_;
-    std::size_t nextNeighbour_ = 0;
-    std::uint64_t exchangeCount_ = 0;
     std::uint64_t evidenceMark_ = 0;
     core::timing::MonotonicTime lastMemberFetch_{};
     BytePacer pacer_;
--- /dev/null
+++ b/packages/control/distribution/PeerSelector.cpp
@@ -0,0 +1,100 @@
+/** Implements PeerSelector. */
+#include "control/distribution/PeerSelector.h"
+
+#include <algorithm>
+
+namespace boragetrack::control::distribution {
+
+using core::identity::NetworkAddress;
+using core::identity::NodeId;
+using membership::MemberRecord;
+using membership::MemberState;
+
+namespace {
+
+// Every so many exchanges go to a seed, so that the two sides of a healed cut find each other.
+constexpr std::uint64_t seedExchangeInterval = 10;
+// Nodes that look for gone members at each tick: enough to find a restarted one within seconds.
+constexpr std::size_t searchersPerTick = 3;
+
+bool isGone(const MemberRecord &record)
+{
+    return record.state == MemberState::Dead || record.state == MemberState::Left;
+}
+
+} // namespace
+
+PeerSelector::PeerSelector(const membership::MembershipEngine &members,
+                           std::vector<NetworkAddress> seeds, std::mt19937_64 &random)
+    : members_(members)
+    , seeds_(std::move(seeds))
+    , random_(random)
+{
+    std::erase(seeds_, members_.self().peerAddress);
+}
+
+bool PeerSelector::addSeed(const NetworkAddress &address)
+{
+    const bool isOwn = address == members_.self().peerAddress;
+    const bool isSeed = std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end();
+    if (isOwn || isSeed)
+        return false;
+    seeds_.push_back(address);
+    return idAt(address).isEmpty();
+}
+
+std::optional<PeerContact> PeerSelector::nextExchangePeer()
+{
+    ++exchangeCount_;
+    const auto &neighbours = members_.neighbours();
+    const bool isSeedTurn = neighbours.empty() || exchangeCount_ % seedExchangeInterval == 0;
+    if (isSeedTurn && !seeds_.empty())
+        return PeerContact{{}, seeds_[random_() % seeds_.size()]};
+    if (neighbours.empty())
+        return std::nullopt;
+    nextNeighbour_ = (nextNeighbour_ + 1) % neighbours.size();
+    return contactOf(neighbours[nextNeighbour_]);
+}
+
+std::optional<PeerContact> PeerSelector::nextGonePeer()
+{
+    std::vector<const MemberRecord *> gone;
+    for (const auto &[id, record] : members_.table().records()) {
+        if (isGone(record))
+            gone.push_back(&record);
+    }
+    const std::size_t searchers = members_.table().records().size() - gone.size();
+    if (gone.empty() || random_() % std::max<std::size_t>(1, searchers / searchersPerTick) != 0)
+        return std::nullopt;
+    const MemberRecord &record = *gone[random_() % gone.size()];
+    return PeerContact{record.id, record.peerAddress};
+}
+
+std::optional<PeerContact> PeerSelector::contactOf(const NodeId &id) const
+{
+    const MemberRecord *record = members_.table().find(id);
+    if (record == nullptr)
+        return std::nullopt;
+    return PeerContact{id, record->peerAddress};
+}
+
+NodeId PeerSelector::idAt(const NetworkAddress &address) const
+{
+    for (const auto &[id, record] : members_.table().records()) {
+        if (record.peerAddress == address)
+            return id;
+    }
+    return NodeId{};
+}
+
+std::vector<PeerContact> PeerSelector::neighbourContacts() const
+{
+    std::vector<PeerContact> contacts;
+    for (const NodeId &id : members_.neighbours()) {
+        if (const auto contact = contactOf(id))
+            contacts.push_back(*contact);
+    }
+    return contacts;
+}
+
+} // namespace boragetrack::control::distribution
