Log when a node begins or ceases to follow the store

Cause: which node followed the store when could only be guessed from its calls.

Change: event E213 with the revision known and whether the node is among the chosen ones.

--- a/packages/control/control.h
+++ b/packages/control/control.h
@@ -5,7 +5,7 @@
     come in, typed results go out, and time, randomness and identity are handed in. The daemon, the
     scenario runner and the tests drive the same objects.
 
-    Dependencies: core, nlohmann-json, absl::Status.
+    Dependencies: core, nlohmann-json, RapidJSON, absl::Status.
 */
 #pragma once
 
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -19,6 +19,7 @@
     StoreUnavailable = 210,
     StoreRecovered = 211,
     StoreListed = 212,
+    StoreRoleChanged = 213,
     MemberAlive = 300,
     MemberSuspect = 301,
     MemberDead = 302,
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -57,11 +57,23 @@
 
 void RecordSource::upkeep()
 {
-    follower_->setWanted(plane_->mustFollowStore(), holder_->table().revision());
+    const bool mustFollow = plane_->mustFollowStore();
+    if (mustFollow != isFollowWanted_)
+        logRole(mustFollow);
+    isFollowWanted_ = mustFollow;
+    follower_->setWanted(mustFollow, holder_->table().revision());
     plane_->storeFollowed(follower_->isFollowing());
     keeper_->setWanted(isEntryWanted());
 }
 
+void RecordSource::logRole(bool follows) const
+{
+    core::events::logEvent(EventCode::StoreRoleChanged, "store role changed",
+                           {{"follows", follows ? "yes" : "no"},
+                            {"chosen", plane_->isChosenFollower() ? "yes" : "no"},
+                            {"revision", std::to_string(holder_->table().revision().number())}});
+}
+
 // Each entry costs calls, of this node and of those that watch. A new node finds all others by the
 // entries of a few, and needs one of its own only if it is one of these.
 bool RecordSource::isEntryWanted() const
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -44,6 +44,7 @@
     void recordsChanged(const control::records::RecordChanges &changes) override;
     void storeLost(const absl::Status &error) override;
     void storeRegained() override;
+    void logRole(bool follows) const;
     bool isEntryWanted() const;
     void discover(const std::vector<control::records::OperatorRecord> &records);
     void recordEnded(const control::moves::MoveRecord &record,
@@ -56,6 +57,8 @@
     std::optional<control::records::StoreFollower> follower_;
     std::optional<control::records::EntryKeeper> keeper_;
     bool isRecording_ = false;
+    // Whether this node was to follow the store at the last look; all do at the start.
+    bool isFollowWanted_ = true;
     // Whether the last listing named no other node, and when it came.
     bool isAlone_ = false;
     core::timing::MonotonicTime listedAt_{};
