Blame a new version only for what several of its upstreams show

Nodes judged by what they saw themselves, and two upstreams were enough.

Now only judges reach verdicts. Failures, slowness and broken calls must have shown on more than half of the upstreams that are called (a quarter where there are many); earlier generations of a node and upstreams that get no calls have no say. One call in ten may break off before that counts, since a network in trouble loses a few in a hundred. The test for small rises keeps out where the old version fails more than one in a hundred: there it took a run of six failures for a verdict.

Ruled out: late records (the move was recorded as taken back 0.4 s after the verdict), missing upstreams of the new version.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -96,6 +96,7 @@
     const intent::IntentDocument document = documentWithMove();
     moves::MoveCoordinator judge(NodeId("judge"), 1, std::move(policies), listener);
     judge.update(document, WallTime{});
+    judge.setJudging(true);
     // Each upstream's node counts by itself; the judge merges what they send.
     std::vector<std::unique_ptr<moves::MoveCoordinator>> nodes;
     for (int i = 0; i < upstreams; ++i) {
--- a/packages/control/distribution/MoveJury.cpp
+++ b/packages/control/distribution/MoveJury.cpp
@@ -30,12 +30,14 @@
 
 void MoveJury::sendEvidence(const ParcelSink &send, MonotonicTime now)
 {
+    const auto &self = membership_.self();
+    const ServiceName &service = self.upstream.service;
+    const auto judges = membership::chosenMembers(membership_.table(), topicOf(service),
+                                                  judgesPerService, serving(service));
+    moves_.setJudging(std::find(judges.begin(), judges.end(), self.id) != judges.end());
     const auto own = moves_.ownEvidence();
     if (own.empty())
         return;
-    const ServiceName &service = membership_.self().upstream.service;
-    const auto judges = membership::chosenMembers(membership_.table(), topicOf(service),
-                                                  judgesPerService, serving(service));
     outbox_.setJudges(judges);
     const auto isOfNewVersion
             = [this](const moves::EvidenceKey &key) { return moves_.isOfNewVersion(key); };
@@ -43,7 +45,7 @@
     // several that know a part.
     for (const NodeId &judge : judges) {
         const Parcel parcel{judge, outbox_.dueFor(judge, own, isOfNewVersion, now)};
-        const bool isDue = judge != membership_.self().id && !parcel.entries.empty();
+        const bool isDue = judge != self.id && !parcel.entries.empty();
         if (isDue && send(parcel))
             outbox_.sent(judge, parcel.entries, now);
     }
--- a/packages/control/distribution/MoveJury.h
+++ b/packages/control/distribution/MoveJury.h
@@ -43,12 +43,13 @@
     static constexpr std::chrono::milliseconds recorderPatience{500};
 
     /** @param membership and @param moves outlive the jury */
-    MoveJury(const membership::MembershipEngine &membership, const moves::MoveCoordinator &moves)
+    MoveJury(const membership::MembershipEngine &membership, moves::MoveCoordinator &moves)
         : membership_(membership)
         , moves_(moves)
     {}
 
-    /** Hands out what this node counted and judges lack; what is not sent is handed out again. */
+    /** Takes note of whether this node judges, and hands out what it counted and judges lack; what
+        is not sent is handed out again. */
     void sendEvidence(const ParcelSink &send, core::timing::MonotonicTime now);
 
     /** Returns the outcomes that an intent lacks and this node should record. */
@@ -63,7 +64,7 @@
                 const core::identity::VersionName &version) const;
 
     const membership::MembershipEngine &membership_;
-    const moves::MoveCoordinator &moves_;
+    moves::MoveCoordinator &moves_;
     moves::EvidenceOutbox outbox_;
     // Since when each record of a move's state has been missing.
     std::map<std::pair<std::string, intent::MoveState>, core::timing::MonotonicTime> missingSince_;
--- a/packages/control/moves/MoveCoordinator.cpp
+++ b/packages/control/moves/MoveCoordinator.cpp
@@ -150,7 +150,7 @@
     if (!delta || found == trackers_.end())
         return;
     found->second.observe(entry.key, *delta);
-    if (found->second.judge())
+    if (isJudging_ && found->second.judge())
         listener_.moveStopped(found->second.move(), *found->second.verdict());
 }
 
--- a/packages/control/moves/MoveCoordinator.h
+++ b/packages/control/moves/MoveCoordinator.h
@@ -38,6 +38,9 @@
     /** Takes the moves of a newly served intent. */
     void update(const intent::IntentDocument &document, core::timing::WallTime now);
 
+    /** Notes whether this node judges; one that knows a part only must not. */
+    void setJudging(bool isJudging) { isJudging_ = isJudging; }
+
     /** Counts a call to the upstream beside this node. */
     void noteCall(const CallEvidence &evidence);
 
@@ -82,6 +85,7 @@
     std::unique_ptr<MovePolicies> policies_;
     Listener &listener_;
     EvidenceTable evidence_;
+    bool isJudging_ = false;
     // Invariant: one tracker for each move that runs or is still watched, by move id.
     std::map<std::string, MoveTracker> trackers_;
     // Verdicts that arrived ahead of the intent that starts their move.
--- a/packages/control/moves/SequentialVerdict.cpp
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -19,8 +19,6 @@
 // is the same, and so is the least number of failures in a row that reaches it, six.
 constexpr double smallFailureFloor = 0.004;
 constexpr double smallFailureFactor = 5.0;
-// The raised rate stays below one.
-constexpr double smallFailureCeiling = 0.19;
 
 // Slow means beyond the bucket after the one that holds the old version's 95th percentile, that
 // is, two to four times as long.
@@ -28,8 +26,9 @@
 constexpr std::size_t slowBucketMargin = 1;
 constexpr double usualSlowRate = 0.15;
 constexpr double raisedSlowRate = 0.60;
-constexpr double usualBrokenRate = 0.02;
-constexpr double raisedBrokenRate = 0.30;
+// A network in trouble loses a few answers in a hundred for a while.
+constexpr double usualBrokenRate = 0.10;
+constexpr double raisedBrokenRate = 0.40;
 // ln(1/alpha) for alpha = 3.4e-4, over all upstreams; one of them gives at most half of it, so that
 // two must agree at least.
 constexpr double agreedThreshold = 8.0;
@@ -43,16 +42,52 @@
 constexpr double recentMemory = 200;
 constexpr std::uint64_t sufficientCalls = 30;
 
-template <typename Upstreams, typename SumOf>
-bool isAgreed(const Upstreams &upstreams, SumOf sumOf)
+// Upstreams that got none of the last calls have left and no longer have a say. Evidence comes in
+// parcels of some ten calls.
+constexpr std::uint64_t recentCallsForEach = 30;
+constexpr std::uint64_t fewestRecentCalls = 100;
+
+// A trouble of a few upstreams is no trouble of their version: more than half of those that are
+// called must have shown it, and where there are many, a quarter of them.
+std::size_t agreementNeeded(std::size_t upstreams)
+{
+    constexpr std::size_t few = 3;
+    constexpr std::size_t partOfMany = 4;
+    return std::min(upstreams / 2 + 1, std::max(few, upstreams / partOfMany));
+}
+
+// A node that restarted counts anew, under a later generation; only the latest has a say.
+template <typename Route, typename SumOf>
+bool isShownByMany(const Route &route, SumOf sumOf)
+{
+    const std::uint64_t recent
+            = std::max(fewestRecentCalls, recentCallsForEach * route.upstreams.size());
+    std::size_t called = 0;
+    std::size_t shown = 0;
+    for (auto each = route.upstreams.begin(); each != route.upstreams.end(); ++each) {
+        const auto next = std::next(each);
+        const bool isSuperseded
+                = next != route.upstreams.end() && next->first.first == each->first.first;
+        if (isSuperseded || route.calls - each->second.lastCallAt > recent)
+            continue;
+        ++called;
+        shown += sumOf(each->second) > 0.0;
+    }
+    return shown >= agreementNeeded(called);
+}
+
+template <typename Route, typename SumOf>
+bool isAgreed(const Route &route, SumOf sumOf)
 {
     double agreed = 0;
     double highest = 0;
-    for (const auto &[key, upstream] : upstreams) {
+    for (const auto &[key, upstream] : route.upstreams) {
         agreed += std::min(sumOf(upstream), upstreamShare);
         highest = std::max(highest, sumOf(upstream));
     }
-    return agreed >= agreedThreshold || (upstreams.size() == 1 && highest >= loneUpstreamThreshold);
+    if (route.upstreams.size() == 1)
+        return highest >= loneUpstreamThreshold;
+    return agreed >= agreedThreshold && isShownByMany(route, sumOf);
 }
 
 template <typename Upstreams, typename CountOf>
@@ -95,12 +130,16 @@
     const double oldRate = route.old.calls > 0 ? route.old.failures / route.old.calls : 0.0;
     const double usual = std::clamp(2.0 * oldRate, failureFloor, failureCeiling);
     route.failed.add(delta.failures, delta.calls - delta.failures, usual, usual + failureRise);
-    const double usualSmall = std::clamp(2.0 * rateForSmallRises(route.old), smallFailureFloor,
-                                         smallFailureCeiling);
-    route.failedSometimes.add(delta.failures, delta.calls - delta.failures, usualSmall,
-                              smallFailureFactor * usualSmall);
+    // Above the other test's floor a short run of failures says nothing.
+    const double usualSmall = std::max(2.0 * rateForSmallRises(route.old), smallFailureFloor);
+    if (usualSmall <= failureFloor)
+        route.failedSometimes.add(delta.failures, delta.calls - delta.failures, usualSmall,
+                                  smallFailureFactor * usualSmall);
     UpstreamTests &upstream = route.upstreams[{key.node, key.generation}];
     upstream.calls += delta.calls;
+    upstream.lastCallAt = route.calls;
+    upstream.failed.add(delta.failures, delta.calls - delta.failures, smallFailureFloor,
+                        smallFailureFactor * smallFailureFloor);
     upstream.brokenCalls += delta.broken;
     upstream.broken.add(delta.broken, delta.calls - delta.broken, usualBrokenRate,
                         raisedBrokenRate);
@@ -146,16 +185,18 @@
 std::optional<std::string> SequentialVerdict::judge(const std::string &name,
                                                     const RouteTests &route)
 {
-    if (std::max(route.failed.sum(), route.failedSometimes.sum()) >= failureThreshold)
+    const bool isFailing
+            = std::max(route.failed.sum(), route.failedSometimes.sum()) >= failureThreshold;
+    if (isFailing && isShownByMany(route, [](const auto &each) { return each.failed.sum(); }))
         return "route " + name + ": " + ratio(route.failures, route.calls)
                + " calls to the new version failed, against "
                + ratio(route.oldFailures, route.oldCalls) + " to the old one";
-    if (isAgreed(route.upstreams, [](const auto &upstream) { return upstream.slow.sum(); }))
+    if (isAgreed(route, [](const auto &upstream) { return upstream.slow.sum(); }))
         return "route " + name + ": "
                + ratio(total(route.upstreams, [](const auto &u) { return u.slowCalls; }),
                        route.calls)
                + " calls to the new version took over twice the old version's 95th percentile";
-    if (isAgreed(route.upstreams, [](const auto &upstream) { return upstream.broken.sum(); }))
+    if (isAgreed(route, [](const auto &upstream) { return upstream.broken.sum(); }))
         return "route " + name + ": "
                + ratio(total(route.upstreams, [](const auto &u) { return u.brokenCalls; }),
                        route.calls)
--- a/packages/control/moves/SequentialVerdict.h
+++ b/packages/control/moves/SequentialVerdict.h
@@ -11,8 +11,9 @@
 
 /**
     Judges failures for each route over all upstreams, and slowness and broken connections for each
-    upstream, of which two must agree: a single upstream that went cold, restarted or died says
-    nothing of its version. The old version's outcomes in the same time are the yardstick.
+    upstream. Several upstreams must have shown it: a few that fail, lost answers, went cold,
+    restarted or died say nothing of their version. The old version's outcomes in the same time are
+   the yardstick.
 */
 class SequentialVerdict : public VerdictPolicy
 {
@@ -24,6 +25,7 @@
     std::string summary() const override;
 
 private:
+    // A node and its generation; in this order, so that generations of a node stand together.
     using UpstreamKey = std::pair<core::identity::NodeId, std::uint64_t>;
 
     // The yardstick; older outcomes fade so that it follows the old version's present state.
@@ -38,11 +40,14 @@
 
     struct UpstreamTests
     {
+        CumulativeSumTest failed;
         CumulativeSumTest slow;
         CumulativeSumTest broken;
         std::uint64_t slowCalls = 0;
         std::uint64_t brokenCalls = 0;
         std::uint64_t calls = 0;
+        // The number of the route's last call that went to this upstream.
+        std::uint64_t lastCallAt = 0;
     };
 
     struct RouteTests
--- a/tests/unit/MovesTest.cpp
+++ b/tests/unit/MovesTest.cpp
@@ -75,6 +75,19 @@
     EXPECT_FALSE(verdict.badEvidence());
 }
 
+// Calls inside calls fail in runs when there is no room; the old version met the same before.
+TEST(SequentialVerdict, doesNotBlameANewVersionForRunsOfFailuresUnderOverload)
+{
+    SequentialVerdict verdict;
+    verdict.observeOld(key("v1", "a"), counts(2000, 580, milliseconds(3)));
+    for (int run = 0; run < 10; ++run) {
+        for (int i = 0; i < 10; ++i)
+            verdict.observeNew(key("v2", "b"), counts(1, 1, milliseconds(3)));
+        verdict.observeNew(key("v2", "b"), counts(20, 0, milliseconds(3)));
+    }
+    EXPECT_FALSE(verdict.badEvidence());
+}
+
 TEST(SequentialVerdict, earnsNoCreditFromLongGoodBehaviour)
 {
     SequentialVerdict verdict;
@@ -104,6 +117,29 @@
     EXPECT_TRUE(verdict.badEvidence());
 }
 
+// Two of five upstreams lose answers for a while: found when a good version was taken back so.
+TEST(SequentialVerdict, doesNotBlameTheVersionForAFewOfItsUpstreams)
+{
+    EvidenceCounts losing = counts(4, 0, milliseconds(3));
+    losing.broken = 3;
+    SequentialVerdict lost;
+    SequentialVerdict failing;
+    for (const char *node : {"b", "c", "d", "e", "f"}) {
+        lost.observeNew(key("v2", node), counts(30, 0, milliseconds(3)));
+        failing.observeNew(key("v2", node), counts(30, 0, milliseconds(3)));
+    }
+    for (const char *node : {"b", "c"}) {
+        lost.observeNew(key("v2", node), losing);
+        failing.observeNew(key("v2", node), counts(20, 10, milliseconds(3)));
+    }
+    EXPECT_FALSE(lost.badEvidence());
+    EXPECT_FALSE(failing.badEvidence());
+    lost.observeNew(key("v2", "d"), losing);
+    failing.observeNew(key("v2", "d"), counts(20, 10, milliseconds(3)));
+    EXPECT_TRUE(lost.badEvidence());
+    EXPECT_TRUE(failing.badEvidence());
+}
+
 TEST(PlannedShare, staysSmallFirstAndIsWholeBeforeTheEnd)
 {
     const PlannedShare share;
