Log when calls find a data centre cut off, and when it answers again

The belief that refuses calls at once had no line of its own. The soak takes a first port, so that two may run beside each other; the swing of the emulator's load is a duration.

--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -42,6 +42,8 @@
     ExchangeFailed = 504,
     CallServed = 510,
     CallTurnedAway = 511,
+    DataCentreCutOff = 520,
+    DataCentreAnswered = 521,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/emulator/day/EmulatedDay.cpp
+++ b/packages/emulator/day/EmulatedDay.cpp
@@ -185,7 +185,7 @@
 double EmulatedDay::rateOf(const plan::DataCentrePlan &dataCentre) const
 {
     const std::chrono::duration<double> passed = clock_.now() - clock::EventClock::start;
-    const double phase = 2.0 * std::numbers::pi * passed.count() / dataCentre.swingSeconds;
+    const double phase = 2.0 * std::numbers::pi * (passed / dataCentre.swingLength);
     double rate = dataCentre.rate * (1.0 + dataCentre.swing * std::sin(phase));
     for (const TroublePlan *trouble : ofCallers_) {
         if (trouble->kind == TroubleKind::Burst)
--- a/packages/emulator/plan/DataCentrePlan.h
+++ b/packages/emulator/plan/DataCentrePlan.h
@@ -1,6 +1,7 @@
 /** The callers of a data centre. */
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 
@@ -16,7 +17,7 @@
     std::map<std::string, double> mix;
     /** The share by which the rate swings up and down, and how long a swing takes. */
     double swing = 0.0;
-    double swingSeconds = 10.0;
+    std::chrono::duration<double> swingLength{10.0};
 };
 
 } // namespace boragetrack::emulator::plan
--- a/packages/emulator/plan/LoadPlanReader.cpp
+++ b/packages/emulator/plan/LoadPlanReader.cpp
@@ -78,7 +78,8 @@
     plan.rate = object["rate"];
     plan.mix = object["mix"].get<std::map<std::string, double>>();
     plan.swing = object.value("swing", plan.swing);
-    plan.swingSeconds = object.value("swingSeconds", plan.swingSeconds);
+    plan.swingLength
+            = std::chrono::duration<double>(object.value("swingSeconds", plan.swingLength.count()));
     return plan;
 }
 
--- a/packages/traffic/routing/DataCentreReach.h
+++ b/packages/traffic/routing/DataCentreReach.h
@@ -21,6 +21,22 @@
 class DataCentreReach
 {
 public:
+    /** Receives what is believed of data centres. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles that a data centre is taken for cut off. @param silentNodes its nodes that were
+            silent @param waited how long the last call waited for one */
+        virtual void dataCentreCutOff(const core::identity::DataCentreId &dataCentre,
+                                      std::size_t silentNodes, std::chrono::nanoseconds waited)
+                = 0;
+
+        /** Handles that a data centre that was cut off answered again. */
+        virtual void dataCentreAnswered(const core::identity::DataCentreId &dataCentre) = 0;
+    };
+
     /** Silent nodes in a row that tell a cut from a single lost VM. */
     static constexpr std::size_t nodesThatTell = 2;
     /** A connection that is refused fails at once; one that fails after this time met silence. It
@@ -30,6 +46,9 @@
      */
     static constexpr std::chrono::milliseconds trialPeriod{300};
 
+    /** Sets who hears of changes, or nobody. @param listener outlives this object */
+    void setListener(Listener *listener) { listener_ = listener; }
+
     /** Notes that a call to a node of a data centre begins. */
     void begin(const core::identity::DataCentreId &dataCentre, core::timing::MonotonicTime now)
     {
@@ -39,7 +58,16 @@
     }
 
     /** Notes that a node answered. */
-    void answered(const core::identity::DataCentreId &dataCentre) { cases_.erase(dataCentre); }
+    void answered(const core::identity::DataCentreId &dataCentre)
+    {
+        const auto found = cases_.find(dataCentre);
+        if (found == cases_.end())
+            return;
+        const bool wasCutOff = found->second.silentNodes.size() >= nodesThatTell;
+        cases_.erase(found);
+        if (wasCutOff && listener_ != nullptr)
+            listener_->dataCentreAnswered(dataCentre);
+    }
 
     /** Notes that a node could not be reached. @param waited how long that took to show */
     void failed(const core::identity::DataCentreId &dataCentre, const core::identity::NodeId &node,
@@ -48,8 +76,10 @@
         if (waited < silentAfter)
             return;
         Case &held = cases_[dataCentre];
-        held.silentNodes.insert(node);
+        const bool isNew = held.silentNodes.insert(node).second;
         held.nextTrialAt = now + trialPeriod;
+        if (isNew && held.silentNodes.size() == nodesThatTell && listener_ != nullptr)
+            listener_->dataCentreCutOff(dataCentre, held.silentNodes.size(), waited);
     }
 
     /** Returns whether a call should go elsewhere if it can. */
@@ -70,6 +100,7 @@
     };
 
     std::unordered_map<core::identity::DataCentreId, Case> cases_;
+    Listener *listener_ = nullptr;
 };
 
 } // namespace boragetrack::traffic::routing
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -228,7 +228,9 @@
     , unknowns_(parts_.counters.counter("calls_unknown"))
     , bytesToOthers_(parts_.counters.counter("call_bytes_other_data_centres"))
     , latencies_(parts_.counters, "call")
-{}
+{
+    loads_.reach().setListener(&reachLog_);
+}
 
 kj::Promise<void> CallerServer::handle(http::ServerExchange &exchange)
 {
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -7,6 +7,7 @@
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/retry/CallPlan.h"
 #include "traffic/routing/RoutingSnapshot.h"
+#include "transport/callers/ReachLog.h"
 #include "transport/dialect/CallDialect.h"
 #include "transport/http/ExchangeHandler.h"
 #include "transport/links/CallSender.h"
@@ -54,6 +55,7 @@
 
     Parts parts_;
     traffic::routing::LoadBoard loads_;
+    ReachLog reachLog_;
     std::mt19937_64 random_{std::random_device{}()};
     bool isStopping_ = false;
     bool refusesCalls_ = false;
--- /dev/null
+++ b/packages/transport/callers/ReachLog.h
@@ -0,0 +1,32 @@
+/** The log of data centres that calls reach or not. */
+#pragma once
+
+#include "core/events/EventLog.h"
+#include "traffic/routing/DataCentreReach.h"
+
+namespace boragetrack::transport::callers {
+
+/** Logs each change of what this node's calls tell of other data centres. */
+class ReachLog : public traffic::routing::DataCentreReach::Listener
+{
+public:
+    void dataCentreCutOff(const core::identity::DataCentreId &dataCentre, std::size_t silentNodes,
+                          std::chrono::nanoseconds waited) override
+    {
+        using std::chrono::milliseconds;
+        core::events::logEvent(
+                core::events::EventCode::DataCentreCutOff, "data centre cut off",
+                {{"dataCentre", dataCentre.value()},
+                 {"silentNodes", std::to_string(silentNodes)},
+                 {"waitedMs",
+                  std::to_string(std::chrono::duration_cast<milliseconds>(waited).count())}});
+    }
+
+    void dataCentreAnswered(const core::identity::DataCentreId &dataCentre) override
+    {
+        core::events::logEvent(core::events::EventCode::DataCentreAnswered, "data centre answered",
+                               {{"dataCentre", dataCentre.value()}});
+    }
+};
+
+} // namespace boragetrack::transport::callers
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -245,6 +245,8 @@
     parser.add_argument("--seconds", type=float, default=12.0, help="length of the faults")
     parser.add_argument("--nodes", type=int, default=12)
     parser.add_argument("--fresh", type=int, default=0, help="play so many new seeds")
+    parser.add_argument("--first-port", type=int, default=FIRST_PORT,
+                        help="another one for each soak that runs at the same time")
     parser.add_argument("--in-force-seconds", type=float, default=IN_FORCE_SECONDS,
                         help="time for a change on a calm deployment; longer on a busy machine")
     options = parser.parse_args()
@@ -254,7 +256,7 @@
     failed = []
     for turn, seed in enumerate(seeds):
         print(f"seed {seed}", flush=True)
-        soak = Soak(seed, options.nodes, FIRST_PORT + turn % 8 * 400,
+        soak = Soak(seed, options.nodes, options.first_port + turn % 8 * 400,
                     options.in_force_seconds)
         broken = soak.play(options.seconds)
         print(f"  statuses {dict(soak.promises.statuses)}")
--- a/tests/unit/DataCentreReachTest.cpp
+++ b/tests/unit/DataCentreReachTest.cpp
@@ -46,8 +46,39 @@
     return met;
 }
 
+class CountingListener : public DataCentreReach::Listener
+{
+public:
+    void dataCentreCutOff(const DataCentreId & /*dataCentre*/, std::size_t /*silentNodes*/,
+                          std::chrono::nanoseconds /*waited*/) override
+    {
+        ++cuts;
+    }
+
+    void dataCentreAnswered(const DataCentreId & /*dataCentre*/) override { ++answers; }
+
+    int cuts = 0;
+    int answers = 0;
+};
+
 } // namespace
 
+// The log tells of a cut and of its end, once each.
+TEST(DataCentreReach, tellsOnceOfACutAndOfItsEnd)
+{
+    DataCentreReach reach;
+    CountingListener listener;
+    reach.setListener(&listener);
+    for (const char *node : {"a", "a", "b", "c"})
+        reach.failed(there, NodeId(node), connectTime, start);
+    reach.answered(there);
+    reach.answered(there);
+    reach.failed(there, NodeId("a"), connectTime, start);
+    reach.answered(there);
+    EXPECT_EQ(listener.cuts, 1);
+    EXPECT_EQ(listener.answers, 1);
+}
+
 TEST(DataCentreReach, spendsFewCallsOnACut)
 {
     DataCentreReach reach;
