--- a/packages/control/moves/SequentialVerdict.cpp
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -136,7 +136,6 @@
         route.failedSometimes.add(delta.failures, delta.calls - delta.failures, usualSmall,
                                   smallFailureFactor * usualSmall);
     UpstreamTests &upstream = route.upstreams[{key.node, key.generation}];
-    upstream.calls += delta.calls;
     upstream.lastCallAt = route.calls;
     upstream.failed.add(delta.failures, delta.calls - delta.failures, smallFailureFloor,
                         smallFailureFactor * smallFailureFloor);
--- a/packages/control/moves/SequentialVerdict.h
+++ b/packages/control/moves/SequentialVerdict.h
@@ -45,7 +45,6 @@
         CumulativeSumTest broken;
         std::uint64_t slowCalls = 0;
         std::uint64_t brokenCalls = 0;
-        std::uint64_t calls = 0;
         // The number of the route's last call that went to this upstream.
         std::uint64_t lastCallAt = 0;
     };
