--- a/packages/control/distribution/MoveJury.h
+++ b/packages/control/distribution/MoveJury.h
@@ -14,11 +14,11 @@
 
 /**
     Chooses a few nodes of each service that get the evidence of all its nodes and record what
-   became of its moves, and knows this node's part in that.
+    became of its moves, and knows this node's part in that.
 
-    Any node may reach a verdict from what it knows, and learns those of others; the judges reach it
-    first, since they know everything. When a judge is lost the next in the order takes its place
-   and gets all evidence anew.
+    Only judges reach verdicts, since a node that knows one upstream can not tell its trouble from
+    one of its version; all others learn them. When a judge is lost the next in the order takes its
+    place and gets all evidence anew.
 */
 class MoveJury
 {
--- a/packages/control/moves/EvidenceOutbox.h
+++ b/packages/control/moves/EvidenceOutbox.h
@@ -13,9 +13,9 @@
 /**
     Knows what of this node's own evidence each judge of its service lacks.
 
-    Judges get it from the node that counted it and nobody passes it on, so the traffic grows with
-   the nodes of a service and not with their square. Counts only grow: what could not be sent for
-   want of budget goes with a later parcel, and nothing is lost by waiting.
+    Judges get it from the node that counted it and nobody passes it on, so that the traffic grows
+    with the nodes of a service and not with their square. Counts only grow: what could not be sent
+    for want of budget goes with a later parcel, and nothing is lost by waiting.
 */
 class EvidenceOutbox
 {
@@ -23,9 +23,9 @@
     /** Tells whether evidence is about the new version of its move. */
     using NewVersionQuery = std::function<bool(const EvidenceKey &)>;
 
-    /** Evidence about the old version changes with every call and is only the yardstick. Its
-       failures go at once: a trouble that both versions meet must not look like one of the new
-       version. */
+    /** Evidence about the old version changes with every call and is only the yardstick, so it goes
+        this often. Its failures go at once: a trouble that both versions meet must not look like
+        one of the new version. */
     static constexpr std::chrono::milliseconds yardstickPeriod{1000};
     /** A parcel stays below two kilobytes. */
     static constexpr std::size_t entriesPerParcel = 10;
--- a/packages/control/moves/SequentialVerdict.cpp
+++ b/packages/control/moves/SequentialVerdict.cpp
@@ -137,6 +137,7 @@
                                   smallFailureFactor * usualSmall);
     UpstreamTests &upstream = route.upstreams[{key.node, key.generation}];
     upstream.lastCallAt = route.calls;
+    // Fixed rates: this only tells which upstreams have shown failures lately.
     upstream.failed.add(delta.failures, delta.calls - delta.failures, smallFailureFloor,
                         smallFailureFactor * smallFailureFloor);
     upstream.brokenCalls += delta.broken;
--- a/packages/control/moves/SequentialVerdict.h
+++ b/packages/control/moves/SequentialVerdict.h
@@ -13,7 +13,7 @@
     Judges failures for each route over all upstreams, and slowness and broken connections for each
     upstream. Several upstreams must have shown it: a few that fail, lost answers, went cold,
     restarted or died say nothing of their version. The old version's outcomes in the same time are
-   the yardstick.
+    the yardstick.
 */
 class SequentialVerdict : public VerdictPolicy
 {
--- a/packages/traffic/admission/AdmissionQueue.cpp
+++ b/packages/traffic/admission/AdmissionQueue.cpp
@@ -220,14 +220,14 @@
     // New work is told to come back instead: what waits already would have waited in vain.
     if (arriving.arrival.rank != 0)
         return false;
-    // Among equals the latest goes last.
+    // Seen from the back, so that the latest goes last among equals.
     const auto last = std::max_element(
-            waiting_.begin(), waiting_.end(),
-            [&](const Waiting &a, const Waiting &b) { return !goesBefore(b, a, now); });
-    if (last == waiting_.end() || !goesBefore(arriving, *last, now))
+            waiting_.rbegin(), waiting_.rend(),
+            [&](const Waiting &a, const Waiting &b) { return goesBefore(a, b, now); });
+    if (last == waiting_.rend() || !goesBefore(arriving, *last, now))
         return false;
     displaced_.push_back(last->arrival.ticket);
-    waiting_.erase(last);
+    waiting_.erase(std::prev(last.base()));
     return true;
 }
 
--- a/packages/traffic/admission/AdmissionQueue.h
+++ b/packages/traffic/admission/AdmissionQueue.h
@@ -24,8 +24,8 @@
     meet their objective go before those that can only meet their deadline, then lower ranks, then
     earlier arrivals. A request is refused on arrival when the work ahead of it, and that which will
     arrive meanwhile and go first, will take too long; and as soon as its own time has become too
-    short. It never waits for a hopeless turn. A full queue refuses the request that would go last,
-    be it the one that arrives or one that waits.
+    short. It never waits for a hopeless turn. In a full queue a call of a running request takes the
+    place of the request that would go last.
 */
 class AdmissionQueue
 {
