--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -211,7 +211,8 @@
     def _drain(self, node):
         """One upstream leaves, and another starts in its place."""
         old = node.upstream
-        if not node.process.is_running() or old.drain() != 200:
+        # One that leaves already has its successor under way.
+        if old.state == "draining" or not node.process.is_running() or old.drain() != 200:
             return
         self.promises.drained(old, time.monotonic())
 
