Follow the store with one or two nodes of each data centre

Cause: a fifth of each data centre followed the store (nearly all nodes where it has four or five), each change and each node record was a charged call of each follower, and in a fleet that starts at once every node registered itself.

Change: one follower up to 8 members, two up to 64, then one for each 32. A follower that fails or that the store turns away is replaced by the next nodes of the order, which follow while they are polled. Registrations of a fleet that starts are spread over 1.2 s and dropped once another node is known. Changes within 600 ms arrive together. After a pause of the process a follower covers nobody until the store has responded.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -78,6 +78,7 @@
 void ControlPlane::start()
 {
     propagator_.start(timers_.now());
+    lastDecisionAt_ = timers_.now();
     for (const auto &seed : peers_.seeds())
         sendExchangeTo(PeerContact{{}, seed}, gossipPerExchange);
     activeTimers_.push_back(
@@ -157,8 +158,11 @@
     const PeerContact contact{response.sender, peer.address};
     // The response counts as coverage only when this node has caught up with the follower's
     // revision.
-    if (response.isFollower && response.revision <= propagator_.replica().revision())
-        followerRole_.recordCoverage(timers_.now());
+    const bool covers
+            = response.isFollower && response.revision <= propagator_.replica().revision();
+    const bool isBehind = response.isFollower && !covers;
+    if (!isBehind)
+        followerRole_.recordResponse(response.sender, covers, timers_.now());
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
                                      timers_.now());
@@ -168,8 +172,10 @@
 void ControlPlane::exchangeFailed(const PeerContact &peer)
 {
     const NodeId id = peer.id.isEmpty() ? peers_.idAt(peer.address) : peer.id;
-    if (!id.isEmpty())
-        membership_.recordContactFailure(id, timers_.now());
+    if (id.isEmpty())
+        return;
+    followerRole_.recordFailure(id, timers_.now());
+    membership_.recordContactFailure(id, timers_.now());
 }
 
 Revision ControlPlane::intentReceived(const PeerContact &peer, const IntentTransfer &transfer)
@@ -281,11 +287,11 @@
     }
 }
 
-void ControlPlane::pollTick(MonotonicTime /*now*/)
+void ControlPlane::pollTick(MonotonicTime now)
 {
     if (!hasDurableStore_)
         return;
-    const auto follower = followerRole_.nextFollowerToPoll();
+    const auto follower = followerRole_.nextFollowerToPoll(now);
     const auto contact = follower ? peers_.contactOf(*follower) : std::nullopt;
     if (!contact)
         return;
@@ -296,6 +302,7 @@
 
 void ControlPlane::decisionTick(MonotonicTime now)
 {
+    lastDecisionAt_ = now;
     propagator_.tick(now);
     expireExceptions();
     if (isUrgentExchangeDue_)
@@ -370,6 +377,12 @@
     transport_.fetchMembers(peer, membership_.table().bucketHashes());
 }
 
+// A process that was paused may have missed changes of the store since its last timer.
+bool ControlPlane::wasPaused() const
+{
+    return timers_.now() - lastDecisionAt_ > maximumDecisionGap;
+}
+
 Exchange ControlPlane::makeExchange(const NodeId &receiver, std::size_t maximumGossip)
 {
     Exchange exchange;
@@ -379,7 +392,7 @@
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
     exchange.memberDigest = membership_.table().digest();
-    exchange.isFollower = isFollower_;
+    exchange.isFollower = isFollower_ && !wasPaused();
     // If both tables had equal digests at the last exchange and this node's table has not changed
     // since, the peer needs no gossip.
     const auto known = peerDigests_.find(receiver);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -76,6 +76,8 @@
     static constexpr std::chrono::milliseconds exchangePeriod{1000};
     /** The interval of decisions that depend on time. */
     static constexpr std::chrono::milliseconds decisionPeriod{200};
+    /** Without a decision for this long, the process was paused. */
+    static constexpr std::chrono::milliseconds maximumDecisionGap = 4 * decisionPeriod;
 
     ControlPlane(Dependencies dependencies, PeerTransport &transport,
                  core::timing::TimerService &timers, Listener &listener);
@@ -201,6 +203,7 @@
     void sendExchangeTo(const PeerContact &peer, std::size_t maximumGossip);
     void mergeExchange(const PeerContact &peer, const Exchange &exchange);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
+    bool wasPaused() const;
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumGossip);
 
     PeerTransport &transport_;
@@ -225,6 +228,7 @@
     // The digest of each peer's member table at the last exchange with that peer.
     std::map<core::identity::NodeId, std::uint64_t> peerDigests_;
     core::timing::MonotonicTime lastMemberFetch_{};
+    core::timing::MonotonicTime lastDecisionAt_{};
     ByteRateLimiter exchangeRateLimiter_;
     // Whether there is a durable store for nodes to follow, and whether this node currently follows
     // it.
--- a/packages/control/distribution/FollowerRole.cpp
+++ b/packages/control/distribution/FollowerRole.cpp
@@ -16,36 +16,104 @@
 
 constexpr const char *followerTopic = "store-follower";
 
+// A node that was not following yet responds without coverage to its first poll, and needs one call
+// to the store before it can cover others.
+constexpr int toleratedUncoveredResponses = 1;
+
+std::size_t followerCount(std::size_t members)
+{
+    if (members <= FollowerRole::smallDataCentre)
+        return 1;
+    return std::max(FollowerRole::minimumFollowers, (members + FollowerRole::membersPerFollower - 1)
+                                                            / FollowerRole::membersPerFollower);
+}
+
 } // namespace
 
 bool FollowerRole::mustFollow(MonotonicTime now) const
 {
     const bool isCovered = lastCoverage_ && now - *lastCoverage_ < coverageLifetime;
-    return !isCovered || isSelected();
+    return !isCovered || isSelected() || isSubstitute(now);
 }
 
 bool FollowerRole::isSelected() const
 {
-    const auto selected = followers();
-    return std::find(selected.begin(), selected.end(), members_.self().id) != selected.end();
+    const Candidates &known = candidates();
+    const auto end = known.nodes.begin() + static_cast<std::ptrdiff_t>(known.selected);
+    return std::find(known.nodes.begin(), end, members_.self().id) != end;
+}
+
+bool FollowerRole::isSubstitute(MonotonicTime now) const
+{
+    const Candidates &known = candidates();
+    const bool isCandidate = std::find(known.nodes.begin(), known.nodes.end(), members_.self().id)
+                             != known.nodes.end();
+    return isCandidate && std::any_of(polledAt_.begin(), polledAt_.end(), [&](const auto &entry) {
+               return now - entry.second <= pollRound();
+           });
+}
+
+// The time in which a node polls each follower of its data centre in turn, and one further poll.
+std::chrono::milliseconds FollowerRole::pollRound() const
+{
+    return pollPeriod * static_cast<int>(candidates().selected + 1);
+}
+
+bool FollowerRole::isUnavailable(const NodeId &node, MonotonicTime now) const
+{
+    const auto found = unavailableUntil_.find(node);
+    return found != unavailableUntil_.end() && now < found->second;
 }
 
-std::optional<NodeId> FollowerRole::nextFollowerToPoll()
+std::optional<NodeId> FollowerRole::nextFollowerToPoll(MonotonicTime now)
 {
-    const auto selected = followers();
-    if (isSelected() || selected.empty())
+    const Candidates &known = candidates();
+    if (isSelected() || known.nodes.empty())
         return std::nullopt;
-    return selected[++nextFollower_ % selected.size()];
+    std::vector<NodeId> available;
+    for (const NodeId &node : known.nodes) {
+        if (available.size() < known.selected && node != members_.self().id
+            && !isUnavailable(node, now))
+            available.push_back(node);
+    }
+    // When none is available, the selected ones are still polled, so that their return shows.
+    if (available.empty())
+        available.push_back(known.nodes[nextFollower_ % known.selected]);
+    lastPolled_ = available[++nextFollower_ % available.size()];
+    return lastPolled_;
+}
+
+void FollowerRole::recordResponse(const NodeId &node, bool covers, MonotonicTime now)
+{
+    if (covers) {
+        lastCoverage_ = now;
+        coveredBy_ = node;
+        unavailableUntil_.erase(node);
+        uncoveredResponses_.erase(node);
+        return;
+    }
+    if (node == lastPolled_ && ++uncoveredResponses_[node] > toleratedUncoveredResponses) {
+        uncoveredResponses_.erase(node);
+        unavailableUntil_[node] = now + unavailableTime;
+    }
+}
+
+void FollowerRole::recordFailure(const NodeId &node, MonotonicTime now)
+{
+    if (node == lastPolled_)
+        unavailableUntil_[node] = now + unavailableTime;
+    // Changes since the last response of this follower may already be missing here.
+    if (node == coveredBy_)
+        lastCoverage_.reset();
 }
 
 std::vector<NodeId> FollowerRole::updateReceivers(MonotonicTime now)
 {
-    std::vector<NodeId> receivers = followers();
-    // A node polls each follower of its data centre in turn, so this is the time for one full
-    // round and one further poll.
-    const auto lifetime = pollPeriod * static_cast<int>(receivers.size() + 1);
+    const Candidates &known = candidates();
+    std::vector<NodeId> receivers(
+            known.nodes.begin(), known.nodes.begin() + static_cast<std::ptrdiff_t>(known.selected));
     std::erase(receivers, members_.self().id);
-    std::erase_if(polledAt_, [&](const auto &entry) { return now - entry.second > lifetime; });
+    std::erase_if(polledAt_, [&](const auto &entry) { return now - entry.second > pollRound(); });
     for (const auto &[node, polledAt] : polledAt_) {
         if (std::find(receivers.begin(), receivers.end(), node) == receivers.end())
             receivers.push_back(node);
@@ -53,18 +121,27 @@
     return receivers;
 }
 
-std::vector<NodeId> FollowerRole::followers() const
+// The digest changes with each record, so the candidates are selected once for each change of the
+// members instead of at each poll.
+const FollowerRole::Candidates &FollowerRole::candidates() const
 {
+    const membership::MemberTable &table = members_.table();
+    if (!candidates_.nodes.empty() && candidatesDigest_ == table.digest())
+        return candidates_;
     const auto isOfLocalDataCentre = [this](const MemberRecord &record) {
         return record.dataCentre == members_.self().dataCentre;
     };
-    const auto &records = members_.table().records();
     const auto count = static_cast<std::size_t>(
-            std::count_if(records.begin(), records.end(),
-                          [&](const auto &entry) { return isOfLocalDataCentre(entry.second); }));
-    return membership::selectMembers(members_.table(), followerTopic,
-                                     std::max(minimumFollowers, count / membersPerFollower),
-                                     isOfLocalDataCentre);
+            std::count_if(table.records().begin(), table.records().end(), [&](const auto &entry) {
+                return entry.second.state == membership::MemberState::Alive
+                       && isOfLocalDataCentre(entry.second);
+            }));
+    const std::size_t wanted = followerCount(count);
+    candidates_.nodes = membership::selectMembers(table, followerTopic, wanted + substitutes,
+                                                  isOfLocalDataCentre);
+    candidates_.selected = std::min(wanted, candidates_.nodes.size());
+    candidatesDigest_ = table.digest();
+    return candidates_;
 }
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/FollowerRole.h
+++ b/packages/control/distribution/FollowerRole.h
@@ -14,27 +14,40 @@
 /**
     Decides whether this node follows the store or polls the followers of its data centre.
 
-    Each watch and each response to it is a charged call, so the cost of a change grows with the
-    number of followers. A node that does not follow polls the followers of its data centre in turn.
-    It is covered while a follower that can reach the store has responded recently; without coverage
-    it follows the store itself, so that a node that is cut off only from its peers misses no
-    change.
+    Each watch and each response to it is a charged call, so a data centre has one or two followers
+    and a few more only when it is large. A node that does not follow polls the followers of its
+    data centre in turn. It is covered while a follower that can reach the store has responded
+    recently; without coverage it follows the store itself, so that a node that is cut off only from
+    its peers misses no change.
+
+    A follower that does not respond, or that the store turns away, is replaced by the next nodes of
+    the same order, which begin to follow when they are polled. Otherwise all nodes of the data
+    centre would follow the store for as long as the outage lasts.
 */
 class FollowerRole
 {
 public:
-    /** The minimum number of followers of a data centre. Beyond it there is one for every
-        membersPerFollower members, so that each follower gets the polls of about five nodes, two
-        per second from each. */
-    static constexpr std::size_t minimumFollowers = 4;
-    static constexpr std::size_t membersPerFollower = 5;
+    /** Data centres of up to this many members have one follower: without it, few nodes follow the
+        store themselves. */
+    static constexpr std::size_t smallDataCentre = 8;
+    /** The minimum number of followers of a larger data centre. */
+    static constexpr std::size_t minimumFollowers = 2;
+    /** Beyond the minimum, there is one follower for each so many members, which bounds the polls
+        that a follower responds to. */
+    static constexpr std::size_t membersPerFollower = 32;
+    /** The number of nodes that may replace unavailable followers at a time. */
+    static constexpr std::size_t substitutes = 2;
 
     /** The interval at which a node that does not follow polls one follower. */
     static constexpr std::chrono::milliseconds pollPeriod{500};
 
-    /** How long one response covers a node; two further polls may fail in that time. Together with
-        one call to the store it stays below the two seconds in which a change must be in force. */
-    static constexpr std::chrono::milliseconds coverageLifetime{1200};
+    /** How long one response covers a node; one further poll may fail in that time. Together with
+        the follower's delay between two watches and one call to the store it stays below the two
+        seconds in which a change must be in force. */
+    static constexpr std::chrono::milliseconds coverageLifetime{1100};
+
+    /** How long an unavailable follower is not polled. */
+    static constexpr std::chrono::milliseconds unavailableTime{3000};
 
     /** @param members must outlive the role */
     explicit FollowerRole(const membership::MembershipEngine &members)
@@ -49,10 +62,16 @@
     bool isSelected() const;
 
     /** Returns the follower to poll next, or nothing if this node is one or knows none. */
-    std::optional<core::identity::NodeId> nextFollowerToPoll();
+    std::optional<core::identity::NodeId> nextFollowerToPoll(core::timing::MonotonicTime now);
+
+    /** Records a response of a node.
+        @param covers whether the node follows the store, can reach it and knows nothing that this
+                      node lacks */
+    void recordResponse(const core::identity::NodeId &node, bool covers,
+                        core::timing::MonotonicTime now);
 
-    /** Records a response from a follower that can reach the store. */
-    void recordCoverage(core::timing::MonotonicTime now) { lastCoverage_ = now; }
+    /** Records that an exchange with a node failed. */
+    void recordFailure(const core::identity::NodeId &node, core::timing::MonotonicTime now);
 
     /** Records that a node polled this one for updates of the store. */
     void recordPoll(const core::identity::NodeId &node, core::timing::MonotonicTime now)
@@ -66,12 +85,32 @@
     std::vector<core::identity::NodeId> updateReceivers(core::timing::MonotonicTime now);
 
 private:
-    std::vector<core::identity::NodeId> followers() const;
+    // The nodes of the data centre that follow or may replace a follower, in order of preference.
+    struct Candidates
+    {
+        std::vector<core::identity::NodeId> nodes;
+        // Invariant: at most nodes.size(); the first nodes are the selected followers.
+        std::size_t selected = 0;
+    };
+
+    const Candidates &candidates() const;
+    bool isSubstitute(core::timing::MonotonicTime now) const;
+    std::chrono::milliseconds pollRound() const;
+    bool isUnavailable(const core::identity::NodeId &node, core::timing::MonotonicTime now) const;
 
     const membership::MembershipEngine &members_;
     std::optional<core::timing::MonotonicTime> lastCoverage_;
+    // The node that gave the last coverage.
+    core::identity::NodeId coveredBy_;
     std::map<core::identity::NodeId, core::timing::MonotonicTime> polledAt_;
+    std::map<core::identity::NodeId, core::timing::MonotonicTime> unavailableUntil_;
+    // The follower that was polled last, and its successive responses without coverage.
+    core::identity::NodeId lastPolled_;
+    std::map<core::identity::NodeId, int> uncoveredResponses_;
     std::size_t nextFollower_ = 0;
+    // The candidates for the member table with a digest.
+    mutable Candidates candidates_;
+    mutable std::uint64_t candidatesDigest_ = 0;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/membership/MembershipEngine.cpp
+++ b/packages/control/membership/MembershipEngine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 namespace boragetrack::control::membership {
 
@@ -67,12 +68,14 @@
 {
     for (const MemberRecord &record : records)
         mergeUnlessDisputed(record, now, true);
+    refreshDerivedState();
 }
 
 void MembershipEngine::mergeFetched(const std::vector<MemberRecord> &records, MonotonicTime now)
 {
     for (const MemberRecord &record : records)
         mergeUnlessDisputed(record, now, record.state != MemberState::Alive);
+    refreshDerivedState();
 }
 
 void MembershipEngine::mergeUnlessDisputed(const MemberRecord &record, MonotonicTime now,
@@ -109,13 +112,20 @@
         departedAt_.erase(record.id);
     if (isForwarded)
         enqueueGossip(record, priorityOf(hadPrevious ? &previous : nullptr, record));
-    if (!hadPrevious || previous.state != record.state)
-        neighbourIds_ = neighbourPolicy_->neighboursOf(self_, table_);
+    isDerivedStateStale_ = isDerivedStateStale_ || !hadPrevious || previous.state != record.state;
     listener_.memberChanged(hadPrevious ? &previous : nullptr, record);
-    reportSilentDataCentres();
     return true;
 }
 
+// Once for all records that were merged together, since each of these passes over all members.
+void MembershipEngine::refreshDerivedState()
+{
+    if (!std::exchange(isDerivedStateStale_, false))
+        return;
+    neighbourIds_ = neighbourPolicy_->neighboursOf(self_, table_);
+    reportSilentDataCentres();
+}
+
 void MembershipEngine::refute(const MemberRecord &received)
 {
     const bool isOutdated = received.version > self_.version
@@ -154,6 +164,7 @@
         if (isNeighbour)
             probeTargets_.insert(suspicion.subject);
     }
+    refreshDerivedState();
 }
 
 void MembershipEngine::recordContact(const NodeId &id, MonotonicTime now)
@@ -186,6 +197,7 @@
         return;
     setState(id, MemberState::Suspect, now);
     enqueueGossip(*table_.find(id), GossipPriority::Departure);
+    refreshDerivedState();
 }
 
 std::vector<NodeId> MembershipEngine::takeProbeTargets()
@@ -211,6 +223,7 @@
         table_.erase(it->first);
         it = departedAt_.erase(it);
     }
+    refreshDerivedState();
 }
 
 void MembershipEngine::takeGossip(std::size_t maximum, std::vector<MemberRecord> &records,
--- a/packages/control/membership/MembershipEngine.h
+++ b/packages/control/membership/MembershipEngine.h
@@ -94,6 +94,7 @@
     void enqueueGossip(const MemberRecord &record, GossipPriority priority);
     void setState(const core::identity::NodeId &id, MemberState state,
                   core::timing::MonotonicTime now);
+    void refreshDerivedState();
     void reportSilentDataCentres();
     int transmissionCount() const;
 
@@ -103,8 +104,11 @@
     MemberTable table_;
     FailureDetector detector_;
     GossipQueue gossip_;
-    // Invariant: the neighbours that the policy chooses for table_.
+    // Invariant: the neighbours that the policy chooses for table_, unless the derived state is
+    // stale.
     std::vector<core::identity::NodeId> neighbourIds_;
+    // Whether neighbourIds_ and silentDataCentres_ lack changes of table_; false between calls.
+    bool isDerivedStateStale_ = false;
     std::set<core::identity::NodeId> probeTargets_;
     std::map<core::identity::NodeId, core::timing::MonotonicTime> lastContacts_;
     std::map<core::identity::NodeId, Suspicion> disputed_;
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -85,6 +85,15 @@
     resume();
 }
 
+void StoreFollower::resumeAfterPause()
+{
+    if (!isListed_ || isIdle_)
+        return;
+    isUnconfirmed_ = true;
+    timers_.removeListener(*this);
+    resume();
+}
+
 void StoreFollower::resume()
 {
     isIdle_ = isListed_ && !isActive_;
@@ -98,7 +107,8 @@
 
 void StoreFollower::watch()
 {
-    const auto wait = failures_ > 0 ? recoveryWatchDuration : watchDuration;
+    const bool isProven = failures_ == 0 && !isUnconfirmed_;
+    const auto wait = isProven ? watchDuration : recoveryWatchDuration;
     const std::uint64_t number = ++watchNumber_;
     store_.watch(allKeysPrefix, revision_, wait, wait + responseTimeout,
                  [self = self_, number](const absl::StatusOr<RecordChanges> &response) {
@@ -147,6 +157,7 @@
 {
     const bool wasUnavailable = failures_ > 0;
     failures_ = 0;
+    isUnconfirmed_ = false;
     if (wasUnavailable)
         listener_.storeRecovered();
 }
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -55,9 +55,9 @@
         quarter of a second when it is slow. */
     static constexpr std::chrono::milliseconds responseTimeout{1500};
     /** The delay after a change before the next watch. Changes in quick succession then arrive
-        together, which saves charged calls. It is a small part of the two seconds in which a change
-        must be in force. */
-    static constexpr std::chrono::milliseconds changeBatchDelay{400};
+        together, which saves charged calls. Together with the time for which a follower's response
+        covers other nodes, it stays below the two seconds in which a change must be in force. */
+    static constexpr std::chrono::milliseconds changeBatchDelay{600};
     /** The delay between a listing and the first watch. Meanwhile most new nodes learn from their
         peers that they need no watch of their own. */
     static constexpr std::chrono::milliseconds firstWatchDelay{800};
@@ -80,8 +80,12 @@
         @param known a revision known from other sources; only later changes are requested */
     void setActive(bool isActive, core::identity::Revision known);
 
+    /** Abandons the current watch after the process was paused, and starts another one. Until the
+        store has responded, changes may have been missed. */
+    void resumeAfterPause();
+
     /** Returns whether the changes are being followed and the last call succeeded. */
-    bool isFollowing() const { return isStoreReachable() && !isIdle_; }
+    bool isFollowing() const { return isStoreReachable() && !isIdle_ && !isUnconfirmed_; }
 
     /** Returns whether the records have been listed and the last call succeeded. */
     bool isStoreReachable() const { return failures_ == 0 && isListed_; }
@@ -121,6 +125,8 @@
     bool isActive_ = true;
     // Whether no call and no timer is pending because the follower is not active.
     bool isIdle_ = false;
+    // Whether the store has not responded since the process was paused.
+    bool isUnconfirmed_ = false;
 };
 
 } // namespace boragetrack::control::records
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -6,7 +6,6 @@
 #include "core/events/EventLog.h"
 
 #include <algorithm>
-#include <random>
 
 namespace boragetrack::daemon::service {
 
@@ -21,7 +20,13 @@
 
 constexpr std::chrono::milliseconds recordTimeout{1500};
 // Time in which a new node learns the members from the peers that the store lists.
-constexpr std::chrono::milliseconds memberDiscoveryTime{1500};
+constexpr std::chrono::milliseconds memberDiscoveryTime{5000};
+// When a whole fleet starts at once, each node would register, and each record would be reported to
+// every node. A random delay within this period, after the first watch has begun, lets a few
+// registrations suffice for all to find each other.
+constexpr std::chrono::milliseconds registrationSpread{1200};
+// Updates come every 200 ms; a gap of this length means that the process was paused.
+constexpr std::chrono::milliseconds maximumUpdateGap{1000};
 
 const char *nameOf(control::intent::MoveState state)
 {
@@ -55,10 +60,20 @@
     control::records::StoreFollower::Listener &listener = *this;
     follower_.emplace(dependencies_.store, dependencies_.timers, listener, std::random_device{}());
     follower_->start();
+    updatedAt_ = dependencies_.timers.now();
+}
+
+void RecordSource::resumeIfPaused()
+{
+    const core::timing::MonotonicTime now = dependencies_.timers.now();
+    if (now - updatedAt_ >= maximumUpdateGap)
+        follower_->resumeAfterPause();
+    updatedAt_ = now;
 }
 
 void RecordSource::update()
 {
+    resumeIfPaused();
     const bool mustFollow = plane_->mustFollowStore();
     if (mustFollow != isFollowRequired_)
         logStoreRole(mustFollow);
@@ -78,11 +93,14 @@
 
 // Each node record costs store calls, by this node and by the nodes that watch. A new node finds
 // all others through the records of a few, so only the selected followers need a record. Until this
-// node has had time to discover the members, it registers only if no other node is listed.
+// node has had time to discover the members, it registers only if it has found no other node.
 bool RecordSource::needsNodeRecord() const
 {
-    const bool hasDiscoveredMembers = dependencies_.timers.now() - listedAt_ >= memberDiscoveryTime;
-    return hasDiscoveredMembers ? plane_->isSelectedFollower() : isOnlyListedNode_;
+    const core::timing::MonotonicTime now = dependencies_.timers.now();
+    if (now - listedAt_ >= memberDiscoveryTime)
+        return plane_->isSelectedFollower();
+    const bool isAlone = plane_->membership().table().records().size() == 1;
+    return isOnlyListedNode_ && isAlone && now >= registersAt_;
 }
 
 void RecordSource::detach()
@@ -108,6 +126,9 @@
                          && record.key != localKey;
               });
     listedAt_ = dependencies_.timers.now();
+    std::uniform_int_distribution<std::int64_t> delay(0, registrationSpread.count());
+    registersAt_ = listedAt_ + control::records::StoreFollower::firstWatchDelay
+                   + std::chrono::milliseconds(delay(random_));
     leasedRecord_->setActive(needsNodeRecord());
     leasedRecord_->recordsListed(records);
     reportPeers(records);
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <optional>
+#include <random>
 
 namespace boragetrack::daemon::service {
 
@@ -46,6 +47,7 @@
     void storeRecovered() override;
     void logStoreRole(bool follows) const;
     bool needsNodeRecord() const;
+    void resumeIfPaused();
     void reportPeers(const std::vector<control::records::StoreRecord> &records);
     void handleRecordResponse(const control::moves::MoveRecord &record,
                               const absl::StatusOr<core::identity::Revision> &response);
@@ -59,9 +61,13 @@
     bool isRecording_ = false;
     // Whether this node had to follow the store at the last update; initially all nodes do.
     bool isFollowRequired_ = true;
-    // Whether the last listing contained no other node, and when it was received.
+    std::mt19937_64 random_{std::random_device{}()};
+    // Whether the last listing contained no other node, when it was received, and when this node
+    // registers unless it knows another one by then.
     bool isOnlyListedNode_ = false;
     core::timing::MonotonicTime listedAt_{};
+    core::timing::MonotonicTime registersAt_{};
+    core::timing::MonotonicTime updatedAt_{};
 };
 
 } // namespace boragetrack::daemon::service
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -26,7 +26,7 @@
     bool needsEvidence = false;
     // Invariant: one element for each route of intent, in the same order.
     std::vector<RouteTarget> targets;
-    // Invariant: only upstreams that may get new calls.
+    // Invariant: only upstreams that may get new calls, of other data centres a subset.
     std::map<core::identity::ServiceName, std::vector<Endpoint>> endpoints;
     /** All members, as candidates for storing claims, including those whose upstream is draining or
         absent. */
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -2,6 +2,8 @@
     endpoints. */
 #include "traffic/routing/RoutingSnapshotBuilder.h"
 
+#include "traffic/routing/EndpointSubset.h"
+
 #include <algorithm>
 
 namespace boragetrack::traffic::routing {
@@ -68,6 +70,8 @@
         if (isMember(record))
             addMember(*snapshot, record, weightOf(*snapshot, record, rampUp, now));
     }
+    for (auto &[service, endpoints] : snapshot->endpoints)
+        endpoints = selectEndpointSubset(std::move(endpoints), self.id, self.dataCentre);
     return snapshot;
 }
 
--- a/packages/transport/links/CompressedStream.cpp
+++ b/packages/transport/links/CompressedStream.cpp
@@ -15,10 +15,10 @@
     : stream_(kj::mv(stream))
 {
     // The fastest level suffices: headers repeat exactly, and most bodies are not compressible.
-    KJ_ASSERT(deflateInit2(&deflate_, Z_BEST_SPEED, Z_DEFLATED, -windowBits, memoryLevel,
+    KJ_ASSERT(deflateInit2(&deflate_, Z_BEST_SPEED, Z_DEFLATED, -compressorWindowBits, memoryLevel,
                            Z_DEFAULT_STRATEGY)
               == Z_OK);
-    KJ_ASSERT(inflateInit2(&inflate_, -windowBits) == Z_OK);
+    KJ_ASSERT(inflateInit2(&inflate_, -decompressorWindowBits) == Z_OK);
 }
 
 CompressedStream::~CompressedStream() noexcept
--- a/packages/transport/links/CompressedStream.h
+++ b/packages/transport/links/CompressedStream.h
@@ -29,11 +29,13 @@
     void abortRead() override { stream_->abortRead(); }
 
 private:
-    // Base-2 logarithm of the window size in bytes, and zlib's memory level (1 to 9) for the
-    // compressor's tables.
-    static constexpr int windowBits = 13;
-    static constexpr int memoryLevel = 5;
-    static constexpr std::size_t inputBytes = std::size_t{8} * 1024;
+    // Base-2 logarithm of the window sizes in bytes. The decompressor accepts the larger window of
+    // peers of earlier releases.
+    static constexpr int compressorWindowBits = 12;
+    static constexpr int decompressorWindowBits = 13;
+    // zlib's memory level (1 to 9) for the compressor's tables.
+    static constexpr int memoryLevel = 4;
+    static constexpr std::size_t inputBytes = std::size_t{2} * 1024;
 
     kj::Promise<size_t> readMore(kj::byte *buffer, size_t minimum, size_t maximum, size_t done);
     // Decompresses buffered input into a buffer. @returns the number of bytes written to it
--- a/tests/unit/MembershipTest.cpp
+++ b/tests/unit/MembershipTest.cpp
@@ -171,3 +171,44 @@
     for (const auto &[name, count] : watchers)
         EXPECT_EQ(count, 2) << name;
 }
+
+namespace {
+
+/** Counts how often the neighbours are chosen. */
+class CountingNeighbours : public NeighbourPolicy
+{
+public:
+    explicit CountingNeighbours(int &count)
+        : count_(count)
+    {}
+
+    std::vector<NodeId> neighboursOf(const MemberRecord &self,
+                                     const MemberTable &members) const override
+    {
+        ++count_;
+        return RingNeighbours().neighboursOf(self, members);
+    }
+
+private:
+    int &count_;
+};
+
+} // namespace
+
+// A new node fetches the whole table at once; choosing the neighbours passes over all members.
+TEST(MembershipEngine, choosesNeighboursOnceForRecordsThatAreMergedTogether)
+{
+    CountingListener listener;
+    int choices = 0;
+    MembershipEngine engine(member("self", "dc0", 1), std::make_unique<CountingNeighbours>(choices),
+                            listener);
+    const MemberTable table = tableOf(100, 4);
+    std::vector<MemberRecord> records;
+    for (const auto &[id, record] : table.records())
+        records.push_back(record);
+    engine.mergeFetched(records, MonotonicTime{});
+    EXPECT_EQ(choices, 1);
+    EXPECT_FALSE(engine.neighbours().empty());
+    engine.mergeFetched(records, MonotonicTime{});
+    EXPECT_EQ(choices, 1) << "nothing has changed";
+}
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -208,6 +208,26 @@
     EXPECT_TRUE(store_.watches.empty());
 }
 
+// The peers that poll this node may not rely on it before the store has told it what it missed.
+TEST_F(StoreFollowerTest, isNotFollowingAfterAPauseUntilTheStoreHasResponded)
+{
+    respond(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchDelay);
+    const auto abandoned = store_.watches.front().second;
+    store_.watches.clear();
+    EXPECT_TRUE(follower_.isFollowing());
+    follower_.resumeAfterPause();
+    EXPECT_FALSE(follower_.isFollowing());
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::recoveryWatchDuration);
+    abandoned(RecordChanges{{}, Revision(7)});
+    EXPECT_FALSE(follower_.isFollowing());
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(8)}));
+    EXPECT_TRUE(follower_.isFollowing());
+    EXPECT_EQ(changed_, 1U);
+}
+
 namespace {
 
 class LeasedRecordTest : public testing::Test
