Bound every part of a message that can grow, and read odd values of other writers

Cause: an upstream that answers with a chunk header, a trailer or chunk extensions without end kept its call reading until the deadline; the bytes stayed in the buffer and were parsed anew with each read. Each body was bounded, but not the sum of the bodies of a process.

Change: a chunk header or trailer of more than 8 KiB and framing of more than 64 KiB beyond the content end the message. Buffered bodies have a budget of 32 MiB for responses of the upstream and for requests of callers; a request that finds no room is refused as not run with a Retry-After. A connection on which a response to another request came is not used again, and after four such responses the call ends. A malformed body of a request gets 400 or 413 instead of a closed connection; bodies up to 8 MiB are taken as far as the operators' limit allows them (1 MiB before, whatever they allowed).

Durations, times and counts that other writers give are bounded before they are converted: on arm64 and x86-64 a duration of 1e308 s, a start time of 2^64-1 ms and 2^32-1 slots became negative.

--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -22,9 +22,14 @@
 namespace {
 
 constexpr int noRouteStatus = 404;
+constexpr int malformedStatus = 400;
 constexpr int tooLargeStatus = 413;
-// Request bodies are buffered whole, so that a retry can send them again.
-constexpr std::size_t maximumBodyBytes = std::size_t{1024} * 1024;
+// When a caller may return whose body found no room in memory; those of others are sent on within
+// about this time.
+constexpr std::chrono::milliseconds overloadRetryDelay{200};
+// Request bodies are buffered whole, so that a retry can send them again. The operators' limit
+// holds below this one, which fits the messages between nodes.
+constexpr std::size_t maximumBodyBytes = std::size_t{8} * 1024 * 1024;
 
 MonotonicTime currentTime()
 {
@@ -93,20 +98,25 @@
         target_ = snapshot_->targetFor(description_.host, pathOf(exchange_.head().target));
         if (target_ == nullptr)
             return respondNoRoute();
-        return exchange_.readBodyUpTo(maximumBodyBytes).then([this](http::BodyPiece &&body) {
-            if (!body.isLast)
-                return respondTooLarge();
-            CallRequest request = makeRequest(std::move(body.bytes));
-            if (const auto reason = refusalReason(request))
-                return respond(CallResponse::notRun(*reason));
-            plan_.emplace(CallPlan::Dependencies{server_.dependencies_.routingPolicy,
-                                                 server_.dependencies_.retryPolicy, server_.loads_},
-                          snapshot_, *target_, std::move(request), server_.random_);
-            return perform(plan_->start(currentTime()));
-        });
+        return exchange_.readBodyUpTo(maximumBodyBytes)
+                .then([this](http::BodyPiece &&body) { return handleBody(std::move(body)); },
+                      [this](kj::Exception &&exception) { return respondUnread(exception); });
     }
 
 private:
+    kj::Promise<void> handleBody(http::BodyPiece body)
+    {
+        if (!body.isLast)
+            return respondTooLarge();
+        CallRequest request = makeRequest(std::move(body.bytes));
+        if (const auto reason = refusalReason(request))
+            return respond(CallResponse::notRun(*reason));
+        plan_.emplace(CallPlan::Dependencies{server_.dependencies_.routingPolicy,
+                                             server_.dependencies_.retryPolicy, server_.loads_},
+                      snapshot_, *target_, std::move(request), server_.random_);
+        return perform(plan_->start(currentTime()));
+    }
+
     kj::Promise<void> perform(PlanStep step)
     {
         auto *attempt = std::get_if<SendAttempt>(&step);
@@ -175,6 +185,21 @@
                                  "request body too large\n");
     }
 
+    // The rest of the body is not read, so the connection can not carry another request.
+    kj::Promise<void> respondUnread(const kj::Exception &exception)
+    {
+        exchange_.closeAfterResponse();
+        CallResponse refusal = CallResponse::notRun(exception.getDescription().cStr());
+        if (exception.getType() == kj::Exception::Type::OVERLOADED) {
+            refusal.retryAfter = overloadRetryDelay;
+            return respond(refusal);
+        }
+        if (exchange_.bodyFault() && exchange_.bodyFault()->status == tooLargeStatus)
+            return respondTooLarge();
+        logOutcome(EventCode::CallNotRun, "call ended", refusal);
+        return exchange_.respond(http::ResponseHead{malformedStatus, {}}, refusal.reason + "\n");
+    }
+
     // Appends an attempt to the log field "path", as "node:outcome@milliseconds since the arrival".
     void recordAttempt(const core::identity::NodeId &node, const CallResponse &response)
     {
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "transport/http/BodyPiece.h"
+#include "transport/http/BufferBudget.h"
 #include "transport/http/MessageParser.h"
 #include "transport/http/ReadAheadStream.h"
 #include "transport/http/StreamEnd.h"
 
 #include <kj/debug.h>
+#include <optional>
 #include <variant>
 
 namespace boragetrack::transport::http {
@@ -19,10 +21,14 @@
 public:
     using HeadResult = std::variant<Head, StreamEnd, MessageFault>;
 
-    /** @param stream outlives the reader */
-    MessageReader(ReadAheadStream &stream, const MessageLimits &limits)
+    /** @param stream outlives the reader
+        @param budget limits the bodies that are read whole; null for no limit beyond that of each
+                      body; outlives the reader */
+    MessageReader(ReadAheadStream &stream, const MessageLimits &limits,
+                  BufferBudget *budget = nullptr)
         : stream_(stream)
         , limits_(limits)
+        , budget_(budget)
     {}
 
     /** Sets the limits that apply from the next message on. */
@@ -33,6 +39,9 @@
     kj::Promise<HeadResult> readHead()
     {
         parser_ = std::make_unique<MessageParser<Head>>(limits_);
+        share_.reset();
+        consumedBytes_ = 0;
+        contentBytes_ = 0;
         return continueHead();
     }
 
@@ -42,8 +51,11 @@
     {
         parse();
         std::string bytes = parser_->takeBody();
+        contentBytes_ += bytes.size();
         if (parser_->fault())
             return KJ_EXCEPTION(DISCONNECTED, "malformed body", parser_->fault()->reason.c_str());
+        if (isFramingTooLarge())
+            return KJ_EXCEPTION(DISCONNECTED, "malformed body", "too many bytes besides content");
         if (!bytes.empty() || parser_->isDone())
             return BodyPiece{std::move(bytes), parser_->isDone()};
         if (stream_.isEnded())
@@ -52,6 +64,7 @@
     }
 
     /** Reads the body until it ends or reaches a limit; the last piece read may exceed the limit.
+        Rejects as readBody() does, and with OVERLOADED if the budget does not allow it.
         @param limit in bytes; a body that reaches it before its end is returned with isLast false
         @param received bytes that were already read */
     kj::Promise<BodyPiece> readBodyUpTo(std::size_t limit, std::string received = {})
@@ -59,12 +72,18 @@
         return readBody().then([this, limit, received = std::move(received)](
                                        BodyPiece &&piece) mutable -> kj::Promise<BodyPiece> {
             received += piece.bytes;
+            if (!reserve(received.size()))
+                return KJ_EXCEPTION(OVERLOADED, "too many bytes of bodies are buffered");
             if (piece.isLast || received.size() >= limit)
                 return BodyPiece{std::move(received), piece.isLast};
             return readBodyUpTo(limit, std::move(received));
         });
     }
 
+    /** Returns the bytes of a body that was read whole to the budget. To be called when the body is
+        not kept any longer; otherwise the next message does it. */
+    void releaseBody() { share_.reset(); }
+
     /** Returns the parser of the current message. */
     const MessageParser<Head> &message() const { return *parser_; }
 
@@ -81,6 +100,28 @@
         return stream_.readMore().then([this]() { return continueHead(); });
     }
 
+    // The parser consumes a chunk header or a trailer only when it is complete, so an endless one
+    // stays in the stream's buffer. Short ones are consumed one after the other.
+    bool isFramingTooLarge() const
+    {
+        if (parser_->isDone())
+            return false;
+        return stream_.bytes().size() > maximumChunkHeaderBytes
+               || consumedBytes_ > limits_.headerBytes + maximumFramingBytes + 2 * contentBytes_;
+    }
+
+    bool reserve(std::size_t bytes)
+    {
+        if (budget_ == nullptr)
+            return true;
+        if (!share_)
+            share_.emplace(*budget_);
+        if (share_->resize(bytes))
+            return true;
+        share_.reset();
+        return false;
+    }
+
     HeadResult endOfInput()
     {
         if (!parser_->hasBegun())
@@ -90,7 +131,9 @@
 
     void parse()
     {
-        stream_.consume(parser_->put(stream_.bytes()));
+        const std::size_t consumed = parser_->put(stream_.bytes());
+        stream_.consume(consumed);
+        consumedBytes_ += consumed;
         // Only a regular close completes a body without a length; after a reset it is incomplete.
         if (stream_.isEnded() && !stream_.isReset() && parser_->isHeadDone())
             parser_->putEnd();
@@ -98,6 +141,12 @@
 
     ReadAheadStream &stream_;
     MessageLimits limits_;
+    BufferBudget *budget_;
+    // The part of the budget that the current body uses.
+    std::optional<BufferBudget::Share> share_;
+    // The bytes of the current message that were consumed, and those of its content.
+    std::size_t consumedBytes_ = 0;
+    std::size_t contentBytes_ = 0;
     std::unique_ptr<MessageParser<Head>> parser_;
 };
 
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -12,10 +12,11 @@
 class ServerConnection
 {
 public:
-    /** @param handler and @param timer outlive the connection */
-    ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer)
+    /** @param handler, @param timer and @param budget outlive the connection */
+    ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer,
+                     BufferBudget &budget)
         : stream_(kj::mv(stream))
-        , reader_(stream_, {})
+        , reader_(stream_, {}, &budget)
         , handler_(handler)
         , timer_(timer)
     {}
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -26,6 +26,9 @@
     /** Returns the request's body up to a limit. @see MessageReader::readBodyUpTo */
     kj::Promise<BodyPiece> readBodyUpTo(std::size_t limit) { return reader_.readBodyUpTo(limit); }
 
+    /** Returns why reading the body failed, if the body was malformed or too large. */
+    const std::optional<MessageFault> &bodyFault() const { return reader_.message().fault(); }
+
     /** Returns whether the request's body was read completely. */
     bool isRequestRead() const { return reader_.message().isDone(); }
 
--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -73,7 +73,7 @@
 
 void ServerListener::serve(kj::Own<kj::AsyncIoStream> stream)
 {
-    auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_);
+    auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_, budget_);
     auto running = connection->run();
     auto count = kj::heap<ScopedCount>(connections_);
     tasks_.add(running.catch_([](kj::Exception &&exception) {
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -15,6 +15,8 @@
 public:
     /** Maximum number of concurrent connections; further ones wait to be accepted. */
     static constexpr std::size_t maximumConnections = 1500;
+    /** Maximum size of all request bodies that are buffered at a time, in bytes. */
+    static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
 
     /** @param network, @param timer and @param handler outlive the listener */
     ServerListener(kj::Network &network, kj::Timer &timer, ExchangeHandler &handler)
@@ -45,6 +47,7 @@
     kj::Timer &timer_;
     ExchangeHandler &handler_;
     kj::Own<kj::ConnectionReceiver> receiver_;
+    BufferBudget budget_{maximumBufferedBytes};
     std::size_t connections_ = 0;
     kj::TaskSet tasks_;
     kj::Promise<void> accepting_ = nullptr;
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -5,6 +5,7 @@
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace boragetrack::transport::serving {
@@ -18,7 +19,9 @@
 namespace {
 
 // The upstream may close an idle connection while a request is on its way to it.
-constexpr std::chrono::milliseconds idleMargin{1000};
+constexpr std::chrono::seconds idleMargin{1};
+// A longer timeout in the upstream's header reads as this one.
+constexpr std::chrono::hours maximumIdleTimeout{1};
 
 MonotonicTime currentTime()
 {
@@ -38,7 +41,7 @@
     if (at == std::string::npos)
         return UpstreamClient::defaultIdleTimeout;
     const std::chrono::seconds timeout(std::atol(keepAlive->c_str() + at + 8));
-    return std::max(std::chrono::milliseconds::zero(), timeout - idleMargin);
+    return std::clamp<std::chrono::seconds>(timeout, idleMargin, maximumIdleTimeout) - idleMargin;
 }
 
 } // namespace
@@ -124,8 +127,11 @@
     kj::Promise<CallResponse> interpret(const http::ResponseHead &head, std::string body)
     {
         const ResponseKind kind = client_.dialect_.classifyResponse(head, request_);
-        if (kind == ResponseKind::OtherRequest)
+        if (kind == ResponseKind::OtherRequest) {
+            if (++foreignResponses_ > maximumForeignResponses)
+                return unknownOutcome("the upstream responds to other requests only");
             return readResponse();
+        }
         if (kind == ResponseKind::Malformed)
             return unknownOutcome("the upstream's response identifies no request");
         CallResponse response;
@@ -139,8 +145,9 @@
             response.reason = "another process listens at the upstream's address";
         response.body = std::move(body);
         response.headers = http::endToEndHeaders(head.headers);
-        const bool isReusable
-                = isRequestWritten_ && connection_->reader().message().keepsConnection();
+        // After a response to another request, more of them may follow.
+        const bool isReusable = isRequestWritten_ && foreignResponses_ == 0
+                                && connection_->reader().message().keepsConnection();
         if (isReusable)
             client_.release(kj::mv(connection_), head.headers);
         return kj::mv(response);
@@ -158,6 +165,7 @@
     const CallRequest &request_;
     std::string requestText_;
     bool isRequestWritten_ = false;
+    int foreignResponses_ = 0;
 };
 
 UpstreamClient::UpstreamClient(kj::Network &network, kj::Timer &timer,
@@ -225,14 +233,15 @@
                 auto promise = parsed->connect();
                 return promise.attach(kj::mv(parsed));
             })
-            .then([](kj::Own<kj::AsyncIoStream> &&stream) {
+            .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
                 http::enableKeepAlive(*stream);
-                return kj::heap<UpstreamConnection>(kj::mv(stream));
+                return kj::heap<UpstreamConnection>(kj::mv(stream), budget_);
             });
 }
 
 void UpstreamClient::release(Connection connection, const http::HeaderList &headers)
 {
+    connection->reader().releaseBody();
     connection->markIdle(currentTime(), idleTimeoutFrom(headers));
     idleConnections_.push_back(kj::mv(connection));
 }
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -27,6 +27,10 @@
     static constexpr int maximumConnections = 110;
     /** The largest response body that is passed on, in bytes. */
     static constexpr std::size_t maximumResponseBytes = std::size_t{4} * 1024 * 1024;
+    /** The largest size of all response bodies that are buffered at a time, in bytes. */
+    static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
+    /** How many responses to other requests a call passes over before its connection is closed. */
+    static constexpr int maximumForeignResponses = 4;
     /** The timeout of a connection attempt; the upstream runs on the same VM. */
     static constexpr std::chrono::milliseconds connectTimeout{300};
     /** How long an idle connection may be reused when the upstream states no timeout. */
@@ -61,6 +65,7 @@
     kj::Timer &timer_;
     const dialect::CallDialect &dialect_;
     core::identity::NetworkAddress address_;
+    http::BufferBudget budget_{maximumBufferedBytes};
     std::vector<Connection> idleConnections_;
     // Invariant: the number of calls that have started and not ended.
     int inFlight_ = 0;
--- a/packages/transport/serving/UpstreamConnection.h
+++ b/packages/transport/serving/UpstreamConnection.h
@@ -12,9 +12,10 @@
 class UpstreamConnection
 {
 public:
-    explicit UpstreamConnection(kj::Own<kj::AsyncIoStream> stream)
+    /** @param budget outlives the connection */
+    UpstreamConnection(kj::Own<kj::AsyncIoStream> stream, http::BufferBudget &budget)
         : stream_(kj::mv(stream))
-        , reader_(stream_, http::MessageLimits{headerBytes, bodyBytes})
+        , reader_(stream_, http::MessageLimits{headerBytes, bodyBytes}, &budget)
     {}
 
     /** Returns the stream. */
--- a/tests/unit/HeartbeatTest.cpp
+++ b/tests/unit/HeartbeatTest.cpp
@@ -89,3 +89,50 @@
     EXPECT_FALSE(filter.isLeaving());
     EXPECT_FALSE(filter.accept(stamp("i-1", 91, 100), true));
 }
+
+// Another writer may announce anything.
+TEST(HeartbeatReader, survivesOddValues)
+{
+    const auto with = [](const std::string &field, const std::string &value) {
+        const std::size_t at = good.find("\"" + field + "\":") + field.size() + 3;
+        const std::size_t end = good.find_first_of(",}", at);
+        return good.substr(0, at) + value + good.substr(end);
+    };
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> oddValues{"1e308",
+                                             "-1e308",
+                                             "1e400",
+                                             "18446744073709551616",
+                                             "18446744073709551615",
+                                             "-1",
+                                             "NaN",
+                                             "\"\\ud800\"",
+                                             "{}",
+                                             nested,
+                                             "\"\xff\"",
+                                             "0.1",
+                                             "null"};
+    for (const std::string &value : oddValues) {
+        for (const char *field :
+             {"service", "address", "version", "slots", "state", "coldLeftS", "seqNum", "born"}) {
+            core::findings::FindingList findings("heartbeat");
+            const auto heartbeat = platform::readHeartbeat("i-1", with(field, value), findings);
+            EXPECT_EQ(heartbeat.has_value(), findings.isEmpty());
+            if (!heartbeat)
+                continue;
+            const auto &status = heartbeat->status;
+            EXPECT_GE(status.record.slots, 0) << field << value.substr(0, 30);
+            EXPECT_GE(status.coldLeft.count(), 0) << field << value.substr(0, 30);
+            EXPECT_LT(status.coldLeft, std::chrono::hours(24 * 400));
+            EXPECT_GE(heartbeat->stamp.startedAt.value_or(WallTime{}), WallTime{});
+        }
+    }
+    for (const char *address : {"\"10.0.0.9:0\"", "\"10.0.0.9:70000\"", "\"10.0.0.9:-1\"",
+                                "\"10.0.0.9:99999999999999999999\"", "\"10.0.0.9\"", "\":1\"",
+                                "\"host.example:80\"", "\"\""}) {
+        core::findings::FindingList findings("heartbeat");
+        std::string text = good;
+        text.replace(text.find("\"10.0.0.9:8080\""), 15, address);
+        EXPECT_FALSE(platform::readHeartbeat("i-1", text, findings)) << address;
+    }
+}
--- a/tests/unit/PlatformIntentTest.cpp
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -179,3 +179,53 @@
     EXPECT_EQ(onlyMove().state, MoveState::Running);
     EXPECT_FALSE(onlyMove().isStartKnown);
 }
+
+// Another writer may leave anything under the keys that nodes read. What can not be read is
+// reported with its place, and the rest holds.
+TEST_F(PlatformIntentTest, survivesOddRecords)
+{
+    apply(1, {record("op/config", 1, configuration)});
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::vector<std::string> odd{
+            "",
+            nested,
+            nested.substr(0, 100'000),
+            "1e400",
+            "[1e308]",
+            "\xff\xfe",
+            "null",
+            std::string(1'000'000, 'x'),
+            R"({"service":"payments","targetVersion":"v2","rampS":1e308})",
+            R"({"service":"payments","targetVersion":"v2","rampS":-1})",
+            R"({"service":"payments","targetVersion":"v2","rampS":18446744073709551616})",
+            R"({"service":7,"targetVersion":{},"rampS":[]})"};
+    std::uint64_t revision = 1;
+    for (const std::string &text : odd) {
+        for (const char *key : {"op/rollout/payments", "op/rollout/", "op/evacuate/nowhere",
+                                "boragetrack/moves/payments", "status/rollout/payments"}) {
+            ++revision;
+            apply(revision, {record(key, revision, text)});
+            EXPECT_EQ(intent_.document().routes.size(), 2U) << key;
+            EXPECT_TRUE(intent_.document().moves.empty()) << key << text.substr(0, 80);
+        }
+    }
+    // A configuration that can not be read leaves the previous one in force.
+    apply(revision + 1, {record("op/config", revision + 1, nested)});
+    EXPECT_EQ(intent_.document().routes.size(), 2U);
+    apply(revision + 2, {record("op/evacuate/ikeja", revision + 2, nested)});
+    EXPECT_TRUE(intent_.document().dataCentres.at(0).isOut) << "the rest is followed";
+}
+
+TEST_F(PlatformIntentTest, ignoresAMoveRecordWithATimeOutOfRange)
+{
+    apply(1, {record("op/config", 1, configuration)});
+    apply(2, {record("op/rollout/payments", 2,
+                     R"({"service":"payments","targetVersion":"v2","rampS":20})")});
+    for (const char *time : {"18446744073709551615", "9223372036854775807", "1e300", "-5"}) {
+        apply(3,
+              {record("boragetrack/moves/payments", 3,
+                      std::string(R"({"order":2,"state":"completed","startAtMs":)") + time + "}")});
+        EXPECT_FALSE(onlyMove().isStartKnown) << time;
+        EXPECT_EQ(onlyMove().state, MoveState::Running) << time;
+    }
+}
