Follow the store past odd entries, and run no call whose time passed in a queue or a pause

A watch whose changes exceed 8 MiB, as a few odd entries of a megabyte do, failed in the same way for ever, so the node followed the store no longer. Changes that are too large or can not be read are listed page by page now.

A call that waited in the inbound queue reached its upstream with the time budget of its arrival: 1.8 s became 2.3 s. The time is deducted before the call is sent, also that of opening a link.

A node that had been paused for 2 s ran calls with a budget of 0.8 s that had arrived meanwhile, after their callers had been told 502. A pause of the traffic thread is detected by its ticks; inputs that may have waited for it are taken to be that much older.

The stand-in of the store ends a page at about 1 MB, as the platform's pages say.

--- a/packages/control/records/RecordStore.h
+++ b/packages/control/records/RecordStore.h
@@ -18,7 +18,8 @@
 
     Errors: Unavailable if nothing was executed, ResourceExhausted if the store refused the call for
     its rate, Unknown if the response was lost or late, NotFound for an expired lease, OutOfRange if
-    the requested history was compacted, Aborted if a condition failed.
+    the requested history was compacted or is too large to be read at once, DataLoss if a response
+    can not be read, Aborted if a condition failed.
 */
 class RecordStore
 {
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -133,7 +133,8 @@
 void StoreFollower::handleWatchResponse(const absl::StatusOr<RecordChanges> &response)
 {
     ++watchNumber_;
-    if (absl::IsOutOfRange(response.status())) {
+    // The same watch would get the same response, so the records are listed page by page instead.
+    if (absl::IsOutOfRange(response.status()) || absl::IsDataLoss(response.status())) {
         isListed_ = false;
         listFrom({});
         return;
--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -5,6 +5,7 @@
 #include "core/identity/RouteName.h"
 #include "core/identity/ServiceName.h"
 #include "core/identity/VersionName.h"
+#include "core/timing/MonotonicTime.h"
 #include "traffic/calls/HeaderField.h"
 
 #include <chrono>
@@ -41,12 +42,25 @@
     core::identity::IdempotencyKey key;
     /** The time left until the deadline. */
     std::chrono::microseconds budget{0};
+    /** When this node received the call; not sent to other nodes. */
+    core::timing::MonotonicTime receivedAt{};
     /** The depth of nesting, counting this call. */
     int hops = 0;
     /** 1 for the first attempt; passed on to nested calls, so that those of a retry are not
         retried. */
     int attempt = 1;
 
+    /** Takes time that has passed from the time left. */
+    void deductTime(std::chrono::nanoseconds elapsed)
+    {
+        const auto passed = std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
+        budget -= passed;
+        objective -= passed;
+    }
+
+    /** Returns whether the deadline has passed. */
+    bool isExpired() const { return budget <= std::chrono::microseconds::zero(); }
+
     /** Returns the priority rank in queues: nested calls have rank 0 and precede all others. */
     int rank() const { return isNested ? 0 : 1 + priority; }
 };
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -74,6 +74,7 @@
         , description_(server.dependencies_.dialect.describe(exchange.head()))
         , snapshot_(server.dependencies_.routing.current())
         , arrivedAt_(currentTime())
+        , possibleDelay_(server.dependencies_.pauses.possibleDelay(arrivedAt_))
     {
         ++server_.activeCalls_;
     }
@@ -141,7 +142,7 @@
     {
         const auto &route = target_->entry.route;
         CallRequest call = buildCall(exchange_.head(), description_, target_->entry,
-                                     currentTime() - arrivedAt_);
+                                     currentTime() - arrivedAt_ + possibleDelay_);
         call.body = std::move(body);
         call.service = route.split.empty() ? route.service : pickService(route);
         call.callerService = server_.dependencies_.service;
@@ -249,6 +250,8 @@
     dialect::CallDescription description_;
     std::shared_ptr<const RoutingSnapshot> snapshot_;
     MonotonicTime arrivedAt_;
+    // How long the request may have waited before it was read, because the process was paused.
+    std::chrono::nanoseconds possibleDelay_;
     // Part of snapshot_; null until a route was matched.
     const RouteTarget *target_ = nullptr;
     std::optional<CallPlan> plan_;
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -4,6 +4,7 @@
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
 #include "core/counters/LatencyCounters.h"
+#include "core/timing/PauseDetector.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/retry/CallPlan.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -33,6 +34,7 @@
         const traffic::calls::RunningCalls &runningCalls;
         /** The service on this node's VM. */
         core::identity::ServiceName service;
+        const core::timing::PauseDetector &pauses;
         core::counters::CounterRegistry &counters;
     };
 
--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr int tooLargeStatus = 413;
+constexpr const char *tooLargeText = "the response is too large";
+
 kj::Duration toKj(std::chrono::nanoseconds time)
 {
     return time.count() * kj::NANOSECONDS;
@@ -60,6 +63,9 @@
                 .then([this](MessageReader<ResponseHead>::HeadResult &&result)
                               -> kj::Promise<Result> {
                     auto *head = std::get_if<ResponseHead>(&result);
+                    const auto *fault = std::get_if<MessageFault>(&result);
+                    if (fault != nullptr && fault->status == tooLargeStatus)
+                        return Result(absl::OutOfRangeError(tooLargeText));
                     if (head == nullptr)
                         return Result(absl::UnknownError("no valid response on the connection"));
                     response_.status = head->status;
@@ -78,7 +84,7 @@
                 .readBodyUpTo(maximumResponseBytes)
                 .then([this](BodyPiece &&body) {
                     if (!body.isLast)
-                        return Result(absl::UnknownError("the response is too large"));
+                        return Result(absl::OutOfRangeError(tooLargeText));
                     response_.body = std::move(body.bytes);
                     if (connection_->reader().message().keepsConnection()) {
                         connection_->watchForClose();
--- a/packages/transport/http/AsyncClient.h
+++ b/packages/transport/http/AsyncClient.h
@@ -31,8 +31,8 @@
 
     /** Sends a request and returns its response; never rejects.
         @param timeout for the whole exchange, including the time to connect
-        @returns Unavailable if the server certainly did not receive the request, Unknown if the
-        response was lost, invalid or late */
+        @returns Unavailable if the server certainly did not receive the request, OutOfRange if the
+        response is too large, Unknown if it was lost, invalid or late */
     kj::Promise<absl::StatusOr<HttpResponse>> send(HttpRequest request,
                                                    std::chrono::milliseconds timeout);
 
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -96,6 +96,8 @@
     // run.
     return connect(peer).then(
             [this, message, deadline, startedAt, peer](wire::schema::Peer::Client client) {
+                message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
+                                    * std::chrono::nanoseconds(1));
                 auto call = client.callRequest(
                         wire::sizeHint(message->body.size() + message->target.size()));
                 wire::encode(*message, call.initRequest());
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -48,6 +48,7 @@
 public:
     Loop(Dependencies &dependencies, kj::AsyncIoContext &io)
         : timer_(io.provider->getTimer())
+        , pauses_(std::chrono::steady_clock::now())
         , counters_(dependencies.counters)
         , routing_(dependencies.routing)
         , links_(
@@ -56,11 +57,11 @@
         , inbound_(serving::InboundProxy::Dependencies{
                   dependencies.self, dependencies.processId, links_, io.provider->getNetwork(),
                   timer_, dependencies.dialect, dependencies.routing,
-                  std::move(dependencies.admission), dependencies.evidenceSink,
+                  std::move(dependencies.admission), dependencies.evidenceSink, pauses_,
                   dependencies.counters})
         , callers_(callers::CallerServer::Dependencies{
                   dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
-                  dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
+                  dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service, pauses_,
                   dependencies.counters})
         , callerListener_(io.provider->getNetwork(), timer_, callers_)
         , server_(kj::heap<PeerServer>(dependencies.requestHandler, inbound_))
@@ -87,6 +88,7 @@
                                           + ": " + exception.getDescription().cStr());
         }
         tasks_.add(acceptNext());
+        tasks_.add(recordTicks());
         for (LoopComponent *component : components_) {
             if (const absl::Status status = component->start(context); !status.ok())
                 return status;
@@ -151,6 +153,13 @@
         });
     }
 
+    kj::Promise<void> recordTicks()
+    {
+        pauses_.recordTick(std::chrono::steady_clock::now());
+        return timer_.afterDelay(core::timing::PauseDetector::tickPeriod.count() * kj::MILLISECONDS)
+                .then([this]() { return recordTicks(); });
+    }
+
     kj::Promise<void> acceptNext()
     {
         return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
@@ -198,6 +207,7 @@
     }
 
     kj::Timer &timer_;
+    core::timing::PauseDetector pauses_;
     LinkCounters counters_;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
     PeerLinks links_;
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -94,6 +94,9 @@
 kj::Promise<CallResponse> InboundProxy::serve(CallRequest request)
 {
     applyIntent();
+    request.receivedAt = currentTime();
+    // The sender may have given the call up while this process was paused.
+    request.deductTime(dependencies_.pauses.possibleDelay(request.receivedAt));
     const std::optional<std::string> reason = refusalReason(request);
     const bool isKeyed = !request.key.isEmpty() && !request.isIdempotent;
     // A duplicate receives the stored response even when the upstream has changed since.
@@ -122,6 +125,8 @@
 //==============================================================================
 std::optional<std::string> InboundProxy::refusalReason(const CallRequest &request) const
 {
+    if (request.isExpired())
+        return "the deadline has passed";
     const auto record = status_ ? std::optional(status_->record) : std::nullopt;
     return traffic::inbound::refusalReason(request, record, *dependencies_.routing.current());
 }
@@ -142,11 +147,13 @@
 kj::Promise<CallResponse> InboundProxy::send(CallRequest &request,
                                              kj::Own<AdmissionController::ScopedPermit> permit)
 {
+    const MonotonicTime startedAt = currentTime();
+    request.deductTime(startedAt - request.receivedAt);
+    request.receivedAt = startedAt;
     // The intent or the upstream may have changed while the request waited.
     if (const auto reason = refusalReason(request))
         return refuse(request, *reason);
     callsRun_.add();
-    const MonotonicTime startedAt = currentTime();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
             runningCalls_, request.requestId, request.attempt);
     return upstreamClient_.send(request, *status_)
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -5,6 +5,7 @@
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
 #include "core/counters/LatencyCounters.h"
+#include "core/timing/PauseDetector.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/deduplication/ClaimRegister.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -46,6 +47,7 @@
         const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
         EvidenceSink evidence;
+        const core::timing::PauseDetector &pauses;
         core::counters::CounterRegistry &counters;
     };
 
--- a/tests/platform/asyncserver.py
+++ b/tests/platform/asyncserver.py
@@ -22,16 +22,22 @@
 class Response:
     """A response to send; raw bytes replace all of it, and extra bytes follow it.
 
+    With a filler, its bytes follow without end until the client closes the connection. Late bytes
+    follow after a delay (s), on the connection as it is then.
     A handler that returns None instead of a response aborts the connection.
     """
 
-    def __init__(self, status=200, body=b"", headers=None, raw=None, close=False, extra=b""):
+    def __init__(self, status=200, body=b"", headers=None, raw=None, close=False, extra=b"",
+                 filler=b"", late=b"", late_delay=0.0):
         self.status = status
         self.body = body
         self.headers = headers or {}
         self.raw = raw
         self.close = close
         self.extra = extra
+        self.filler = filler
+        self.late = late
+        self.late_delay = late_delay
 
     def to_bytes(self):
         if self.raw is not None:
@@ -135,6 +141,12 @@
                     return
                 writer.write(response.to_bytes())
                 await writer.drain()
+                while response.filler:
+                    writer.write(response.filler)
+                    await writer.drain()
+                if response.late:
+                    self.event_loop.loop.call_later(response.late_delay, writer.write,
+                                                    response.late)
                 if response.close:
                     return
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -79,9 +79,15 @@
         prefix = unquote(request.query.get("prefix", ""))
         after = unquote(request.query.get("after", ""))
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = [self.items[key] for key in keys[:50]]
+        page = []
+        size = 0
+        for key in keys[:50]:
+            size += len(self.items[key]["value"])
+            if page and size > 1_000_000:
+                break
+            page.append(self.items[key])
         return self.json_response(
-            200, {"items": page, "truncated": len(keys) > 50, "currentRev": self.revision}
+            200, {"items": page, "truncated": len(page) < len(keys), "currentRev": self.revision}
         )
 
     async def watch(self, request):
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -8,16 +8,10 @@
 import unittest
 
 from asyncserver import Response
-from platform_fleet import PlatformFleet, configuration, rule
+from platform_case import RULES, SERVICES, PlatformCase
+from platform_fleet import configuration, rule
 from upstream import ATTEMPT, NOT_RUN, STAMP
 
-SERVICES = ["items", "orders"]
-RULES = [
-    rule("items", "/items/", service="items"),
-    rule("orders", "/orders/", kind="unsafe", service="orders"),
-]
-
-
 def exchange(port, pieces, timeout=4.0, pause=0.0):
     """Sends pieces of raw bytes. Returns what is received until the end or the timeout (s)."""
     with socket.create_connection(("127.0.0.1", port), timeout=timeout) as connection:
@@ -34,34 +28,11 @@
         return received
 
 
-class PlatformTest(unittest.TestCase):
-    """Two services in two zones; each test starts a separate fleet without faults."""
+class PlatformTest(PlatformCase):
+    """The call path, the store, moves and planned stops on the platform's interface."""
 
     first_port = 21000
 
-    def setUp(self):
-        type(self).first_port += 60
-        self.fleet = PlatformFleet(self.first_port)
-        self.addCleanup(self.fleet.stop)
-        self.store = self.fleet.store
-        for zone in ("ikeja", "lekki"):
-            for service in SERVICES:
-                self.fleet.add_node(f"{service}-{zone}", zone, service)
-        self.nodes = {node.name: node for node in self.fleet.nodes}
-
-    def start_fleet(self):
-        self.store.put("op/config", configuration(5, RULES, SERVICES))
-        self.fleet.start()
-        self.fleet.wait_until_served("/items/1")
-        self.fleet.wait_until_served("/orders/1")
-        self.fleet.wait_until_upstreams_known()
-
-    def upstreams(self, service):
-        return [n.upstream for n in self.fleet.nodes if n.service == service and n.upstream]
-
-    def run_count(self, attempt):
-        return sum(n.upstream.attempts().count(attempt) for n in self.fleet.nodes if n.upstream)
-
     # ---------------------------------------------------------------- call path
 
     def test_serves_a_call_with_the_headers_that_the_platform_requires(self):
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -184,6 +184,19 @@
     EXPECT_EQ(store_.watches.front().first, Revision(20));
 }
 
+// Another writer may leave so much that the changes do not fit one response; the same watch would
+// fail for ever.
+TEST_F(StoreFollowerTest, listsWhenTheChangesCanNotBeRead)
+{
+    for (const absl::Status &error :
+         {absl::OutOfRangeError("too large"), absl::DataLossError("not JSON")}) {
+        respond(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+        timers_.advance(StoreFollower::firstWatchDelay);
+        respond(store_.watches, absl::StatusOr<RecordChanges>(error));
+        ASSERT_FALSE(store_.lists.empty());
+    }
+}
+
 TEST_F(StoreFollowerTest, isIdleWhileInactiveAndResumesFromTheKnownRevision)
 {
     follower_.setActive(false, Revision(0));
