--- a/tests/unit/MessageReaderTest.cpp
+++ b/tests/unit/MessageReaderTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint32_t headerBytes = 64 * 1024;
-constexpr std::uint64_t bodyBytes = 1024 * 1024;
+constexpr std::uint64_t bodyBytes = std::uint64_t{1024} * 1024;
 
 /** What became of a response that was followed by the same bytes without end. */
 struct Reading
@@ -83,7 +83,7 @@
 
 constexpr const char *chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 // One read of the stream beyond a limit.
-constexpr std::size_t readBytes = 8 * 1024;
+constexpr std::size_t readBytes = std::size_t{8} * 1024;
 
 } // namespace
 
