Keep a link alive while calls are in progress on it

Cause: a call that timed out dropped a link that had not responded since the call began, and with it the other calls on the link, which ended as unknown ("RpcSystem was destroyed.") although their responses were on the way. It was meant that calls in progress keep their link, but the reference was released before the call was sent.

--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -95,10 +95,10 @@
     // Nothing is sent before the link is open, so a failure to open it means that the call did not
     // run.
     return connect(peer).then(
-            [this, message, deadline, startedAt, peer](wire::schema::Peer::Client client) {
+            [this, message, deadline, startedAt, peer](kj::Own<Link> &&link) {
                 message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
                                     * std::chrono::nanoseconds(1));
-                auto call = client.callRequest(
+                auto call = link->peer().callRequest(
                         wire::sizeHint(message->body.size() + message->target.size()));
                 wire::encode(*message, call.initRequest());
                 return timer_.timeoutAt(deadline, call.send())
@@ -110,7 +110,8 @@
                                 [this, peer, startedAt](kj::Exception &&exception) {
                                     dropIfUnresponsive(peer, startedAt);
                                     return CallResponse::unknown(exception.getDescription().cStr());
-                                });
+                                })
+                        .attach(kj::mv(link));
             },
             [](kj::Exception &&exception) {
                 return CallResponse::notRun(exception.getDescription().cStr());
@@ -120,45 +121,45 @@
 kj::Promise<NodeId> PeerLinks::claim(const NetworkAddress &peer, const IdempotencyKey &key,
                                      const NodeId &claimant)
 {
-    return timer_.timeoutAfter(toKj(connectTimeout),
-                               connect(peer).then([=](wire::schema::Peer::Client client) {
-                                   auto request = client.claimRequest();
-                                   request.setKey(key.value());
-                                   request.setClaimant(claimant.value());
-                                   return request.send().then([](auto &&response) {
-                                       return NodeId(response.getHolder());
-                                   });
-                               }));
+    return timer_.timeoutAfter(toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
+        auto request = link->peer().claimRequest();
+        request.setKey(key.value());
+        request.setClaimant(claimant.value());
+        return request.send()
+                .then([](auto &&response) { return NodeId(response.getHolder()); })
+                .attach(kj::mv(link));
+    }));
 }
 
 kj::Promise<void> PeerLinks::release(const NetworkAddress &peer, const IdempotencyKey &key,
                                      const NodeId &claimant)
 {
-    return timer_.timeoutAfter(toKj(connectTimeout),
-                               connect(peer).then([=](wire::schema::Peer::Client client) {
-                                   auto request = client.releaseRequest();
-                                   request.setKey(key.value());
-                                   request.setClaimant(claimant.value());
-                                   return request.send().ignoreResult();
-                               }));
+    return timer_.timeoutAfter(toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
+        auto request = link->peer().releaseRequest();
+        request.setKey(key.value());
+        request.setClaimant(claimant.value());
+        return request.send().ignoreResult().attach(kj::mv(link));
+    }));
 }
 
 //==============================================================================
 template <typename Results, typename Request, typename Read>
 auto PeerLinks::sendControl(const NetworkAddress &peer, Request makeRequest, Read read)
 {
-    auto exchange = connect(peer).then(
-            [this, makeRequest, read](wire::schema::Peer::Client client) mutable {
-                auto request = makeRequest(client);
-                counters_.controlMessagesSent.add();
-                counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
-                                               * sizeof(capnp::word));
-                return request.send().then([this, read](auto &&response) mutable {
+    auto exchange = connect(peer).then([this, makeRequest, read](kj::Own<Link> &&link) mutable {
+        wire::schema::Peer::Client client = link->peer();
+        auto request = makeRequest(client);
+        counters_.controlMessagesSent.add();
+        counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
+                                       * sizeof(capnp::word));
+        return request.send()
+                .then([this, read](auto &&response) mutable {
                     counters_.controlBytesReceived.add(response.totalSize().wordCount
                                                        * sizeof(capnp::word));
                     return read(response);
-                });
-            });
+                })
+                .attach(kj::mv(link));
+    });
     return timer_.timeoutAfter(toKj(controlTimeout), kj::mv(exchange));
 }
 
@@ -216,7 +217,7 @@
 }
 
 //==============================================================================
-kj::Promise<wire::schema::Peer::Client> PeerLinks::connect(const NetworkAddress &peer)
+kj::Promise<kj::Own<PeerLinks::Link>> PeerLinks::connect(const NetworkAddress &peer)
 {
     const std::string address = peer.toString();
     auto found = links_.find(address);
@@ -235,9 +236,8 @@
     }
     Link &link = *found->second;
     link.recordUse(timer_.now());
-    // Keeps the link alive for the caller, because it may be dropped from the map meanwhile.
     return link.whenReady().then(
-            [reference = kj::addRef(link)]() mutable { return reference->peer(); });
+            [reference = kj::addRef(link)]() mutable { return kj::mv(reference); });
 }
 
 kj::Promise<kj::Own<kj::AsyncIoStream>> PeerLinks::open(const NetworkAddress &address)
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -80,7 +80,9 @@
 private:
     class Link;
 
-    kj::Promise<wire::schema::Peer::Client> connect(const core::identity::NetworkAddress &peer);
+    // Returns the open link to a peer. A request in progress keeps its link alive by the reference,
+    // since the link may be dropped from links_ meanwhile.
+    kj::Promise<kj::Own<Link>> connect(const core::identity::NetworkAddress &peer);
     kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
     void dropLink(const std::string &address, const Link *link);
     void recordResponse(const core::identity::NetworkAddress &peer);
