Notify the followers of the other data centres of each update of the store

Cause: with one follower in a small data centre, a store that is silent for just that node leaves its watch pending without a failure, and it goes on covering the others.

Change: a follower notifies the selected followers of the other data centres as well. A notification is an exchange without gossip to one or two nodes of each other data centre.

--- a/packages/control/distribution/FollowerRole.cpp
+++ b/packages/control/distribution/FollowerRole.cpp
@@ -112,6 +112,7 @@
     const Candidates &known = candidates();
     std::vector<NodeId> receivers(
             known.nodes.begin(), known.nodes.begin() + static_cast<std::ptrdiff_t>(known.selected));
+    receivers.insert(receivers.end(), known.remoteFollowers.begin(), known.remoteFollowers.end());
     std::erase(receivers, members_.self().id);
     std::erase_if(polledAt_, [&](const auto &entry) { return now - entry.second > pollRound(); });
     for (const auto &[node, polledAt] : polledAt_) {
@@ -128,18 +129,26 @@
     const membership::MemberTable &table = members_.table();
     if (!candidates_.nodes.empty() && candidatesDigest_ == table.digest())
         return candidates_;
-    const auto isOfLocalDataCentre = [this](const MemberRecord &record) {
-        return record.dataCentre == members_.self().dataCentre;
-    };
-    const auto count = static_cast<std::size_t>(
-            std::count_if(table.records().begin(), table.records().end(), [&](const auto &entry) {
-                return entry.second.state == membership::MemberState::Alive
-                       && isOfLocalDataCentre(entry.second);
-            }));
-    const std::size_t wanted = followerCount(count);
-    candidates_.nodes = membership::selectMembers(table, followerTopic, wanted + substitutes,
-                                                  isOfLocalDataCentre);
-    candidates_.selected = std::min(wanted, candidates_.nodes.size());
+    std::map<core::identity::DataCentreId, std::size_t> sizes;
+    for (const auto &[id, record] : table.records()) {
+        if (record.state == membership::MemberState::Alive)
+            ++sizes[record.dataCentre];
+    }
+    candidates_ = Candidates{};
+    for (const auto &[dataCentre, size] : sizes) {
+        const bool isLocal = dataCentre == members_.self().dataCentre;
+        const std::size_t wanted = followerCount(size);
+        auto selected = membership::selectMembers(
+                table, followerTopic, wanted + (isLocal ? substitutes : 0),
+                [&](const MemberRecord &record) { return record.dataCentre == dataCentre; });
+        if (!isLocal) {
+            candidates_.remoteFollowers.insert(candidates_.remoteFollowers.end(), selected.begin(),
+                                               selected.end());
+            continue;
+        }
+        candidates_.selected = std::min(wanted, selected.size());
+        candidates_.nodes = std::move(selected);
+    }
     candidatesDigest_ = table.digest();
     return candidates_;
 }
--- a/packages/control/distribution/FollowerRole.h
+++ b/packages/control/distribution/FollowerRole.h
@@ -80,7 +80,7 @@
     }
 
     /** Returns the nodes to notify of an update immediately: the ones that polled recently, and the
-        other followers of the data centre, whose own watch may have been lost without their
+        other followers of all data centres, whose own watch may have been lost without their
         noticing. Forgets nodes that stopped polling. */
     std::vector<core::identity::NodeId> updateReceivers(core::timing::MonotonicTime now);
 
@@ -91,6 +91,8 @@
         std::vector<core::identity::NodeId> nodes;
         // Invariant: at most nodes.size(); the first nodes are the selected followers.
         std::size_t selected = 0;
+        // The selected followers of the other data centres.
+        std::vector<core::identity::NodeId> remoteFollowers;
     };
 
     const Candidates &candidates() const;
