--- a/packages/control/distribution/FollowerRole.cpp
+++ b/packages/control/distribution/FollowerRole.cpp
@@ -135,9 +135,10 @@
             ++sizes[record.dataCentre];
     }
     candidates_ = Candidates{};
-    for (const auto &[dataCentre, size] : sizes) {
+    for (const auto &entry : sizes) {
+        const core::identity::DataCentreId &dataCentre = entry.first;
         const bool isLocal = dataCentre == members_.self().dataCentre;
-        const std::size_t wanted = followerCount(size);
+        const std::size_t wanted = followerCount(entry.second);
         auto selected = membership::selectMembers(
                 table, followerTopic, wanted + (isLocal ? substitutes : 0),
                 [&](const MemberRecord &record) { return record.dataCentre == dataCentre; });
