--- a/packages/control/membership/GossipQueue.cpp
+++ b/packages/control/membership/GossipQueue.cpp
@@ -2,6 +2,7 @@
 #include "control/membership/GossipQueue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace boragetrack::control::membership {
 
@@ -14,18 +15,24 @@
 
 std::vector<NodeId> GossipQueue::take(std::size_t maximum)
 {
+    if (maximum == 0)
+        return {};
     std::vector<std::map<NodeId, Entry>::iterator> order;
+    order.reserve(entries_.size());
     for (auto it = entries_.begin(); it != entries_.end(); ++it)
         order.push_back(it);
     // Among entries of equal priority, the ones sent least often come first.
-    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) {
-        return a->second.priority != b->second.priority ? a->second.priority < b->second.priority
-                                                        : a->second.remaining > b->second.remaining;
+    const auto end = order.begin()
+                     + static_cast<std::ptrdiff_t>(std::min(maximum, order.size()));
+    std::partial_sort(order.begin(), end, order.end(), [](const auto &a, const auto &b) {
+        const Entry &first = a->second;
+        const Entry &second = b->second;
+        return std::tie(first.priority, second.remaining, a->first)
+               < std::tie(second.priority, first.remaining, b->first);
     });
+    order.erase(end, order.end());
     std::vector<NodeId> taken;
     for (const auto &it : order) {
-        if (taken.size() == maximum)
-            break;
         taken.push_back(it->first);
         if (--it->second.remaining == 0)
             entries_.erase(it);
--- a/packages/core/identity/StrongString.h
+++ b/packages/core/identity/StrongString.h
@@ -3,32 +3,53 @@
 
 #include <compare>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
 namespace boragetrack::core::identity {
 
 /** Wraps a string with a tag type, so that, for example, a node id cannot be passed as a service
-    name. */
+    name.
+
+    Copies share one immutable text: identifiers of hundreds of members are copied into each view of
+    the members, and allocating them again would dominate the cost of a view. Copies may be used by
+    different threads. */
 template <typename Tag>
 class StrongString
 {
 public:
     StrongString() = default;
     explicit StrongString(std::string value)
-        : value_(std::move(value))
+        : text_(value.empty() ? nullptr : std::make_shared<const std::string>(std::move(value)))
     {}
 
     /** Returns the text. */
-    const std::string &value() const { return value_; }
+    const std::string &value() const { return text_ ? *text_ : emptyText(); }
 
     /** Returns whether the text is empty. */
-    bool isEmpty() const { return value_.empty(); }
+    bool isEmpty() const { return text_ == nullptr; }
 
-    friend auto operator<=>(const StrongString &, const StrongString &) = default;
+    friend bool operator==(const StrongString &left, const StrongString &right)
+    {
+        return left.text_ == right.text_ || left.value() == right.value();
+    }
+
+    friend std::strong_ordering operator<=>(const StrongString &left, const StrongString &right)
+    {
+        return left.text_ == right.text_ ? std::strong_ordering::equal
+                                         : left.value() <=> right.value();
+    }
 
 private:
-    std::string value_;
+    static const std::string &emptyText()
+    {
+        static const std::string empty;
+        return empty;
+    }
+
+    // Invariant: null for the empty text.
+    std::shared_ptr<const std::string> text_;
 };
 
 } // namespace boragetrack::core::identity
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -7,7 +7,6 @@
 #include "control/moves/StandardMovePolicies.h"
 #include "core/events/EventLog.h"
 #include "daemon/service/StatusReport.h"
-#include "traffic/routing/RoutingSnapshotBuilder.h"
 
 namespace boragetrack::daemon::service {
 
@@ -33,9 +32,6 @@
 // Operators who have only the logs compute rates from two successive lines.
 constexpr std::chrono::milliseconds counterLogPeriod{10'000};
 constexpr std::chrono::milliseconds moveRecordJitter{500};
-// Members often change in bursts, and building a snapshot of thousands of routes takes milliseconds
-// on a small VM. A change of the intent is published without this delay.
-constexpr std::chrono::milliseconds minimumSnapshotInterval{100};
 
 std::unique_ptr<control::moves::MovePolicies> makeMovePolicies(bool isBaseline)
 {
@@ -63,6 +59,7 @@
 
 ControlService::ControlService(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
+    , routingPublisher_(dependencies_.routing)
 {}
 
 ControlService::~ControlService() = default;
@@ -260,11 +257,10 @@
 void ControlService::intentInForce()
 {
     const Revision revision = plane_->snapshot()->revision();
-    rampUp_.update(plane_->snapshot()->document(), dependencies_.thread.now());
     core::events::logEvent(EventCode::IntentApplied, "intent in force",
                            {{"revision", std::to_string(revision.number())}});
     dependencies_.counters.counter("intents_applied").add();
-    publishSnapshot();
+    routingPublisher_.intentInForce(*plane_, dependencies_.thread.now());
     dependencies_.revisions.publish(revision);
 }
 
@@ -279,6 +275,7 @@
 
 void ControlService::memberChanged(const MemberRecord *previous, const MemberRecord &record)
 {
+    routingPublisher_.memberChanged();
     if (previous != nullptr && previous->state == record.state)
         return;
     core::events::logEvent(
@@ -306,8 +303,7 @@
     recordMoves(now);
     logCounters(now);
     dependencies_.source.update();
-    isSnapshotStale_ = isSnapshotStale_ || rampUp_.isRamping(now);
-    publishIfStale();
+    routingPublisher_.update(*plane_, now);
 }
 
 //==============================================================================
@@ -317,30 +313,10 @@
         if (!plane_)
             return;
         task(*plane_);
-        publishIfStale();
+        routingPublisher_.update(*plane_, dependencies_.thread.now());
     });
 }
 
-void ControlService::publishIfStale()
-{
-    if (isSnapshotStale_ && plane_
-        && dependencies_.thread.now() - publishedAt_ >= minimumSnapshotInterval)
-        publishSnapshot();
-}
-
-void ControlService::publishSnapshot()
-{
-    isSnapshotStale_ = false;
-    publishedAt_ = dependencies_.thread.now();
-    const auto shareOf = [this](const control::intent::Route &route,
-                                const core::identity::ServiceName &service) {
-        return plane_->shareOf(route, service);
-    };
-    dependencies_.routing.publish(traffic::routing::buildRoutingSnapshot(
-            plane_->snapshot(), plane_->membership().table(), plane_->membership().self(), shareOf,
-            rampUp_, plane_->followsMoves(), dependencies_.thread.now()));
-}
-
 void ControlService::expireUpstream(MonotonicTime now)
 {
     if (!upstream_ || now - announcedAt_ < dependencies_.settings.announcementTimeout)
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -8,8 +8,8 @@
 #include "daemon/service/ControlThread.h"
 #include "daemon/service/IntentSource.h"
 #include "daemon/service/RevisionMonitor.h"
+#include "daemon/service/RoutingPublisher.h"
 #include "daemon/settings/NodeSettings.h"
-#include "traffic/routing/DataCentreRampUp.h"
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/links/PeerEventSink.h"
 #include "transport/links/PeerRequestHandler.h"
@@ -103,7 +103,7 @@
     void membersFetched(std::vector<control::membership::MemberRecord> records) override;
 
 private:
-    void viewChanged() override { isSnapshotStale_ = true; }
+    void viewChanged() override { routingPublisher_.viewChanged(); }
     void intentInForce() override;
     void intentRefused() override;
     void memberChanged(const control::membership::MemberRecord *previous,
@@ -115,8 +115,6 @@
     // Runs a task on the control thread, then publishes a new routing snapshot if it is due.
     // Returns false if the task was dropped.
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
-    void publishIfStale();
-    void publishSnapshot();
     static void logUpstream(const transport::serving::UpstreamStatus &status);
     void updateUpstream(control::distribution::ControlPlane &plane,
                         const transport::serving::UpstreamStatus &status);
@@ -128,9 +126,7 @@
     UpstreamSink upstreamSink_;
     // The following members are used on the control thread only.
     std::unique_ptr<control::distribution::ControlPlane> plane_;
-    traffic::routing::DataCentreRampUp rampUp_;
-    bool isSnapshotStale_ = false;
-    core::timing::MonotonicTime publishedAt_{};
+    RoutingPublisher routingPublisher_;
     std::optional<transport::serving::UpstreamStatus> upstream_;
     control::membership::AnnouncementFilter announcementFilter_;
     core::timing::MonotonicTime announcedAt_{};
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -66,6 +66,14 @@
                 {"upstream", nameOf(record.upstream.state)}};
 }
 
+std::size_t endpointCount(const traffic::routing::RoutingSnapshot &routing)
+{
+    std::size_t count = 0;
+    for (const auto &[service, endpoints] : routing.members->endpoints)
+        count += endpoints.size();
+    return count;
+}
+
 } // namespace
 
 json reportStatus(const ControlPlane &plane, const traffic::routing::RoutingSnapshot &routing)
@@ -76,6 +84,7 @@
     report["serving"] = routing.isServing;
     report["watcher"] = plane.mustWatchIntentKey();
     report["members"] = plane.membership().table().records().size();
+    report["endpoints"] = endpointCount(routing);
     report["neighbours"] = plane.membership().neighbours().size();
     if (plane.replica().refusedRevision() > plane.replica().revision()) {
         report["refused"] = {{"revision", plane.replica().refusedRevision().number()},
--- a/packages/emulator/simulation/LoadSimulation.cpp
+++ b/packages/emulator/simulation/LoadSimulation.cpp
@@ -127,15 +127,17 @@
     snapshot->isServing = true;
     for (const auto &entry : snapshot->intent->routes())
         snapshot->targets.push_back({entry, {singleVersion(), {}, 0.0}});
+    auto members = std::make_shared<traffic::routing::RoutableMembers>();
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         NodeModel &node = *nodes_[i];
         const NodeId id(std::to_string(i));
         const DataCentreId nodeDataCentre(node.dataCentre());
-        snapshot->registrars.push_back({id, id, {}, nodeDataCentre});
+        members->registrars.push_back({id, id, {}, nodeDataCentre});
         if (node.upstream().isRunning())
-            snapshot->endpoints[ServiceName(node.service().name)].push_back(
+            members->endpoints[ServiceName(node.service().name)].push_back(
                     {id, {}, nodeDataCentre, singleVersion(), node.service().slots, 1.0, false});
     }
+    snapshot->members = std::move(members);
     return snapshot;
 }
 
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -83,7 +83,7 @@
     context.attempts = attempts_;
     context.attemptLimit = target_.entry.settings.attemptLimit;
     context.budgetPercent = target_.entry.settings.retryBudgetPercent;
-    context.nodes = static_cast<int>(snapshot_->registrars.size());
+    context.nodes = static_cast<int>(snapshot_->members->registrars.size());
     context.isNestedInRetry = isNestedInRetry_;
     context.remaining = remaining(now);
     if (!dependencies_.retries.mayRetry(context, now))
@@ -134,7 +134,7 @@
 
 PlanStep CallPlan::attemptAtHolder(const core::identity::NodeId &holder, MonotonicTime now)
 {
-    for (const routing::Registrar &registrar : snapshot_->registrars) {
+    for (const routing::Registrar &registrar : snapshot_->members->registrars) {
         if (registrar.process == holder && !triedHolder_) {
             triedHolder_ = true;
             return sendTo(Endpoint{registrar.node, registrar.address, registrar.dataCentre,
--- a/packages/traffic/routing/OnTimeRouting.cpp
+++ b/packages/traffic/routing/OnTimeRouting.cpp
@@ -122,8 +122,19 @@
            && !candidate.endpoint->isSuspect;
 }
 
+// Which candidates become options. None includes a data centre that is cut off: a call there would
+// only wait for its timeout before it is refused.
+enum class Selection {
+    // Usable candidates; one with a reduced weight, as during the ramp-up of its data centre, takes
+    // part in that fraction of the choices.
+    UsableByWeight,
+    AllUsable,
+    // Ejected, unresponsive and suspect ones too.
+    All,
+};
+
 std::vector<Option> optionsAmong(std::span<const Candidate> candidates,
-                                 const CallRequirements &requirements, bool mustBeUsable,
+                                 const CallRequirements &requirements, Selection selection,
                                  const CrossDataCentreCost &crossDataCentreCost,
                                  std::mt19937_64 &random)
 {
@@ -132,11 +143,10 @@
     std::uniform_real_distribution<> chance(0.0, 1.0);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
-        if (candidate.load.isCutOff || (mustBeUsable && !isUsable(candidate)))
+        if (candidate.load.isCutOff || (selection != Selection::All && !isUsable(candidate)))
             continue;
-        // An endpoint with a reduced weight, as during the ramp-up of its data centre, takes part
-        // in that fraction of the choices.
-        if (candidate.endpoint->weight < 1.0 && chance(random) >= candidate.endpoint->weight)
+        if (selection == Selection::UsableByWeight && candidate.endpoint->weight < 1.0
+            && chance(random) >= candidate.endpoint->weight)
             continue;
         options.push_back(optionOf(candidate, requirements, meanTime, crossDataCentreCost));
         options.back().index = i;
@@ -169,12 +179,12 @@
 RoutingChoice OnTimeRouting::choose(std::span<const Candidate> candidates,
                                     const CallRequirements &requirements, std::mt19937_64 &random)
 {
-    std::vector<Option> options
-            = optionsAmong(candidates, requirements, true, crossDataCentreCost_, random);
-    // Falls back to endpoints that are ejected, unresponsive or suspect, but never to a data centre
-    // that is cut off: a call there would only wait for its timeout before it is refused.
-    if (options.empty())
-        options = optionsAmong(candidates, requirements, false, crossDataCentreCost_, random);
+    std::vector<Option> options;
+    for (const auto selection : {Selection::UsableByWeight, Selection::AllUsable, Selection::All}) {
+        if (options.empty())
+            options = optionsAmong(candidates, requirements, selection, crossDataCentreCost_,
+                                   random);
+    }
     if (options.empty())
         return RoutingChoice{};
     std::shuffle(options.begin(), options.end(), random);
--- a/packages/traffic/routing/RoutingSnapshot.cpp
+++ b/packages/traffic/routing/RoutingSnapshot.cpp
@@ -27,8 +27,8 @@
 RoutingSnapshot::endpointsOf(const core::identity::ServiceName &service) const
 {
     static const std::vector<Endpoint> none;
-    const auto found = endpoints.find(service);
-    return found == endpoints.end() ? none : found->second;
+    const auto found = members->endpoints.find(service);
+    return found == members->endpoints.end() ? none : found->second;
 }
 
 } // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -3,11 +3,9 @@
 
 #include "control/intent/IntentSnapshot.h"
 #include "core/identity/DataCentreId.h"
-#include "traffic/routing/Endpoint.h"
-#include "traffic/routing/Registrar.h"
+#include "traffic/routing/RoutableMembers.h"
 #include "traffic/routing/RouteTarget.h"
 
-#include <map>
 #include <memory>
 #include <vector>
 
@@ -26,11 +24,8 @@
     bool needsEvidence = false;
     // Invariant: one element for each route of intent, in the same order.
     std::vector<RouteTarget> targets;
-    // Invariant: only upstreams that may get new calls, of other data centres a subset.
-    std::map<core::identity::ServiceName, std::vector<Endpoint>> endpoints;
-    /** All members, as candidates for storing claims, including those whose upstream is draining or
-        absent. */
-    std::vector<Registrar> registrars;
+    // Invariant: never null.
+    std::shared_ptr<const RoutableMembers> members = std::make_shared<RoutableMembers>();
 
     /** Returns the target of calls to a path, or null when no route matches.
         @param host the host that the caller requested, without a port */
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -19,10 +19,10 @@
     return record.state == MemberState::Alive || record.state == MemberState::Suspect;
 }
 
-double weightOf(const RoutingSnapshot &snapshot, const MemberRecord &record,
+double weightOf(const control::intent::IntentSnapshot &intent, const MemberRecord &record,
                 const DataCentreRampUp &rampUp, core::timing::MonotonicTime now)
 {
-    const auto *dataCentre = snapshot.intent->dataCentre(record.dataCentre);
+    const auto *dataCentre = intent.dataCentre(record.dataCentre);
     const double intended = dataCentre == nullptr ? 1.0 : dataCentre->weightPercent / 100.0;
     return intended * rampUp.weightOf(record.dataCentre, now);
 }
@@ -38,27 +38,42 @@
     return target;
 }
 
-void addMember(RoutingSnapshot &snapshot, const MemberRecord &record, double weight)
+void addMember(RoutableMembers &members, const MemberRecord &record, double weight)
 {
-    snapshot.registrars.push_back(Registrar{record.id, control::membership::processIdOf(record),
+    members.registrars.push_back(Registrar{record.id, control::membership::processIdOf(record),
                                             record.peerAddress, record.dataCentre});
     if (record.upstream.state != UpstreamState::Serving || weight <= 0.0)
         return;
-    snapshot.endpoints[record.upstream.service].push_back(Endpoint{
+    members.endpoints[record.upstream.service].push_back(Endpoint{
             record.id, record.peerAddress, record.dataCentre, record.upstream.version,
             std::max(1, record.upstream.slots), weight, record.state == MemberState::Suspect});
 }
 
 } // namespace
 
+std::shared_ptr<const RoutableMembers>
+buildRoutableMembers(const control::intent::IntentSnapshot &intent,
+                     const control::membership::MemberTable &members, const MemberRecord &self,
+                     const DataCentreRampUp &rampUp, core::timing::MonotonicTime now)
+{
+    auto routable = std::make_shared<RoutableMembers>();
+    for (const auto &[id, record] : members.records()) {
+        if (isMember(record))
+            addMember(*routable, record, weightOf(intent, record, rampUp, now));
+    }
+    for (auto &[service, endpoints] : routable->endpoints)
+        endpoints = selectEndpointSubset(std::move(endpoints), self.id, self.dataCentre);
+    return routable;
+}
+
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
-                     const control::membership::MemberTable &members, const MemberRecord &self,
-                     const ShareQuery &shareOf, const DataCentreRampUp &rampUp, bool needsEvidence,
-                     core::timing::MonotonicTime now)
+                     std::shared_ptr<const RoutableMembers> members, const MemberRecord &self,
+                     const ShareQuery &shareOf, bool needsEvidence)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
+    snapshot->members = std::move(members);
     snapshot->self = self.id;
     snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
@@ -66,12 +81,6 @@
     snapshot->targets.reserve(intent->routes().size());
     for (const auto &entry : intent->routes())
         snapshot->targets.push_back(targetOf(entry, shareOf));
-    for (const auto &[id, record] : members.records()) {
-        if (isMember(record))
-            addMember(*snapshot, record, weightOf(*snapshot, record, rampUp, now));
-    }
-    for (auto &[service, endpoints] : snapshot->endpoints)
-        endpoints = selectEndpointSubset(std::move(endpoints), self.id, self.dataCentre);
     return snapshot;
 }
 
--- a/packages/traffic/routing/RoutingSnapshotBuilder.h
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -13,14 +13,22 @@
 using ShareQuery = std::function<control::moves::RouteShare(const control::intent::Route &,
                                                             const core::identity::ServiceName &)>;
 
+/** Returns the members that calls may be sent to, of other data centres a subset.
+    @param self the record of this node */
+std::shared_ptr<const RoutableMembers>
+buildRoutableMembers(const control::intent::IntentSnapshot &intent,
+                     const control::membership::MemberTable &members,
+                     const control::membership::MemberRecord &self, const DataCentreRampUp &rampUp,
+                     core::timing::MonotonicTime now);
+
 /** Returns a snapshot of the present control state. Runs on the control thread.
+    @param members the members that calls may be sent to
     @param self the record of this node
     @param needsEvidence whether a move is evaluated */
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
-                     const control::membership::MemberTable &members,
+                     std::shared_ptr<const RoutableMembers> members,
                      const control::membership::MemberRecord &self, const ShareQuery &shareOf,
-                     const DataCentreRampUp &rampUp, bool needsEvidence,
-                     core::timing::MonotonicTime now);
+                     bool needsEvidence);
 
 } // namespace boragetrack::traffic::routing
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -193,7 +193,7 @@
     LinkEncoding encodingFor(const NetworkAddress &address) const
     {
         const auto snapshot = routing_.current();
-        for (const auto &member : snapshot->registrars) {
+        for (const auto &member : snapshot->members->registrars) {
             if (member.address == address && member.dataCentre == snapshot->dataCentre)
                 return LinkEncoding::Plain;
         }
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -107,11 +107,10 @@
     def is_ready(self):
         return get_text("GET", self.readiness_port, "/api/readiness", timeout=1.0)[0] == 200
 
-    def serving_upstreams(self):
-        """Returns the number of upstreams that this node knows as serving."""
-        code, text = get_text("GET", self.operator_port, "/v1/members", token=TOKEN, timeout=2.0)
-        members = json.loads(text) if code == 200 else []
-        return sum(1 for m in members if m["state"] == "alive" and m["upstream"] == "serving")
+    def endpoints(self):
+        """Returns the number of upstreams to which this node routes calls."""
+        code, text = get_text("GET", self.operator_port, "/v1/status", token=TOKEN, timeout=2.0)
+        return json.loads(text)["endpoints"] if code == 200 else 0
 
     def metrics(self):
         code, text = get_text("GET", self.operator_port, "/metrics", timeout=2.0)
@@ -180,11 +179,11 @@
                             f"{node.name} serves calls")
 
     def wait_until_upstreams_known(self):
-        """Waits until every node knows every upstream."""
+        """Waits until every node routes calls to every upstream."""
         count = sum(1 for node in self.nodes if node.upstream)
         for node in self.nodes:
-            self.wait_until(lambda n=node: n.serving_upstreams() == count,
-                            f"{node.name} knows all upstreams")
+            self.wait_until(lambda n=node: n.endpoints() == count,
+                            f"{node.name} routes calls to all upstreams")
 
     def stop(self):
         for node in self.nodes:
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -269,8 +269,9 @@
         old.start_serving = True
         self.fleet.event_loop.run(old.open())
         for number in range(6):
-            self.assertEqual(self.nodes["items-ikeja"].call(
-                "POST", "/orders/1", b"x", attempt=f"r{number}").status, 200)
+            response = self.nodes["items-ikeja"].call("POST", "/orders/1", b"x",
+                                                      attempt=f"r{number}")
+            self.assertEqual(response.status, 200, (number, response.body, self.fleet.folder))
             self.assertEqual(self.run_count(f"r{number}"), 1)
         self.assertEqual(len([a for a in old.attempts() if a.startswith("r")]), 0)
 
--- a/tests/unit/CallPlanTest.cpp
+++ b/tests/unit/CallPlanTest.cpp
@@ -42,12 +42,14 @@
     snapshot->isServing = true;
     for (const auto &entry : snapshot->intent->routes())
         snapshot->targets.push_back({entry, {VersionName("v1"), {}, 0.0}});
-    auto &endpoints = snapshot->endpoints[core::identity::ServiceName("payments")];
+    auto members = std::make_shared<routing::RoutableMembers>();
+    auto &endpoints = members->endpoints[core::identity::ServiceName("payments")];
     endpoints = {endpoint("a", "ikeja", "v1"), endpoint("b", "ikeja", "v1"),
                  endpoint("c", "lekki", "v1"), endpoint("d", "lekki", "v2")};
     for (const auto &each : endpoints)
-        snapshot->registrars.push_back(
+        members->registrars.push_back(
                 {each.node, NodeId(each.node.value() + "@1"), each.address, each.dataCentre});
+    snapshot->members = members;
     return snapshot;
 }
 
@@ -107,8 +109,9 @@
 // refused the call for lack of room.
 TEST_F(CallPlanTest, doesNotTryAFullEndpointAgain)
 {
-    auto &endpoints = snapshot_->endpoints[core::identity::ServiceName("payments")];
-    endpoints.resize(1);
+    auto members = std::make_shared<routing::RoutableMembers>(*snapshot_->members);
+    members->endpoints[core::identity::ServiceName("payments")].resize(1);
+    snapshot_->members = members;
     CallPlan call = plan(true);
     ASSERT_TRUE(std::holds_alternative<SendAttempt>(call.start(now_)));
     CallResponse full = CallResponse::notRun("no room");
--- a/tests/unit/RoutingTest.cpp
+++ b/tests/unit/RoutingTest.cpp
@@ -63,6 +63,26 @@
         EXPECT_EQ(choose(milliseconds(300), milliseconds(1000)).index, 0U);
 }
 
+TEST_F(RoutingTest, refusesNoCallForTheReducedWeightOfTheOnlyEndpoints)
+{
+    add(true, milliseconds(0), milliseconds(50));
+    add(false, milliseconds(0), milliseconds(50));
+    endpoints_[0]->weight = 0.1;
+    endpoints_[1]->weight = 0.1;
+    for (int i = 0; i < 50; ++i)
+        EXPECT_TRUE(choose(milliseconds(300), milliseconds(1000)).index.has_value());
+}
+
+TEST_F(RoutingTest, prefersAnEndpointOfReducedWeightToAnEjectedOne)
+{
+    add(true, milliseconds(0), milliseconds(50));
+    add(true, milliseconds(0), milliseconds(50));
+    endpoints_[0]->weight = 0.1;
+    candidates_[1].load.isEjected = true;
+    for (int i = 0; i < 50; ++i)
+        EXPECT_EQ(choose(milliseconds(300), milliseconds(1000)).index, 0U);
+}
+
 TEST_F(RoutingTest, leavesTheDataCentreWhenTheLocalResponseWouldBeLate)
 {
     add(true, milliseconds(250), milliseconds(100));
