--- a/packages/control/membership/GossipQueue.cpp
+++ b/packages/control/membership/GossipQueue.cpp
@@ -22,8 +22,7 @@
     for (auto it = entries_.begin(); it != entries_.end(); ++it)
         order.push_back(it);
     // Among entries of equal priority, the ones sent least often come first.
-    const auto end = order.begin()
-                     + static_cast<std::ptrdiff_t>(std::min(maximum, order.size()));
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(maximum, order.size()));
     std::partial_sort(order.begin(), end, order.end(), [](const auto &a, const auto &b) {
         const Entry &first = a->second;
         const Entry &second = b->second;
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -23,7 +23,7 @@
             [&thread = dependencies.controlThread](platform::PlatformStore::Task task) {
                 return thread.post(std::move(task));
             },
-            dependencies.counters.counter("store_calls"))
+            dependencies.counters)
     , source_({store_, dependencies.controlThread,
                [dataCentres = dependencies.settings.dataCentres]() {
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
--- a/packages/daemon/service/RoutingPublisher.cpp
+++ b/packages/daemon/service/RoutingPublisher.cpp
@@ -1,5 +1,5 @@
-/** Builds the members' part of a snapshot only after a change of members, weights or intent, and the
-    versions' shares for each snapshot. */
+/** Builds the members' part of a snapshot only after a change of members, weights or intent, and
+   the versions' shares for each snapshot. */
 #include "daemon/service/RoutingPublisher.h"
 
 #include "traffic/routing/RoutingSnapshotBuilder.h"
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -41,7 +41,7 @@
 void addMember(RoutableMembers &members, const MemberRecord &record, double weight)
 {
     members.registrars.push_back(Registrar{record.id, control::membership::processIdOf(record),
-                                            record.peerAddress, record.dataCentre});
+                                           record.peerAddress, record.dataCentre});
     if (record.upstream.state != UpstreamState::Serving || weight <= 0.0)
         return;
     members.endpoints[record.upstream.service].push_back(Endpoint{
--- a/tests/unit/RoutingPublisherTest.cpp
+++ b/tests/unit/RoutingPublisherTest.cpp
@@ -1,8 +1,8 @@
 /** Tests when routing snapshots are published, and what successive ones share. */
+#include "daemon/service/RoutingPublisher.h"
 #include "control/membership/RingNeighbours.h"
 #include "control/moves/StandardMovePolicies.h"
 #include "core/timing/ManualTimerService.h"
-#include "daemon/service/RoutingPublisher.h"
 
 #include <gtest/gtest.h>
 
