Count a follower's response as coverage once its revision has arrived

Cause: a node whose follower was ahead at a poll counted that poll as no coverage, although it fetched the revision within milliseconds. Change: the response covers the node, from its time on, once the node holds the revision.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -105,6 +105,7 @@
 void ControlPlane::storeUpdateReceived(OfferResult result)
 {
     propagator_.recordDurableUpdate(result, timers_.now());
+    followerRole_.recordRevision(propagator_.replica().revision());
     if (result != OfferResult::Accepted && result != OfferResult::PartlyAccepted)
         return;
     for (const NodeId &node : followerRole_.updateReceivers(timers_.now())) {
@@ -156,12 +157,12 @@
 void ControlPlane::exchangeResponseReceived(const PeerContact &peer, const Exchange &response)
 {
     const PeerContact contact{response.sender, peer.address};
-    // The response counts as coverage only when this node has caught up with the follower's
-    // revision.
     const bool covers
             = response.isFollower && response.revision <= propagator_.replica().revision();
     const bool isBehind = response.isFollower && !covers;
-    if (!isBehind)
+    if (isBehind)
+        followerRole_.recordResponseAhead(response.sender, response.revision, timers_.now());
+    else
         followerRole_.recordResponse(response.sender, covers, timers_.now());
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
@@ -184,6 +185,7 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     propagator_.offerFromPeer(source, transfer, timers_.now());
+    followerRole_.recordRevision(propagator_.replica().revision());
     return propagator_.replica().revision();
 }
 
--- a/packages/control/distribution/FollowerRole.cpp
+++ b/packages/control/distribution/FollowerRole.cpp
@@ -86,10 +86,7 @@
 void FollowerRole::recordResponse(const NodeId &node, bool covers, MonotonicTime now)
 {
     if (covers) {
-        lastCoverage_ = now;
-        coveredBy_ = node;
-        unavailableUntil_.erase(node);
-        uncoveredResponses_.erase(node);
+        cover(node, now);
         return;
     }
     if (node == lastPolled_ && ++uncoveredResponses_[node] > toleratedUncoveredResponses) {
@@ -98,10 +95,41 @@
     }
 }
 
+void FollowerRole::recordResponseAhead(const NodeId &node, core::identity::Revision revision,
+                                       MonotonicTime now)
+{
+    std::erase_if(awaited_, [&](const AwaitedCoverage &awaited) {
+        return now - awaited.respondedAt >= coverageLifetime;
+    });
+    awaited_.push_back(AwaitedCoverage{node, revision, now});
+}
+
+void FollowerRole::recordRevision(core::identity::Revision held)
+{
+    for (const AwaitedCoverage &awaited : awaited_) {
+        if (awaited.revision <= held)
+            cover(awaited.follower, awaited.respondedAt);
+    }
+    std::erase_if(awaited_,
+                  [&](const AwaitedCoverage &awaited) { return awaited.revision <= held; });
+}
+
+void FollowerRole::cover(const NodeId &follower, MonotonicTime respondedAt)
+{
+    unavailableUntil_.erase(follower);
+    uncoveredResponses_.erase(follower);
+    if (lastCoverage_ && respondedAt < *lastCoverage_)
+        return;
+    lastCoverage_ = respondedAt;
+    coveredBy_ = follower;
+}
+
 void FollowerRole::recordFailure(const NodeId &node, MonotonicTime now)
 {
     if (node == lastPolled_)
         unavailableUntil_[node] = now + unavailableTime;
+    std::erase_if(awaited_,
+                  [&](const AwaitedCoverage &awaited) { return awaited.follower == node; });
     // Changes since the last response of this follower may already be missing here.
     if (node == coveredBy_)
         lastCoverage_.reset();
--- a/packages/control/distribution/FollowerRole.h
+++ b/packages/control/distribution/FollowerRole.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/membership/MembershipEngine.h"
+#include "core/identity/Revision.h"
 #include "core/timing/MonotonicTime.h"
 
 #include <chrono>
@@ -70,6 +71,15 @@
     void recordResponse(const core::identity::NodeId &node, bool covers,
                         core::timing::MonotonicTime now);
 
+    /** Records a response of a follower that holds a revision which this node still lacks. It
+       covers this node, from the time of the response, once this node holds the revision too:
+       changes that follow each other closely would otherwise leave all nodes without coverage. */
+    void recordResponseAhead(const core::identity::NodeId &node, core::identity::Revision revision,
+                             core::timing::MonotonicTime now);
+
+    /** Records the revision that this node holds. */
+    void recordRevision(core::identity::Revision held);
+
     /** Records that an exchange with a node failed. */
     void recordFailure(const core::identity::NodeId &node, core::timing::MonotonicTime now);
 
@@ -95,6 +105,15 @@
         std::vector<core::identity::NodeId> remoteFollowers;
     };
 
+    // A response that covers this node once it holds the follower's revision.
+    struct AwaitedCoverage
+    {
+        core::identity::NodeId follower;
+        core::identity::Revision revision;
+        core::timing::MonotonicTime respondedAt;
+    };
+
+    void cover(const core::identity::NodeId &follower, core::timing::MonotonicTime respondedAt);
     const Candidates &candidates() const;
     bool isSubstitute(core::timing::MonotonicTime now) const;
     std::chrono::milliseconds pollRound() const;
@@ -104,6 +123,8 @@
     std::optional<core::timing::MonotonicTime> lastCoverage_;
     // The node that gave the last coverage.
     core::identity::NodeId coveredBy_;
+    // Invariant: in the order of the responses, all within one coverage lifetime.
+    std::vector<AwaitedCoverage> awaited_;
     std::map<core::identity::NodeId, core::timing::MonotonicTime> polledAt_;
     std::map<core::identity::NodeId, core::timing::MonotonicTime> unavailableUntil_;
     // The follower that was polled last, and its successive responses without coverage.
--- a/tests/unit/FollowerRoleTest.cpp
+++ b/tests/unit/FollowerRoleTest.cpp
@@ -192,3 +192,33 @@
     node->role().recordFailure(*follower, start + FollowerRole::pollPeriod);
     EXPECT_TRUE(node->role().mustFollow(start + FollowerRole::pollPeriod));
 }
+
+// A burst of changes leaves a node behind at each poll, although it catches up within milliseconds.
+TEST(FollowerRole, isCoveredByAFollowerThatWasAheadOnceItHasCaughtUp)
+{
+    const core::identity::Revision first(8);
+    const core::identity::Revision second(9);
+    const auto node = poller(5);
+    FollowerRole &role = node->role();
+    role.recordResponseAhead(NodeId("any"), first, start);
+    EXPECT_TRUE(role.mustFollow(start)) << "it lacks what the follower holds";
+    const auto secondPoll = start + FollowerRole::pollPeriod;
+    role.recordResponseAhead(NodeId("any"), second, secondPoll);
+    role.recordRevision(first);
+    EXPECT_FALSE(role.mustFollow(secondPoll));
+    EXPECT_TRUE(role.mustFollow(start + FollowerRole::coverageLifetime))
+            << "the coverage counts from the response";
+    role.recordRevision(second);
+    EXPECT_FALSE(role.mustFollow(start + FollowerRole::coverageLifetime));
+}
+
+TEST(FollowerRole, isNotCoveredByAFollowerThatFailedMeanwhile)
+{
+    const core::identity::Revision revision(8);
+    const auto node = poller(5);
+    FollowerRole &role = node->role();
+    role.recordResponseAhead(NodeId("any"), revision, start);
+    role.recordFailure(NodeId("any"), start + FollowerRole::pollPeriod);
+    role.recordRevision(revision);
+    EXPECT_TRUE(role.mustFollow(start + FollowerRole::pollPeriod));
+}
