--- /dev/null
+++ b/packages/transport/links/TrafficDependencies.h
@@ -0,0 +1,48 @@
+/** The settings and collaborators of the traffic thread. */
+#pragma once
+
+#include "core/concurrency/Published.h"
+#include "core/counters/CounterRegistry.h"
+#include "core/identity/NetworkAddress.h"
+#include "core/identity/NodeId.h"
+#include "core/identity/ServiceName.h"
+#include "traffic/admission/AdmissionPolicy.h"
+#include "traffic/retry/RetryPolicy.h"
+#include "traffic/routing/RoutingPolicy.h"
+#include "traffic/routing/RoutingSnapshot.h"
+#include "transport/dialect/CallDialect.h"
+#include "transport/links/LoopComponent.h"
+#include "transport/links/PeerEventSink.h"
+#include "transport/links/PeerRequestHandler.h"
+#include "transport/serving/InboundProxy.h"
+
+#include <memory>
+#include <vector>
+
+namespace boragetrack::transport::links {
+
+/** What the traffic thread and its loop use; all references outlive the thread. */
+struct TrafficDependencies
+{
+    core::identity::NodeId self;
+    /** Identity of this process, which differs after a restart of the node. */
+    core::identity::NodeId processId;
+    core::identity::NetworkAddress peerAddress;
+    core::identity::NetworkAddress callerAddress;
+    /** The service on this node's VM, for upstreams that expect the name of the calling
+        service. */
+    core::identity::ServiceName service;
+    const dialect::CallDialect &dialect;
+    PeerRequestHandler &requestHandler;
+    PeerEventSink &eventSink;
+    const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
+    std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
+    traffic::routing::RoutingPolicy &routingPolicy;
+    traffic::retry::RetryPolicy &retryPolicy;
+    /** Further components that use the event loop. */
+    std::vector<LoopComponent *> loopComponents;
+    serving::InboundProxy::EvidenceSink evidenceSink;
+    core::counters::CounterRegistry &counters;
+};
+
+} // namespace boragetrack::transport::links
--- /dev/null
+++ b/packages/transport/links/TrafficLoop.h
@@ -0,0 +1,84 @@
+/** The event loop that carries the traffic. */
+#pragma once
+
+#include "core/timing/PauseDetector.h"
+#include "transport/callers/CallerServer.h"
+#include "transport/http/ServerListener.h"
+#include "transport/links/CallSender.h"
+#include "transport/links/LinkCounters.h"
+#include "transport/links/PeerLinks.h"
+#include "transport/links/TrafficDependencies.h"
+
+#include <absl/status/status.h>
+#include <chrono>
+#include <kj/async-io.h>
+#include <vector>
+
+namespace boragetrack::transport::links {
+
+/** Owns the objects that use the event loop: listeners, links, the inbound proxy and the callers'
+    server. Created, used and destroyed on the traffic thread. */
+class TrafficLoop : private CallSender, private kj::TaskSet::ErrorHandler
+{
+public:
+    /** @param dependencies the admission policy is moved out of it */
+    TrafficLoop(TrafficDependencies &dependencies, kj::AsyncIoContext &io);
+    ~TrafficLoop() noexcept override;
+    TrafficLoop(const TrafficLoop &) = delete;
+    TrafficLoop &operator=(const TrafficLoop &) = delete;
+
+    /** Starts the listeners and the components. @returns Unavailable if an address is in use, or
+        the failure of a component */
+    absl::Status start(const TrafficDependencies &dependencies, kj::AsyncIoContext &io);
+
+    /** Runs a promise to completion. A failure is not reported; it shows as a missing response. */
+    void add(kj::Promise<void> task);
+
+    PeerLinks &links() { return links_; }
+    serving::InboundProxy &inbound() { return inbound_; }
+
+    /** Begins to close callers' connections after their next response.
+        @param gracePeriod time until new calls are refused as not run */
+    void beginCallerDrain(std::chrono::milliseconds gracePeriod);
+
+    /** Returns whether no caller waits for a response, as soon as none does or at the limit. */
+    kj::Promise<bool> whenCallersDrained(kj::TimePoint limit);
+
+    /** Stops accepting callers' connections, and waits for requests on the last ones.
+        @returns whether no caller waits for a response at the limit */
+    kj::Promise<bool> stopAcceptingCallers(kj::TimePoint limit);
+
+    /** Returns whether no call to the upstream is in progress, as soon as none is or at the
+        limit. */
+    kj::Promise<bool> whenDrained(kj::TimePoint limit);
+
+    /** Returns the time on the loop's clock after a duration. */
+    kj::TimePoint after(std::chrono::milliseconds time);
+
+private:
+    kj::Promise<traffic::calls::CallResponse>
+    send(const core::identity::NodeId &node, const core::identity::NetworkAddress &address,
+         const traffic::calls::CallRequest &request) override;
+    kj::Promise<void> recordTicks();
+    kj::Promise<void> acceptNext();
+    void serve(kj::Own<kj::AsyncIoStream> accepted);
+    kj::Promise<void> serveRpc(kj::Own<kj::AsyncIoStream> stream);
+    LinkEncoding encodingFor(const core::identity::NetworkAddress &address) const;
+    void taskFailed(kj::Exception &&exception) override;
+
+    kj::Timer &timer_;
+    core::timing::PauseDetector pauses_;
+    LinkCounters counters_;
+    const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
+    PeerLinks links_;
+    serving::InboundProxy inbound_;
+    callers::CallerServer callers_;
+    http::ServerListener callerListener_;
+    wire::schema::Peer::Client server_;
+    kj::Own<kj::ConnectionReceiver> listener_;
+    core::identity::NodeId self_;
+    std::vector<LoopComponent *> components_;
+    kj::TaskSet tasks_;
+};
+
+} // namespace boragetrack::transport::links
--- a/packages/transport/links/TrafficThread.h
+++ b/packages/transport/links/TrafficThread.h
@@ -2,55 +2,25 @@
 #pragma once
 
 #include "control/distribution/PeerTransport.h"
-#include "core/concurrency/Published.h"
-#include "core/counters/CounterRegistry.h"
-#include "traffic/admission/AdmissionPolicy.h"
-#include "traffic/routing/RoutingSnapshot.h"
-#include "transport/callers/CallerServer.h"
-#include "transport/dialect/CallDialect.h"
-#include "transport/links/LoopComponent.h"
-#include "transport/links/PeerEventSink.h"
-#include "transport/links/PeerRequestHandler.h"
 #include "transport/links/TaskQueue.h"
-#include "transport/serving/InboundProxy.h"
+#include "transport/links/TrafficDependencies.h"
 #include "transport/serving/UpstreamStatus.h"
 
 #include <absl/status/status.h>
 #include <future>
-#include <memory>
 #include <optional>
 #include <thread>
 
 namespace boragetrack::transport::links {
 
+class TrafficLoop;
+
 /** Runs an event loop with the listeners for callers and peers, the links, the inbound proxy and
     further components. Operations are posted to the loop from other threads. */
 class TrafficThread : public control::distribution::PeerTransport
 {
 public:
-    /** Settings and collaborators of the thread; all references outlive it. */
-    struct Dependencies
-    {
-        core::identity::NodeId self;
-        /** Identity of this process, which differs after a restart of the node. */
-        core::identity::NodeId processId;
-        core::identity::NetworkAddress peerAddress;
-        core::identity::NetworkAddress callerAddress;
-        /** The service on this node's VM, for upstreams that expect the name of the calling
-            service. */
-        core::identity::ServiceName service;
-        const dialect::CallDialect &dialect;
-        PeerRequestHandler &requestHandler;
-        PeerEventSink &eventSink;
-        const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
-        std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
-        traffic::routing::RoutingPolicy &routingPolicy;
-        traffic::retry::RetryPolicy &retryPolicy;
-        /** Further components that use the event loop. */
-        std::vector<LoopComponent *> loopComponents;
-        serving::InboundProxy::EvidenceSink evidenceSink;
-        core::counters::CounterRegistry &counters;
-    };
+    using Dependencies = TrafficDependencies;
 
     explicit TrafficThread(Dependencies dependencies);
     ~TrafficThread() noexcept override;
@@ -94,14 +64,12 @@
                       const control::membership::MemberTable::BucketHashes &hashes) override;
 
 private:
-    class Loop;
-
     void run(std::promise<absl::Status> started);
 
     Dependencies dependencies_;
     TaskQueue taskQueue_;
     // Set while the event loop runs; used on the traffic thread only.
-    Loop *loop_ = nullptr;
+    TrafficLoop *loop_ = nullptr;
     std::thread thread_;
 };
 
