Answer requests whose heads are half sent when the node stops

Cause: a planned stop waited for calls in progress and 100 ms more, but not for requests whose head had arrived in part; test_planned_stop_answers_requests_whose_heads_are_half_sent failed first, six of 49 connections were cut without an answer. Change: the stop waits for them too, at most for the header timeout. ScopedCount replaces three copies of itself.

--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -2,6 +2,7 @@
     the client can still read the last response. */
 #include "transport/http/ServerConnection.h"
 
+#include "core/counters/ScopedCount.h"
 #include "transport/http/MessageWriter.h"
 
 namespace boragetrack::transport::http {
@@ -50,6 +51,7 @@
                     timer_.afterDelay(toKj(handler_.limits().headerTimeout)).then([overdue]() {
                         return Reader::HeadResult(overdue);
                     }))
+            .attach(kj::heap<core::counters::ScopedCount>(partialRequests_))
             .then([this](Reader::HeadResult &&result) -> kj::Promise<void> {
                 if (auto *head = std::get_if<RequestHead>(&result))
                     return serve(std::move(*head));
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -12,13 +12,16 @@
 class ServerConnection
 {
 public:
-    /** @param handler, @param timer and @param budget outlive the connection */
+    /** @param handler, @param timer and @param budget outlive the connection
+        @param partialRequests counts this connection while the head of a request has arrived in
+        part; outlives the connection */
     ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer,
-                     BufferBudget &budget)
+                     BufferBudget &budget, std::size_t &partialRequests)
         : stream_(kj::mv(stream))
         , reader_(stream_, {}, &budget)
         , handler_(handler)
         , timer_(timer)
+        , partialRequests_(partialRequests)
     {}
 
     /** Serves the connection until it is closed. */
@@ -39,6 +42,7 @@
     Reader reader_;
     ExchangeHandler &handler_;
     kj::Timer &timer_;
+    std::size_t &partialRequests_;
     kj::Own<ServerExchange> exchange_;
 };
 
--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -2,6 +2,7 @@
     accepting fails. */
 #include "transport/http/ServerListener.h"
 
+#include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 
 namespace boragetrack::transport::http {
@@ -11,23 +12,6 @@
 constexpr kj::Duration acceptRetryDelay = 20 * kj::MILLISECONDS;
 } // namespace
 
-/** Counts one open connection during its own lifetime. */
-class ServerListener::ScopedCount
-{
-public:
-    explicit ScopedCount(std::size_t &count)
-        : count_(count)
-    {
-        ++count_;
-    }
-    ~ScopedCount() { --count_; }
-    ScopedCount(const ScopedCount &) = delete;
-    ScopedCount &operator=(const ScopedCount &) = delete;
-
-private:
-    std::size_t &count_;
-};
-
 absl::Status ServerListener::listen(const core::identity::NetworkAddress &address,
                                     kj::WaitScope &scope)
 {
@@ -73,9 +57,10 @@
 
 void ServerListener::serve(kj::Own<kj::AsyncIoStream> stream)
 {
-    auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_, budget_);
+    auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_, budget_,
+                                                 partialRequests_);
     auto running = connection->run();
-    auto count = kj::heap<ScopedCount>(connections_);
+    auto count = kj::heap<core::counters::ScopedCount>(connections_);
     tasks_.add(running.catch_([](kj::Exception &&exception) {
                           core::events::logCall(core::events::EventCode::ExchangeFailed,
                                                 "exchange failed", false,
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -35,9 +35,10 @@
     /** Returns the number of open connections. */
     std::size_t connections() const { return connections_; }
 
-private:
-    class ScopedCount;
+    /** Returns the number of requests whose head has arrived in part. */
+    std::size_t partialRequests() const { return partialRequests_; }
 
+private:
     kj::Promise<void> acceptNext();
     void beginAccepting();
     void serve(kj::Own<kj::AsyncIoStream> stream);
@@ -49,6 +50,7 @@
     kj::Own<kj::ConnectionReceiver> receiver_;
     BufferBudget budget_{maximumBufferedBytes};
     std::size_t connections_ = 0;
+    std::size_t partialRequests_ = 0;
     kj::TaskSet tasks_;
     kj::Promise<void> accepting_ = nullptr;
 };
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -99,7 +99,17 @@
 {
     callerListener_.stopAccepting();
     return timer_.afterDelay(lastRequestTime).then([this, limit]() {
-        return whenCallersDrained(limit);
+        return whenLastRequestsAnswered(limit);
+    });
+}
+
+kj::Promise<bool> TrafficLoop::whenLastRequestsAnswered(kj::TimePoint limit)
+{
+    const bool isOver = callers_.isDrained() && callerListener_.partialRequests() == 0;
+    if (isOver || timer_.now() >= limit)
+        return isOver;
+    return timer_.afterDelay(drainCheckInterval.count() * kj::MILLISECONDS).then([this, limit]() {
+        return whenLastRequestsAnswered(limit);
     });
 }
 
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -44,7 +44,8 @@
     /** Returns whether no caller waits for a response, as soon as none does or at the limit. */
     kj::Promise<bool> whenCallersDrained(kj::TimePoint limit);
 
-    /** Stops accepting callers' connections, and waits for requests on the last ones.
+    /** Stops accepting callers' connections, and waits for requests on the last ones and for the
+        rest of those whose head has arrived in part.
         @returns whether no caller waits for a response at the limit */
     kj::Promise<bool> stopAcceptingCallers(kj::TimePoint limit);
 
@@ -59,6 +60,7 @@
     kj::Promise<traffic::calls::CallResponse>
     send(const core::identity::NodeId &node, const core::identity::NetworkAddress &address,
          const traffic::calls::CallRequest &request) override;
+    kj::Promise<bool> whenLastRequestsAnswered(kj::TimePoint limit);
     kj::Promise<void> recordTicks();
     kj::Promise<void> acceptNext();
     void serve(kj::Own<kj::AsyncIoStream> accepted);
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -1,6 +1,7 @@
 /** Checks each call against the inbound rules on arrival, and again once it holds a permit. */
 #include "transport/serving/InboundProxy.h"
 
+#include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 #include "traffic/inbound/InboundRules.h"
 
@@ -33,23 +34,6 @@
 
 } // namespace
 
-/** Counts one active call for the duration of a scope. */
-class InboundProxy::ScopedCount
-{
-public:
-    explicit ScopedCount(int &count)
-        : count_(count)
-    {
-        ++count_;
-    }
-    ~ScopedCount() { --count_; }
-    ScopedCount(const ScopedCount &) = delete;
-    ScopedCount &operator=(const ScopedCount &) = delete;
-
-private:
-    int &count_;
-};
-
 InboundProxy::InboundProxy(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , upstreamClient_(dependencies_.network, dependencies_.timer, dependencies_.dialect,
@@ -109,7 +93,7 @@
                 response.load = admission_.load();
                 return kj::mv(response);
             })
-            .attach(kj::heap<ScopedCount>(activeCalls_));
+            .attach(kj::heap<core::counters::ScopedCount>(activeCalls_));
 }
 
 NodeId InboundProxy::claim(const IdempotencyKey &key, const NodeId &claimant)
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -64,7 +64,7 @@
     const traffic::calls::RunningCalls &runningCalls() const { return runningCalls_; }
 
     /** Returns the number of calls that were received and have not ended. */
-    int activeCalls() const { return activeCalls_; }
+    std::size_t activeCalls() const { return activeCalls_; }
 
     //==============================================================================
     kj::Promise<traffic::calls::CallResponse> serve(traffic::calls::CallRequest request) override;
@@ -74,7 +74,6 @@
                  const core::identity::NodeId &claimant) override;
 
 private:
-    class ScopedCount;
     using Response = traffic::calls::CallResponse;
     using Request = traffic::calls::CallRequest;
 
@@ -101,7 +100,7 @@
     std::shared_ptr<const control::intent::IntentSnapshot> appliedIntent_;
     core::timing::MonotonicTime coldUntil_{};
     // Invariant: the number of calls that were received and have not ended.
-    int activeCalls_ = 0;
+    std::size_t activeCalls_ = 0;
     int responsesSinceStart_ = 0;
     core::timing::MonotonicTime firstResponseAt_{};
     core::counters::Counter &callsRun_;
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -2,6 +2,7 @@
     have been written, any failure is reported as an unknown outcome. */
 #include "transport/serving/UpstreamClient.h"
 
+#include "core/counters/ScopedCount.h"
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
 
@@ -46,23 +47,6 @@
 
 } // namespace
 
-/** Counts one call in flight for the duration of a scope. */
-class UpstreamClient::ScopedCount
-{
-public:
-    explicit ScopedCount(int &count)
-        : count_(count)
-    {
-        ++count_;
-    }
-    ~ScopedCount() { --count_; }
-    ScopedCount(const ScopedCount &) = delete;
-    ScopedCount &operator=(const ScopedCount &) = delete;
-
-private:
-    int &count_;
-};
-
 /** Sends one call on one connection and reads its response. */
 class UpstreamClient::Exchange
 {
@@ -190,7 +174,7 @@
 {
     if (inFlight_ >= maximumConnections)
         return CallResponse::notRun("all connections to the upstream are in use");
-    auto count = kj::heap<ScopedCount>(inFlight_);
+    auto count = kj::heap<core::counters::ScopedCount>(inFlight_);
     const auto budget = toKj(request.budget);
     auto response = acquire().then(
             [this, &request, upstream](Connection connection) {
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -53,7 +53,6 @@
                                                    const UpstreamStatus &upstream);
 
 private:
-    class ScopedCount;
     class Exchange;
     using Connection = kj::Own<UpstreamConnection>;
 
@@ -68,7 +67,7 @@
     http::BufferBudget budget_{maximumBufferedBytes};
     std::vector<Connection> idleConnections_;
     // Invariant: the number of calls that have started and not ended.
-    int inFlight_ = 0;
+    std::size_t inFlight_ = 0;
     core::counters::Counter &connectionsOpened_;
 };
 
--- a/tests/platform/test_platform.py
+++ b/tests/platform/test_platform.py
@@ -344,6 +344,41 @@
 
     # ---------------------------------------------------------------- shutdown and settings
 
+    def test_planned_stop_answers_requests_whose_heads_are_half_sent(self):
+        self.start_fleet()
+        node = self.nodes["items-ikeja"]
+        half = b"GET /items/1 HTTP/1.1\r\nHost: shop.example\r\n"
+        rest = b"X-Boragetrack-Attempt-Id: half\r\nX-Boragetrack-Time-Budget-Ms: 2000\r\n\r\n"
+        responses = []
+
+        def finish(connection):
+            try:
+                time.sleep(0.4)
+                connection.sendall(rest)
+                responses.append(connection.recv(65536))
+            except OSError:
+                responses.append(b"")
+            finally:
+                connection.close()
+
+        threads = []
+        node.process.terminate()
+        while True:
+            try:
+                connection = socket.create_connection(("127.0.0.1", node.caller_port), timeout=4)
+                connection.sendall(half)
+            except OSError:
+                break
+            threads.append(threading.Thread(target=finish, args=(connection,)))
+            threads[-1].start()
+            time.sleep(0.05)
+        for thread in threads:
+            thread.join()
+        # The last connection may have been made in the moment in which the listener was closed.
+        answered = [response for response in responses if response.startswith(b"HTTP/1.1 ")]
+        self.assertGreater(len(answered), 1)
+        self.assertGreaterEqual(len(answered), len(threads) - 1, responses)
+
     def test_planned_stop_cuts_no_call_and_reports_not_ready(self):
         self.start_fleet()
         for upstream in self.upstreams("items"):
