--- a/packages/transport/serving/KeyedCalls.cpp
+++ b/packages/transport/serving/KeyedCalls.cpp
@@ -76,15 +76,17 @@
 KeyedCalls::claimAndSend(CallRequest &request, kj::Own<AdmissionController::ScopedPermit> permit,
                          const Snapshot &snapshot)
 {
-    return dependencies_.claims.claim(request.key, dependencies_.process, snapshot->members->registrars)
+    return dependencies_.claims
+            .claim(request.key, dependencies_.process, snapshot->members->registrars)
             .then([this, &request, snapshot, permit = kj::mv(permit)](
                           const ClaimQuorum &quorum) mutable -> kj::Promise<CallResponse> {
-                const auto releaseAndReturn = [this, &request,
-                                               snapshot](const CallResponse &response) {
-                    return dependencies_.claims
-                            .release(request.key, dependencies_.process, snapshot->members->registrars)
-                            .then([response]() { return response; });
-                };
+                const auto releaseAndReturn
+                        = [this, &request, snapshot](const CallResponse &response) {
+                              return dependencies_.claims
+                                      .release(request.key, dependencies_.process,
+                                               snapshot->members->registrars)
+                                      .then([response]() { return response; });
+                          };
                 if (quorum.isGranted()) {
                     return dependencies_.send(request, kj::mv(permit))
                             .then([releaseAndReturn](
