--- a/packages/daemon/service/RoutingPublisher.cpp
+++ b/packages/daemon/service/RoutingPublisher.cpp
@@ -15,9 +15,9 @@
 
 std::chrono::microseconds intervalFor(std::size_t members)
 {
-    return std::max<std::chrono::microseconds>(RoutingPublisher::minimumInterval,
-                                               RoutingPublisher::intervalPerMember
-                                                       * static_cast<std::int64_t>(members));
+    const auto interval = RoutingPublisher::intervalPerMember * static_cast<std::int64_t>(members);
+    return std::clamp<std::chrono::microseconds>(interval, RoutingPublisher::minimumInterval,
+                                                 RoutingPublisher::maximumInterval);
 }
 
 } // namespace
--- a/packages/daemon/service/RoutingPublisher.h
+++ b/packages/daemon/service/RoutingPublisher.h
@@ -23,6 +23,9 @@
     /** What each member adds to that time: a snapshot takes longer to build with more members, and
         more of them change. */
     static constexpr std::chrono::microseconds intervalPerMember{500};
+    /** The most time between a change and its snapshot in any deployment: a drain must be known
+       soon, also where many departed members are still remembered. */
+    static constexpr std::chrono::milliseconds maximumInterval{500};
 
     /** @param routing receives the snapshots; must outlive this object */
     explicit RoutingPublisher(
--- a/tests/unit/RoutingPublisherTest.cpp
+++ b/tests/unit/RoutingPublisherTest.cpp
@@ -118,6 +118,14 @@
     EXPECT_EQ(after(milliseconds(60))->members->registrars.size(), 402U);
 }
 
+TEST_F(RoutingPublisherTest, publishesInTimeInAnyDeployment)
+{
+    addMembers(0, 2000);
+    after(RoutingPublisher::maximumInterval);
+    addMembers(2000, 1);
+    EXPECT_EQ(after(RoutingPublisher::maximumInterval)->members->registrars.size(), 2002U);
+}
+
 TEST_F(RoutingPublisherTest, publishesAnIntentAtOnce)
 {
     addMembers(0, 400);
