Log and count calls that end without a response, and links that are given up

Cause: a call that the end of a stop cut had the line of a caller that left (E503), and neither cut calls nor links that were given up were counted.

Change: E505 names each call that this node ends without a response and why, E102 how many and how long the stop took, E322 a link that is given up; counters calls_cut, calls_caller_left, links_given_up.

The new test failed before: the log had E503 for the call that the stop had cut.

--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -145,8 +145,14 @@
     controlThread_.stop();
     trafficThread_.stop();
     const bool isEnvironmentStopped = environment_->stop();
-    core::events::logEvent(EventCode::NodeStopped, "node stopped",
-                           {{"drained", isDrained && areCallersDrained ? "yes" : "no"}});
+    const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+    core::events::logEvent(
+            EventCode::NodeStopped, "node stopped",
+            {{"drained", isDrained && areCallersDrained ? "yes" : "no"},
+             {"ms",
+              std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count())},
+             {"cut", std::to_string(counters_.counter("calls_cut").value())}});
     return isEnvironmentStopped && isDrained && areCallersDrained;
 }
 
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -85,7 +85,12 @@
             return;
         if (plan_)
             plan_->handleCallerDisconnect();
-        logOutcome(EventCode::CallerLeft, "caller disconnected", CallResponse{});
+        if (!fault_.empty())
+            logCut(fault_);
+        else if (server_.hasLoopEnded_)
+            logCut("the node stopped");
+        else
+            logCallerLeft();
     }
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
@@ -104,6 +109,9 @@
                       [this](kj::Exception &&exception) { return respondUnread(exception); });
     }
 
+    /** Handles an exception that ends the call without a response. */
+    void handleFault(const kj::Exception &exception) { fault_ = exception.getDescription().cStr(); }
+
 private:
     kj::Promise<void> handleBody(http::BodyPiece body)
     {
@@ -231,6 +239,18 @@
                  {"reason", response.reason}});
     }
 
+    void logCallerLeft()
+    {
+        server_.callersLeft_.add();
+        logOutcome(EventCode::CallerLeft, "caller disconnected", CallResponse{});
+    }
+
+    void logCut(const std::string &reason)
+    {
+        server_.cutCalls_.add();
+        logOutcome(EventCode::CallCut, "call cut", CallResponse::unknown(reason));
+    }
+
     kj::Promise<void> respond(const CallResponse &response)
     {
         logOutcome(eventOf(response), "call ended", response);
@@ -256,6 +276,8 @@
     const RouteTarget *target_ = nullptr;
     std::optional<CallPlan> plan_;
     std::string path_;
+    // Why the call ends without a response; empty if no exception ended it.
+    std::string fault_;
     bool hasEnded_ = false;
 };
 
@@ -265,6 +287,8 @@
     , attempts_(dependencies_.counters.counter("call_attempts"))
     , refusals_(dependencies_.counters.counter("calls_not_run"))
     , unknowns_(dependencies_.counters.counter("calls_unknown"))
+    , callersLeft_(dependencies_.counters.counter("calls_caller_left"))
+    , cutCalls_(dependencies_.counters.counter("calls_cut"))
     , crossDataCentreBytes_(dependencies_.counters.counter("call_bytes_other_data_centres"))
     , latencies_(dependencies_.counters, "call")
 {
@@ -275,7 +299,11 @@
 {
     calls_.add();
     auto call = kj::heap<Call>(*this, exchange);
-    auto running = call->run();
+    Call &started = *call;
+    auto running = started.run().catch_([&started](kj::Exception &&exception) -> kj::Promise<void> {
+        started.handleFault(exception);
+        return kj::mv(exception);
+    });
     return running.attach(kj::mv(call));
 }
 
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -49,6 +49,9 @@
     /** Refuses all further calls as not run. */
     void refuseCalls() { refusesCalls_ = true; }
 
+    /** Handles the end of the event loop: calls that are destroyed from now on are cut. */
+    void handleLoopEnd() { hasLoopEnded_ = true; }
+
     /** Returns whether new calls are refused and all earlier ones have ended. */
     bool isDrained() const { return refusesCalls_ && activeCalls_ == 0; }
 
@@ -61,12 +64,15 @@
     std::mt19937_64 random_{std::random_device{}()};
     bool isStopping_ = false;
     bool refusesCalls_ = false;
+    bool hasLoopEnded_ = false;
     // Invariant: the number of calls that have started and not ended.
     int activeCalls_ = 0;
     core::counters::Counter &calls_;
     core::counters::Counter &attempts_;
     core::counters::Counter &refusals_;
     core::counters::Counter &unknowns_;
+    core::counters::Counter &callersLeft_;
+    core::counters::Counter &cutCalls_;
     core::counters::Counter &crossDataCentreBytes_;
     core::counters::LatencyCounters latencies_;
 };
--- a/packages/transport/links/LinkCounters.h
+++ b/packages/transport/links/LinkCounters.h
@@ -16,6 +16,7 @@
         , linkBytesSent(registry.counter("link_bytes_sent"))
         , linkBytesReceived(registry.counter("link_bytes_received"))
         , linksOpened(registry.counter("links_opened"))
+        , linksGivenUp(registry.counter("links_given_up"))
     {}
 
     core::counters::Counter &controlBytesSent;
@@ -24,6 +25,8 @@
     core::counters::Counter &linkBytesSent;
     core::counters::Counter &linkBytesReceived;
     core::counters::Counter &linksOpened;
+    /** Links that were replaced because they did not respond. */
+    core::counters::Counter &linksGivenUp;
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -1,6 +1,7 @@
 /** Opens links on demand, and drops those that failed, do not respond or are idle. */
 #include "transport/links/PeerLinks.h"
 
+#include "core/events/EventLog.h"
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
@@ -265,8 +266,13 @@
 void PeerLinks::dropIfUnresponsive(const NetworkAddress &peer, kj::TimePoint since)
 {
     const auto found = links_.find(peer.toString());
-    if (found != links_.end() && found->second->lastResponse() < since)
-        links_.erase(found);
+    if (found == links_.end() || found->second->lastResponse() >= since)
+        return;
+    counters_.linksGivenUp.add();
+    core::events::logCall(core::events::EventCode::LinkGivenUp, "link given up", false,
+                          {{"peer", peer.toString()},
+                           {"callMs", std::to_string((timer_.now() - since) / kj::MILLISECONDS)}});
+    links_.erase(found);
 }
 
 void PeerLinks::dropLink(const std::string &address, const Link *link)
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -57,6 +57,7 @@
 
 TrafficLoop::~TrafficLoop() noexcept
 {
+    callers_.handleLoopEnd();
     for (LoopComponent *component : components_)
         component->stop();
 }
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -120,10 +120,13 @@
         return (self.fleet.folder / f"{self.name}.log").read_text(errors="replace")
 
     def call(self, method="GET", path="/items/1", body=b"", budget=2000, attempt=None,
-             host="shop.example", headers=None):
-        """Sends a request through this node. Parameter budget is the time budget in ms."""
+             host="shop.example", headers=None, timeout=5):
+        """Sends a request through this node.
+
+        Parameter budget is the time budget in ms, timeout how long the caller waits in s.
+        """
         attempt = attempt or self.fleet.next_attempt()
-        connection = http.client.HTTPConnection("127.0.0.1", self.caller_port, timeout=5)
+        connection = http.client.HTTPConnection("127.0.0.1", self.caller_port, timeout=timeout)
         try:
             connection.request(method, path, body or None, {
                 "Host": host, ATTEMPT: attempt, "X-Boragetrack-Time-Budget-Ms": str(budget),
--- /dev/null
+++ b/tests/platform/test_shutdown.py
@@ -0,0 +1,45 @@
+"""Tests of planned stops of a node on the platform's interface."""
+
+import http.client
+import threading
+import unittest
+
+from platform_case import PlatformCase
+from platform_fleet import rule
+
+# Routes whose calls may last longer than a planned stop.
+SLOW_RULES = [rule("items", "/items/", service="items", timeout=30.0),
+              rule("orders", "/orders/", kind="unsafe", service="orders", timeout=30.0)]
+
+
+class ShutdownTest(PlatformCase):
+    """Planned stops with calls in progress."""
+
+    first_port = 27000
+
+    def test_planned_stop_logs_each_call_that_it_cuts(self):
+        self.start_fleet(SLOW_RULES)
+        for upstream in self.upstreams("orders"):
+            upstream.service_time = 20.0
+        node = self.nodes["items-ikeja"]
+        attempt = self.fleet.next_attempt()
+
+        def call():
+            try:
+                node.call("POST", "/orders/1", b"x", attempt=attempt, budget=25000, timeout=25)
+            except (OSError, http.client.HTTPException):
+                pass
+
+        caller = threading.Thread(target=call)
+        caller.start()
+        self.fleet.wait_until(lambda: self.run_count(attempt) == 1, "the call is running")
+        node.process.terminate()
+        self.assertEqual(node.process.wait(8.0), 0)
+        caller.join()
+        log = node.log_text()
+        self.assertIn(f"E505 call cut request={attempt}", log)
+        self.assertRegex(log, "E102 node stopped drained=no ms=[0-9]+ cut=1")
+
+
+if __name__ == "__main__":
+    unittest.main()
