End a connection without an error when its peer has reset it

What operators saw: E504 ("a request ended without a response because of a fault") for requests that had their response. Cause: the node ends its output after the last response of a connection; if the peer has reset the connection in the same moment, that fails with ENOTCONN, and the failure was reported as that of the request.

--- a/packages/transport/http/ReadAheadStream.cpp
+++ b/packages/transport/http/ReadAheadStream.cpp
@@ -1,6 +1,8 @@
 /** Keeps at most one read pending and shares its completion among all that wait for it. */
 #include "transport/http/ReadAheadStream.h"
 
+#include <kj/exception.h>
+
 namespace boragetrack::transport::http {
 
 kj::Promise<void> ReadAheadStream::readMore()
@@ -30,6 +32,15 @@
     begin_ = 0;
 }
 
+void ReadAheadStream::shutdownWrite()
+{
+    KJ_IF_MAYBE (exception, kj::runCatchingExceptions([this]() { stream_->shutdownWrite(); })) {
+        // A reset ends the input too, so the owner notices it.
+        if (exception->getType() != kj::Exception::Type::DISCONNECTED)
+            kj::throwFatalException(kj::mv(*exception));
+    }
+}
+
 void ReadAheadStream::beginRead()
 {
     isReading_ = true;
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -50,8 +50,9 @@
         return stream_->write(bytes.begin(), bytes.size());
     }
 
-    /** Signals the end of the output to the peer. */
-    void shutdownWrite() { stream_->shutdownWrite(); }
+    /** Signals the end of the output to the peer; has no effect once the peer has reset the
+        connection. */
+    void shutdownWrite();
 
 private:
     void beginRead();
