Send no call on a connection that carried a refusal of the upstream

Callers were told "not run" for requests that an upstream had run or was running, and such requests ran again at a second upstream. A faulty upstream had written an earlier refusal once more on a kept connection, and a refusal that names no request counted for whichever request was next on it. One that names its request did so too: a call that every upstream has refused returns to the first one with the same identifier.

A refusal can be repeated only on a connection that is still in use, so the connection is closed with it. Refused requests now cost a new connection each.

--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -1,5 +1,6 @@
-/** A connection returns to the pool only after a complete request and response. Once a request may
-    have been written, any failure is reported as an unknown outcome. */
+/** A connection returns to the pool only after a complete request that the upstream ran and the
+    response to it. Once a request may have been written, any failure is reported as an unknown
+    outcome. */
 #include "transport/serving/UpstreamClient.h"
 
 #include "core/counters/ScopedCount.h"
@@ -129,8 +130,10 @@
             response.reason = "another process listens at the upstream's address";
         response.body = std::move(body);
         response.headers = http::endToEndHeaders(head.headers);
-        // After a response to another request, more of them may follow.
-        const bool isReusable = isRequestWritten_ && foreignResponses_ == 0
+        // A faulty upstream may repeat a refusal on the connection that carried it. After a
+        // response to another request, more of them may follow.
+        const bool isReusable = response.outcome == CallOutcome::Completed && isRequestWritten_
+                                && foreignResponses_ == 0
                                 && connection_->reader().message().keepsConnection();
         if (isReusable)
             client_.release(kj::mv(connection_), head.headers);
--- a/tests/platform/asyncserver.py
+++ b/tests/platform/asyncserver.py
@@ -4,10 +4,21 @@
 import threading
 
 
+class Connection:
+    """A connection of a client to a server, and the number of requests received on it."""
+
+    def __init__(self):
+        self.requests = 0
+
+
 class Request:
-    """A received request; header names are in lower case."""
+    """A received request; header names are in lower case.
+
+    A server sets the connection that it arrived on.
+    """
 
     def __init__(self, method, target, headers, body):
+        self.connection = None
         self.method = method
         self.target = target
         self.path, _, query = target.partition("?")
@@ -133,8 +144,11 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
+        connection = Connection()
         try:
             while (request := await read_request(reader)) is not None:
+                connection.requests += 1
+                request.connection = connection
                 response = await self.handle_or_cancel(request, reader)
                 if response is None:
                     writer.transport.abort()
--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -11,6 +11,8 @@
 INSTANCE = "X-Boragetrack-Instance-Id"
 EXPECTED = "X-Boragetrack-Target-Instance"
 NOT_RUN = "X-Boragetrack-Not-Executed"
+# The status of a server that is not the expected one; like NOT_RUN, it states that nothing ran.
+MISDIRECTED = 421
 
 
 class Upstream(AsyncServer):
@@ -40,13 +42,14 @@
     async def handle(self, request):
         expected = request.header(EXPECTED)
         if expected and expected != self.instance:
-            return Response(421, b"", {INSTANCE: self.instance})
+            return Response(MISDIRECTED, b"", {INSTANCE: self.instance})
         if request.path == "/health":
             status = 200 if self.state == "ready" else 503
             return Response(status, b"", {INSTANCE: self.instance})
         attempt = request.header(ATTEMPT)
         replacement = self.override_response(request)
-        if replacement is not None and replacement.headers.get(NOT_RUN):
+        if replacement is not None and (replacement.headers.get(NOT_RUN)
+                                        or replacement.status == MISDIRECTED):
             return replacement
         self.runs.append((time.monotonic(), attempt, request))
         try:
