Believe a refusal that names no request only for the first call on a connection

Callers were told "not run" for requests that had run, and such requests ran twice, when an upstream wrote a refusal without an identifier, given before on any connection, on one that had carried other calls. The dialect took every refusal without an identifier for one of the call in progress.

Upstreams name the request in their responses, so a refusal that does not can not be told from an earlier one, and the outcome of the call is unknown. On a connection that has carried no other call it still counts, as do all refusals on the native interface, whose responses have no identifiers.

--- a/packages/transport/dialect/CallDialect.h
+++ b/packages/transport/dialect/CallDialect.h
@@ -38,6 +38,10 @@
     /** Returns what a response read from the upstream means for the call in progress. */
     virtual ResponseKind classifyResponse(const http::ResponseHead &head,
                                           const traffic::calls::CallRequest &request) const = 0;
+
+    /** Returns whether a response names no request although upstreams of this front end name the
+        request that they respond to. */
+    virtual bool lacksRequestId(const http::ResponseHead &head) const = 0;
 };
 
 } // namespace boragetrack::transport::dialect
--- a/packages/transport/dialect/NativeDialect.cpp
+++ b/packages/transport/dialect/NativeDialect.cpp
@@ -111,4 +111,11 @@
     return isShed ? ResponseKind::NotRun : ResponseKind::Completed;
 }
 
+bool NativeDialect::lacksRequestId(const http::ResponseHead & /*head*/) const
+{
+    // Responses have no identifiers on this interface; each belongs to the last request on its
+    // connection.
+    return false;
+}
+
 } // namespace boragetrack::transport::dialect
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -4,6 +4,7 @@
 #include "transport/serving/UpstreamClient.h"
 
 #include "core/counters/ScopedCount.h"
+#include "traffic/inbound/RefusalRules.h"
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
 
@@ -56,6 +57,7 @@
              const UpstreamStatus &upstream)
         : client_(client)
         , connection_(kj::mv(connection))
+        , earlierCalls_(connection_->beginCall())
         , request_(request)
         , requestText_(http::serializeHead(http::RequestHead{request.method, request.target,
                                                              client.dialect_.upstreamHeaders(
@@ -119,9 +121,13 @@
         }
         if (kind == ResponseKind::Malformed)
             return unknownOutcome("the upstream's response identifies no request");
+        const bool isRefusal = kind != ResponseKind::Completed;
+        if (isRefusal
+            && !traffic::inbound::provesNotRun(client_.dialect_.lacksRequestId(head),
+                                               earlierCalls_))
+            return unknownOutcome("the upstream's refusal identifies no request");
         CallResponse response;
-        response.outcome
-                = kind == ResponseKind::Completed ? CallOutcome::Completed : CallOutcome::NotRun;
+        response.outcome = isRefusal ? CallOutcome::NotRun : CallOutcome::Completed;
         response.reachedUpstream = true;
         response.status = head.status;
         if (kind == ResponseKind::NotRun)
@@ -132,8 +138,7 @@
         response.headers = http::endToEndHeaders(head.headers);
         // A faulty upstream may repeat a refusal on the connection that carried it. After a
         // response to another request, more of them may follow.
-        const bool isReusable = response.outcome == CallOutcome::Completed && isRequestWritten_
-                                && foreignResponses_ == 0
+        const bool isReusable = !isRefusal && isRequestWritten_ && foreignResponses_ == 0
                                 && connection_->reader().message().keepsConnection();
         if (isReusable)
             client_.release(kj::mv(connection_), head.headers);
@@ -149,6 +154,8 @@
 
     UpstreamClient &client_;
     Connection connection_;
+    // The number of calls that the connection carried before this one.
+    std::size_t earlierCalls_;
     const CallRequest &request_;
     std::string requestText_;
     bool isRequestWritten_ = false;
--- a/packages/transport/serving/UpstreamConnection.h
+++ b/packages/transport/serving/UpstreamConnection.h
@@ -24,6 +24,10 @@
     /** Returns the reader of responses. */
     http::MessageReader<http::ResponseHead> &reader() { return reader_; }
 
+    /** Records that a call is sent on the connection.
+        @returns the number of calls that it carried before */
+    std::size_t beginCall() { return calls_++; }
+
     /** Records that the connection is idle from now on.
         @param idleTimeout how long the upstream keeps an idle connection open */
     void markIdle(core::timing::MonotonicTime now, std::chrono::milliseconds idleTimeout);
@@ -41,6 +45,7 @@
 
     http::ReadAheadStream stream_;
     http::MessageReader<http::ResponseHead> reader_;
+    std::size_t calls_ = 0;
     core::timing::MonotonicTime reusableUntil_{};
     kj::Promise<void> closeWatch_ = nullptr;
 };
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -175,9 +175,15 @@
     def test_believes_no_unnamed_refusal_that_its_connection_repeats(self):
         self.run_repeated_refusals(names_request=False, is_crossing=False)
 
+    def test_believes_no_unnamed_refusal_that_another_connection_repeats(self):
+        self.run_repeated_refusals(names_request=False, is_crossing=True)
+
     def test_believes_no_named_refusal_that_its_connection_repeats(self):
         self.run_repeated_refusals(names_request=True, is_crossing=False)
 
+    def test_believes_no_named_refusal_that_another_connection_repeats(self):
+        self.run_repeated_refusals(names_request=True, is_crossing=True)
+
     def test_believes_no_refusal_of_the_previous_try_of_the_same_attempt(self):
         self.start_fleet([rule("items", "/items/", service="items"),
                           rule("orders", "/orders/", kind="unsafe", service="orders", attempts=4)])
--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -87,3 +87,32 @@
                         {responseText(200, {})}}),
               expected);
 }
+
+TEST(UpstreamClient, believesNoRefusalWithoutAnIdentifierOnAConnectionUsedBefore)
+{
+    const platform::PlatformDialect dialect;
+    for (const int status : {503, 429, 421, 400}) {
+        EXPECT_EQ(
+                outcomes(dialect, {"r1", "r2"}, {{success("r1"), refusal(status) + success("r2")}}),
+                (std::vector{CallOutcome::Completed, CallOutcome::Unknown}))
+                << status;
+    }
+}
+
+TEST(UpstreamClient, believesGenuineRefusals)
+{
+    const platform::PlatformDialect platformDialect;
+    const transport::dialect::NativeDialect nativeDialect;
+    const std::vector second{CallOutcome::Completed, CallOutcome::NotRun};
+    for (const int status : {503, 429, 421, 400}) {
+        EXPECT_EQ(outcomes(platformDialect, {"r1"}, {{refusal(status)}}),
+                  std::vector{CallOutcome::NotRun})
+                << status;
+        EXPECT_EQ(outcomes(platformDialect, {"r1", "r2"}, {{success("r1"), refusal(status, "r2")}}),
+                  second)
+                << status;
+    }
+    // The native interface has no identifiers.
+    EXPECT_EQ(outcomes(nativeDialect, {"r1", "r2"}, {{responseText(200, {}), nativeRefusal()}}),
+              second);
+}
