Pass over interim responses of servers

An interim response (1xx) counted as the response to its request. With the header of a refusal, callers were told "not run" for a request that the upstream was running, and it ran at a second upstream as well; with the request's identifier alone, callers received status 103 as the response; without either, 502 instead of the response that followed.

--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -5,10 +5,12 @@
 #include "transport/http/BufferBudget.h"
 #include "transport/http/MessageParser.h"
 #include "transport/http/ReadAheadStream.h"
+#include "transport/http/ResponseHead.h"
 #include "transport/http/StreamEnd.h"
 
 #include <kj/debug.h>
 #include <optional>
+#include <type_traits>
 #include <variant>
 
 namespace boragetrack::transport::http {
@@ -34,14 +36,13 @@
     /** Sets the limits that apply from the next message on. */
     void setLimits(const MessageLimits &limits) { limits_ = limits; }
 
-    /** Returns the head of the next message, or the reason why there is none. The previous message
-        must have been read completely. */
+    /** Returns the head of the next message, or the reason why there is none. Passes over interim
+        responses (1xx). The previous message must have been read completely. */
     kj::Promise<HeadResult> readHead()
     {
-        parser_ = std::make_unique<MessageParser<Head>>(limits_);
         share_.reset();
-        consumedBytes_ = 0;
-        contentBytes_ = 0;
+        interimResponses_ = 0;
+        beginMessage();
         return continueHead();
     }
 
@@ -88,18 +89,46 @@
     const MessageParser<Head> &message() const { return *parser_; }
 
 private:
+    static constexpr int switchingProtocols = 101;
+
+    void beginMessage()
+    {
+        parser_ = std::make_unique<MessageParser<Head>>(limits_);
+        consumedBytes_ = 0;
+        contentBytes_ = 0;
+    }
+
     kj::Promise<HeadResult> continueHead()
     {
         parse();
         if (parser_->fault())
             return HeadResult(*parser_->fault());
         if (parser_->isHeadDone())
-            return HeadResult(parser_->head());
+            return interimStatus() == 0 ? HeadResult(parser_->head()) : passInterim();
         if (stream_.isEnded())
             return HeadResult(endOfInput());
         return stream_.readMore().then([this]() { return continueHead(); });
     }
 
+    // Returns the status of an interim response; zero for any other message.
+    int interimStatus() const
+    {
+        if constexpr (std::is_same_v<Head, ResponseHead>)
+            return parser_->head().status / 100 == 1 ? parser_->head().status : 0;
+        return 0;
+    }
+
+    kj::Promise<HeadResult> passInterim()
+    {
+        // No request asks for another protocol.
+        if (interimStatus() == switchingProtocols)
+            return HeadResult(MessageFault{400, "unrequested change of protocol"});
+        if (++interimResponses_ > maximumInterimResponses)
+            return HeadResult(MessageFault{400, "too many interim responses"});
+        beginMessage();
+        return continueHead();
+    }
+
     // The parser consumes a chunk header or a trailer only when it is complete, so an endless one
     // stays in the stream's buffer. Short ones are consumed one after the other.
     bool isFramingTooLarge() const
@@ -147,6 +176,8 @@
     // The bytes of the current message that were consumed, and those of its content.
     std::size_t consumedBytes_ = 0;
     std::size_t contentBytes_ = 0;
+    // The interim responses that preceded the current message.
+    int interimResponses_ = 0;
     std::unique_ptr<MessageParser<Head>> parser_;
 };
 
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -207,6 +207,26 @@
         self.check_answers()
         self.assertGreater(self.served(), 0)
 
+    # ---------------------------------------------------------------- other responses
+
+    def test_takes_no_interim_response_for_the_response(self):
+        self.start_fleet()
+        for headers in ({}, {ATTEMPT: ""}, {NOT_RUN: "1"}, {NOT_RUN: "1", ATTEMPT: ""}):
+            for upstream in self.upstreams("orders"):
+                def respond(request, upstream=upstream, headers=headers):
+                    interim = "HTTP/1.1 103 Early Hints\r\n"
+                    for name, value in headers.items():
+                        interim += f"{name}: {value or request.header(ATTEMPT)}\r\n"
+                    own = upstream.success_response(request).to_bytes()
+                    return Response(raw=interim.encode() + b"\r\n", late=own, late_delay=0.02)
+                upstream.override_response = respond
+            self.answers = []
+            with self.subTest(headers):
+                for node in self.fleet.nodes:
+                    self.post(node)
+                self.check_answers()
+                self.assertEqual({answer.status for answer in self.answers}, {200})
+
     # ---------------------------------------------------------------- genuine refusals
 
     def test_retries_a_refused_request_at_another_upstream(self):
--- a/tests/unit/MessageReaderTest.cpp
+++ b/tests/unit/MessageReaderTest.cpp
@@ -115,6 +115,36 @@
     EXPECT_LE(reading.bytesTaken, headerBytes + 2 * readBytes);
 }
 
+TEST(MessageReader, endsInterimResponsesWithoutEnd)
+{
+    const Reading reading = readEndless("", "HTTP/1.1 103 Early Hints\r\n\r\n");
+    EXPECT_TRUE(reading.hasFailed);
+    EXPECT_LE(reading.bytesTaken, headerBytes + 2 * readBytes);
+}
+
+TEST(MessageReader, passesOverInterimResponses)
+{
+    kj::EventLoop loop;
+    kj::WaitScope scope(loop);
+    std::size_t taken = 0;
+    const std::string interim
+            = "HTTP/1.1 103 Early Hints\r\nX-Hint: h\r\nContent-Length: 9\r\n\r\n";
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    ReadAheadStream stream(
+            kj::heap<EndlessStream>("HTTP/1.1 100 Continue\r\n\r\n" + interim + final, "!", taken));
+    MessageReader<ResponseHead> reader(stream, MessageLimits{headerBytes, bodyBytes});
+    const auto head = reader.readHead().wait(scope);
+    ASSERT_TRUE(std::holds_alternative<ResponseHead>(head));
+    EXPECT_EQ(std::get<ResponseHead>(head).status, 200);
+    EXPECT_EQ(std::get<ResponseHead>(head).headers.size(), 1);
+    EXPECT_EQ(reader.readBodyUpTo(bodyBytes).wait(scope).bytes, "hello");
+}
+
+TEST(MessageReader, endsAtAnUnrequestedChangeOfProtocol)
+{
+    EXPECT_TRUE(readEndless("HTTP/1.1 101 Switching Protocols\r\n\r\n", "x").hasFailed);
+}
+
 TEST(MessageReader, endsAChunkExtensionWithoutEnd)
 {
     const Reading reading = readEndless(std::string(chunked) + "5;", "x");
