Report a call as unknown when its upstream denies a run by the status alone

Callers received 408, 429 and 503 of an upstream that had run the request: the node passed these statuses on as the upstream's own response, although they guarantee to callers that the request has not run and never will.

Only the header of a refusal, or 421, states that an upstream did not run a request, so the outcome is unknown: 502, and a further attempt for calls that may run twice. On the native interface 503 does not guarantee this to callers, and is passed on as before.

--- a/packages/transport/dialect/ResponseKind.h
+++ b/packages/transport/dialect/ResponseKind.h
@@ -9,6 +9,9 @@
     Completed,
     /** The upstream refused the call and did not run it. */
     NotRun,
+    /** It has a status by which callers conclude that the call did not run, which the upstream does
+        not state; the call may have run. */
+    UnprovenRefusal,
     /** Another process listens at the upstream's address; it did not run the call. */
     WrongInstance,
     /** The response belongs to another request. */
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -121,7 +121,10 @@
         }
         if (kind == ResponseKind::Malformed)
             return unknownOutcome("the upstream's response identifies no request");
-        const bool isRefusal = kind != ResponseKind::Completed;
+        if (kind == ResponseKind::UnprovenRefusal)
+            return unknownOutcome(
+                    "the upstream's refusal does not state that the call did not run");
+        const bool isRefusal = kind == ResponseKind::NotRun || kind == ResponseKind::WrongInstance;
         if (isRefusal
             && !traffic::inbound::provesNotRun(client_.dialect_.lacksRequestId(head),
                                                earlierCalls_))
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -11,7 +11,7 @@
 from asyncserver import Response
 from platform_case import PlatformCase
 from platform_fleet import rule
-from upstream import ATTEMPT, MISDIRECTED, NOT_RUN
+from upstream import ATTEMPT, MISDIRECTED, NOT_RUN, STAMP
 
 # Statuses that guarantee to a caller that its request has not run and never will.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -209,6 +209,18 @@
 
     # ---------------------------------------------------------------- other responses
 
+    def test_reports_no_request_that_ran_with_a_status_that_denies_it(self):
+        self.start_fleet()
+        for status in sorted(NOT_RUN_STATUSES - {MISDIRECTED}):
+            for upstream in self.upstreams("orders"):
+                upstream.override_response = lambda request, s=status: Response(
+                    s, b"ran", {ATTEMPT: request.header(ATTEMPT), STAMP: "s"})
+            self.answers = []
+            with self.subTest(status):
+                for node in self.fleet.nodes:
+                    self.post(node)
+                self.check_answers()
+
     def test_takes_no_interim_response_for_the_response(self):
         self.start_fleet()
         for headers in ({}, {ATTEMPT: ""}, {NOT_RUN: "1"}, {NOT_RUN: "1", ATTEMPT: ""}):
--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -99,6 +99,21 @@
     }
 }
 
+TEST(UpstreamClient, believesNoStatusThatDeniesARunWithoutAStatementOfTheUpstream)
+{
+    const platform::PlatformDialect dialect;
+    for (const int status : {408, 429, 503}) {
+        const std::string response = responseText(status, {{platform::names::requestId, "r1"}});
+        EXPECT_EQ(outcomes(dialect, {"r1"}, {{response}}), std::vector{CallOutcome::Unknown})
+                << status;
+    }
+    for (const int status : {400, 500, 504}) {
+        const std::string response = responseText(status, {{platform::names::requestId, "r1"}});
+        EXPECT_EQ(outcomes(dialect, {"r1"}, {{response}}), std::vector{CallOutcome::Completed})
+                << status;
+    }
+}
+
 TEST(UpstreamClient, believesGenuineRefusals)
 {
     const platform::PlatformDialect platformDialect;
