Keep connections after refusals that identify their request

It also left one case: a call that returns to an upstream that refused it went out on any idle connection, and the identifier does not tell the refusal from the earlier one.

A refusal that identifies its request can only be mistaken in that case, so such a call now gets a new connection, in place of an idle one, and others keep theirs. Refusals without an identifier still end their connection, on either interface.

--- a/packages/traffic/inbound/RefusalRules.h
+++ b/packages/traffic/inbound/RefusalRules.h
@@ -1,19 +1,27 @@
-/** The rule by which a refusal of the upstream is believed. */
+/** The rules by which refusals of the upstream are believed. A faulty upstream may write an earlier
+    refusal again on a connection that has carried a call. */
 #pragma once
 
+#include "traffic/calls/ResponseReference.h"
+
 #include <cstddef>
 
 namespace boragetrack::traffic::inbound {
 
-/** Returns whether a refusal proves that the call in progress did not run. One that names no
-   request may be an earlier one that the upstream wrote again, unless the call is the first on its
-    connection.
-    @param lacksRequestId whether the refusal names no request although the upstream's interface
-                          provides for it
+/** Returns whether a refusal proves that the call in progress did not run. One that lacks its
+    identifier may be an earlier one, unless the call is the first on its connection. Without
+    identifiers on the interface it counts, since its connection carries no call after it.
     @param earlierCalls the number of calls that the connection carried before */
-inline bool provesNotRun(bool lacksRequestId, std::size_t earlierCalls)
+inline bool provesNotRun(calls::ResponseReference reference, std::size_t earlierCalls)
+{
+    return reference != calls::ResponseReference::None || earlierCalls == 0;
+}
+
+/** Returns whether the connection that carried a refusal may carry another call. Without an
+    identifier, that call could not be told from the one refused if the refusal came again. */
+inline bool mayReuseAfterRefusal(calls::ResponseReference reference)
 {
-    return !lacksRequestId || earlierCalls == 0;
+    return reference == calls::ResponseReference::Identifier;
 }
 
 } // namespace boragetrack::traffic::inbound
--- a/packages/transport/dialect/CallDialect.h
+++ b/packages/transport/dialect/CallDialect.h
@@ -3,6 +3,7 @@
 
 #include "traffic/calls/CallRequest.h"
 #include "traffic/calls/CallResponse.h"
+#include "traffic/calls/ResponseReference.h"
 #include "transport/dialect/CallDescription.h"
 #include "transport/dialect/ResponseKind.h"
 #include "transport/http/RequestHead.h"
@@ -39,9 +40,8 @@
     virtual ResponseKind classifyResponse(const http::ResponseHead &head,
                                           const traffic::calls::CallRequest &request) const = 0;
 
-    /** Returns whether a response names no request although upstreams of this front end name the
-        request that they respond to. */
-    virtual bool lacksRequestId(const http::ResponseHead &head) const = 0;
+    /** Returns how a response read from the upstream refers to its request. */
+    virtual traffic::calls::ResponseReference referenceOf(const http::ResponseHead &head) const = 0;
 };
 
 } // namespace boragetrack::transport::dialect
--- a/packages/transport/dialect/NativeDialect.cpp
+++ b/packages/transport/dialect/NativeDialect.cpp
@@ -14,6 +14,7 @@
 using traffic::calls::CallRequest;
 using traffic::calls::CallResponse;
 using traffic::calls::HeaderField;
+using traffic::calls::ResponseReference;
 
 namespace {
 
@@ -111,11 +112,9 @@
     return isShed ? ResponseKind::NotRun : ResponseKind::Completed;
 }
 
-bool NativeDialect::lacksRequestId(const http::ResponseHead & /*head*/) const
+ResponseReference NativeDialect::referenceOf(const http::ResponseHead & /*head*/) const
 {
-    // Responses have no identifiers on this interface; each belongs to the last request on its
-    // connection.
-    return false;
+    return ResponseReference::Position;
 }
 
 } // namespace boragetrack::transport::dialect
--- a/packages/transport/dialect/NativeDialect.h
+++ b/packages/transport/dialect/NativeDialect.h
@@ -17,7 +17,7 @@
                                      const serving::UpstreamStatus &upstream) const override;
     ResponseKind classifyResponse(const http::ResponseHead &head,
                                   const traffic::calls::CallRequest &request) const override;
-    bool lacksRequestId(const http::ResponseHead &head) const override;
+    traffic::calls::ResponseReference referenceOf(const http::ResponseHead &head) const override;
 };
 
 } // namespace boragetrack::transport::dialect
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -1,6 +1,6 @@
-/** A connection returns to the pool only after a complete request that the upstream ran and the
-    response to it. Once a request may have been written, any failure is reported as an unknown
-    outcome. */
+/** A connection returns to the pool only after a complete request and response, unless the response
+    is a refusal that could be taken for one of the next call. Once a request may have been written,
+    any failure is reported as an unknown outcome. */
 #include "transport/serving/UpstreamClient.h"
 
 #include "core/counters/ScopedCount.h"
@@ -18,6 +18,7 @@
 using traffic::calls::CallOutcome;
 using traffic::calls::CallRequest;
 using traffic::calls::CallResponse;
+using traffic::calls::ResponseReference;
 
 namespace {
 
@@ -125,10 +126,11 @@
             return unknownOutcome(
                     "the upstream's refusal does not state that the call did not run");
         const bool isRefusal = kind == ResponseKind::NotRun || kind == ResponseKind::WrongInstance;
-        if (isRefusal
-            && !traffic::inbound::provesNotRun(client_.dialect_.lacksRequestId(head),
-                                               earlierCalls_))
+        const ResponseReference reference = client_.dialect_.referenceOf(head);
+        if (isRefusal && !traffic::inbound::provesNotRun(reference, earlierCalls_))
             return unknownOutcome("the upstream's refusal identifies no request");
+        if (isRefusal && reference == ResponseReference::Identifier)
+            client_.refusedCalls_.add(request_.requestId);
         CallResponse response;
         response.outcome = isRefusal ? CallOutcome::NotRun : CallOutcome::Completed;
         response.reachedUpstream = true;
@@ -139,11 +141,10 @@
             response.reason = "another process listens at the upstream's address";
         response.body = std::move(body);
         response.headers = http::endToEndHeaders(head.headers);
-        // A faulty upstream may repeat a refusal on the connection that carried it. After a
-        // response to another request, more of them may follow.
-        const bool isReusable = !isRefusal && isRequestWritten_ && foreignResponses_ == 0
+        // After a response to another request, more of them may follow.
+        const bool isReusable = isRequestWritten_ && foreignResponses_ == 0
                                 && connection_->reader().message().keepsConnection();
-        if (isReusable)
+        if (isReusable && (!isRefusal || traffic::inbound::mayReuseAfterRefusal(reference)))
             client_.release(kj::mv(connection_), head.headers);
         return kj::mv(response);
     }
@@ -189,7 +190,7 @@
         return CallResponse::notRun("all connections to the upstream are in use");
     auto count = kj::heap<core::counters::ScopedCount>(inFlight_);
     const auto budget = toKj(request.budget);
-    auto response = acquire().then(
+    auto response = acquire(request).then(
             [this, &request, upstream](Connection connection) {
                 auto exchange = kj::heap<Exchange>(*this, kj::mv(connection), request, upstream);
                 auto running = exchange->run();
@@ -211,9 +212,14 @@
             .attach(kj::mv(count));
 }
 
-kj::Promise<UpstreamClient::Connection> UpstreamClient::acquire()
+kj::Promise<UpstreamClient::Connection> UpstreamClient::acquire(const CallRequest &request)
 {
-    while (!idleConnections_.empty()) {
+    // The upstream may write its refusal of this call again, but only on a connection that has
+    // carried a call. The new one replaces the one that has been idle longest.
+    const bool needsNewConnection = refusedCalls_.contains(request.requestId);
+    if (needsNewConnection && !idleConnections_.empty())
+        idleConnections_.erase(idleConnections_.begin());
+    while (!needsNewConnection && !idleConnections_.empty()) {
         Connection connection = kj::mv(idleConnections_.back());
         idleConnections_.pop_back();
         if (connection->isReusable(currentTime()))
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -5,6 +5,7 @@
 #include "core/identity/NetworkAddress.h"
 #include "traffic/calls/CallRequest.h"
 #include "traffic/calls/CallResponse.h"
+#include "traffic/inbound/RefusedCalls.h"
 #include "transport/dialect/CallDialect.h"
 #include "transport/serving/UpstreamConnection.h"
 
@@ -56,7 +57,7 @@
     class Exchange;
     using Connection = kj::Own<UpstreamConnection>;
 
-    kj::Promise<Connection> acquire();
+    kj::Promise<Connection> acquire(const traffic::calls::CallRequest &request);
     kj::Promise<Connection> connect();
     void release(Connection connection, const http::HeaderList &headers);
 
@@ -66,6 +67,7 @@
     core::identity::NetworkAddress address_;
     http::BufferBudget budget_{maximumBufferedBytes};
     std::vector<Connection> idleConnections_;
+    traffic::inbound::RefusedCalls refusedCalls_;
     // Invariant: the number of calls that have started and not ended.
     std::size_t inFlight_ = 0;
     core::counters::Counter &connectionsOpened_;
--- a/tests/platform/test_refusals.py
+++ b/tests/platform/test_refusals.py
@@ -185,27 +185,42 @@
         self.run_repeated_refusals(names_request=True, is_crossing=True)
 
     def test_believes_no_refusal_of_the_previous_try_of_the_same_attempt(self):
+        for node in self.fleet.nodes:
+            node.extra_settings = {"repeats": {"windowSeconds": 10, "reserve": 500}}
         self.start_fleet([rule("items", "/items/", service="items"),
                           rule("orders", "/orders/", kind="unsafe", service="orders", attempts=4)])
-        for upstream in self.upstreams("orders"):
-            refusals = {}
-
-            def refuse_once(request, upstream=upstream, refusals=refusals):
-                attempt = request.header(ATTEMPT)
-                if attempt not in refusals:
-                    refusal = Response(503, headers={NOT_RUN: "1", ATTEMPT: attempt})
-                    refusals[attempt] = (request.connection, refusal.to_bytes())
-                    return refusal
-                connection, copy = refusals[attempt]
-                own = upstream.success_response(request).to_bytes()
-                return Response(raw=copy + own if connection is request.connection else own)
-
-            upstream.override_response = refuse_once
-        for node in self.fleet.nodes:
-            for _ in range(3):
-                self.post(node)
-        self.check_answers()
-        self.assertGreater(self.served(), 0)
+        for is_crossing in (False, True):
+            self.answers = []
+            tried_again = []
+            for upstream in self.upstreams("orders"):
+                upstream.override_response = self.refuse_once(upstream, is_crossing, tried_again)
+            with self.subTest(is_crossing=is_crossing):
+                self.post_many(4, callers=2 if is_crossing else 1)
+                self.check_answers()
+                self.assertGreater(len(tried_again), 0)
+                self.assertGreater(self.served(), 0)
+
+    def refuse_once(self, upstream, is_crossing, tried_again):
+        """Returns a handler that refuses each attempt once and repeats this when it comes again.
+
+        With is_crossing it repeats it on any connection that carried a request before.
+        """
+        refusals = {}
+
+        def respond(request):
+            attempt = request.header(ATTEMPT)
+            if attempt not in refusals:
+                refusal = Response(503, headers={NOT_RUN: "1", ATTEMPT: attempt})
+                refusals[attempt] = (request.connection, refusal.to_bytes())
+                return refusal
+            tried_again.append(attempt)
+            connection, copy = refusals[attempt]
+            own = upstream.success_response(request).to_bytes()
+            repeats = (request.connection.requests > 1 if is_crossing
+                       else request.connection is connection)
+            return Response(raw=copy + own if repeats else own)
+
+        return respond
 
     # ---------------------------------------------------------------- other responses
 
--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -1,8 +1,8 @@
 /** Tests which refusals of an upstream are believed, and which connections carry another call. */
 #include "transport/serving/UpstreamClient.h"
-#include "ScriptedUpstream.h"
 #include "platform/Names.h"
 #include "platform/PlatformDialect.h"
+#include "tests/unit/ScriptedUpstream.h"
 #include "traffic/calls/CallHeaders.h"
 #include "transport/dialect/NativeDialect.h"
 #include "transport/http/MessageWriter.h"
@@ -43,32 +43,71 @@
     return responseText(503, {{traffic::calls::shedHeader, "1"}});
 }
 
+CallRequest callWithId(const std::string &id)
+{
+    CallRequest request;
+    request.requestId = id;
+    request.method = "POST";
+    request.target = "/";
+    request.headers = {{platform::names::requestId, id}};
+    request.budget = std::chrono::seconds(2);
+    return request;
+}
+
+/** A client of a scripted upstream. */
+class ClientOfScript
+{
+public:
+    ClientOfScript(const transport::dialect::CallDialect &dialect, ScriptedUpstream::Script script)
+        : upstream_(io_, std::move(script))
+        , client_(io_.provider->getNetwork(), io_.provider->getTimer(), dialect, opened_)
+    {
+        client_.setAddress(upstream_.address());
+    }
+
+    /** Sends calls at the same time. Returns their outcomes. */
+    std::vector<CallOutcome> sendAtOnce(const std::vector<std::string> &ids)
+    {
+        std::vector<CallRequest> requests;
+        requests.reserve(ids.size());
+        for (const std::string &id : ids)
+            requests.push_back(callWithId(id));
+        std::vector<kj::Promise<CallResponse>> responses;
+        responses.reserve(ids.size());
+        for (const CallRequest &request : requests)
+            responses.push_back(client_.send(request, UpstreamStatus{}).eagerlyEvaluate(nullptr));
+        std::vector<CallOutcome> found;
+        found.reserve(ids.size());
+        for (auto &response : responses)
+            found.push_back(response.wait(io_.waitScope).outcome);
+        return found;
+    }
+
+    std::uint64_t connectionsOpened() const { return opened_.value(); }
+
+private:
+    kj::AsyncIoContext io_ = kj::setupAsyncIo();
+    core::counters::Counter opened_;
+    ScriptedUpstream upstream_;
+    UpstreamClient client_;
+};
+
 /** Sends calls with the given ids, one after another. Returns their outcomes. */
 std::vector<CallOutcome> outcomes(const transport::dialect::CallDialect &dialect,
                                   const std::vector<std::string> &ids,
                                   ScriptedUpstream::Script script)
 {
-    kj::AsyncIoContext io = kj::setupAsyncIo();
-    core::counters::Counter opened;
-    ScriptedUpstream upstream(io, std::move(script));
-    UpstreamClient client(io.provider->getNetwork(), io.provider->getTimer(), dialect, opened);
-    client.setAddress(upstream.address());
+    ClientOfScript client(dialect, std::move(script));
     std::vector<CallOutcome> found;
-    for (const std::string &id : ids) {
-        CallRequest request;
-        request.requestId = id;
-        request.method = "POST";
-        request.target = "/";
-        request.headers = {{platform::names::requestId, id}};
-        request.budget = std::chrono::seconds(2);
-        found.push_back(client.send(request, UpstreamStatus{}).wait(io.waitScope).outcome);
-    }
+    found.reserve(ids.size());
+    for (const std::string &id : ids)
+        found.push_back(client.sendAtOnce({id}).front());
     return found;
 }
 
 } // namespace
 
-TEST(UpstreamClient, sendsNoCallOnAConnectionThatCarriedARefusal)
+TEST(UpstreamClient, sendsNoCallOnAConnectionThatMayRepeatARefusalOfIt)
 {
     const std::vector expected{CallOutcome::NotRun, CallOutcome::Completed};
     const platform::PlatformDialect platformDialect;
@@ -88,6 +127,28 @@
               expected);
 }
 
+TEST(UpstreamClient, sendsACallThatWasRefusedBeforeOnANewConnection)
+{
+    const platform::PlatformDialect dialect;
+    const std::string refused = refusal(503, "r2");
+    ClientOfScript client(dialect, {{success("r1"), refused, refused + success("r2")},
+                                    {success("r1"), refused, refused + success("r2")},
+                                    {success("r2")}});
+    client.sendAtOnce({"r1", "r1"});
+    EXPECT_EQ(client.connectionsOpened(), 2U);
+    EXPECT_EQ(client.sendAtOnce({"r2"}), std::vector{CallOutcome::NotRun});
+    EXPECT_EQ(client.sendAtOnce({"r2"}), std::vector{CallOutcome::Completed});
+    EXPECT_EQ(client.connectionsOpened(), 3U);
+}
+
+TEST(UpstreamClient, keepsTheConnectionAfterARefusalThatIdentifiesItsRequest)
+{
+    // The refusal comes again, before the response to the second call.
+    EXPECT_EQ(outcomes(platform::PlatformDialect(), {"r1", "r2"},
+                       {{refusal(503, "r1"), refusal(503, "r1") + success("r2")}}),
+              (std::vector{CallOutcome::NotRun, CallOutcome::Completed}));
+}
+
 TEST(UpstreamClient, believesNoRefusalWithoutAnIdentifierOnAConnectionUsedBefore)
 {
     const platform::PlatformDialect dialect;
