Reserve the ports of test fleets

The pool tested that a port is free and released it. A port of the ephemeral range could then be given to an outgoing connection before the node listened on it: one of some eighty starts failed with 'cannot listen on 127.0.0.1:33314: Address already in use'. A socket that is bound and does not listen keeps the port from that; the server can bind it as well, since both allow reuse.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import os
+import socket
 import sys
 import tempfile
 import time
@@ -44,6 +45,31 @@
             "listeners": [{"host": "shop.example", "ruleSet": rules}], "clusters": clusters}
 
 
+class ReservedPorts(PortPool):
+    """Ports that no connection gets as its ephemeral port before a server listens on them."""
+
+    def __init__(self, first):
+        super().__init__(first)
+        self._holders = []
+
+    def take(self):
+        while True:
+            port = super().take()
+            holder = socket.socket()
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                holder.bind(("127.0.0.1", port))
+            except OSError:
+                holder.close()
+                continue
+            self._holders.append(holder)
+            return port
+
+    def release(self):
+        for holder in self._holders:
+            holder.close()
+
+
 class ReceivedResponse:
     """A response as its caller received it."""
 
@@ -144,7 +170,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-",
                                             dir=os.environ.get("BORAGETRACK_SCRATCH")))
         self.event_loop = EventLoopThread()
-        self.ports = PortPool(first_port)
+        self.ports = ReservedPorts(first_port)
         self.store = Store(self.event_loop, self.ports.take())
         self.store.start()
         self.nodes = []
@@ -196,3 +222,4 @@
                 node.process.kill()
         self.store.stop()
         self.event_loop.stop()
+        self.ports.release()
