Test that no response that ended early is delivered as whole

Operators of a similar system reported that a server stopped in the middle of its response's head and closed, and that clients got a 200 with an empty or short body, framed as whole.

The unit tests cut responses at each byte, in one piece and in small ones, by a close and by a reset, also as the second response of a connection, and replace each CRLF by a bare LF.

The stand-ins' servers can now write a response in pieces and end a connection by a reset; the abort that they used before is a regular close unless there is unread input.

--- a/tests/platform/asyncserver.py
+++ b/tests/platform/asyncserver.py
@@ -1,6 +1,8 @@
 """A small asyncio HTTP/1.1 server for stand-ins, which controls each byte of a response."""
 
 import asyncio
+import socket
+import struct
 import threading
 
 
@@ -33,18 +35,23 @@
 class Response:
     """A response to send; raw bytes replace all of it, and extra bytes follow it.
 
+    Its bytes may be written in pieces (of piece_bytes) with a pause (s) after each. The ending
+    "close" closes the connection after them, "half" ends only the server's output, "reset" resets
+    the connection.
     With a filler, its bytes follow without end until the client closes the connection. Late bytes
     follow after a delay (s), on the connection as it is then.
     A handler that returns None instead of a response aborts the connection.
     """
 
     def __init__(self, status=200, body=b"", headers=None, raw=None, close=False, extra=b"",
-                 filler=b"", late=b"", late_delay=0.0):
+                 filler=b"", late=b"", late_delay=0.0, ending=None, piece_bytes=0, pause=0.0):
         self.status = status
         self.body = body
         self.headers = headers or {}
         self.raw = raw
-        self.close = close
+        self.ending = "close" if close else ending
+        self.piece_bytes = piece_bytes
+        self.pause = pause
         self.extra = extra
         self.filler = filler
         self.late = late
@@ -57,6 +64,11 @@
         lines += [f"{name}: {value}" for name, value in self.headers.items()]
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + self.body + self.extra
 
+    def pieces(self):
+        data = self.to_bytes()
+        size = self.piece_bytes or len(data) or 1
+        return [data[at:at + size] for at in range(0, len(data), size)]
+
 
 async def read_request(reader):
     """Returns the next request of a connection, or None at its end."""
@@ -82,6 +94,13 @@
     return Request(method, target, headers, body)
 
 
+def reset(writer):
+    """Closes a connection such that its peer gets a reset, also if all its bytes were read."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                               struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class EventLoopThread:
     """An asyncio event loop on a separate thread, shared by the stand-ins of one test."""
 
@@ -153,17 +172,24 @@
                 if response is None:
                     writer.transport.abort()
                     return
-                writer.write(response.to_bytes())
-                await writer.drain()
+                for piece in response.pieces():
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(response.pause)
                 while response.filler:
                     writer.write(response.filler)
                     await writer.drain()
                 if response.late:
                     self.event_loop.loop.call_later(response.late_delay, writer.write,
                                                     response.late)
-                if response.close:
+                if response.ending == "reset":
+                    reset(writer)
+                elif response.ending == "half":
+                    writer.write_eof()
+                    await reader.read()
+                if response.ending:
                     return
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
             self._writers.discard(writer)
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -24,6 +24,8 @@
         # response.
         self.fault = None
         self.delay = 0.0  # before each response, in seconds
+        # Returns the response to send in place of the given one.
+        self.replace_response = lambda request, response: response
 
     # ------------------------------------------------------------------ control by tests
 
@@ -49,6 +51,9 @@
     # ------------------------------------------------------------------ protocol
 
     async def handle(self, request):
+        return self.replace_response(request, await self.respond(request))
+
+    async def respond(self, request):
         self.calls += 1
         if self.delay:
             await asyncio.sleep(self.delay)
--- /dev/null
+++ b/tests/unit/ScriptedStream.h
@@ -0,0 +1,56 @@
+/** A connection that supplies given pieces of input and then ends. */
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <kj/async-io.h>
+#include <kj/debug.h>
+#include <string>
+
+namespace boragetrack::tests {
+
+/** Delivers each piece in a separate read, and then the end of the input. */
+class ScriptedStream final : public kj::AsyncIoStream
+{
+public:
+    /** How the input ends after the last piece. */
+    enum class End { Close, Reset };
+
+    /** @param pieces at most one read each; empty ones are not allowed */
+    ScriptedStream(std::deque<std::string> pieces, End end)
+        : pieces_(std::move(pieces))
+        , end_(end)
+    {}
+
+    kj::Promise<size_t> tryRead(void *buffer, size_t /*minimum*/, size_t /*maximum*/) override
+    {
+        // As from a network, bytes arrive in a later turn of the event loop.
+        return kj::evalLater([this, buffer]() -> size_t {
+            if (pieces_.empty()) {
+                if (end_ == End::Reset)
+                    kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connection reset by peer"));
+                return 0;
+            }
+            const std::string piece = pieces_.front();
+            pieces_.pop_front();
+            std::copy(piece.begin(), piece.end(), static_cast<char *>(buffer));
+            return piece.size();
+        });
+    }
+    kj::Promise<void> write(const void * /*buffer*/, size_t /*size*/) override
+    {
+        return kj::READY_NOW;
+    }
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> /*pieces*/) override
+    {
+        return kj::READY_NOW;
+    }
+    kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
+    void shutdownWrite() override {}
+
+private:
+    std::deque<std::string> pieces_;
+    End end_;
+};
+
+} // namespace boragetrack::tests
--- /dev/null
+++ b/tests/unit/TruncatedResponseTest.cpp
@@ -0,0 +1,157 @@
+/** Tests that a response is complete only with all of its bytes, wherever its input ends. */
+#include "ScriptedStream.h"
+#include "transport/http/MessageReader.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack::transport::http;
+using boragetrack::tests::ScriptedStream;
+using End = ScriptedStream::End;
+
+namespace {
+
+constexpr std::size_t bodyBytes = 4096;
+constexpr const char *content = "hello world";
+
+/** A response as its sender wrote it. */
+struct Sent
+{
+    const char *name;
+    std::string bytes;
+};
+
+/** Returns responses with the same content, whose heads or framing tell where they end. */
+std::vector<Sent> framedResponses()
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    return {
+            {"length", ok + "Content-Length: 11\r\nX-Id: 1\r\n\r\nhello world"},
+            {"length last", ok + "X-Id: 1\r\nContent-Length: 11\r\n\r\nhello world"},
+            {"chunks",
+             ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"},
+            {"chunks and trailer", ok
+                                           + "Transfer-Encoding: chunked\r\n\r\n00b;a=b\r\nhello "
+                                             "world\r\n0\r\nX-Sum: 1\r\nX-Other: 2\r\n\r\n"},
+            {"folded header",
+             ok + "X-Folded: a\r\n b\r\nContent-Length:\r\n 11\r\n\r\nhello world"},
+    };
+}
+
+std::deque<std::string> split(const std::string &text, std::size_t pieceBytes)
+{
+    std::deque<std::string> pieces;
+    for (std::size_t at = 0; at < text.size(); at += pieceBytes)
+        pieces.push_back(text.substr(at, pieceBytes));
+    return pieces;
+}
+
+/** Reads responses from one connection; nothing stands for one that failed. */
+class Connection
+{
+public:
+    Connection(const std::string &input, std::size_t pieceBytes, End end)
+        : scope_(loop_)
+        , stream_(kj::heap<ScriptedStream>(split(input, pieceBytes), end))
+        , reader_(stream_, MessageLimits{4096, bodyBytes})
+    {}
+
+    std::optional<std::string> readResponse()
+    {
+        auto head = reader_.readHead().wait(scope_);
+        if (!std::holds_alternative<ResponseHead>(head))
+            return std::nullopt;
+        std::optional<std::string> body;
+        reader_.readBodyUpTo(bodyBytes)
+                .then([&](BodyPiece &&piece) { body = std::move(piece.bytes); },
+                      [](kj::Exception && /*exception*/) {})
+                .wait(scope_);
+        return body;
+    }
+
+    bool isKept() const { return reader_.message().keepsConnection(); }
+
+    /** Reads the only response of a connection. */
+    static std::optional<std::string> read(const std::string &input, std::size_t pieceBytes,
+                                           End end)
+    {
+        return Connection(input, pieceBytes, end).readResponse();
+    }
+
+private:
+    kj::EventLoop loop_;
+    kj::WaitScope scope_;
+    ReadAheadStream stream_;
+    MessageReader<ResponseHead> reader_;
+};
+
+} // namespace
+
+TEST(TruncatedResponse, isNotCompleteWhereverItEnds)
+{
+    for (const Sent &sent : framedResponses()) {
+        for (std::size_t cut = 0; cut < sent.bytes.size(); ++cut) {
+            for (const std::size_t pieceBytes : {std::size_t{1}, std::size_t{7}, bodyBytes}) {
+                for (const End end : {End::Close, End::Reset}) {
+                    EXPECT_EQ(Connection::read(sent.bytes.substr(0, cut), pieceBytes, end),
+                              std::nullopt)
+                            << sent.name << " cut at " << cut << ", pieces of " << pieceBytes;
+                }
+            }
+        }
+    }
+}
+
+TEST(TruncatedResponse, isNotCompleteAfterAnotherOnTheSameConnection)
+{
+    for (const Sent &sent : framedResponses()) {
+        for (std::size_t cut = 0; cut < sent.bytes.size(); ++cut) {
+            for (const std::size_t pieceBytes : {std::size_t{1}, bodyBytes}) {
+                Connection connection(sent.bytes + sent.bytes.substr(0, cut), pieceBytes,
+                                      End::Close);
+                EXPECT_EQ(connection.readResponse(), content) << sent.name;
+                EXPECT_TRUE(connection.isKept()) << sent.name;
+                EXPECT_EQ(connection.readResponse(), std::nullopt) << sent.name << " at " << cut;
+            }
+        }
+    }
+}
+
+TEST(TruncatedResponse, isCompleteInPiecesOfAnySize)
+{
+    for (const Sent &sent : framedResponses()) {
+        for (std::size_t pieceBytes = 1; pieceBytes <= sent.bytes.size(); ++pieceBytes) {
+            EXPECT_EQ(Connection::read(sent.bytes, pieceBytes, End::Reset), content)
+                    << sent.name << ", pieces of " << pieceBytes;
+        }
+    }
+}
+
+TEST(TruncatedResponse, endsWithTheConnectionIfItHasNoLength)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+    const std::string whole = head + content;
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+        for (const std::size_t pieceBytes : {std::size_t{1}, bodyBytes}) {
+            const std::string received = whole.substr(0, cut);
+            const auto body = Connection::read(received, pieceBytes, End::Close);
+            if (cut < head.size())
+                EXPECT_EQ(body, std::nullopt) << cut;
+            else
+                EXPECT_EQ(body, received.substr(head.size())) << cut;
+            EXPECT_EQ(Connection::read(received, pieceBytes, End::Reset), std::nullopt) << cut;
+        }
+    }
+}
+
+TEST(TruncatedResponse, acceptsNoLineFeedAloneAsTheEndOfALine)
+{
+    for (const Sent &sent : framedResponses()) {
+        for (std::size_t at = sent.bytes.find("\r\n"); at != std::string::npos;
+             at = sent.bytes.find("\r\n", at + 1)) {
+            std::string bytes = sent.bytes;
+            bytes.erase(at, 1);
+            EXPECT_EQ(Connection::read(bytes, bodyBytes, End::Close), std::nullopt)
+                    << sent.name << " at " << at;
+        }
+    }
+}
