Bound interim responses by one head's size together

Now 32 of them may precede a final response, and their heads together are limited like one head, so that a server that sends some more is understood and the memory stays bounded.

--- a/packages/transport/http/MessageLimits.h
+++ b/packages/transport/http/MessageLimits.h
@@ -13,8 +13,9 @@
     content: chunk headers, their extensions and trailers. */
 inline constexpr std::size_t maximumFramingBytes = std::size_t{64} * 1024;
 
-/** Maximum number of interim responses before the final one. */
-inline constexpr int maximumInterimResponses = 8;
+/** Maximum number of interim responses before a final one. Their heads together are limited in size
+    like one head. */
+inline constexpr int maximumInterimResponses = 32;
 
 /** Limits the head and the body of one message. */
 struct MessageLimits
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -5,12 +5,10 @@
 #include "transport/http/BufferBudget.h"
 #include "transport/http/MessageParser.h"
 #include "transport/http/ReadAheadStream.h"
-#include "transport/http/ResponseHead.h"
 #include "transport/http/StreamEnd.h"
 
 #include <kj/debug.h>
 #include <optional>
-#include <type_traits>
 #include <variant>
 
 namespace boragetrack::transport::http {
@@ -36,12 +34,13 @@
     /** Sets the limits that apply from the next message on. */
     void setLimits(const MessageLimits &limits) { limits_ = limits; }
 
-    /** Returns the head of the next message, or the reason why there is none. Passes over interim
-        responses (1xx). The previous message must have been read completely. */
+    /** Returns the head of the next message, or the reason why there is none. The previous message
+        must have been read completely. Interim responses are skipped. */
     kj::Promise<HeadResult> readHead()
     {
         share_.reset();
         interimResponses_ = 0;
+        interimBytes_ = 0;
         beginMessage();
         return continueHead();
     }
@@ -89,8 +88,6 @@
     const MessageParser<Head> &message() const { return *parser_; }
 
 private:
-    static constexpr int switchingProtocols = 101;
-
     void beginMessage()
     {
         parser_ = std::make_unique<MessageParser<Head>>(limits_);
@@ -101,32 +98,40 @@
     kj::Promise<HeadResult> continueHead()
     {
         parse();
+        while (isInterimResponse()) {
+            if (const auto fault = interimFault())
+                return HeadResult(*fault);
+            beginMessage();
+            parse();
+        }
         if (parser_->fault())
             return HeadResult(*parser_->fault());
         if (parser_->isHeadDone())
-            return interimStatus() == 0 ? HeadResult(parser_->head()) : passInterim();
+            return HeadResult(parser_->head());
         if (stream_.isEnded())
             return HeadResult(endOfInput());
         return stream_.readMore().then([this]() { return continueHead(); });
     }
 
-    // Returns the status of an interim response; zero for any other message.
-    int interimStatus() const
+    bool isInterimResponse() const
     {
         if constexpr (std::is_same_v<Head, ResponseHead>)
-            return parser_->head().status / 100 == 1 ? parser_->head().status : 0;
-        return 0;
+            return !parser_->fault() && parser_->isHeadDone() && parser_->head().isInterim();
+        return false;
     }
 
-    kj::Promise<HeadResult> passInterim()
+    // Counts an interim response. Returns why it ends the message, if it does.
+    std::optional<MessageFault> interimFault()
     {
+        interimBytes_ += consumedBytes_;
+        if (++interimResponses_ > maximumInterimResponses || interimBytes_ > limits_.headerBytes)
+            return MessageFault{400, "too many interim responses"};
         // No request asks for another protocol.
-        if (interimStatus() == switchingProtocols)
-            return HeadResult(MessageFault{400, "unrequested change of protocol"});
-        if (++interimResponses_ > maximumInterimResponses)
-            return HeadResult(MessageFault{400, "too many interim responses"});
-        beginMessage();
-        return continueHead();
+        if constexpr (std::is_same_v<Head, ResponseHead>) {
+            if (parser_->head().status == ResponseHead::switchingProtocols)
+                return MessageFault{400, "unrequested change of protocol"};
+        }
+        return std::nullopt;
     }
 
     // The parser consumes a chunk header or a trailer only when it is complete, so an endless one
@@ -176,8 +181,9 @@
     // The bytes of the current message that were consumed, and those of its content.
     std::size_t consumedBytes_ = 0;
     std::size_t contentBytes_ = 0;
-    // The interim responses that preceded the current message.
+    // The interim responses that preceded the current message, and their size.
     int interimResponses_ = 0;
+    std::size_t interimBytes_ = 0;
     std::unique_ptr<MessageParser<Head>> parser_;
 };
 
--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -20,15 +20,19 @@
 def responses(attempt):
     """Returns responses to a request with the same content, by how their end is marked."""
     status = b"HTTP/1.1 200 OK\r\n"
-    fields = f"{ATTEMPT}: {attempt}\r\n{STAMP}: s.1\r\n".encode()
+    attempt_id = f"{ATTEMPT}: {attempt}\r\n".encode()
+    fields = attempt_id + f"{STAMP}: s.1\r\n".encode()
     chunked = status + fields + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(
         b"%x\r\n%s\r\n" % (len(piece), piece) for piece in (CONTENT[:3], CONTENT[3:])) + b"0\r\n"
     length = status + fields + LENGTH + b"\r\n" + CONTENT
+    early_hints = b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n"
     return {
         "length": length,
         "length-first": status + LENGTH + fields + b"\r\n" + CONTENT,
         "chunks": chunked + b"\r\n",
         "trailer": chunked + b"X-Sum: 1\r\nX-Other: 2\r\n\r\n",
+        "interim": b"HTTP/1.1 100 Continue\r\n\r\n" + early_hints + b"\r\n" + length,
+        "interim-with-id": early_hints + attempt_id + b"\r\n" + length,
         "end": status + fields + b"\r\n" + CONTENT,
     }
 
@@ -129,7 +133,7 @@
         cut_attempts = []
 
         def respond_cut_from_the_second_on(request):
-            names = ("length", "chunks")
+            names = ("length", "chunks", "interim")
             whole = responses(request.header(ATTEMPT))[names[len(cut_attempts) % len(names)]]
             if request.connection.requests == 1:
                 return Response(raw=whole)
@@ -332,6 +336,18 @@
                             for at in range(0, len(body), 1000)) + b"0\r\n\r\n"
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
+    def test_follows_a_store_that_sends_interim_responses(self):
+        self.store.replace_response = lambda request, response: Response(
+            raw=b"HTTP/1.1 100 Continue\r\n\r\n", late=response.to_bytes(), late_delay=0.02)
+        self.start_fleet()
+        for number in range(6, 10):
+            prefix = "/items/" if number % 2 else "/others/"
+            self.store.put("op/config", configuration(
+                number, [rule("items", prefix, service="items"), RULES[1]], SERVICES))
+            for node in self.fleet.nodes:
+                self.fleet.wait_until(lambda n=node: n.call(path=f"{prefix}1").status == 200,
+                                      "the change is in force")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/MessageReaderTest.cpp
+++ b/tests/unit/MessageReaderTest.cpp
@@ -201,6 +201,16 @@
     EXPECT_EQ(budget.used(), std::size_t{80} * 1024) << "a body that has failed is not kept";
 }
 
+TEST(MessageReader, endsLargeInterimResponsesWithoutEnd)
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: ";
+    for (const std::size_t padding : {std::size_t{1}, std::size_t{1000}, std::size_t{60'000}}) {
+        const Reading reading = readEndless("", interim + std::string(padding, 'x') + "\r\n\r\n");
+        EXPECT_TRUE(reading.hasFailed) << padding;
+        EXPECT_LE(reading.bytesTaken, 2 * (headerBytes + readBytes)) << padding;
+    }
+}
+
 TEST(MessageReader, readsChunksWithExtensionsAndTrailers)
 {
     kj::EventLoop loop;
--- a/tests/unit/ScriptedUpstream.h
+++ b/tests/unit/ScriptedUpstream.h
@@ -2,21 +2,23 @@
 #pragma once
 
 #include "core/identity/NetworkAddress.h"
+#include "tests/unit/ScriptedResponse.h"
 
 #include <kj/async-io.h>
 #include <string>
 #include <vector>
 
-/** Serves connections on loopback. Each request gets the next text of its connection; without one
-    left, it gets no response and the connection stays open. Requests have no bodies. */
+/** Serves connections on loopback. Each request gets the next response of its connection; without
+    one left, it gets none and the connection stays open. Requests have no bodies. */
 class ScriptedUpstream : private kj::TaskSet::ErrorHandler
 {
 public:
-    /** For each connection, in the order in which they are opened, a text for each request. */
-    using Script = std::vector<std::vector<std::string>>;
+    /** For each connection, in the order in which they are opened, a response to each request. */
+    using Script = std::vector<std::vector<ScriptedResponse>>;
 
     ScriptedUpstream(kj::AsyncIoContext &io, Script script)
-        : script_(std::move(script))
+        : timer_(io.provider->getTimer())
+        , script_(std::move(script))
         , listener_(io.provider->getNetwork()
                             .parseAddress("127.0.0.1:0")
                             .wait(io.waitScope)
@@ -44,17 +46,33 @@
         });
     }
 
-    kj::Promise<void> serve(kj::AsyncIoStream &stream, const std::vector<std::string> &texts,
-                            std::size_t position)
+    kj::Promise<void> serve(kj::AsyncIoStream &stream,
+                            const std::vector<ScriptedResponse> &responses, std::size_t position)
     {
-        if (position == texts.size())
+        if (position == responses.size())
             return kj::NEVER_DONE;
         return readRequest(stream, {})
-                .then([&stream, &text = texts[position]]() {
-                    return stream.write(text.data(), text.size());
+                .then([this, &stream, &pieces = responses[position].pieces]() {
+                    return write(stream, pieces, 0);
+                })
+                .then([this, &stream, &responses, position]() {
+                    return serve(stream, responses, position + 1);
+                });
+    }
+
+    kj::Promise<void> write(kj::AsyncIoStream &stream,
+                            const std::vector<ScriptedResponse::Piece> &pieces,
+                            std::size_t position)
+    {
+        if (position == pieces.size())
+            return kj::READY_NOW;
+        const ScriptedResponse::Piece &piece = pieces[position];
+        return timer_.afterDelay(piece.delay.count() * kj::MILLISECONDS)
+                .then([&stream, &piece]() {
+                    return stream.write(piece.bytes.data(), piece.bytes.size());
                 })
-                .then([this, &stream, &texts, position]() {
-                    return serve(stream, texts, position + 1);
+                .then([this, &stream, &pieces, position]() {
+                    return write(stream, pieces, position + 1);
                 });
     }
 
@@ -73,6 +91,7 @@
     // A client that closes its connection ends only that one.
     void taskFailed(kj::Exception && /*exception*/) override {}
 
+    kj::Timer &timer_;
     Script script_;
     kj::Own<kj::ConnectionReceiver> listener_;
     std::size_t accepted_ = 0;
--- a/tests/unit/TruncatedResponseTest.cpp
+++ b/tests/unit/TruncatedResponseTest.cpp
@@ -60,6 +60,7 @@
         auto head = reader_.readHead().wait(scope_);
         if (!std::holds_alternative<ResponseHead>(head))
             return std::nullopt;
+        status_ = std::get<ResponseHead>(head).status;
         std::optional<std::string> body;
         reader_.readBodyUpTo(bodyBytes)
                 .then([&](BodyPiece &&piece) { body = std::move(piece.bytes); },
@@ -68,6 +69,7 @@
         return body;
     }
 
+    int status() const { return status_; }
     bool isKept() const { return reader_.message().keepsConnection(); }
 
     /** Reads the only response of a connection. */
@@ -82,6 +84,7 @@
     kj::WaitScope scope_;
     ReadAheadStream stream_;
     MessageReader<ResponseHead> reader_;
+    int status_ = 0;
 };
 
 } // namespace
@@ -155,3 +158,24 @@
         }
     }
 }
+
+TEST(TruncatedResponse, followsInterimResponses)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 103 Early Hints\r\nLink: a\r\nX-Id: 1\r\n\r\n";
+    for (const Sent &sent : framedResponses()) {
+        const std::string whole = interim + sent.bytes;
+        for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+            for (const std::size_t pieceBytes : {std::size_t{1}, bodyBytes}) {
+                Connection connection(whole.substr(0, cut), pieceBytes, End::Close);
+                const auto body = connection.readResponse();
+                if (cut < whole.size()) {
+                    EXPECT_EQ(body, std::nullopt) << sent.name << " cut at " << cut;
+                    continue;
+                }
+                EXPECT_EQ(body, content) << sent.name;
+                EXPECT_EQ(connection.status(), 200) << sent.name;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/UpstreamResponseTest.cpp
@@ -0,0 +1,71 @@
+/** Tests that a call gets the whole response to its own request and leaves none of it to the next
+    call on the connection. */
+#include "core/counters/CounterRegistry.h"
+#include "tests/unit/ScriptedUpstream.h"
+#include "transport/dialect/NativeDialect.h"
+#include "transport/serving/UpstreamClient.h"
+
+#include <gtest/gtest.h>
+
+using namespace boragetrack;
+using std::chrono::milliseconds;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::calls::CallResponse;
+
+namespace {
+
+/** Calls an upstream with a client on the same event loop. */
+class Caller
+{
+public:
+    explicit Caller(ScriptedUpstream::Script script)
+        : upstream_(io_, std::move(script))
+        , client_(io_.provider->getNetwork(), io_.provider->getTimer(), dialect_,
+                  counters_.counter("connections"))
+    {
+        status_.address = upstream_.address();
+        client_.setAddress(status_.address);
+    }
+
+    CallResponse call(const std::string &method)
+    {
+        CallRequest request;
+        request.method = method;
+        request.target = "/";
+        request.budget = milliseconds(5000);
+        return client_.send(request, status_).wait(io_.waitScope);
+    }
+
+    std::uint64_t connections() { return counters_.counter("connections").value(); }
+
+private:
+    kj::AsyncIoContext io_ = kj::setupAsyncIo();
+    core::counters::CounterRegistry counters_;
+    transport::dialect::NativeDialect dialect_;
+    ScriptedUpstream upstream_;
+    transport::serving::UpstreamClient client_;
+    transport::serving::UpstreamStatus status_;
+};
+
+constexpr milliseconds noDelay{0};
+constexpr const char *ok = "HTTP/1.1 200 OK\r\n";
+
+} // namespace
+
+// The native interface has no ids by which a response could be attributed to its request.
+TEST(UpstreamClient, givesNoCallTheResponseThatFollowedAnInterimOneToAnotherCall)
+{
+    const std::string first = std::string(ok) + "Content-Length: 5\r\n\r\nfirst";
+    const std::string second = std::string(ok) + "Content-Length: 6\r\n\r\nsecond";
+    const ScriptedResponse late(
+            {{noDelay, "HTTP/1.1 100 Continue\r\n\r\n"}, {milliseconds(50), first}});
+    Caller caller({{late, second}});
+    for (const char *body : {"first", "second"}) {
+        const CallResponse response = caller.call("GET");
+        EXPECT_EQ(response.outcome, CallOutcome::Completed) << response.reason;
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, body);
+    }
+    EXPECT_EQ(caller.connections(), 1);
+}
