Read responses to HEAD without a body

A HEAD request ended with 502 at its deadline: the client waited for the body that the Content-Length of the response announces, or for chunks, and a response to HEAD has none (RFC 9110, 9.3.2). Had it arrived, the caller would have got 'Content-Length: 0', which is not that of the resource.

The parser now skips the body of such a response. Its length is passed on with its other headers, and is left out when the upstream gives none.

--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -35,9 +35,12 @@
     void setLimits(const MessageLimits &limits) { limits_ = limits; }
 
     /** Returns the head of the next message, or the reason why there is none. The previous message
-        must have been read completely. Interim responses are skipped. */
-    kj::Promise<HeadResult> readHead()
+        must have been read completely. Interim responses are skipped.
+        @param hasBody false for the response to a HEAD request, which has no body whatever its
+                       headers say */
+    kj::Promise<HeadResult> readHead(bool hasBody = true)
     {
+        hasBody_ = hasBody;
         share_.reset();
         interimResponses_ = 0;
         interimBytes_ = 0;
@@ -91,6 +94,8 @@
     void beginMessage()
     {
         parser_ = std::make_unique<MessageParser<Head>>(limits_);
+        if (!hasBody_)
+            parser_->skipBody();
         consumedBytes_ = 0;
         contentBytes_ = 0;
     }
@@ -181,6 +186,7 @@
     // The bytes of the current message that were consumed, and those of its content.
     std::size_t consumedBytes_ = 0;
     std::size_t contentBytes_ = 0;
+    bool hasBody_ = true;
     // The interim responses that preceded the current message, and their size.
     int interimResponses_ = 0;
     std::size_t interimBytes_ = 0;
--- a/packages/transport/http/MessageWriter.cpp
+++ b/packages/transport/http/MessageWriter.cpp
@@ -63,6 +63,20 @@
         text += "Transfer-Encoding: chunked\r\n";
 }
 
+void appendStatusLine(std::string &text, int status)
+{
+    text += "HTTP/1.1 " + std::to_string(status) + " ";
+    text += reasonPhrase(status);
+    text += "\r\n";
+}
+
+void appendEnd(std::string &text, bool keepsConnection)
+{
+    if (!keepsConnection)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+}
+
 bool usuallyHasBody(const std::string &method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -82,15 +96,22 @@
 std::string serializeHead(const ResponseHead &head, std::optional<std::uint64_t> bodyLength,
                           bool keepsConnection)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
-    text += reasonPhrase(head.status);
-    text += "\r\n";
+    std::string text;
+    appendStatusLine(text, head.status);
     append(text, head.headers);
     if (head.status != noContent && head.status != notModified)
         appendFraming(text, bodyLength);
-    if (!keepsConnection)
-        text += "Connection: close\r\n";
-    return text + "\r\n";
+    appendEnd(text, keepsConnection);
+    return text;
+}
+
+std::string serializeHeadWithoutBody(const ResponseHead &head, bool keepsConnection)
+{
+    std::string text;
+    appendStatusLine(text, head.status);
+    append(text, head.headers);
+    appendEnd(text, keepsConnection);
+    return text;
 }
 
 std::string encodeChunk(const std::string &bytes)
--- a/packages/transport/http/MessageWriter.h
+++ b/packages/transport/http/MessageWriter.h
@@ -21,6 +21,11 @@
 std::string serializeHead(const ResponseHead &head, std::optional<std::uint64_t> bodyLength,
                           bool keepsConnection);
 
+/** Returns the status line and headers of a response to a HEAD request, which has no body. Its
+    Content-Length, if there is one, is that of the response to GET.
+    @param keepsConnection whether another response may follow on the connection */
+std::string serializeHeadWithoutBody(const ResponseHead &head, bool keepsConnection);
+
 /** Returns bytes as one chunk of a chunked body. Returns nothing for an empty piece, since an empty
     chunk would end the body. */
 std::string encodeChunk(const std::string &bytes);
--- a/packages/transport/http/ServerExchange.cpp
+++ b/packages/transport/http/ServerExchange.cpp
@@ -8,9 +8,9 @@
 kj::Promise<void> ServerExchange::respond(const ResponseHead &head, const std::string &body)
 {
     hasResponseBegun_ = true;
-    std::string text = serializeHead(head, body.size(), keepsConnection());
-    if (head_.method != "HEAD")
-        text += body;
+    std::string text = head_.method == "HEAD"
+                               ? serializeHeadWithoutBody(head, keepsConnection())
+                               : serializeHead(head, body.size(), keepsConnection()) + body;
     return writeText(std::move(text)).then([this]() { isResponseComplete_ = true; });
 }
 
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -84,9 +84,10 @@
 private:
     kj::Promise<CallResponse> readResponse()
     {
-        return connection_->reader().readHead().then(
-                [this](http::MessageReader<http::ResponseHead>::HeadResult &&result)
-                        -> kj::Promise<CallResponse> {
+        return connection_->reader()
+                .readHead(!isHeadRequest())
+                .then([this](http::MessageReader<http::ResponseHead>::HeadResult &&result)
+                              -> kj::Promise<CallResponse> {
                     if (auto *head = std::get_if<http::ResponseHead>(&result))
                         return readBody(std::move(*head));
                     if (auto *fault = std::get_if<http::MessageFault>(&result))
@@ -141,6 +142,8 @@
             response.reason = "another process listens at the upstream's address";
         response.body = std::move(body);
         response.headers = http::endToEndHeaders(head.headers);
+        if (isHeadRequest())
+            keepBodyLength(response.headers);
         // After a response to another request, more of them may follow.
         const bool isReusable = isRequestWritten_ && foreignResponses_ == 0
                                 && connection_->reader().message().keepsConnection();
@@ -149,6 +152,15 @@
         return kj::mv(response);
     }
 
+    bool isHeadRequest() const { return request_.method == "HEAD"; }
+
+    // A response to HEAD has the length of the response to GET, which no body gives.
+    void keepBodyLength(http::HeaderList &headers)
+    {
+        if (const auto length = connection_->reader().message().bodyLength())
+            headers.push_back({"Content-Length", std::to_string(*length)});
+    }
+
     static CallResponse unknownOutcome(std::string reason)
     {
         CallResponse response = CallResponse::unknown(std::move(reason));
--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -181,6 +181,18 @@
                             self.assertIn(f"/items/{number} ".encode(), response.body)
                     time.sleep(delay / 4)
 
+    def test_serves_head_requests(self):
+        self.start_fleet()
+        self.respond(lambda request: None if request.method != "HEAD" else Response(
+            raw=head_of(responses(request.header(ATTEMPT))[request.path.split("/")[2]])))
+        for name, length in (("length", str(len(CONTENT))), ("chunks", None)):
+            for node in self.fleet.nodes:
+                response = node.call("HEAD", f"/items/{name}")
+                self.assertEqual((response.status, response.stamp), (200, "s.1"))
+                self.assertEqual(response.headers.get("Content-Length"), length)
+                self.assertNotIn("Transfer-Encoding", response.headers)
+                self.assertEqual(node.call(path="/items/1").status, 200)
+
     # ---------------------------------------------------------------- links
 
     def add_link_proxy(self, node):
--- a/tests/unit/UpstreamResponseTest.cpp
+++ b/tests/unit/UpstreamResponseTest.cpp
@@ -12,6 +12,7 @@
 using traffic::calls::CallOutcome;
 using traffic::calls::CallRequest;
 using traffic::calls::CallResponse;
+using transport::http::findHeader;
 
 namespace {
 
@@ -69,3 +70,20 @@
     }
     EXPECT_EQ(caller.connections(), 1);
 }
+
+TEST(UpstreamClient, completesAHeadRequestWithoutABody)
+{
+    const std::string length = std::string(ok) + "Content-Length: 500\r\n\r\n";
+    const std::string chunked = std::string(ok) + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string whole = std::string(ok) + "Content-Length: 5\r\n\r\nwhole";
+    Caller caller({{length, chunked, whole}});
+    for (const char *bodyLength : {"500", ""}) {
+        const CallResponse response = caller.call("HEAD");
+        EXPECT_EQ(response.outcome, CallOutcome::Completed) << response.reason;
+        EXPECT_EQ(response.body, "");
+        const std::string *header = findHeader(response.headers, "Content-Length");
+        EXPECT_EQ(header == nullptr ? "" : *header, bodyLength);
+    }
+    EXPECT_EQ(caller.call("GET").body, "whole");
+    EXPECT_EQ(caller.connections(), 1);
+}
