Take a reset that a write has found for the end of no body

The system reports a reset once. If the write of a request gets it while a part of the response waits to be read, the next read reports a regular close, which completes a body without a length: the caller would get the part as a 200. Sixty calls against an upstream that resets within such a response, with requests of up to 1 MB, did not show it, since the read mostly comes first; a stream that fails in this order does.

ReadAheadStream now counts a failed write as a reset. Before: TruncatedResponse.isNotCompleteIfWritingTheRequestFoundTheConnectionReset: ("hello"), not nothing

--- a/packages/transport/http/ReadAheadStream.cpp
+++ b/packages/transport/http/ReadAheadStream.cpp
@@ -41,6 +41,16 @@
     }
 }
 
+kj::Promise<void> ReadAheadStream::write(kj::ArrayPtr<const char> bytes)
+{
+    return stream_->write(bytes.begin(), bytes.size())
+            .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
+                // The system reports a reset once; if a write gets it, reads see a regular close.
+                isReset_ = true;
+                return kj::mv(exception);
+            });
+}
+
 void ReadAheadStream::beginRead()
 {
     isReading_ = true;
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -41,14 +41,11 @@
     /** Returns whether the input has ended. */
     bool isEnded() const { return isEnded_; }
 
-    /** Returns whether the input ended with an error rather than a close. */
+    /** Returns whether the connection has failed, in contrast to a close by the peer. */
     bool isReset() const { return isReset_; }
 
-    /** Writes all bytes. */
-    kj::Promise<void> write(kj::ArrayPtr<const char> bytes)
-    {
-        return stream_->write(bytes.begin(), bytes.size());
-    }
+    /** Writes all bytes. The stream must outlive the promise. */
+    kj::Promise<void> write(kj::ArrayPtr<const char> bytes);
 
     /** Signals the end of the output to the peer; has no effect once the peer has reset the
         connection. */
--- a/tests/unit/ScriptedStream.h
+++ b/tests/unit/ScriptedStream.h
@@ -14,7 +14,13 @@
 {
 public:
     /** How the input ends after the last piece. */
-    enum class End { Close, Reset };
+    enum class End {
+        Close,
+        /** The next read reports a reset. */
+        Reset,
+        /** Writes report a reset, and reads end as after a close. */
+        ResetOnWrite,
+    };
 
     /** @param pieces at most one read each; empty ones are not allowed */
     ScriptedStream(std::deque<std::string> pieces, End end)
@@ -28,7 +34,7 @@
         return kj::evalLater([this, buffer]() -> size_t {
             if (pieces_.empty()) {
                 if (end_ == End::Reset)
-                    kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connection reset by peer"));
+                    kj::throwFatalException(resetException());
                 return 0;
             }
             const std::string piece = pieces_.front();
@@ -39,6 +45,8 @@
     }
     kj::Promise<void> write(const void * /*buffer*/, size_t /*size*/) override
     {
+        if (end_ == End::ResetOnWrite)
+            return resetException();
         return kj::READY_NOW;
     }
     kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> /*pieces*/) override
@@ -49,6 +57,11 @@
     void shutdownWrite() override {}
 
 private:
+    static kj::Exception resetException()
+    {
+        return KJ_EXCEPTION(DISCONNECTED, "connection reset by peer");
+    }
+
     std::deque<std::string> pieces_;
     End end_;
 };
--- a/tests/unit/TruncatedResponseTest.cpp
+++ b/tests/unit/TruncatedResponseTest.cpp
@@ -55,6 +55,14 @@
         , reader_(stream_, MessageLimits{4096, bodyBytes})
     {}
 
+    void writeRequest()
+    {
+        const std::string request = "GET / HTTP/1.1\r\n\r\n";
+        stream_.write(kj::arrayPtr(request.data(), request.size()))
+                .catch_([](kj::Exception && /*exception*/) {})
+                .wait(scope_);
+    }
+
     std::optional<std::string> readResponse()
     {
         auto head = reader_.readHead().wait(scope_);
@@ -146,6 +154,13 @@
     }
 }
 
+TEST(TruncatedResponse, isNotCompleteIfWritingTheRequestFoundTheConnectionReset)
+{
+    Connection connection("HTTP/1.1 200 OK\r\n\r\nhello", bodyBytes, End::ResetOnWrite);
+    connection.writeRequest();
+    EXPECT_EQ(connection.readResponse(), std::nullopt);
+}
+
 TEST(TruncatedResponse, acceptsNoLineFeedAloneAsTheEndOfALine)
 {
     for (const Sent &sent : framedResponses()) {
