Bound heads whose fields are consumed as they arrive

The parser limits the bytes of a head that it has not consumed. When reads end within the first two bytes of a header field, it consumes all fields before and starts to count again, so that a head without end takes memory until the call's deadline, or the header timeout of a caller: with fields of eight bytes and reads of 8 KB, all the 8 GB that the test was given, within 9 s.

MessageReader bounds the consumed bytes by twice the limit, one for the start line and one for the fields. Before: MessageReader.endsHeadersWithoutEndWhereverAReadEnds: std::bad_alloc (with ulimit -v 8000000)

--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -113,6 +113,8 @@
             return HeadResult(*parser_->fault());
         if (parser_->isHeadDone())
             return HeadResult(parser_->head());
+        if (isHeadTooLarge())
+            return HeadResult(MessageFault{431, "the head exceeds its limit"});
         if (stream_.isEnded())
             return HeadResult(endOfInput());
         return stream_.readMore().then([this]() { return continueHead(); });
@@ -139,6 +141,13 @@
         return std::nullopt;
     }
 
+    // The parser limits the start line and the header fields that it has not consumed; it consumes
+    // fields as they arrive.
+    bool isHeadTooLarge() const
+    {
+        return consumedBytes_ > 2 * static_cast<std::size_t>(limits_.headerBytes);
+    }
+
     // The parser consumes a chunk header or a trailer only when it is complete, so an endless one
     // stays in the stream's buffer. Short ones are consumed one after the other.
     bool isFramingTooLarge() const
--- a/tests/unit/MessageReaderTest.cpp
+++ b/tests/unit/MessageReaderTest.cpp
@@ -108,6 +108,20 @@
     EXPECT_LE(reading.bytesTaken, headerBytes + 2 * readBytes);
 }
 
+// The parser searches the end of the head in the bytes that it has not consumed.
+TEST(MessageReader, endsHeadersWithoutEndWhereverAReadEnds)
+{
+    for (std::size_t length = 8; length <= 16; ++length) {
+        const std::string header = "A: " + std::string(length - 5, 'b') + "\r\n";
+        for (std::size_t padding = 0; padding < length; ++padding) {
+            const Reading reading
+                    = readEndless("HTTP/1.1 200 OK" + std::string(padding, 'K') + "\r\n", header);
+            EXPECT_TRUE(reading.hasFailed);
+            EXPECT_LE(reading.bytesTaken, 2 * (headerBytes + readBytes));
+        }
+    }
+}
+
 TEST(MessageReader, endsBytesThatAreNoMessage)
 {
     const Reading reading = readEndless("", "?");
