Keep the fields of a trailer out of the head

If a chunked response arrived in one piece, the fields of its trailer were among the headers by which it is classified and which the caller gets; if it arrived in several, they were not. A trailer could so name the request that a response belongs to, or say that it did not run.

MessageParser now ignores fields after the end of the head.

--- a/packages/transport/http/MessageParser.cpp
+++ b/packages/transport/http/MessageParser.cpp
@@ -68,6 +68,9 @@
     void on_field_impl(bhttp::field /*name*/, beast::string_view name, beast::string_view value,
                        beast::error_code & /*error*/) override
     {
+        // Fields of a trailer are not part of the head.
+        if (this->is_header_done())
+            return;
         head_.headers.push_back(traffic::calls::HeaderField{
                 std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
--- a/tests/unit/MessageReaderTest.cpp
+++ b/tests/unit/MessageReaderTest.cpp
@@ -234,8 +234,9 @@
             = std::string(chunked) + "5;name=value\r\nhello\r\n0\r\nX-Trailer: t\r\n\r\n";
     ReadAheadStream stream(kj::heap<EndlessStream>(response, "!", taken));
     MessageReader<ResponseHead> reader(stream, MessageLimits{headerBytes, bodyBytes});
-    reader.readHead().wait(scope);
+    const auto head = reader.readHead().wait(scope);
     const BodyPiece body = reader.readBodyUpTo(bodyBytes).wait(scope);
     EXPECT_TRUE(body.isLast);
     EXPECT_EQ(body.bytes, "hello");
+    EXPECT_EQ(findHeader(std::get<ResponseHead>(head).headers, "X-Trailer"), nullptr);
 }
