--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,5 @@
-"""The store gives no response to the nodes that follow it, while the operator changes a route."""
+"""The store gives no response to the nodes that follow it, while the operator moves one route to
+another service and drops another."""
 
 import asyncio
 import sys
@@ -19,12 +20,12 @@
 MARGIN_S = 0.5
 
 
-def routes(moved):
-    return [
-        rule("browse", "/browse/", "allocation" if moved else "catalogue"),
-        rule("deposit", "/deposit/", "payments", kind="unsafe"),
-        rule("status", "/status/", "allocation"),
-    ]
+def routes(changed):
+    rules = [rule("browse", "/browse/", "allocation" if changed else "catalogue"),
+             rule("status", "/status/", "allocation")]
+    if not changed:
+        rules.append(rule("deposit", "/deposit/", "payments", kind="unsafe"))
+    return rules
 
 
 async def case(record, disturb):
@@ -70,21 +71,29 @@
     sent = {}
     for _ in range(4):
         answers = await asyncio.gather(*(
-            deployment.request(machine, "GET", f"/browse/{machine.name}")
-            for machine in deployment.machines))
+            deployment.request(machine, method, f"{prefix}{machine.name}", body)
+            for machine in deployment.machines
+            for method, prefix, body in (("GET", "/browse/", b""), ("POST", "/deposit/", b"x"))))
         sent.update({answer[0]: answer[1] for answer in answers})
         await asyncio.sleep(0.5)
     await asyncio.sleep(0.5)
 
-    old = [(attempt, arrived) for machine in deployment.machines if machine.service == "catalogue"
-           for arrived, attempt, _ in machine.server.runs if attempt in sent]
-    record.write("judged", requests=len(sent), run_by_old_service=len(old))
-    if not old:
+    def runs(service, prefix):
+        return [attempt for machine in deployment.machines if machine.service == service
+                for _, attempt, target in machine.server.runs
+                if attempt in sent and target.startswith(prefix)]
+
+    moved, dropped = runs("catalogue", "/browse/"), runs("payments", "/deposit/")
+    record.write("judged", requests=len(sent), run_by_old_service=len(moved),
+                 run_with_dropped_route=len(dropped))
+    if not moved and not dropped:
         return None
-    latest = max(sent[attempt] for attempt, _ in old)
-    return (f"{len(old)} of {len(sent)} requests, sent up to {latest - acknowledged:.1f} s after "
-            f"the acknowledgement of r9 and {latest - trouble_ended:.1f} s after the end of the "
-            f"trouble, were run by the service of r7 (configApplyS is {CONFIG_APPLY_S})")
+    latest = max(sent[attempt] for attempt in moved + dropped)
+    return (f"of {len(sent)} requests, {len(moved)} were run by the old service of a route and "
+            f"{len(dropped)} with a dropped route; they were sent up to "
+            f"{latest - acknowledged:.1f} s after the acknowledgement and "
+            f"{latest - trouble_ended:.1f} s after the end of the trouble (configApplyS is "
+            f"{CONFIG_APPLY_S})")
 
 
 if __name__ == "__main__":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -200,6 +200,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def value(self, key):
+        """Returns the value of a key, or None."""
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else None
+
     def put(self, key, value):
         """A write of the operator; its return is the acknowledgement."""
         self._set(key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
@@ -323,16 +328,20 @@
 class AppServer(HttpServer):
     """The application server of a machine; it announces itself to the node beside it."""
 
-    def __init__(self, machine, record, instance=None, version="v1", work_s=0.02):
+    def __init__(self, machine, record, instance=None, version="v1", work_s=0.02,
+                 failing=0.0):
         super().__init__()
         self.machine = machine
         self.record = record
         self.instance = instance or f"i-{machine.name}"
         self.version = version
         self.work_s = work_s
+        self.failing = failing  # the share of the requests that fail
+        self._failures = 0.0
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
+        self.bad_answers = []  # monotonic times
         self.runs = []  # (monotonic time of arrival, attempt id, target)
         self._beats = None
 
@@ -363,6 +372,11 @@
                           attempt=attempt, target=request.target,
                           caller=request.header(CALLER))
         await asyncio.sleep(self.work_s)
+        self._failures += self.failing
+        if self._failures >= 1.0:
+            self._failures -= 1.0
+            self.bad_answers.append(time.monotonic())
+            return 500, {**echo, STAMP: f"s.{self.instance}.{attempt}"}, b"failed"
         return 200, {**echo, STAMP: f"s.{self.instance}.{attempt}"}, b"done " + attempt.encode()
 
     def next_beat(self):
@@ -521,14 +535,14 @@
 
     SERVICES = ["catalogue", "payments", "allocation"]
 
-    def __init__(self, record, zones, services):
+    def __init__(self, record, zones, services, spares=0):
         self.record = record
         self.zones = zones
         self.services = services
         self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-review-"))
         text = (ROOT / "deploy/system.toml").read_text()
         self.command = re.search(r'^run\s*=\s*"([^"]+)"', text, re.M).group(1)
-        self.net, self.ports = self._free_ports(len(zones) * len(services))
+        self.net, self.ports = self._free_ports(len(zones) * len(services) + spares)
         self.store = Store(record)
         self.machines = []
         for zone in zones:
@@ -537,6 +551,17 @@
                                              len(self.machines) + 1))
         self._attempts = 0
 
+    async def add_machine(self, zone, service, version, **options):
+        """Adds a machine with its node and its server, as a spare machine that joins."""
+        number = len(self.machines) + 1
+        machine = Machine(self, f"sidecar-{zone}-{service}-{version}", zone, service, number)
+        self.machines.append(machine)
+        await self.store.listen(*machine.store_door)
+        machine.start()
+        machine.server = AppServer(machine, self.record, version=version, **options)
+        await machine.server.start()
+        return machine
+
     @staticmethod
     def _free_ports(count):
         names = ["inbound", "app", "ready", "outbound", "control", "peers", "operators", "store"]
