review: keep an error of a script apart from a broken rule

Cause: Python exits with 1 after an error, which read as a broken rule.

Done: the cases exit with 3 when the rule was broken, and run.sh translates it to 1; every error of a script becomes 2. The result is written out before the script exits.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -643,8 +643,9 @@
 
 
 def main(case, folder):
-    """Runs a case: an async function of (deployment record, whether to disturb). Exits with 1 if it
-    returns a text, which says how the rule was broken, with 0 if it held, 2 if it couldn't run."""
+    """Runs a case: an async function of (record, whether to disturb). Exits with 3 if it returns a
+    text, which says how the rule was broken, with 0 if the rule held, with 2 if the case couldn't
+    run. Python itself exits with 1 after an error, so run.sh translates the status."""
     def end(status):
         for process in STARTED:
             if process.poll() is None:
@@ -658,10 +659,10 @@
     disturb = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, disturb), 115))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # any error means that the case couldn't run
         record.write("result", cannot_run=str(error) or type(error).__name__)
-        print(f"cannot run: {error or type(error).__name__}")
+        print(f"cannot run: {type(error).__name__} {error}", flush=True)
         end(2)
     record.write("result", broken=broken or "no")
-    print(f"rule broken: {broken}" if broken else "rule held")
-    end(1 if broken else 0)
+    print(f"rule broken: {broken}" if broken else "rule held", flush=True)
+    end(3 if broken else 0)
