--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -11,6 +11,7 @@
 import os
 import re
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -30,6 +31,7 @@
 
 
 STARTED = []  # all processes that this script started
+FOLDERS = []  # its temporary folders; kept with the logs when the case couldn't run
 
 
 class CannotRun(Exception):
@@ -540,6 +542,7 @@
         self.zones = zones
         self.services = services
         self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-review-"))
+        FOLDERS.append(self.folder)
         text = (ROOT / "deploy/system.toml").read_text()
         self.command = re.search(r'^run\s*=\s*"([^"]+)"', text, re.M).group(1)
         self.net, self.ports = self._free_ports(len(zones) * len(services) + spares)
@@ -652,6 +655,8 @@
                 process.send_signal(signal.SIGKILL)
                 process.wait()
         record.close()
+        for folder in FOLDERS if status != 2 else []:
+            shutil.rmtree(folder, ignore_errors=True)
         os._exit(status)
 
     signal.signal(signal.SIGTERM, lambda *_: end(2))
