--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -1,5 +1,5 @@
-/** Lists page by page, then keeps one watch open, accompanied by a probe. Responses to a watch that
-    was abandoned are recognised by its number and ignored. */
+/** Lists page by page, then keeps one monitored watch open. Responses to a watch that was abandoned
+    are recognised by its number and ignored. */
 #include "control/records/StoreFollower.h"
 
 #include <algorithm>
@@ -22,6 +22,7 @@
     , timers_(timers)
     , listener_(listener)
     , random_(randomSeed)
+    , monitor_(store, timers, *this)
 {}
 
 StoreFollower::~StoreFollower()
@@ -79,6 +80,10 @@
 {
     revision_ = std::max(revision_, known);
     isActive_ = isActive;
+    if (isActive)
+        monitor_.resume();
+    else
+        monitor_.pause();
     if (!isIdle_ || !isActive)
         return;
     isIdle_ = false;
@@ -115,24 +120,19 @@
                      if (*self != nullptr && (*self)->watchNumber_ == number)
                          (*self)->handleWatchResponse(response);
                  });
-    store_.probe(probeTimeout, [self = self_, number](const absl::StatusOr<Revision> &response) {
-        if (*self != nullptr && (*self)->watchNumber_ == number)
-            (*self)->handleProbeResponse(response);
-    });
+    monitor_.start(revision_);
 }
 
-void StoreFollower::handleProbeResponse(const absl::StatusOr<Revision> &response)
+void StoreFollower::watchLost(const absl::Status &reason)
 {
-    // A refusal shows that the store responds; the watch gets its own response.
-    if (response.ok() || !absl::IsUnknown(response.status()))
-        return;
     ++watchNumber_;
-    handleFailure(response.status());
+    handleFailure(reason);
 }
 
 void StoreFollower::handleWatchResponse(const absl::StatusOr<RecordChanges> &response)
 {
     ++watchNumber_;
+    monitor_.stop();
     // The same watch would get the same response, so the records are listed page by page instead.
     if (absl::IsOutOfRange(response.status()) || absl::IsDataLoss(response.status())) {
         isListed_ = false;
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/records/RecordStore.h"
+#include "control/records/WatchMonitor.h"
 #include "core/timing/TimerService.h"
 
 #include <memory>
@@ -17,7 +18,7 @@
     change is missed or delivered twice; if the store has compacted that revision, all records are
     listed again.
 */
-class StoreFollower : private core::timing::TimerService::Listener
+class StoreFollower : private core::timing::TimerService::Listener, private WatchMonitor::Listener
 {
 public:
     /** Receives updates from the store and changes of its availability. */
@@ -47,10 +48,6 @@
     /** How long the first watch after a failure waits. A failing store may accept a call and
         never respond, so a long watch is only sent to a store that has just responded. */
     static constexpr std::chrono::milliseconds recoveryWatchDuration{500};
-    /** How long the store may take to respond to the probe sent with each watch. A store that
-        accepts calls without responding would otherwise leave the node without updates for the
-        whole watch. */
-    static constexpr std::chrono::milliseconds probeTimeout{1000};
     /** How long a response may take beyond the wait. The store responds within milliseconds, or a
         quarter of a second when it is slow. */
     static constexpr std::chrono::milliseconds responseTimeout{1500};
@@ -84,19 +81,22 @@
         store has responded, changes may have been missed. */
     void resumeAfterPause();
 
-    /** Returns whether the changes are being followed and the last call succeeded. */
-    bool isFollowing() const { return isStoreReachable() && !isIdle_ && !isUnconfirmed_; }
+    /** Returns whether the changes are being followed and the store still serves this node. */
+    bool isFollowing() const
+    {
+        return isStoreReachable() && !isIdle_ && !isUnconfirmed_ && monitor_.isReliable();
+    }
 
     /** Returns whether the records have been listed and the last call succeeded. */
     bool isStoreReachable() const { return failures_ == 0 && isListed_; }
 
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
+    void watchLost(const absl::Status &reason) override;
     void listFrom(const std::string &after);
     void handleListResponse(const absl::StatusOr<RecordPage> &response);
     void watch();
     void resume();
-    void handleProbeResponse(const absl::StatusOr<core::identity::Revision> &response);
     void handleWatchResponse(const absl::StatusOr<RecordChanges> &response);
     void handleSuccess();
     void handleFailure(const absl::Status &error);
@@ -119,6 +119,8 @@
     bool isListed_ = false;
     core::identity::Revision revision_;
     int failures_ = 0;
+    // Invariant: runs exactly while a watch is pending.
+    WatchMonitor monitor_;
     // Counts the starts and ends of watches; responses that belong to an earlier number are
     // ignored.
     std::uint64_t watchNumber_ = 0;
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -20,9 +20,10 @@
         self.leases = {}
         self.calls = 0
         self.changed = asyncio.Condition()
-        # Faults: "out" responds with 503, "silent" never responds, "lost" applies writes without a
-        # response.
+        # Faults: "out" responds with 503, "silent" never responds, also to calls in progress, "lost"
+        # applies writes without a response.
         self.fault = None
+        self._lost_calls = 0  # the calls up to this number get no response
         self.delay = 0.0  # before each response, in seconds
         # Returns the response to send in place of the given one.
         self.replace_response = lambda request, response: response
@@ -44,6 +45,10 @@
     def compact_history(self):
         self.compacted_revision = self.revision
 
+    def lose_calls_in_progress(self):
+        """Never responds to the calls that are in progress, waiting watches among them."""
+        self._lost_calls = self.calls
+
     def expire_leases(self):
         """Expires all leases and removes their records, as an outage may do."""
         self.event_loop.run(self._expire_leases())
@@ -51,10 +56,14 @@
     # ------------------------------------------------------------------ protocol
 
     async def handle(self, request):
-        return self.replace_response(request, await self.respond(request))
+        self.calls += 1
+        number = self.calls
+        response = await self.respond(request)
+        if self.fault == "silent" or number <= self._lost_calls:
+            await asyncio.sleep(3600)
+        return self.replace_response(request, response)
 
     async def respond(self, request):
-        self.calls += 1
         if self.delay:
             await asyncio.sleep(self.delay)
         if self.fault == "silent":
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -243,6 +243,98 @@
 
 namespace {
 
+/** Starts with one watch pending after revision 7, whose first probe has been served. */
+class WatchLossTest : public StoreFollowerTest
+{
+protected:
+    WatchLossTest()
+    {
+        respond(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+        timers_.advance(StoreFollower::firstWatchDelay);
+        respondToProbe(Revision(7));
+    }
+
+    void respondToProbe(const absl::StatusOr<Revision> &response)
+    {
+        respond(store_.probes, response);
+    }
+
+    void respondToNextProbe(const absl::StatusOr<Revision> &response)
+    {
+        timers_.advance(WatchMonitor::probePeriod);
+        respondToProbe(response);
+    }
+
+    std::size_t watchesAfterBackoff()
+    {
+        timers_.advance(StoreFollower::maximumBackoff);
+        return store_.watches.size();
+    }
+};
+
+} // namespace
+
+// The store falls silent long after the watch began; nothing but a probe shows it.
+TEST_F(WatchLossTest, abandonsAWatchWhenTheStoreFallsSilentLater)
+{
+    for (int probe = 0; probe < 5; ++probe)
+        respondToNextProbe(Revision(7));
+    EXPECT_TRUE(follower_.isFollowing());
+    respondToNextProbe(absl::UnknownError("no response in time"));
+    EXPECT_FALSE(follower_.isFollowing()) << "its peers would wait for changes from it";
+    EXPECT_EQ(outages_, 1);
+    EXPECT_EQ(watchesAfterBackoff(), 2U);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::recoveryWatchDuration);
+}
+
+// Only the response to the watch was lost: probes on other connections are served.
+TEST_F(WatchLossTest, abandonsAWatchThatDoesNotDeliverAReportedChange)
+{
+    respondToNextProbe(Revision(9));
+    EXPECT_TRUE(follower_.isFollowing()) << "the change may be on its way";
+    respondToNextProbe(Revision(9));
+    EXPECT_FALSE(follower_.isFollowing());
+    EXPECT_EQ(watchesAfterBackoff(), 2U);
+    EXPECT_EQ(store_.watches.back().first, Revision(7));
+}
+
+// A refused node may hold a watch that the store has dropped with the refusals.
+TEST_F(WatchLossTest, isNotFollowingWhileProbesAreRefusedAndThenReplacesTheWatch)
+{
+    respondToNextProbe(absl::UnavailableError("out of service"));
+    EXPECT_FALSE(follower_.isFollowing());
+    respondToNextProbe(absl::ResourceExhaustedError("refused"));
+    EXPECT_EQ(store_.watches.size(), 1U) << "a refusal may be all that goes wrong";
+    respondToNextProbe(Revision(7));
+    EXPECT_EQ(watchesAfterBackoff(), 2U);
+}
+
+// A watch that another node's coverage made needless is not worth charged probes, and covers
+// nobody.
+TEST_F(WatchLossTest, probesOnlyWhileItIsActive)
+{
+    follower_.setActive(false, Revision(7));
+    EXPECT_FALSE(follower_.isFollowing());
+    timers_.advance(WatchMonitor::probePeriod * 5);
+    EXPECT_TRUE(store_.probes.empty());
+    follower_.setActive(true, Revision(7));
+    EXPECT_FALSE(follower_.isFollowing()) << "the watch may have been lost meanwhile";
+    respondToProbe(Revision(7));
+    EXPECT_TRUE(follower_.isFollowing());
+    EXPECT_EQ(store_.watches.size(), 1U);
+}
+
+TEST_F(WatchLossTest, sendsNoProbeOnceTheWatchHasEnded)
+{
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(8)}));
+    timers_.advance(StoreFollower::changeBatchDelay / 2);
+    EXPECT_TRUE(store_.probes.empty());
+    EXPECT_TRUE(follower_.isFollowing());
+}
+
+namespace {
+
 class LeasedRecordTest : public testing::Test
 {
 protected:
