--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -63,6 +63,7 @@
     , membership_(dependencies.self, std::move(dependencies.neighbours), *this)
     , peers_(membership_, std::move(dependencies.seeds), random_)
     , followerRole_(membership_)
+    , departures_(dependencies.self.id)
     , propagator_(
               transport, *this, [this] { return peers_.neighbourContacts(); },
               std::move(dependencies.replica))
@@ -78,6 +79,7 @@
 void ControlPlane::start()
 {
     propagator_.start(timers_.now());
+    departures_.start(timers_.now());
     lastDecisionAt_ = timers_.now();
     for (const auto &seed : peers_.seeds())
         sendExchangeTo(PeerContact{{}, seed}, gossipPerExchange);
@@ -133,8 +135,21 @@
 {
     if (isLeaving_ || membership_.self().upstream == upstream)
         return;
+    const bool isNewDeparture
+            = upstream.departure && upstream.departure != membership_.self().upstream.departure;
     membership_.setUpstream(upstream);
     isUrgentExchangeDue_ = true;
+    if (isNewDeparture)
+        sendOwnRecord();
+}
+
+bool ControlPlane::knowsEarlierDepartures() const
+{
+    const auto &records = membership_.table().records();
+    const auto alive = std::count_if(records.begin(), records.end(), [](const auto &entry) {
+        return entry.second.state == MemberState::Alive;
+    });
+    return departures_.isComplete(static_cast<std::size_t>(alive) - 1, timers_.now());
 }
 
 //==============================================================================
@@ -196,6 +211,7 @@
 
 void ControlPlane::membersReceived(const std::vector<MemberRecord> &records)
 {
+    departures_.rememberFrom(records, timers_.now());
     membership_.mergeFetched(records, timers_.now());
 }
 
@@ -279,6 +295,7 @@
 void ControlPlane::exchangeTick(MonotonicTime now)
 {
     membership_.tick(now);
+    departures_.removeExpired(now);
     if (const auto peer = peers_.nextExchangePeer())
         sendExchangeTo(*peer, gossipPerExchange);
     if (const auto departed = peers_.nextDepartedPeer())
@@ -347,6 +364,17 @@
         sendExchangeTo(contact, gossipPerUrgentExchange);
 }
 
+// The acknowledgement of a departure waits for a peer that keeps it, so it is not left to the rate
+// limit.
+void ControlPlane::sendOwnRecord()
+{
+    for (const PeerContact &contact : peers_.neighbourContacts()) {
+        Exchange exchange = makeExchange(contact.id, 0);
+        exchange.members.push_back(membership_.self());
+        transport_.sendExchange(contact, exchange);
+    }
+}
+
 void ControlPlane::sendExchangeTo(const PeerContact &peer, std::size_t maximumGossip)
 {
     transport_.sendExchange(peer, makeExchange(peer.id, maximumGossip));
@@ -359,6 +387,8 @@
     served = std::max(served, exchange.revision);
     membership_.recordContact(exchange.sender, now);
     peerDigests_[exchange.sender] = exchange.memberDigest;
+    departures_.recordPeer(exchange.sender, exchange.receiverDeparture);
+    departures_.rememberFrom(exchange.members, now);
     membership_.mergeRecords(exchange.members, now);
     membership_.mergeSuspicions(exchange.suspicions, now);
     moves_.mergeVerdicts(exchange.verdicts);
@@ -393,6 +423,7 @@
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
+    exchange.receiverDeparture = departures_.departureAt(receiver);
     exchange.memberDigest = membership_.table().digest();
     exchange.isFollower = isFollower_ && !wasPaused();
     // If both tables had equal digests at the last exchange and this node's table has not changed
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/distribution/ByteRateLimiter.h"
+#include "control/distribution/DepartureMemory.h"
 #include "control/distribution/EvaluatorGroup.h"
 #include "control/distribution/FollowerRole.h"
 #include "control/distribution/IntentPropagator.h"
@@ -113,6 +114,17 @@
     /** Publishes what the node's upstream announced. Ignored once this node is leaving. */
     void upstreamAnnounced(const membership::UpstreamRecord &upstream);
 
+    /** Returns whether peers have had the chance to tell this process which upstream of the node
+        had departed before its start. */
+    bool knowsEarlierDepartures() const;
+
+    /** Returns the last departure at this node that any peer keeps, whichever process of this node
+        published it. */
+    const std::optional<membership::AnnouncementStamp> &replicatedDeparture() const
+    {
+        return departures_.ownDeparture();
+    }
+
     /** Records the outcome of a call to the node's upstream. */
     void callEnded(const moves::CallEvidence &evidence) { moves_.recordCall(evidence); }
 
@@ -200,6 +212,7 @@
     void decisionTick(core::timing::MonotonicTime now);
     void sendEvidence();
     void sendUrgentExchanges();
+    void sendOwnRecord();
     void sendExchangeTo(const PeerContact &peer, std::size_t maximumGossip);
     void mergeExchange(const PeerContact &peer, const Exchange &exchange);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
@@ -214,6 +227,7 @@
     membership::MembershipEngine membership_;
     PeerSelector peers_;
     FollowerRole followerRole_;
+    DepartureMemory departures_;
     IntentPropagator propagator_;
     moves::MoveCoordinator moves_;
     EvaluatorGroup evaluatorGroup_;
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -8,6 +8,7 @@
 #include "core/identity/Revision.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::control::distribution {
@@ -21,6 +22,9 @@
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
         sender. After a restart the receiver waits until it holds that revision again. */
     core::identity::Revision receiverMinimumRevision;
+    /** The departure of an upstream that the receiver, in this process or an earlier one, reported
+        last. After a restart the receiver doesn't use that upstream again. */
+    std::optional<membership::AnnouncementStamp> receiverDeparture;
     /** The digest of the sender's member table. */
     std::uint64_t memberDigest = 0;
     /** Whether the sender follows the durable store and can reach it. */
--- a/packages/control/membership/AnnouncementFilter.cpp
+++ b/packages/control/membership/AnnouncementFilter.cpp
@@ -1,30 +1,58 @@
 /** Compares instance names and start times, and within one process the sequence numbers. */
 #include "control/membership/AnnouncementFilter.h"
 
+#include <algorithm>
+
 namespace boragetrack::control::membership {
 
 bool AnnouncementFilter::accept(const AnnouncementStamp &stamp, bool isLeaving)
 {
-    // The announcement of a departure may lack the start time.
-    const bool isSameStart = !current_ || !current_->startedAt || !stamp.startedAt
-                             || *current_->startedAt == *stamp.startedAt;
-    const bool isSameProcess = current_ && current_->instance == stamp.instance && isSameStart;
-    if (isSameProcess) {
+    if (isSameProcess(stamp)) {
         // The announcement of a departure has no sequence number of its own.
         const bool isLate = !isLeaving && stamp.sequence <= current_->sequence;
-        if (isLate || (isLeaving_ && !isLeaving))
+        if (isLate || (departure_ && !isLeaving))
             return false;
         current_->sequence = std::max(current_->sequence, stamp.sequence);
-        isLeaving_ = isLeaving;
-        return true;
+    } else {
+        if (current_ && !isSuccessor(stamp))
+            return false;
+        replaceCurrent(stamp);
     }
-    if (current_ && !isSuccessor(stamp))
+    if (isLeaving && !departure_)
+        departure_ = current_;
+    return true;
+}
+
+bool AnnouncementFilter::restoreDeparture(const AnnouncementStamp &departure)
+{
+    const bool isSame = isSameProcess(departure);
+    if (isSame && departure_)
+        return false;
+    if (!isSame && current_ && !departure.isLaterThan(*current_)) {
+        if (departure.instance != current_->instance)
+            replacedInstances_.insert(departure.instance);
         return false;
+    }
+    if (!isSame)
+        replaceCurrent(departure);
+    departure_ = departure;
+    return true;
+}
+
+void AnnouncementFilter::replaceCurrent(const AnnouncementStamp &stamp)
+{
     if (current_)
         replacedInstances_.insert(current_->instance);
     current_ = stamp;
-    isLeaving_ = isLeaving;
-    return true;
+    departure_.reset();
+}
+
+// The announcement of a departure may lack the start time.
+bool AnnouncementFilter::isSameProcess(const AnnouncementStamp &stamp) const
+{
+    if (!current_ || current_->instance != stamp.instance)
+        return false;
+    return !current_->startedAt || !stamp.startedAt || *current_->startedAt == *stamp.startedAt;
 }
 
 bool AnnouncementFilter::isSuccessor(const AnnouncementStamp &stamp) const
--- a/packages/control/membership/AnnouncementFilter.h
+++ b/packages/control/membership/AnnouncementFilter.h
@@ -22,14 +22,25 @@
         @returns whether it is new information about the current upstream */
     bool accept(const AnnouncementStamp &stamp, bool isLeaving);
 
+    /** Adopts a departure that an earlier process of this node acknowledged.
+        @returns whether the current upstream thereby became a leaving one */
+    bool restoreDeparture(const AnnouncementStamp &departure);
+
+    /** Returns the first announcement of the current upstream's departure, if it has announced it.
+     */
+    const std::optional<AnnouncementStamp> &departure() const { return departure_; }
+
     /** Returns whether the current upstream has announced its departure. */
-    bool isLeaving() const { return isLeaving_; }
+    bool isLeaving() const { return departure_.has_value(); }
 
 private:
+    bool isSameProcess(const AnnouncementStamp &stamp) const;
     bool isSuccessor(const AnnouncementStamp &stamp) const;
+    void replaceCurrent(const AnnouncementStamp &stamp);
 
     std::optional<AnnouncementStamp> current_;
-    bool isLeaving_ = false;
+    // Invariant: absent unless current_ is set, and of the same process.
+    std::optional<AnnouncementStamp> departure_;
     // The instance names of replaced upstream processes.
     std::set<std::string> replacedInstances_;
 };
--- a/packages/control/membership/AnnouncementStamp.h
+++ b/packages/control/membership/AnnouncementStamp.h
@@ -18,6 +18,19 @@
     /** The start time of the process, if announced; a restarted process may reuse its instance
         name. */
     std::optional<core::timing::WallTime> startedAt;
+
+    /** Returns whether this announcement is certainly the later one: of a process that started
+        later, or of the same start with a higher sequence number. */
+    bool isLaterThan(const AnnouncementStamp &other) const
+    {
+        if (!startedAt || !other.startedAt)
+            return false;
+        if (*startedAt != *other.startedAt)
+            return *startedAt > *other.startedAt;
+        return instance == other.instance && sequence > other.sequence;
+    }
+
+    friend bool operator==(const AnnouncementStamp &, const AnnouncementStamp &) = default;
 };
 
 } // namespace boragetrack::control::membership
--- a/packages/control/membership/UpstreamRecord.h
+++ b/packages/control/membership/UpstreamRecord.h
@@ -1,6 +1,7 @@
 /** The announced properties of an upstream. */
 #pragma once
 
+#include "control/membership/AnnouncementStamp.h"
 #include "control/membership/UpstreamState.h"
 #include "core/identity/ServiceName.h"
 #include "core/identity/VersionName.h"
@@ -15,6 +16,8 @@
     UpstreamState state = UpstreamState::None;
     /** The number of concurrent requests that the upstream announced it can process. */
     int slots = 0;
+    /** The announcement by which the node's last upstream left, unless another one followed it. */
+    std::optional<AnnouncementStamp> departure = std::nullopt;
 
     friend bool operator==(const UpstreamRecord &, const UpstreamRecord &) = default;
 };
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -30,6 +30,7 @@
     UpstreamLost = 311,
     UpstreamDraining = 312,
     AnnouncementRefused = 313,
+    DepartureRestored = 314,
     PeerMessageRefused = 320,
     PeerUnreachable = 321,
     LinkGivenUp = 322,
--- /dev/null
+++ b/packages/daemon/service/AnnouncementProcessor.cpp
@@ -0,0 +1,181 @@
+/** The filter decides which announcements are current. Departures pass at once; an upstream in
+    service waits until the earlier departures are known. */
+#include "daemon/service/AnnouncementProcessor.h"
+
+#include "core/events/EventLog.h"
+
+#include <utility>
+
+namespace boragetrack::daemon::service {
+
+using control::membership::AnnouncementStamp;
+using control::membership::UpstreamRecord;
+using control::membership::UpstreamState;
+using core::events::EventCode;
+using core::timing::MonotonicTime;
+using transport::serving::UpstreamAnnouncement;
+using transport::serving::UpstreamStatus;
+
+namespace {
+
+bool isDeparture(const UpstreamAnnouncement &announcement)
+{
+    return announcement.isDeparture || announcement.status.record.state == UpstreamState::Draining;
+}
+
+void logUpstream(const UpstreamStatus &status)
+{
+    const bool isDraining = status.record.state == UpstreamState::Draining;
+    core::events::logEvent(isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced,
+                           isDraining ? "upstream draining" : "upstream announced",
+                           {{"service", status.record.service.value()},
+                            {"version", status.record.version.value()},
+                            {"instance", status.instance},
+                            {"coldMs", std::to_string(status.coldLeft.count())},
+                            {"address", status.address.toString()}});
+}
+
+} // namespace
+
+void AnnouncementProcessor::start(control::distribution::ControlPlane &plane, UpstreamSink sink)
+{
+    plane_ = &plane;
+    sink_ = std::move(sink);
+}
+
+void AnnouncementProcessor::announce(const UpstreamStatus &status)
+{
+    setUpstream(status);
+}
+
+void AnnouncementProcessor::announce(const UpstreamAnnouncement &announcement,
+                                     std::function<void()> onProcessed)
+{
+    if (!isDeparture(announcement)) {
+        if (plane_->knowsEarlierDepartures())
+            apply(announcement);
+        else if (!held_ || !held_->stamp.isLaterThan(announcement.stamp))
+            held_ = announcement;
+        onProcessed();
+        return;
+    }
+    apply(announcement);
+    const auto &departure = filter_.departure();
+    if (departure && departure->instance == announcement.stamp.instance)
+        acknowledgements_.push_back(
+                {*departure, timers_.now() + maximumReplicationTime, std::move(onProcessed)});
+    else
+        onProcessed();
+    acknowledgeDepartures();
+}
+
+void AnnouncementProcessor::update()
+{
+    adoptDeparture();
+    applyHeldAnnouncement();
+    acknowledgeDepartures();
+    expireUpstream();
+}
+
+//==============================================================================
+void AnnouncementProcessor::apply(const UpstreamAnnouncement &announcement)
+{
+    if (!filter_.accept(announcement.stamp, isDeparture(announcement)))
+        return;
+    if (announcement.isDeparture) {
+        publishDeparture();
+        return;
+    }
+    UpstreamStatus status = announcement.status;
+    status.record.departure = filter_.departure();
+    setUpstream(status);
+}
+
+// The upstream finishes its calls in progress, so only its state changes.
+void AnnouncementProcessor::publishDeparture()
+{
+    if (upstream_) {
+        UpstreamStatus status = *upstream_;
+        status.record.state = UpstreamState::Draining;
+        status.record.departure = filter_.departure();
+        setUpstream(status);
+        return;
+    }
+    UpstreamRecord record = plane_->membership().self().upstream;
+    record.departure = filter_.departure();
+    plane_->upstreamAnnounced(record);
+}
+
+void AnnouncementProcessor::setUpstream(const UpstreamStatus &status)
+{
+    announcedAt_ = timers_.now();
+    const bool isChanged = !upstream_ || upstream_->instance != status.instance
+                           || upstream_->record != status.record
+                           || upstream_->address != status.address;
+    // The remaining cold time is passed on with each announcement, because the upstream may have
+    // become cold again.
+    const bool wasCold = upstream_ && upstream_->coldLeft.count() > 0;
+    if (!isChanged && !wasCold && status.coldLeft.count() == 0)
+        return;
+    if (isChanged)
+        logUpstream(status);
+    upstream_ = status;
+    sink_(upstream_);
+    plane_->upstreamAnnounced(status.record);
+}
+
+//==============================================================================
+void AnnouncementProcessor::adoptDeparture()
+{
+    const auto &departure = plane_->replicatedDeparture();
+    if (!departure || departure == adoptedDeparture_)
+        return;
+    adoptedDeparture_ = departure;
+    if (!filter_.restoreDeparture(*departure))
+        return;
+    core::events::logEvent(EventCode::DepartureRestored, "departure before the restart restored",
+                           {{"instance", departure->instance}});
+    publishDeparture();
+}
+
+void AnnouncementProcessor::applyHeldAnnouncement()
+{
+    if (!held_ || !plane_->knowsEarlierDepartures())
+        return;
+    const UpstreamAnnouncement announcement = *std::exchange(held_, std::nullopt);
+    apply(announcement);
+}
+
+void AnnouncementProcessor::acknowledgeDepartures()
+{
+    const MonotonicTime now = timers_.now();
+    const bool isAlone = plane_->membership().neighbours().empty();
+    std::erase_if(acknowledgements_, [&](const Acknowledgement &acknowledgement) {
+        const bool isDue = isAlone || isReplicated(acknowledgement.departure)
+                           || now >= acknowledgement.deadline;
+        if (isDue)
+            acknowledgement.onProcessed();
+        return isDue;
+    });
+}
+
+bool AnnouncementProcessor::isReplicated(const AnnouncementStamp &departure) const
+{
+    const auto &replicated = plane_->replicatedDeparture();
+    return replicated && (*replicated == departure || replicated->isLaterThan(departure));
+}
+
+void AnnouncementProcessor::expireUpstream()
+{
+    if (!upstream_ || timers_.now() - announcedAt_ < announcementTimeout_)
+        return;
+    core::events::logEvent(EventCode::UpstreamLost, "upstream lost",
+                           {{"service", upstream_->record.service.value()}});
+    UpstreamRecord lost = upstream_->record;
+    lost.state = UpstreamState::None;
+    upstream_.reset();
+    sink_(std::nullopt);
+    plane_->upstreamAnnounced(lost);
+}
+
+} // namespace boragetrack::daemon::service
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -1,5 +1,4 @@
-/** Limits how often snapshots are built and moves are recorded, and expires an upstream that
-    stopped announcing itself. */
+/** Limits how often snapshots are built and moves are recorded. */
 #include "daemon/service/ControlService.h"
 
 #include "control/membership/RingNeighbours.h"
@@ -17,7 +16,6 @@
 using control::membership::MemberRecord;
 using control::membership::MemberState;
 using control::membership::MemberTable;
-using control::membership::UpstreamState;
 using core::events::EventCode;
 using core::identity::NodeId;
 using core::identity::Revision;
@@ -60,6 +58,7 @@
 ControlService::ControlService(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , routingPublisher_(dependencies_.routing)
+    , announcements_(dependencies_.thread, dependencies_.settings.announcementTimeout)
 {}
 
 ControlService::~ControlService() = default;
@@ -67,8 +66,7 @@
 void ControlService::start(control::distribution::PeerTransport &transport,
                            UpstreamSink upstreamSink)
 {
-    upstreamSink_ = std::move(upstreamSink);
-    dependencies_.thread.post([this, &transport]() {
+    dependencies_.thread.post([this, &transport, sink = std::move(upstreamSink)]() {
         ControlPlane::Dependencies dependencies{
                 dependencies_.self,
                 dependencies_.settings.seeds,
@@ -83,6 +81,7 @@
                                                 dependencies_.thread, planeListener);
         timer_ = std::make_unique<core::timing::ScopedTimer>(dependencies_.thread, timerListener,
                                                              updatePeriod);
+        announcements_.start(*plane_, sink);
         plane_->start();
         dependencies_.source.attach(*plane_);
     });
@@ -111,61 +110,17 @@
 
 void ControlService::upstreamAnnounced(const UpstreamStatus &status)
 {
-    post([this, status](ControlPlane &plane) { updateUpstream(plane, status); });
+    post([this, status](ControlPlane & /*plane*/) { announcements_.announce(status); });
 }
 
 void ControlService::upstreamAnnounced(const UpstreamAnnouncement &announcement,
                                        const std::function<void()> &onProcessed)
 {
-    post([this, announcement, onProcessed](ControlPlane &plane) {
-        UpstreamStatus status = announcement.status;
-        const bool isLeaving
-                = announcement.isDeparture || status.record.state == UpstreamState::Draining;
-        if (!announcementFilter_.accept(announcement.stamp, isLeaving)) {
-            onProcessed();
-            return;
-        }
-        if (announcement.isDeparture && upstream_) {
-            // The upstream finishes its calls in progress, so only its state changes.
-            status = *upstream_;
-            status.record.state = UpstreamState::Draining;
-        }
-        if (!announcement.isDeparture || upstream_)
-            updateUpstream(plane, status);
-        onProcessed();
+    post([this, announcement, onProcessed](ControlPlane & /*plane*/) {
+        announcements_.announce(announcement, onProcessed);
     });
 }
 
-void ControlService::logUpstream(const UpstreamStatus &status)
-{
-    const bool isDraining = status.record.state == UpstreamState::Draining;
-    core::events::logEvent(isDraining ? EventCode::UpstreamDraining : EventCode::UpstreamAnnounced,
-                           isDraining ? "upstream draining" : "upstream announced",
-                           {{"service", status.record.service.value()},
-                            {"version", status.record.version.value()},
-                            {"instance", status.instance},
-                            {"coldMs", std::to_string(status.coldLeft.count())},
-                            {"address", status.address.toString()}});
-}
-
-void ControlService::updateUpstream(ControlPlane &plane, const UpstreamStatus &status)
-{
-    announcedAt_ = dependencies_.thread.now();
-    const bool isChanged = !upstream_ || upstream_->instance != status.instance
-                           || upstream_->record != status.record
-                           || upstream_->address != status.address;
-    // The remaining cold time is passed on with each announcement, because the upstream may have
-    // become cold again.
-    const bool wasCold = upstream_ && upstream_->coldLeft.count() > 0;
-    if (!isChanged && !wasCold && status.coldLeft.count() == 0)
-        return;
-    if (isChanged)
-        logUpstream(status);
-    upstream_ = status;
-    upstreamSink_(upstream_);
-    plane.upstreamAnnounced(status.record);
-}
-
 void ControlService::callEnded(const control::moves::CallEvidence &evidence)
 {
     post([evidence](ControlPlane &plane) { plane.callEnded(evidence); });
@@ -299,7 +254,7 @@
 
 void ControlService::timerElapsed(MonotonicTime now)
 {
-    expireUpstream(now);
+    announcements_.update();
     recordMoves(now);
     logCounters(now);
     dependencies_.source.update();
@@ -313,23 +268,11 @@
         if (!plane_)
             return;
         task(*plane_);
+        announcements_.update();
         routingPublisher_.update(*plane_, dependencies_.thread.now());
     });
 }
 
-void ControlService::expireUpstream(MonotonicTime now)
-{
-    if (!upstream_ || now - announcedAt_ < dependencies_.settings.announcementTimeout)
-        return;
-    core::events::logEvent(EventCode::UpstreamLost, "upstream lost",
-                           {{"service", upstream_->record.service.value()}});
-    control::membership::UpstreamRecord lost = upstream_->record;
-    lost.state = UpstreamState::None;
-    upstream_.reset();
-    upstreamSink_(std::nullopt);
-    plane_->upstreamAnnounced(lost);
-}
-
 void ControlService::logCounters(MonotonicTime now)
 {
     if (now < nextCountersAt_)
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "control/distribution/ControlPlane.h"
-#include "control/membership/AnnouncementFilter.h"
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
+#include "daemon/service/AnnouncementProcessor.h"
 #include "daemon/service/ControlThread.h"
 #include "daemon/service/IntentSource.h"
 #include "daemon/service/RevisionMonitor.h"
@@ -27,10 +27,8 @@
                        private core::timing::TimerService::Listener
 {
 public:
-    /** Receives the status of the node's upstream, or nothing if there is none; called on the
-        control thread. */
-    using UpstreamSink
-            = std::function<void(const std::optional<transport::serving::UpstreamStatus> &)>;
+    /** Receives the status of the node's upstream; called on the control thread. */
+    using UpstreamSink = AnnouncementProcessor::UpstreamSink;
 
     /** Settings and collaborators of the service; all references outlive it. */
     struct Dependencies
@@ -115,21 +113,14 @@
     // Runs a task on the control thread, then publishes a new routing snapshot if it is due.
     // Returns false if the task was dropped.
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
-    static void logUpstream(const transport::serving::UpstreamStatus &status);
-    void updateUpstream(control::distribution::ControlPlane &plane,
-                        const transport::serving::UpstreamStatus &status);
-    void expireUpstream(core::timing::MonotonicTime now);
     void recordMoves(core::timing::MonotonicTime now);
     void logCounters(core::timing::MonotonicTime now);
 
     Dependencies dependencies_;
-    UpstreamSink upstreamSink_;
     // The following members are used on the control thread only.
     std::unique_ptr<control::distribution::ControlPlane> plane_;
     RoutingPublisher routingPublisher_;
-    std::optional<transport::serving::UpstreamStatus> upstream_;
-    control::membership::AnnouncementFilter announcementFilter_;
-    core::timing::MonotonicTime announcedAt_{};
+    AnnouncementProcessor announcements_;
     core::timing::MonotonicTime nextRecordAt_{};
     core::timing::MonotonicTime nextCountersAt_{};
     std::mt19937_64 random_{std::random_device{}()};
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -10,6 +10,7 @@
 
 using control::distribution::Exchange;
 using control::distribution::IntentTransfer;
+using control::membership::AnnouncementStamp;
 using control::membership::MemberRecord;
 using control::membership::MemberState;
 using control::membership::MemberVersion;
@@ -41,6 +42,26 @@
     return NetworkAddress{message.getHost(), message.getPort()};
 }
 
+void encodeAnnouncement(const AnnouncementStamp &stamp, schema::Announcement::Builder message)
+{
+    message.setInstance(stamp.instance);
+    message.setSequence(stamp.sequence);
+    if (stamp.startedAt)
+        message.setStartedAtMillis(
+                static_cast<std::uint64_t>(stamp.startedAt->time_since_epoch().count()));
+}
+
+std::optional<AnnouncementStamp> decodeAnnouncement(schema::Announcement::Reader message)
+{
+    if (message.getInstance().size() == 0)
+        return std::nullopt;
+    AnnouncementStamp stamp{message.getInstance(), message.getSequence(), std::nullopt};
+    const auto startedAt = static_cast<std::int64_t>(message.getStartedAtMillis());
+    if (startedAt > 0)
+        stamp.startedAt = core::timing::WallTime(std::chrono::milliseconds(startedAt));
+    return stamp;
+}
+
 void encodeMember(const MemberRecord &record, schema::Member::Builder message)
 {
     message.setId(record.id.value());
@@ -54,6 +75,8 @@
     message.setVersion(record.upstream.version.value());
     message.setUpstreamState(static_cast<std::uint8_t>(record.upstream.state));
     message.setSlots(static_cast<std::uint16_t>(record.upstream.slots));
+    if (record.upstream.departure)
+        encodeAnnouncement(*record.upstream.departure, message.initDeparture());
 }
 
 MemberRecord decodeMember(schema::Member::Reader message)
@@ -69,6 +92,8 @@
     record.upstream.version = core::identity::VersionName(message.getVersion());
     record.upstream.state = enumFrom(message.getUpstreamState(), UpstreamState::Draining);
     record.upstream.slots = message.getSlots();
+    if (message.hasDeparture())
+        record.upstream.departure = decodeAnnouncement(message.getDeparture());
     return record;
 }
 
@@ -135,6 +160,8 @@
     message.setSender(exchange.sender.value());
     message.setRevision(exchange.revision.number());
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
+    if (exchange.receiverDeparture)
+        encodeAnnouncement(*exchange.receiverDeparture, message.initReceiverDeparture());
     message.setMemberDigest(exchange.memberDigest);
     message.setFollower(exchange.isFollower);
     message.setAsksForNews(exchange.requestsUpdates);
@@ -155,6 +182,8 @@
     exchange.sender = NodeId(message.getSender());
     exchange.revision = Revision(message.getRevision());
     exchange.receiverMinimumRevision = Revision(message.getReceiverFloor());
+    if (message.hasReceiverDeparture())
+        exchange.receiverDeparture = decodeAnnouncement(message.getReceiverDeparture());
     exchange.memberDigest = message.getMemberDigest();
     exchange.isFollower = message.getFollower();
     exchange.requestsUpdates = message.getAsksForNews();
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -53,6 +53,14 @@
   port @1 :UInt16;
 }
 
+# An announcement of an upstream; null or without an instance where there is none.
+struct Announcement {
+  instance @0 :Text;
+  sequence @1 :UInt64;
+  # Milliseconds since 1970; zero if unknown.
+  startedAtMillis @2 :UInt64;
+}
+
 struct Member {
   id @0 :Text;
   dataCentre @1 :Text;
@@ -65,6 +73,7 @@
   version @8 :Text;
   upstreamState @9 :UInt8;
   slots @10 :UInt16;
+  departure @11 :Announcement;
 }
 
 struct Suspicion {
@@ -102,6 +111,7 @@
   evidence @7 :List(Evidence);
   follower @8 :Bool;
   asksForNews @9 :Bool;
+  receiverDeparture @10 :Announcement;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(cde8750d37c98560);
 CAPNP_DECLARE_SCHEMA(effadd7d71af8138);
 CAPNP_DECLARE_SCHEMA(84cc71f1934b23ad);
+CAPNP_DECLARE_SCHEMA(f8e453e084c8a43c);
 CAPNP_DECLARE_SCHEMA(ac258a038529e869);
 CAPNP_DECLARE_SCHEMA(c8d5898149f2533e);
 CAPNP_DECLARE_SCHEMA(a4443a37d866c176);
@@ -113,6 +114,21 @@
   };
 };
 
+struct Announcement {
+  Announcement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8e453e084c8a43c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Member {
   Member() = delete;
 
@@ -121,7 +137,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac258a038529e869, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ac258a038529e869, 2, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -181,7 +197,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1001,6 +1017,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Announcement::Reader {
+public:
+  typedef Announcement Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getStartedAtMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Announcement::Builder {
+public:
+  typedef Announcement Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getStartedAtMillis();
+  inline void setStartedAtMillis( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Announcement::Pipeline {
+public:
+  typedef Announcement Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Member::Reader {
 public:
   typedef Member Reads;
@@ -1046,6 +1153,9 @@
 
   inline  ::uint16_t getSlots() const;
 
+  inline bool hasDeparture() const;
+  inline  ::boragetrack::transport::wire::schema::Announcement::Reader getDeparture() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1131,6 +1241,13 @@
   inline  ::uint16_t getSlots();
   inline void setSlots( ::uint16_t value);
 
+  inline bool hasDeparture();
+  inline  ::boragetrack::transport::wire::schema::Announcement::Builder getDeparture();
+  inline void setDeparture( ::boragetrack::transport::wire::schema::Announcement::Reader value);
+  inline  ::boragetrack::transport::wire::schema::Announcement::Builder initDeparture();
+  inline void adoptDeparture(::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement>&& value);
+  inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement> disownDeparture();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1151,6 +1268,7 @@
 
   inline  ::boragetrack::transport::wire::schema::Address::Pipeline getPeerAddress();
   inline  ::boragetrack::transport::wire::schema::Address::Pipeline getOperatorAddress();
+  inline  ::boragetrack::transport::wire::schema::Announcement::Pipeline getDeparture();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1535,6 +1653,9 @@
 
   inline bool getAsksForNews() const;
 
+  inline bool hasReceiverDeparture() const;
+  inline  ::boragetrack::transport::wire::schema::Announcement::Reader getReceiverDeparture() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1613,6 +1734,13 @@
   inline bool getAsksForNews();
   inline void setAsksForNews(bool value);
 
+  inline bool hasReceiverDeparture();
+  inline  ::boragetrack::transport::wire::schema::Announcement::Builder getReceiverDeparture();
+  inline void setReceiverDeparture( ::boragetrack::transport::wire::schema::Announcement::Reader value);
+  inline  ::boragetrack::transport::wire::schema::Announcement::Builder initReceiverDeparture();
+  inline void adoptReceiverDeparture(::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement>&& value);
+  inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement> disownReceiverDeparture();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1631,6 +1759,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::boragetrack::transport::wire::schema::Announcement::Pipeline getReceiverDeparture();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3861,6 +3990,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Announcement::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Announcement::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Announcement::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Announcement::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Announcement::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Announcement::Reader::getStartedAtMillis() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Announcement::Builder::getStartedAtMillis() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Announcement::Builder::setStartedAtMillis( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4145,6 +4336,45 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::hasDeparture() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasDeparture() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Reader Member::Reader::getDeparture() const {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Builder Member::Builder::getDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::boragetrack::transport::wire::schema::Announcement::Pipeline Member::Pipeline::getDeparture() {
+  return  ::boragetrack::transport::wire::schema::Announcement::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Member::Builder::setDeparture( ::boragetrack::transport::wire::schema::Announcement::Reader value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Builder Member::Builder::initDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::adoptDeparture(
+    ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement>&& value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement> Member::Builder::disownDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool Suspicion::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4779,6 +5009,45 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Exchange::Reader::hasReceiverDeparture() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Exchange::Builder::hasReceiverDeparture() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Reader Exchange::Reader::getReceiverDeparture() const {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Builder Exchange::Builder::getReceiverDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::boragetrack::transport::wire::schema::Announcement::Pipeline Exchange::Pipeline::getReceiverDeparture() {
+  return  ::boragetrack::transport::wire::schema::Announcement::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void Exchange::Builder::setReceiverDeparture( ::boragetrack::transport::wire::schema::Announcement::Reader value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::boragetrack::transport::wire::schema::Announcement::Builder Exchange::Builder::initReceiverDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Exchange::Builder::adoptReceiverDeparture(
+    ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement>&& value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement> Exchange::Builder::disownReceiverDeparture() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Announcement>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/platform/test_hostile.py
+++ b/tests/platform/test_hostile.py
@@ -203,6 +203,33 @@
             self.assertEqual(len(left.runs), before, f"store {fault}")
             self.store.fault = None
 
+    # An announcement from before the departure arrives at a process that didn't acknowledge it.
+    def test_takes_no_late_heartbeat_for_current_after_a_restart(self):
+        self.start_fleet()
+        for name, departure in (("items-ikeja", "deregister"), ("items-lekki", "drain")):
+            node = self.nodes[name]
+            upstream = node.upstream
+            upstream._heartbeats.cancel()
+            late = upstream.next_announcement()
+            self.assertEqual(getattr(upstream, departure)(), 200)
+            node.process.kill()
+            node.start()
+            self.fleet.wait_until(node.is_ready, "the restarted node is ready")
+            time.sleep(0.5)
+            self.event_loop_run(upstream.send_announcement("PUT", late))
+            before = len(upstream.runs)
+            end = time.monotonic() + 3.0
+            while time.monotonic() < end:
+                for other in self.fleet.nodes:
+                    other.call(path="/items/1", budget=500)
+            self.assertEqual(len(upstream.runs), before, f"after {departure}")
+            # The next process of the upstream, under the same name, is not mistaken for it.
+            upstream.state = "ready"
+            upstream.sequence = 0
+            upstream.started_at_ms = int(time.time() * 1000)
+            self.event_loop_run(upstream.send_announcement("PUT", upstream.next_announcement()))
+            self.fleet.wait_until(lambda: not self.receives_no_calls(name), "its successor serves")
+
     # ---------------------------------------------------------------- pauses and time budgets
 
     def test_tells_the_upstream_the_time_that_is_left_after_the_queue(self):
