Keep no body that will not be delivered, and count those of peers

Played from the report of bytes without end: 18 kinds of heads and bodies, 32 callers against two faulty servers, callers of another service on the same nodes.

Callers saw: nothing wrong, 502 or 503 for the faulty servers and 200 for the others. A node beside a faulty server grew from 16 to 51 MB, and 40 requests of 2 MB at a time took one to 113 MB, where the smallest VM has 88.

Cause: a response was classified only once its body was read. Bodies of requests over links were not counted, and were copied to be written with their head. The budget counted lengths, not the memory allocated.

Done: a response that won't be delivered ends the call at its head. Requests and responses of the upstream share a budget of 24 MB, counted as allocated; what doesn't fit is refused as not run. Bodies of more than 64 KB are not copied.

Why it works: what one server can make its node keep is one response of 4 MB or 24 MB together, and nothing at all for a response that names no request.

--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -75,7 +75,8 @@
         return readBody().then([this, limit, received = std::move(received)](
                                        BodyPiece &&piece) mutable -> kj::Promise<BodyPiece> {
             received += piece.bytes;
-            if (!reserve(received.size()))
+            // The allocated size, which may be twice the length.
+            if (!reserve(received.capacity()))
                 return KJ_EXCEPTION(OVERLOADED, "too many bytes of bodies are buffered");
             if (piece.isLast || received.size() >= limit)
                 return BodyPiece{std::move(received), piece.isLast};
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -86,6 +86,9 @@
     // A duplicate receives the stored response even when the upstream has changed since.
     if (reason && !(isKeyed && keyedCalls_.hasResponse(request.key)))
         return refuse(request, *reason);
+    auto share = kj::heap<http::BufferBudget::Share>(upstreamClient_.bufferBudget());
+    if (!share->resize(request.body.size()))
+        return refuse(request, "too many bytes of bodies are buffered");
     auto call = kj::heap<CallRequest>(std::move(request));
     auto running = isKeyed ? keyedCalls_.serve(kj::mv(call)) : admitAndSend(kj::mv(call));
     return running
@@ -93,7 +96,7 @@
                 response.load = admission_.load();
                 return kj::mv(response);
             })
-            .attach(kj::heap<core::counters::ScopedCount>(activeCalls_));
+            .attach(kj::mv(share), kj::heap<core::counters::ScopedCount>(activeCalls_));
 }
 
 NodeId InboundProxy::claim(const IdempotencyKey &key, const NodeId &claimant)
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::seconds idleMargin{1};
 // A longer timeout in the upstream's header reads as this one.
 constexpr std::chrono::hours maximumIdleTimeout{1};
+// The largest body that is copied in order to write it together with the head.
+constexpr std::size_t maximumJoinedBytes = std::size_t{64} * 1024;
 
 MonotonicTime currentTime()
 {
@@ -60,19 +62,20 @@
         , connection_(kj::mv(connection))
         , earlierCalls_(connection_->beginCall())
         , request_(request)
-        , requestText_(http::serializeHead(http::RequestHead{request.method, request.target,
-                                                             client.dialect_.upstreamHeaders(
-                                                                     request, upstream)},
-                                           request.body.size())
-                       + request.body)
-    {}
+        , requestText_(http::serializeHead(
+                  http::RequestHead{request.method, request.target,
+                                    client.dialect_.upstreamHeaders(request, upstream)},
+                  request.body.size()))
+    {
+        if (isBodyJoined())
+            requestText_ += request.body;
+    }
 
     kj::Promise<CallResponse> run()
     {
         // The response may arrive before the body is written, so reading must not wait for the
         // write to end.
-        auto written = connection_->stream()
-                               .write(kj::arrayPtr(requestText_.data(), requestText_.size()))
+        auto written = writeRequest()
                                .then([this]() { isRequestWritten_ = true; })
                                .catch_([](kj::Exception && /*exception*/) {
                                    // The reader detects a broken connection as well.
@@ -82,6 +85,20 @@
     }
 
 private:
+    // A small body is written together with the head, a large one is not copied.
+    bool isBodyJoined() const { return request_.body.size() <= maximumJoinedBytes; }
+
+    kj::Promise<void> writeRequest()
+    {
+        http::ReadAheadStream &stream = connection_->stream();
+        auto written = stream.write(kj::arrayPtr(requestText_.data(), requestText_.size()));
+        if (isBodyJoined())
+            return written;
+        return written.then([this, &stream]() {
+            return stream.write(kj::arrayPtr(request_.body.data(), request_.body.size()));
+        });
+    }
+
     kj::Promise<CallResponse> readResponse()
     {
         return connection_->reader()
@@ -89,7 +106,7 @@
                 .then([this](http::MessageReader<http::ResponseHead>::HeadResult &&result)
                               -> kj::Promise<CallResponse> {
                     if (auto *head = std::get_if<http::ResponseHead>(&result))
-                        return readBody(std::move(*head));
+                        return handleHead(std::move(*head));
                     if (auto *fault = std::get_if<http::MessageFault>(&result))
                         return unknownOutcome("the upstream's response is malformed: "
                                               + fault->reason);
@@ -97,35 +114,58 @@
                 });
     }
 
-    kj::Promise<CallResponse> readBody(http::ResponseHead head)
+    // A body that will not be delivered is not kept: a faulty upstream may send it without end.
+    kj::Promise<CallResponse> handleHead(http::ResponseHead head)
+    {
+        const ResponseKind kind = client_.dialect_.classifyResponse(head, request_);
+        if (kind == ResponseKind::OtherRequest) {
+            if (++foreignResponses_ > maximumForeignResponses)
+                return unknownOutcome("the upstream responds to other requests only");
+            return skipBody(maximumResponseBytes);
+        }
+        if (kind == ResponseKind::Malformed)
+            return unknownOutcome("the upstream's response identifies no request");
+        if (kind == ResponseKind::UnprovenRefusal)
+            return unknownOutcome(
+                    "the upstream's refusal does not state that the call did not run");
+        return readBody(std::move(head), kind);
+    }
+
+    // Reads the next response after the present one.
+    kj::Promise<CallResponse> skipBody(std::size_t limit)
+    {
+        return connection_->reader().readBody().then(
+                [this, limit](http::BodyPiece &&piece) -> kj::Promise<CallResponse> {
+                    if (piece.isLast)
+                        return readResponse();
+                    if (piece.bytes.size() >= limit)
+                        return unknownOutcome("a response to another request is too large");
+                    return skipBody(limit - piece.bytes.size());
+                },
+                [](kj::Exception &&exception) -> kj::Promise<CallResponse> {
+                    return unknownOutcome(exception.getDescription().cStr());
+                });
+    }
+
+    kj::Promise<CallResponse> readBody(http::ResponseHead head, ResponseKind kind)
     {
         return connection_->reader()
                 .readBodyUpTo(maximumResponseBytes)
                 .then(
-                        [this, head = std::move(head)](
+                        [this, kind, head = std::move(head)](
                                 http::BodyPiece &&body) -> kj::Promise<CallResponse> {
                             if (!body.isLast)
                                 return unknownOutcome("the upstream's response is too large");
-                            return interpret(head, std::move(body.bytes));
+                            return interpret(head, kind, std::move(body.bytes));
                         },
                         [](kj::Exception &&exception) -> kj::Promise<CallResponse> {
                             return unknownOutcome(exception.getDescription().cStr());
                         });
     }
 
-    kj::Promise<CallResponse> interpret(const http::ResponseHead &head, std::string body)
+    kj::Promise<CallResponse> interpret(const http::ResponseHead &head, ResponseKind kind,
+                                        std::string body)
     {
-        const ResponseKind kind = client_.dialect_.classifyResponse(head, request_);
-        if (kind == ResponseKind::OtherRequest) {
-            if (++foreignResponses_ > maximumForeignResponses)
-                return unknownOutcome("the upstream responds to other requests only");
-            return readResponse();
-        }
-        if (kind == ResponseKind::Malformed)
-            return unknownOutcome("the upstream's response identifies no request");
-        if (kind == ResponseKind::UnprovenRefusal)
-            return unknownOutcome(
-                    "the upstream's refusal does not state that the call did not run");
         const bool isRefusal = kind == ResponseKind::NotRun || kind == ResponseKind::WrongInstance;
         const ResponseReference reference = client_.dialect_.referenceOf(head);
         if (isRefusal && !traffic::inbound::provesNotRun(reference, earlierCalls_))
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -28,8 +28,8 @@
     static constexpr int maximumConnections = 110;
     /** The largest response body that is passed on, in bytes. */
     static constexpr std::size_t maximumResponseBytes = std::size_t{4} * 1024 * 1024;
-    /** The largest size of all response bodies that are buffered at a time, in bytes. */
-    static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
+    /** The largest size of all bodies that are buffered for the upstream at a time, in bytes. */
+    static constexpr std::size_t maximumBufferedBytes = std::size_t{24} * 1024 * 1024;
     /** How many responses to other requests a call passes over before its connection is closed. */
     static constexpr int maximumForeignResponses = 4;
     /** The timeout of a connection attempt; the upstream runs on the same VM. */
@@ -47,6 +47,10 @@
     /** Drops all idle connections, for instance after a restart of the upstream. */
     void dropIdleConnections() { idleConnections_.clear(); }
 
+    /** Returns the budget of the bodies that are buffered for the upstream: the responses that the
+        client reads, and the requests that its owner counts. */
+    http::BufferBudget &bufferBudget() { return budget_; }
+
     /** Returns the response to a call; never rejects. Dropping the promise closes the connection,
         which makes the upstream cancel the request.
         @param request outlives the promise; its time budget is the timeout */
--- a/tests/platform/test_hostile.py
+++ b/tests/platform/test_hostile.py
@@ -81,6 +81,33 @@
             upstream.override_response = lambda request: None
         self.fleet.wait_until_served("/items/1")
 
+    # The bodies of requests that arrive over links are kept until the upstream has taken them.
+    def test_bounds_the_memory_of_large_requests_from_peers(self):
+        self.start_fleet()
+        for upstream in self.upstreams("items"):
+            upstream.service_time = 0.5
+        self.store.put("op/config", configuration(7, RULES, SERVICES, {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 64 * MEBIBYTE, "headerTimeoutS": 1,
+            "idleTimeoutS": 15}))
+        time.sleep(2.0)
+        body = b"x" * (2 * MEBIBYTE)
+        statuses = set()
+        for _ in range(3):
+            threads = []
+            for node in self.fleet.nodes:
+                for _ in range(10):
+                    threads.append(threading.Thread(target=lambda n=node: statuses.add(
+                        n.call("POST", "/items/1", body, budget=3000).status)))
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        self.assertIn(200, statuses)
+        # A request that was sent may time out on a busy machine.
+        self.assertLessEqual(statuses, {200, 502, 503})
+        for node in self.fleet.nodes:
+            self.assertLess(peak_memory(node), 88 * MEBIBYTE, node.name)
+
     def test_delivers_a_response_that_is_followed_by_bytes_without_end(self):
         self.start_fleet()
         for upstream in self.upstreams("items"):
