--- a/packages/transport/http/MessageParser.cpp
+++ b/packages/transport/http/MessageParser.cpp
@@ -1,9 +1,12 @@
-/** Collects what Boost.Beast's callbacks report into a head, body bytes and the first fault. */
+/** Beast's parser continues a partial element in a way that depends on where it was cut, and
+   asserts that it is never called without progress. So it gets the head as a whole, each try with a
+   new parser, and no element again before further bytes have arrived. */
 #include "transport/http/MessageParser.h"
 
+#include "core/assertions/AssertionFailure.h"
+#include "transport/http/BeastParser.h"
+
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
 
 namespace boragetrack::transport::http {
 
@@ -16,93 +19,42 @@
 constexpr int payloadTooLarge = 413;
 constexpr int headersTooLarge = 431;
 
-int statusFor(const beast::error_code &error)
+// The shortest end of a chunked body is "0\r\n\r\n". Beast 1.74 asserts that it has as many bytes
+// when it continues the last chunk.
+constexpr std::size_t shortestChunkedEnd = 5;
+
+// Beyond this size, a head without a new line end is parsed again only after it has grown by a
+// fraction, which keeps the cost of one that arrives byte by byte in proportion to its size.
+constexpr std::size_t smallHeadBytes = 1024;
+constexpr std::size_t headGrowthDivisor = 16;
+
+MessageFault faultOf(const beast::error_code &error)
 {
     if (error == bhttp::error::header_limit)
-        return headersTooLarge;
-    return error == bhttp::error::body_limit ? payloadTooLarge : badRequest;
+        return {headersTooLarge, error.message()};
+    return {error == bhttp::error::body_limit ? payloadTooLarge : badRequest, error.message()};
 }
 
-} // namespace
-
-template <typename Head>
-class MessageParser<Head>::Implementation
-    : public bhttp::basic_parser<std::is_same_v<Head, RequestHead>>
+// Calls the library such that an assertion that the input reaches becomes a fault of the input.
+template <typename Call>
+std::optional<MessageFault> faultIn(Call call)
 {
-public:
-    explicit Implementation(const MessageLimits &limits)
-    {
-        this->header_limit(limits.headerBytes);
-        this->body_limit(limits.bodyBytes);
-        this->eager(true);
-    }
-
-    void fail(const beast::error_code &error)
-    {
-        fault_ = MessageFault{statusFor(error), error.message()};
-    }
-
-    std::optional<MessageFault> fault_;
-    Head head_;
-    std::string body_;
-    bool hasBegun_ = false;
-
-private:
-    void on_request_impl(bhttp::verb /*method*/, beast::string_view method,
-                         beast::string_view target, int /*version*/,
-                         beast::error_code & /*error*/) override
-    {
-        if constexpr (std::is_same_v<Head, RequestHead>) {
-            head_.method.assign(method.data(), method.size());
-            head_.target.assign(target.data(), target.size());
-        }
-    }
-
-    void on_response_impl(int code, beast::string_view /*reason*/, int /*version*/,
-                          beast::error_code & /*error*/) override
-    {
-        if constexpr (std::is_same_v<Head, ResponseHead>)
-            head_.status = code;
-    }
-
-    void on_field_impl(bhttp::field /*name*/, beast::string_view name, beast::string_view value,
-                       beast::error_code & /*error*/) override
-    {
-        // Fields of a trailer are not part of the head.
-        if (this->is_header_done())
-            return;
-        head_.headers.push_back(traffic::calls::HeaderField{
-                std::string(name.data(), name.size()), std::string(value.data(), value.size())});
-    }
-
-    void on_header_impl(beast::error_code & /*error*/) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
-                           beast::error_code & /*error*/) override
-    {}
-
-    std::size_t on_body_impl(beast::string_view body, beast::error_code & /*error*/) override
-    {
-        body_.append(body.data(), body.size());
-        return body.size();
-    }
-
-    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
-                              beast::error_code & /*error*/) override
-    {}
-
-    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view body,
-                                   beast::error_code & /*error*/) override
-    {
-        body_.append(body.data(), body.size());
-        return body.size();
+    beast::error_code error;
+    try {
+        call(error);
+    } catch (const core::assertions::AssertionFailure &failure) {
+        return MessageFault{badRequest, failure.what()};
     }
+    if (!error || error == bhttp::error::need_more)
+        return std::nullopt;
+    return faultOf(error);
+}
 
-    void on_finish_impl(beast::error_code & /*error*/) override {}
-};
+} // namespace
 
 template <typename Head>
 MessageParser<Head>::MessageParser(const MessageLimits &limits)
-    : implementation_(std::make_unique<Implementation>(limits))
+    : limits_(limits)
 {}
 
 template <typename Head>
@@ -111,89 +63,113 @@
 template <typename Head>
 std::size_t MessageParser<Head>::put(std::string_view bytes)
 {
-    Implementation &self = *implementation_;
     std::size_t consumed = 0;
-    while (consumed < bytes.size() && !self.is_done() && !self.fault_) {
-        self.hasBegun_ = true;
-        beast::error_code error;
+    while (consumed < bytes.size() && !isDone() && !fault_) {
+        hasBegun_ = true;
         const std::string_view rest = bytes.substr(consumed);
-        consumed += self.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
-        if (error == bhttp::error::need_more)
+        if (!mayComplete(rest))
             break;
-        if (error)
-            self.fail(error);
+        const std::size_t taken = isHeadDone() ? putBody(rest) : putHead(rest);
+        seenBytes_ = taken == 0 ? rest.size() : 0;
+        consumed += taken;
     }
     return consumed;
 }
 
+// Returns whether the bytes may complete the next element although fewer did not.
 template <typename Head>
-void MessageParser<Head>::putEnd()
+bool MessageParser<Head>::mayComplete(std::string_view rest) const
 {
-    Implementation &self = *implementation_;
-    if (self.is_done() || self.fault_)
-        return;
-    beast::error_code error;
-    if (self.is_header_done())
-        self.put_eof(error);
-    else
-        error = bhttp::error::partial_message;
-    if (error)
-        self.fail(error);
+    if (rest.size() <= seenBytes_)
+        return false;
+    if (isHeadDone())
+        return !parser_->isAtChunkHeader() || rest.size() >= shortestChunkedEnd;
+    const bool hasGrown = rest.size() < smallHeadBytes || rest.size() > limits_.headerBytes
+                          || rest.size() >= seenBytes_ + seenBytes_ / headGrowthDivisor;
+    return hasGrown || rest.find('\n', seenBytes_) != std::string_view::npos;
 }
 
 template <typename Head>
-void MessageParser<Head>::skipBody()
+std::size_t MessageParser<Head>::putHead(std::string_view rest)
 {
-    implementation_->skip(true);
+    auto parser = std::make_unique<BeastParser<Head>>(limits_, hasBody_);
+    std::size_t taken = 0;
+    fault_ = faultIn([&](beast::error_code &error) {
+        taken = parser->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+    });
+    if (fault_ || !parser->is_header_done())
+        return 0;
+    parser_ = std::move(parser);
+    return taken;
 }
 
 template <typename Head>
-const std::optional<MessageFault> &MessageParser<Head>::fault() const
+std::size_t MessageParser<Head>::putBody(std::string_view rest)
 {
-    return implementation_->fault_;
+    const bool isFraming = parser_->isAtChunkHeader();
+    std::size_t taken = 0;
+    fault_ = faultIn([&](beast::error_code &error) {
+        taken = parser_->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+    });
+    if (isFraming && !fault_) {
+        framingBytes_ += taken;
+        checkFraming(taken == 0 ? rest.size() : taken);
+    }
+    return taken;
 }
 
+// Chunk headers and the trailer are consumed only when they are complete. An endless one stays in
+// the buffer, while short ones are consumed one after the other.
 template <typename Head>
-bool MessageParser<Head>::isHeadDone() const
+void MessageParser<Head>::checkFraming(std::size_t elementBytes)
 {
-    return implementation_->is_header_done();
+    if (elementBytes > maximumChunkHeaderBytes
+        || framingBytes_ > maximumFramingBytes + parser_->contentBytes())
+        fault_ = MessageFault{badRequest, "too many bytes besides content"};
 }
 
 template <typename Head>
-bool MessageParser<Head>::isDone() const
+void MessageParser<Head>::putEnd()
 {
-    return implementation_->is_done();
+    if (isDone() || fault_)
+        return;
+    if (!isHeadDone())
+        fault_ = faultOf(bhttp::make_error_code(bhttp::error::partial_message));
+    else
+        fault_ = faultIn([this](beast::error_code &error) { parser_->put_eof(error); });
 }
 
 template <typename Head>
-bool MessageParser<Head>::keepsConnection() const
+bool MessageParser<Head>::isDone() const
 {
-    return implementation_->keep_alive();
+    return parser_ != nullptr && parser_->is_done();
 }
 
 template <typename Head>
-bool MessageParser<Head>::hasBegun() const
+bool MessageParser<Head>::keepsConnection() const
 {
-    return implementation_->hasBegun_;
+    return parser_ != nullptr && !fault_ && parser_->keep_alive();
 }
 
 template <typename Head>
 const Head &MessageParser<Head>::head() const
 {
-    return implementation_->head_;
+    return parser_->head();
 }
 
 template <typename Head>
 std::optional<std::uint64_t> MessageParser<Head>::bodyLength() const
 {
-    const auto length = implementation_->content_length();
+    if (parser_ == nullptr)
+        return std::nullopt;
+    const auto length = parser_->content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
 template <typename Head>
 std::string MessageParser<Head>::takeBody()
 {
-    return std::move(implementation_->body_);
+    return parser_ == nullptr ? std::string() : parser_->takeBody();
 }
 
 template class MessageParser<RequestHead>;
--- a/packages/transport/http/MessageParser.h
+++ b/packages/transport/http/MessageParser.h
@@ -13,9 +13,15 @@
 
 namespace boragetrack::transport::http {
 
+template <typename Head>
+class BeastParser;
+
 /**
     Parses one message with Boost.Beast from bytes that its user supplies; performs no I/O.
 
+    The result does not depend on how the message is cut into pieces, nor on whether the same bytes
+    are passed again without further ones.
+
     Instantiated for RequestHead and ResponseHead.
 */
 template <typename Head>
@@ -36,14 +42,15 @@
         message becomes a fault. */
     void putEnd();
 
-    /** Makes the parser expect no body, whatever the headers of the response say. */
-    void skipBody();
+    /** Makes the parser expect no body, whatever the headers of the response say. To be called
+        before the first bytes are passed. */
+    void skipBody() { hasBody_ = false; }
 
     /** Returns the fault that ended parsing, if there is one. */
-    const std::optional<MessageFault> &fault() const;
+    const std::optional<MessageFault> &fault() const { return fault_; }
 
     /** Returns whether the start line and the headers are complete. */
-    bool isHeadDone() const;
+    bool isHeadDone() const { return parser_ != nullptr; }
 
     /** Returns whether the message is complete. */
     bool isDone() const;
@@ -52,9 +59,9 @@
     bool keepsConnection() const;
 
     /** Returns whether any byte of the message has arrived. */
-    bool hasBegun() const;
+    bool hasBegun() const { return hasBegun_; }
 
-    /** Returns the head, which is complete once isHeadDone() returns true. */
+    /** Returns the head. Requires that isHeadDone() returns true. */
     const Head &head() const;
 
     /** Returns the length of the body in bytes if the headers give it. */
@@ -64,8 +71,21 @@
     std::string takeBody();
 
 private:
-    class Implementation;
-    std::unique_ptr<Implementation> implementation_;
+    bool mayComplete(std::string_view rest) const;
+    std::size_t putHead(std::string_view rest);
+    std::size_t putBody(std::string_view rest);
+    void checkFraming(std::size_t elementBytes);
+
+    const MessageLimits limits_;
+    bool hasBody_ = true;
+    bool hasBegun_ = false;
+    std::optional<MessageFault> fault_;
+    // Invariant: null until the head is complete.
+    std::unique_ptr<BeastParser<Head>> parser_;
+    // The number of unconsumed bytes that did not complete the next element.
+    std::size_t seenBytes_ = 0;
+    // The size of all chunk headers and the trailer.
+    std::size_t framingBytes_ = 0;
 };
 
 extern template class MessageParser<RequestHead>;
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -54,11 +54,8 @@
     {
         parse();
         std::string bytes = parser_->takeBody();
-        contentBytes_ += bytes.size();
         if (parser_->fault())
             return KJ_EXCEPTION(DISCONNECTED, "malformed body", parser_->fault()->reason.c_str());
-        if (isFramingTooLarge())
-            return KJ_EXCEPTION(DISCONNECTED, "malformed body", "too many bytes besides content");
         if (!bytes.empty() || parser_->isDone())
             return BodyPiece{std::move(bytes), parser_->isDone()};
         if (stream_.isEnded())
@@ -98,7 +95,6 @@
         if (!hasBody_)
             parser_->skipBody();
         consumedBytes_ = 0;
-        contentBytes_ = 0;
     }
 
     kj::Promise<HeadResult> continueHead()
@@ -110,12 +106,11 @@
             beginMessage();
             parse();
         }
-        if (parser_->fault())
-            return HeadResult(*parser_->fault());
+        // A fault in a body that has arrived together with the head is reported with the body.
         if (parser_->isHeadDone())
             return HeadResult(parser_->head());
-        if (isHeadTooLarge())
-            return HeadResult(MessageFault{431, "the head exceeds its limit"});
+        if (parser_->fault())
+            return HeadResult(*parser_->fault());
         if (stream_.isEnded())
             return HeadResult(endOfInput());
         return stream_.readMore().then([this]() { return continueHead(); });
@@ -142,23 +137,6 @@
         return std::nullopt;
     }
 
-    // The parser limits the start line and the header fields that it has not consumed; it consumes
-    // fields as they arrive.
-    bool isHeadTooLarge() const
-    {
-        return consumedBytes_ > 2 * static_cast<std::size_t>(limits_.headerBytes);
-    }
-
-    // The parser consumes a chunk header or a trailer only when it is complete, so an endless one
-    // stays in the stream's buffer. Short ones are consumed one after the other.
-    bool isFramingTooLarge() const
-    {
-        if (parser_->isDone())
-            return false;
-        return stream_.bytes().size() > maximumChunkHeaderBytes
-               || consumedBytes_ > limits_.headerBytes + maximumFramingBytes + 2 * contentBytes_;
-    }
-
     bool reserve(std::size_t bytes)
     {
         if (budget_ == nullptr)
@@ -193,9 +171,8 @@
     BufferBudget *budget_;
     // The part of the budget that the current body uses.
     std::optional<BufferBudget::Share> share_;
-    // The bytes of the current message that were consumed, and those of its content.
+    // The bytes of the current message that were consumed.
     std::size_t consumedBytes_ = 0;
-    std::size_t contentBytes_ = 0;
     bool hasBody_ = true;
     // The interim responses that preceded the current message, and their size.
     int interimResponses_ = 0;
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -36,6 +36,8 @@
     "chunk extension": (CHUNKED + b"5;", FILL),
     "one chunk": (CHUNKED + b"ffffffffff\r\n", FILL),
     "unknown coding": (OK + b"Transfer-Encoding: other\r\n\r\n", FILL),
+    "trailer": (CHUNKED + b"0\r\nA: ", FILL),
+    "trailers": (CHUNKED + b"0\r\n", b"A: b\r\n" * 600),
     "trailer after content": (CHUNKED + b"4\r\nabcd\r\n0\r\nA: ", FILL),
     "responses": (b"", OK + b"Content-Length: 4\r\n\r\nabcd"),
 }
--- a/tests/unit/ScriptedStream.h
+++ b/tests/unit/ScriptedStream.h
@@ -9,7 +9,7 @@
 
 namespace boragetrack::tests {
 
-/** Delivers each piece in a separate read, and then the end of the input. */
+/** Delivers each piece in a separate read, unless it needs more, and then the end of the input. */
 class ScriptedStream final : public kj::AsyncIoStream
 {
 public:
@@ -22,25 +22,23 @@
         ResetOnWrite,
     };
 
-    /** @param pieces at most one read each; empty ones are not allowed */
+    /** @param pieces empty ones are not allowed; what exceeds a read is left to the next one */
     ScriptedStream(std::deque<std::string> pieces, End end)
         : pieces_(std::move(pieces))
         , end_(end)
     {}
 
-    kj::Promise<size_t> tryRead(void *buffer, size_t /*minimum*/, size_t /*maximum*/) override
+    kj::Promise<size_t> tryRead(void *buffer, size_t minimum, size_t maximum) override
     {
         // As from a network, bytes arrive in a later turn of the event loop.
-        return kj::evalLater([this, buffer]() -> size_t {
-            if (pieces_.empty()) {
-                if (end_ == End::Reset)
-                    kj::throwFatalException(resetException());
-                return 0;
-            }
-            const std::string piece = pieces_.front();
-            pieces_.pop_front();
-            std::copy(piece.begin(), piece.end(), static_cast<char *>(buffer));
-            return piece.size();
+        return kj::evalLater([this, buffer, minimum, maximum]() -> size_t {
+            if (pieces_.empty() && end_ == End::Reset)
+                kj::throwFatalException(resetException());
+            size_t done = 0;
+            do
+                done += takePiece(static_cast<char *>(buffer) + done, maximum - done);
+            while (done < minimum && !pieces_.empty());
+            return done;
         });
     }
     kj::Promise<void> write(const void * /*buffer*/, size_t /*size*/) override
@@ -55,8 +53,24 @@
     }
     kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
     void shutdownWrite() override {}
+    void setsockopt(int /*level*/, int /*option*/, const void * /*value*/,
+                    kj::uint /*length*/) override
+    {}
 
 private:
+    size_t takePiece(char *buffer, size_t maximum)
+    {
+        if (pieces_.empty())
+            return 0;
+        std::string &piece = pieces_.front();
+        const size_t length = std::min(piece.size(), maximum);
+        std::copy_n(piece.begin(), length, buffer);
+        piece.erase(0, length);
+        if (piece.empty())
+            pieces_.pop_front();
+        return length;
+    }
+
     static kj::Exception resetException()
     {
         return KJ_EXCEPTION(DISCONNECTED, "connection reset by peer");
