Refuse a transfer coding whose body has no known end

Callers could see: a request with 'Transfer-Encoding: other' was taken for one without a body, and what it carried was run as the next request.

Cause: Beast only notices the coding 'chunked'. Without it and without a length, a request has no body for it.

--- a/packages/transport/http/BeastParser.h
+++ b/packages/transport/http/BeastParser.h
@@ -61,9 +61,11 @@
             head_.status = code;
     }
 
-    void on_field_impl(boost::beast::http::field /*name*/, Text name, Text value,
+    void on_field_impl(boost::beast::http::field field, Text name, Text value,
                        Error & /*error*/) override
     {
+        hasTransferEncoding_
+                = hasTransferEncoding_ || field == boost::beast::http::field::transfer_encoding;
         // Fields of a trailer are not part of the head.
         if (this->is_header_done())
             return;
@@ -71,7 +73,12 @@
                 std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
 
-    void on_header_impl(Error & /*error*/) override {}
+    // Without a known end of the body, what follows a request would be read as another request.
+    void on_header_impl(Error &error) override
+    {
+        if (hasTransferEncoding_ && !this->chunked())
+            error = boost::beast::http::error::bad_transfer_encoding;
+    }
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                            Error & /*error*/) override
     {}
@@ -106,6 +113,7 @@
     std::string body_;
     std::size_t contentBytes_ = 0;
     std::uint64_t chunkBytesLeft_ = 0;
+    bool hasTransferEncoding_ = false;
 };
 
 } // namespace boragetrack::transport::http
--- a/tests/platform/test_cuts.py
+++ b/tests/platform/test_cuts.py
@@ -52,6 +52,20 @@
             self.assertEqual((response.status, response.body), (200, b""), (first, second))
         self.expect_all_running()
 
+    def test_runs_no_request_that_was_sent_as_a_body_of_an_unknown_coding(self):
+        self.start_fleet()
+        node = self.nodes["items-ikeja"]
+        outer, inner = self.fleet.next_attempt(), self.fleet.next_attempt()
+        with socket.create_connection(("127.0.0.1", node.caller_port), 5) as connection:
+            connection.sendall(
+                f"POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n{ATTEMPT}: {outer}\r\n"
+                f"Transfer-Encoding: other\r\n\r\n"
+                f"POST /orders/2 HTTP/1.1\r\nHost: shop.example\r\n{ATTEMPT}: {inner}\r\n"
+                f"Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
+            response = connection.makefile("rb").read()
+        self.assertIn(b" 400 ", response.splitlines()[0])
+        self.assertEqual((self.run_count(outer), self.run_count(inner)), (0, 0))
+
     def test_survives_an_announcement_that_arrives_in_two_pieces(self):
         self.start_fleet()
         node = self.nodes["items-ikeja"]
--- a/tests/unit/MessageCutsTest.cpp
+++ b/tests/unit/MessageCutsTest.cpp
@@ -70,3 +70,18 @@
               head + "body \nkept\nleft ");
     EXPECT_EQ(readMessages<RequestHead>({request + "0\r\n"}, true), head + "failed body 400");
 }
+
+// The body of such a request was read as the next request.
+TEST(MessageCuts, refusesATransferCodingThatHasNoKnownEnd)
+{
+    for (const char *coding : {"other", "gzip", "chunked, gzip", "identity"}) {
+        const std::string field = std::string("Transfer-Encoding: ") + coding + "\r\n\r\n";
+        EXPECT_EQ(readMessages<RequestHead>(
+                          {"POST / HTTP/1.1\r\n" + field + "GET /inner HTTP/1.1\r\n\r\n"}, true),
+                  "fault 400")
+                << coding;
+        EXPECT_EQ(readMessages<ResponseHead>({"HTTP/1.1 200 OK\r\n" + field + "body"}, true),
+                  "fault 400")
+                << coding;
+    }
+}
