Keep covering other nodes while the store refuses probes

Cause: in an outage in which the store refuses calls, a follower no longer reported that it follows the store once a probe was refused, so all nodes called the store.

--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -81,7 +81,7 @@
         store has responded, changes may have been missed. */
     void resumeAfterPause();
 
-    /** Returns whether the changes are being followed and the store still serves this node. */
+    /** Returns whether the changes are being followed and nothing shows that some are missed. */
     bool isFollowing() const
     {
         return isStoreReachable() && !isIdle_ && !isUnconfirmed_ && monitor_.isReliable();
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -58,9 +58,10 @@
     /** Continues after pause(); does nothing otherwise. */
     void resume();
 
-    /** Returns whether the pending watch can be relied on: the store served the last probe, or the
-        first one is pending. Also true without a watch. */
-    bool isReliable() const { return !isPaused_ && !isUnproven_ && !isRefused_; }
+    /** Returns whether the pending watch can be relied on, as far as is known. Also true without a
+        watch, and while the store refuses calls: it keeps watches that it has accepted, and if all
+        nodes gave theirs up in an outage, their retries would meet the store as it recovers. */
+    bool isReliable() const { return !isPaused_ && !isUnproven_; }
 
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
