Publish an upstream that started with its node at once

Done: an announcement is held only if the upstream started more than a second before the process. A later one can't have departed in the time of an earlier process.

--- a/packages/daemon/service/AnnouncementProcessor.cpp
+++ b/packages/daemon/service/AnnouncementProcessor.cpp
@@ -52,7 +52,7 @@
                                      std::function<void()> onProcessed)
 {
     if (!isDeparture(announcement)) {
-        if (plane_->knowsEarlierDepartures())
+        if (!mayHaveDepartedEarlier(announcement.stamp) || plane_->knowsEarlierDepartures())
             apply(announcement);
         else if (!held_ || !held_->stamp.isLaterThan(announcement.stamp))
             held_ = announcement;
@@ -77,6 +77,13 @@
     expireUpstream();
 }
 
+// An upstream that started with this process is published with the node's first record, which saves
+// a second round of gossip about each node when a fleet starts.
+bool AnnouncementProcessor::mayHaveDepartedEarlier(const AnnouncementStamp &stamp) const
+{
+    return !stamp.startedAt || *stamp.startedAt + startTolerance < startedAt_;
+}
+
 //==============================================================================
 void AnnouncementProcessor::apply(const UpstreamAnnouncement &announcement)
 {
--- a/packages/daemon/service/AnnouncementProcessor.h
+++ b/packages/daemon/service/AnnouncementProcessor.h
@@ -31,12 +31,19 @@
         takes a later one for none. */
     static constexpr std::chrono::milliseconds maximumReplicationTime{500};
 
+    /** How long before the process an upstream may have started without an earlier process of this
+        node having seen it leave. When a VM starts, both start at about the same time. */
+    static constexpr std::chrono::milliseconds startTolerance{1000};
+
     /** @param timers outlives the processor
+        @param startedAt the time at which this process started
         @param announcementTimeout the time without announcements after which the upstream is lost
      */
     AnnouncementProcessor(const core::timing::TimerService &timers,
+                          core::timing::WallTime startedAt,
                           std::chrono::milliseconds announcementTimeout)
         : timers_(timers)
+        , startedAt_(startedAt)
         , announcementTimeout_(announcementTimeout)
     {}
 
@@ -70,9 +77,11 @@
     void applyHeldAnnouncement();
     void acknowledgeDepartures();
     void expireUpstream();
+    bool mayHaveDepartedEarlier(const control::membership::AnnouncementStamp &stamp) const;
     bool isReplicated(const control::membership::AnnouncementStamp &departure) const;
 
     const core::timing::TimerService &timers_;
+    const core::timing::WallTime startedAt_;
     const std::chrono::milliseconds announcementTimeout_;
     control::distribution::ControlPlane *plane_ = nullptr;
     UpstreamSink sink_;
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -58,7 +58,8 @@
 ControlService::ControlService(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , routingPublisher_(dependencies_.routing)
-    , announcements_(dependencies_.thread, dependencies_.settings.announcementTimeout)
+    , announcements_(dependencies_.thread, core::timing::currentWallTime(),
+                     dependencies_.settings.announcementTimeout)
 {}
 
 ControlService::~ControlService() = default;
--- a/tests/unit/DepartureTest.cpp
+++ b/tests/unit/DepartureTest.cpp
@@ -166,12 +166,12 @@
         processor_.update();
     }
 
-    void announceReady(std::uint64_t sequence)
+    void announceReady(std::uint64_t sequence, WallTime startedAt = WallTime(milliseconds(100)))
     {
         UpstreamAnnouncement announcement;
         announcement.status.record.state = UpstreamState::Serving;
         announcement.status.instance = "i-1";
-        announcement.stamp = stamp("i-1", sequence, 100);
+        announcement.stamp = {"i-1", sequence, startedAt};
         processor_.announce(announcement, [] {});
     }
 
@@ -198,7 +198,9 @@
     RecordingTransport transport_;
     core::timing::ManualTimerService timers_;
     ControlPlane plane_{dependencies(), transport_, timers_, *this};
-    AnnouncementProcessor processor_{timers_, std::chrono::hours(1)};
+    // Later than the upstreams of the other tests.
+    static constexpr WallTime processStart{std::chrono::seconds(60)};
+    AnnouncementProcessor processor_{timers_, processStart, std::chrono::hours(1)};
     std::optional<UpstreamStatus> upstream_;
     int acknowledged_ = 0;
 };
@@ -247,6 +249,13 @@
     EXPECT_FALSE(isServing());
 }
 
+// All nodes of a fleet that starts would publish their upstreams in a second round of gossip.
+TEST_F(AnnouncementProcessorTest, usesAnUpstreamThatStartedWithTheProcessAtOnce)
+{
+    announceReady(1, processStart - AnnouncementProcessor::startTolerance / 2);
+    EXPECT_TRUE(isServing());
+}
+
 TEST_F(AnnouncementProcessorTest, usesAnUpstreamOnceItsPeersKeepNoDepartureOfIt)
 {
     announceReady(4);
