Give the parser each chunk header as one line

Cause: Beast reads a quoted extension across the end of the line, waits for more, and deducts the chunk's size from the body's limit again at each try.

Done: a chunk header is passed as its line alone, and a complete line that Beast can't parse is a fault. The last chunk is passed with its trailer as before.

--- a/packages/transport/http/BeastParser.h
+++ b/packages/transport/http/BeastParser.h
@@ -36,6 +36,9 @@
         return this->chunked() && !this->is_done() && chunkBytesLeft_ == 0;
     }
 
+    /** Returns whether a chunk was parsed; its line end is part of the next chunk header. */
+    bool hasChunk() const { return hasChunk_; }
+
     /** Returns the number of bytes of content that were parsed. */
     std::size_t contentBytes() const { return contentBytes_; }
 
@@ -92,6 +95,7 @@
     void on_chunk_header_impl(std::uint64_t size, Text /*extensions*/, Error & /*error*/) override
     {
         chunkBytesLeft_ = size;
+        hasChunk_ = true;
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t /*left*/, Text body, Error & /*error*/) override
@@ -113,6 +117,7 @@
     std::string body_;
     std::size_t contentBytes_ = 0;
     std::uint64_t chunkBytesLeft_ = 0;
+    bool hasChunk_ = false;
     bool hasTransferEncoding_ = false;
 };
 
--- a/packages/transport/http/MessageParser.cpp
+++ b/packages/transport/http/MessageParser.cpp
@@ -7,6 +7,7 @@
 #include "transport/http/BeastParser.h"
 
 #include <boost/asio/buffer.hpp>
+#include <cctype>
 
 namespace boragetrack::transport::http {
 
@@ -35,6 +36,22 @@
     return {error == bhttp::error::body_limit ? payloadTooLarge : badRequest, error.message()};
 }
 
+// Returns the header line of the next chunk, or all bytes while the line is incomplete or if it is
+// that of the last chunk, behind which the trailer ends. Beast reads a quoted extension across the
+// end of the line, and deducts the chunk from the limit of the body each time that it tries.
+std::string_view chunkHeaderIn(std::string_view bytes, bool followsChunk)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    const std::size_t begin = followsChunk ? lineEnd.size() : 0;
+    const std::size_t end = bytes.find(lineEnd, begin);
+    if (end == std::string_view::npos)
+        return bytes;
+    const std::size_t afterZeros = bytes.find_first_not_of('0', begin);
+    const bool isLast = afterZeros != begin && afterZeros != std::string_view::npos
+                        && std::isxdigit(static_cast<unsigned char>(bytes[afterZeros])) == 0;
+    return isLast ? bytes : bytes.substr(0, end + lineEnd.size());
+}
+
 // Calls the library such that an assertion that the input reaches becomes a fault of the input.
 template <typename Call>
 std::optional<MessageFault> faultIn(Call call)
@@ -107,14 +124,17 @@
 std::size_t MessageParser<Head>::putBody(std::string_view rest)
 {
     const bool isFraming = parser_->isAtChunkHeader();
+    const std::string_view element = isFraming ? chunkHeaderIn(rest, parser_->hasChunk()) : rest;
     std::size_t taken = 0;
     fault_ = faultIn([&](beast::error_code &error) {
-        taken = parser_->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        taken = parser_->put(boost::asio::const_buffer(element.data(), element.size()), error);
     });
     if (isFraming && !fault_) {
         framingBytes_ += taken;
         checkFraming(taken == 0 ? rest.size() : taken);
     }
+    if (taken == 0 && element.size() < rest.size() && !fault_)
+        fault_ = faultOf(bhttp::make_error_code(bhttp::error::bad_chunk_extension));
     return taken;
 }
 
