--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -13,8 +13,8 @@
 
     A store that stops responding to a node leaves the node's watch pending without a failure, and a
     single response can be lost while others arrive. The monitor reports a watch as lost when a
-   probe gets no response, when the store has reported a newer revision twice without the watch
-   delivering it, and when the store serves the node again after it refused a probe.
+    probe gets no response, when the store has reported a newer revision twice without the watch
+    delivering it, and when the store serves the node again after it refused a probe.
 
     A probe may be answered from a stale copy. That delays the second of these reports, and causes
     none that is wrong.
--- a/packages/core/core.h
+++ b/packages/core/core.h
@@ -3,8 +3,8 @@
 
     It provides identifiers, validation findings, clocks and timers, counters, the event log,
     hashing, the handling of failed assertions of Boost, and queues and shared values for threads.
-   It contains no control or traffic decisions. Its only input and output are logging, reading text
-   files and waiting for signals.
+    It contains no control or traffic decisions. Its only input and output are logging, reading text
+    files and waiting for signals.
 
     Dependencies: absl::Status, Boost.Assert, glog, nlohmann-json, valijson, xxhash.
 */
--- a/packages/transport/http/MessageParser.cpp
+++ b/packages/transport/http/MessageParser.cpp
@@ -1,6 +1,6 @@
 /** Beast's parser continues a partial element in a way that depends on where it was cut, and
-   asserts that it is never called without progress. So it gets the head as a whole, each try with a
-   new parser, and no element again before further bytes have arrived. */
+    asserts that it is never called without progress. So it gets the head as a whole, each try with
+    a new parser, and no element again before further bytes have arrived. */
 #include "transport/http/MessageParser.h"
 
 #include "core/assertions/AssertionFailure.h"
