Share the fixture of tests that use a control plane

DepartureTest and RoutingPublisherTest each defined the same listener, dependencies and transport. They are ControlPlaneTest and RecordingTransport now. A platform test cancelled the heartbeats of an upstream through a private member; Upstream::stop_heartbeats() does it.

--- a/tests/platform/test_hostile.py
+++ b/tests/platform/test_hostile.py
@@ -236,7 +236,7 @@
         for name, departure in (("items-ikeja", "deregister"), ("items-lekki", "drain")):
             node = self.nodes[name]
             upstream = node.upstream
-            upstream._heartbeats.cancel()
+            upstream.stop_heartbeats()
             late = upstream.next_announcement()
             self.assertEqual(getattr(upstream, departure)(), 200)
             node.process.kill()
--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -100,9 +100,13 @@
                                                             self.event_loop.loop)
 
     def stop(self):
-        self._heartbeats.cancel()
+        self.stop_heartbeats()
         super().stop()
 
+    def stop_heartbeats(self):
+        """Sends no more announcements by itself."""
+        self._heartbeats.cancel()
+
     def drain(self):
         """Announces that it is draining. Returns the status of the response."""
         self.state = "draining"
@@ -110,7 +114,7 @@
 
     def deregister(self):
         """Deregisters without draining first. Returns the status of the response."""
-        self._heartbeats.cancel()
+        self.stop_heartbeats()
         return self.event_loop.run(self.send_announcement("DELETE", {}))
 
     def attempts(self):
--- a/tests/unit/DepartureTest.cpp
+++ b/tests/unit/DepartureTest.cpp
@@ -1,9 +1,7 @@
 /** Tests that an upstream that departed is not used again by the node's next process, which learns
     of the departure from its peers. */
+#include "ControlPlaneTest.h"
 #include "control/distribution/DepartureMemory.h"
-#include "control/membership/RingNeighbours.h"
-#include "control/moves/StandardMovePolicies.h"
-#include "core/timing/ManualTimerService.h"
 #include "daemon/service/AnnouncementProcessor.h"
 
 #include <gtest/gtest.h>
@@ -105,24 +103,8 @@
 //==============================================================================
 namespace {
 
-class RecordingTransport : public control::distribution::PeerTransport
-{
-public:
-    void sendExchange(const PeerContact & /*peer*/, const Exchange &exchange) override
-    {
-        exchanges.push_back(exchange);
-    }
-    void pushIntent(const PeerContact & /*peer*/, const IntentTransfer & /*transfer*/) override {}
-    void fetchIntent(const PeerContact & /*peer*/, core::identity::Revision /*have*/) override {}
-    void fetchMembers(const PeerContact & /*peer*/,
-                      const control::membership::MemberTable::BucketHashes & /*hashes*/) override
-    {}
-
-    std::vector<Exchange> exchanges;
-};
-
 /** A node with one peer. */
-class AnnouncementProcessorTest : public testing::Test, public ControlPlane::Listener
+class AnnouncementProcessorTest : public tests::ControlPlaneTest
 {
 protected:
     AnnouncementProcessorTest()
@@ -135,27 +117,6 @@
         plane_.membersReceived({peer});
     }
 
-    void viewChanged() override {}
-    void intentInForce() override {}
-    void intentRefused() override {}
-    void memberChanged(const MemberRecord * /*previous*/, const MemberRecord & /*record*/) override
-    {}
-    void dataCentreSilent(const core::identity::DataCentreId & /*dataCentre*/) override {}
-    void moveStopped(const control::intent::MoveIntent & /*move*/,
-                     const std::string & /*evidence*/) override
-    {}
-
-    static ControlPlane::Dependencies dependencies()
-    {
-        ControlPlane::Dependencies result;
-        result.self.id = NodeId("self");
-        result.self.dataCentre = core::identity::DataCentreId("ikeja");
-        result.neighbours = std::make_unique<control::membership::RingNeighbours>();
-        result.movePolicies = std::make_unique<control::moves::StandardMovePolicies>();
-        result.wallClock = [] { return WallTime{}; };
-        return result;
-    }
-
     // Handles a message of the peer. @param remembered the departure that it keeps for this node
     void hearFromPeer(const std::optional<AnnouncementStamp> &remembered)
     {
@@ -195,9 +156,6 @@
         return upstream_ && upstream_->record.state == UpstreamState::Serving;
     }
 
-    RecordingTransport transport_;
-    core::timing::ManualTimerService timers_;
-    ControlPlane plane_{dependencies(), transport_, timers_, *this};
     // Later than the upstreams of the other tests.
     static constexpr WallTime processStart{std::chrono::seconds(60)};
     AnnouncementProcessor processor_{timers_, processStart, std::chrono::hours(1)};
--- /dev/null
+++ b/tests/unit/RecordingTransport.h
@@ -0,0 +1,32 @@
+/** A transport for tests of the control plane. */
+#pragma once
+
+#include "control/distribution/PeerTransport.h"
+
+#include <vector>
+
+namespace boragetrack::tests {
+
+/** Keeps the exchanges that a node sends; none of its messages arrives anywhere. */
+class RecordingTransport : public control::distribution::PeerTransport
+{
+public:
+    void sendExchange(const control::distribution::PeerContact & /*peer*/,
+                      const control::distribution::Exchange &exchange) override
+    {
+        exchanges.push_back(exchange);
+    }
+    void pushIntent(const control::distribution::PeerContact & /*peer*/,
+                    const control::distribution::IntentTransfer & /*transfer*/) override
+    {}
+    void fetchIntent(const control::distribution::PeerContact & /*peer*/,
+                     core::identity::Revision /*have*/) override
+    {}
+    void fetchMembers(const control::distribution::PeerContact & /*peer*/,
+                      const control::membership::MemberTable::BucketHashes & /*hashes*/) override
+    {}
+
+    std::vector<control::distribution::Exchange> exchanges;
+};
+
+} // namespace boragetrack::tests
--- a/tests/unit/RoutingPublisherTest.cpp
+++ b/tests/unit/RoutingPublisherTest.cpp
@@ -1,8 +1,6 @@
 /** Tests when routing snapshots are published, and what successive ones share. */
 #include "daemon/service/RoutingPublisher.h"
-#include "control/membership/RingNeighbours.h"
-#include "control/moves/StandardMovePolicies.h"
-#include "core/timing/ManualTimerService.h"
+#include "ControlPlaneTest.h"
 
 #include <gtest/gtest.h>
 
@@ -19,43 +17,14 @@
 
 namespace {
 
-class SilentTransport : public control::distribution::PeerTransport
-{
-public:
-    void sendExchange(const PeerContact & /*peer*/, const Exchange & /*exchange*/) override {}
-    void pushIntent(const PeerContact & /*peer*/, const IntentTransfer & /*transfer*/) override {}
-    void fetchIntent(const PeerContact & /*peer*/, core::identity::Revision /*have*/) override {}
-    void fetchMembers(const PeerContact & /*peer*/,
-                      const control::membership::MemberTable::BucketHashes & /*hashes*/) override
-    {}
-};
-
-class RoutingPublisherTest : public testing::Test, public ControlPlane::Listener
+class RoutingPublisherTest : public tests::ControlPlaneTest
 {
 protected:
     void viewChanged() override { publisher_.viewChanged(); }
-    void intentInForce() override {}
-    void intentRefused() override {}
     void memberChanged(const MemberRecord * /*previous*/, const MemberRecord & /*record*/) override
     {
         publisher_.memberChanged();
     }
-    void dataCentreSilent(const core::identity::DataCentreId & /*dataCentre*/) override {}
-    void moveStopped(const control::intent::MoveIntent & /*move*/,
-                     const std::string & /*evidence*/) override
-    {}
-
-    static ControlPlane::Dependencies dependencies()
-    {
-        ControlPlane::Dependencies result;
-        result.self.id = NodeId("self");
-        result.self.dataCentre = core::identity::DataCentreId("ikeja");
-        result.neighbours = std::make_unique<control::membership::RingNeighbours>();
-        result.movePolicies = std::make_unique<control::moves::StandardMovePolicies>();
-        result.wallClock = [] { return core::timing::WallTime{}; };
-        return result;
-    }
-
     void addMembers(int first, int count)
     {
         std::vector<MemberRecord> records;
@@ -80,9 +49,6 @@
 
     core::concurrency::Published<RoutingSnapshot> routing_{std::make_shared<RoutingSnapshot>()};
     RoutingPublisher publisher_{routing_};
-    SilentTransport transport_;
-    core::timing::ManualTimerService timers_;
-    ControlPlane plane_{dependencies(), transport_, timers_, *this};
 };
 
 } // namespace
