--- a/packages/daemon/service/AnnouncementProcessor.h
+++ b/packages/daemon/service/AnnouncementProcessor.h
@@ -28,7 +28,7 @@
             = std::function<void(const std::optional<transport::serving::UpstreamStatus> &)>;
 
     /** How long the acknowledgement of a departure waits for a peer that keeps it. An upstream
-        takes a later one for none. */
+        does not wait for a later one. */
     static constexpr std::chrono::milliseconds maximumReplicationTime{500};
 
     /** How long before the process an upstream may have started without an earlier process of this
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -131,7 +131,7 @@
         return readBody(std::move(head), kind);
     }
 
-    // Reads the next response after the present one.
+    // Drops the body of this response, then reads the next one.
     kj::Promise<CallResponse> skipBody(std::size_t limit)
     {
         return connection_->reader().readBody().then(
