Log how late the event loop runs, and the time that a served call had

The logs could not tell a deadline that was counted from a late clock from a slow upstream: no line said how late the loop is, and E510 had the time that a call took but not the time that it had. E106 and the counters loop_late_ms_le_* say the former, the field budgetMs of E510 the latter. No decision changes.

--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -12,6 +12,7 @@
     Counters = 103,
     LinesLeftOut = 104,
     InternalFault = 105,
+    LoopLate = 106,
     SettingsRefused = 110,
     SettingsReloaded = 111,
     SettingsNeedRestart = 112,
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -34,7 +34,7 @@
 
 TrafficLoop::TrafficLoop(TrafficDependencies &dependencies, kj::AsyncIoContext &io)
     : timer_(io.provider->getTimer())
-    , pauses_(std::chrono::steady_clock::now())
+    , monitor_(dependencies.counters, std::chrono::steady_clock::now())
     , counters_(dependencies.counters)
     , routing_(dependencies.routing)
     , links_(
@@ -43,11 +43,11 @@
     , inbound_(serving::InboundProxy::Dependencies{
               dependencies.self, dependencies.processId, links_, io.provider->getNetwork(), timer_,
               dependencies.dialect, dependencies.routing, std::move(dependencies.admission),
-              dependencies.evidenceSink, pauses_, dependencies.counters})
+              dependencies.evidenceSink, monitor_.pauses(), dependencies.counters})
     , callers_(callers::CallerServer::Dependencies{
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
-              dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service, pauses_,
-              dependencies.counters})
+              dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
+              monitor_.pauses(), dependencies.counters})
     , callerListener_(io.provider->getNetwork(), timer_, callers_)
     , server_(kj::heap<PeerServer>(dependencies.requestHandler, inbound_))
     , self_(dependencies.self)
@@ -147,7 +147,7 @@
 
 kj::Promise<void> TrafficLoop::recordTicks()
 {
-    pauses_.recordTick(std::chrono::steady_clock::now());
+    monitor_.recordTick(std::chrono::steady_clock::now());
     return timer_.afterDelay(core::timing::PauseDetector::tickPeriod.count() * kj::MILLISECONDS)
             .then([this]() { return recordTicks(); });
 }
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -1,11 +1,11 @@
 /** The event loop that carries the traffic. */
 #pragma once
 
-#include "core/timing/PauseDetector.h"
 #include "transport/callers/CallerServer.h"
 #include "transport/http/ServerListener.h"
 #include "transport/links/CallSender.h"
 #include "transport/links/LinkCounters.h"
+#include "transport/links/LoopMonitor.h"
 #include "transport/links/PeerLinks.h"
 #include "transport/links/TrafficDependencies.h"
 
@@ -69,7 +69,7 @@
     void taskFailed(kj::Exception &&exception) override;
 
     kj::Timer &timer_;
-    core::timing::PauseDetector pauses_;
+    LoopMonitor monitor_;
     LinkCounters counters_;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
     PeerLinks links_;
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -205,6 +205,7 @@
                            {"instance", status_ ? status_->instance : ""},
                            {"status", std::to_string(response.status)},
                            {"ms", millisecondsOf(latency)},
+                           {"budgetMs", millisecondsOf(request.budget)},
                            {"inFlight", std::to_string(load.inFlight)},
                            {"queued", std::to_string(load.queued)},
                            {"limit", std::to_string(load.limit)},
