Count deadlines of calls from the present time, not from the loop's clock

What callers saw: 502 before the end of their time, while the upstream was at work or had responded.

Cause: kj::Timer::now() is the time of the loop's last poll. It stands still while the loop handles events, so a deadline made from it lies too early by as much as the loop is late. PeerLinks and UpstreamClient made theirs so, and each hop adds its own lag.

The loop's components get a PreciseTimer, which counts each delay from the present time. PeerLinks, UpstreamClient, AdmissionController and KeyedCalls take it by type, so that the loop's own timer can't be passed to them.

--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -74,8 +74,8 @@
     kj::TimePoint lastResponse_ = kj::origin<kj::TimePoint>();
 };
 
-PeerLinks::PeerLinks(kj::Network &network, kj::Timer &timer, EncodingSelector encodingFor,
-                     LinkCounters counters)
+PeerLinks::PeerLinks(kj::Network &network, timing::PreciseTimer &timer,
+                     EncodingSelector encodingFor, LinkCounters counters)
     : network_(network)
     , timer_(timer)
     , encodingFor_(std::move(encodingFor))
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -10,6 +10,7 @@
 #include "traffic/calls/CallResponse.h"
 #include "transport/links/LinkCounters.h"
 #include "transport/links/LinkEncoding.h"
+#include "transport/timing/PreciseTimer.h"
 #include "transport/wire/TextCompressor.h"
 #include "transport/wire/peer.capnp.h"
 
@@ -36,7 +37,7 @@
     using EncodingSelector = std::function<LinkEncoding(const core::identity::NetworkAddress &)>;
 
     /** @param network and @param timer outlive the links */
-    PeerLinks(kj::Network &network, kj::Timer &timer, EncodingSelector encodingFor,
+    PeerLinks(kj::Network &network, timing::PreciseTimer &timer, EncodingSelector encodingFor,
               LinkCounters counters);
     ~PeerLinks() noexcept(false);
 
@@ -95,7 +96,7 @@
     auto sendControl(const core::identity::NetworkAddress &peer, Request makeRequest, Read read);
 
     kj::Network &network_;
-    kj::Timer &timer_;
+    timing::PreciseTimer &timer_;
     EncodingSelector encodingFor_;
     LinkCounters counters_;
     std::map<std::string, kj::Own<Link>> links_;
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -8,6 +8,7 @@
 #include "transport/links/LoopMonitor.h"
 #include "transport/links/PeerLinks.h"
 #include "transport/links/TrafficDependencies.h"
+#include "transport/timing/PreciseTimer.h"
 
 #include <absl/status/status.h>
 #include <chrono>
@@ -68,7 +69,7 @@
     LinkEncoding encodingFor(const core::identity::NetworkAddress &address) const;
     void taskFailed(kj::Exception &&exception) override;
 
-    kj::Timer &timer_;
+    timing::PreciseTimer timer_;
     LoopMonitor monitor_;
     LinkCounters counters_;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
--- a/packages/transport/serving/AdmissionController.cpp
+++ b/packages/transport/serving/AdmissionController.cpp
@@ -80,7 +80,7 @@
 };
 
 AdmissionController::AdmissionController(
-        std::unique_ptr<traffic::admission::AdmissionPolicy> policy, kj::Timer &timer)
+        std::unique_ptr<traffic::admission::AdmissionPolicy> policy, timing::PreciseTimer &timer)
     : queue_(std::move(policy), {})
     , timer_(timer)
     , tasks_(*this)
--- a/packages/transport/serving/AdmissionController.h
+++ b/packages/transport/serving/AdmissionController.h
@@ -4,6 +4,7 @@
 #include "traffic/admission/AdmissionQueue.h"
 #include "traffic/calls/CallRequest.h"
 #include "traffic/calls/CallResponse.h"
+#include "transport/timing/PreciseTimer.h"
 
 #include <kj/async.h>
 #include <kj/timer.h>
@@ -25,7 +26,7 @@
 
     /** @param timer outlives the controller */
     AdmissionController(std::unique_ptr<traffic::admission::AdmissionPolicy> policy,
-                        kj::Timer &timer);
+                        timing::PreciseTimer &timer);
     ~AdmissionController() noexcept;
     AdmissionController(const AdmissionController &) = delete;
     AdmissionController &operator=(const AdmissionController &) = delete;
@@ -51,7 +52,7 @@
     void taskFailed(kj::Exception &&exception) override;
 
     traffic::admission::AdmissionQueue queue_;
-    kj::Timer &timer_;
+    timing::PreciseTimer &timer_;
     Ticket lastTicket_ = 0;
     // Invariant: one element for each request that waits in queue_.
     std::map<Ticket, QueuedRequest *> queuedRequests_;
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -42,7 +42,7 @@
         core::identity::NodeId process;
         links::PeerLinks &links;
         kj::Network &network;
-        kj::Timer &timer;
+        timing::PreciseTimer &timer;
         const dialect::CallDialect &dialect;
         const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
--- a/packages/transport/serving/KeyedCalls.h
+++ b/packages/transport/serving/KeyedCalls.h
@@ -6,6 +6,7 @@
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/serving/AdmissionController.h"
 #include "transport/serving/ClaimClient.h"
+#include "transport/timing/PreciseTimer.h"
 
 #include <functional>
 #include <unordered_map>
@@ -32,7 +33,7 @@
         ClaimClient &claims;
         AdmissionController &admission;
         Send send;
-        kj::Timer &timer;
+        timing::PreciseTimer &timer;
         const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
     };
 
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -218,7 +218,7 @@
     int foreignResponses_ = 0;
 };
 
-UpstreamClient::UpstreamClient(kj::Network &network, kj::Timer &timer,
+UpstreamClient::UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
                                const dialect::CallDialect &dialect,
                                core::counters::Counter &connectionsOpened)
     : network_(network)
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -8,6 +8,7 @@
 #include "traffic/inbound/RefusedCalls.h"
 #include "transport/dialect/CallDialect.h"
 #include "transport/serving/UpstreamConnection.h"
+#include "transport/timing/PreciseTimer.h"
 
 #include <kj/async-io.h>
 #include <kj/timer.h>
@@ -38,8 +39,8 @@
     static constexpr std::chrono::milliseconds defaultIdleTimeout{4000};
 
     /** @param network, @param timer and @param dialect outlive the client */
-    UpstreamClient(kj::Network &network, kj::Timer &timer, const dialect::CallDialect &dialect,
-                   core::counters::Counter &connectionsOpened);
+    UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
+                   const dialect::CallDialect &dialect, core::counters::Counter &connectionsOpened);
 
     /** Sets the address that the upstream listens at; a new address drops idle connections. */
     void setAddress(const core::identity::NetworkAddress &address);
@@ -66,7 +67,7 @@
     void release(Connection connection, const http::HeaderList &headers);
 
     kj::Network &network_;
-    kj::Timer &timer_;
+    timing::PreciseTimer &timer_;
     const dialect::CallDialect &dialect_;
     core::identity::NetworkAddress address_;
     http::BufferBudget budget_{maximumBufferedBytes};
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -80,7 +80,7 @@
 {
     kj::AsyncIoContext io = kj::setupAsyncIo();
     kj::Network &network = io.provider->getNetwork();
-    kj::Timer &timer = io.provider->getTimer();
+    transport::timing::PreciseTimer timer(io.provider->getTimer());
     core::counters::CounterRegistry counters;
     const LinkCounters linkCounters(counters);
     NoControl control;
--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -60,7 +60,7 @@
 public:
     ClientOfScript(const transport::dialect::CallDialect &dialect, ScriptedUpstream::Script script)
         : upstream_(io_, std::move(script))
-        , client_(io_.provider->getNetwork(), io_.provider->getTimer(), dialect, opened_)
+        , client_(io_.provider->getNetwork(), timer_, dialect, opened_)
     {
         client_.setAddress(upstream_.address());
     }
@@ -89,6 +89,7 @@
     kj::AsyncIoContext io_ = kj::setupAsyncIo();
     core::counters::Counter opened_;
     ScriptedUpstream upstream_;
+    transport::timing::PreciseTimer timer_{io_.provider->getTimer()};
     UpstreamClient client_;
 };
 
--- a/tests/unit/UpstreamResponseTest.cpp
+++ b/tests/unit/UpstreamResponseTest.cpp
@@ -22,8 +22,7 @@
 public:
     explicit Caller(ScriptedUpstream::Script script)
         : upstream_(io_, std::move(script))
-        , client_(io_.provider->getNetwork(), io_.provider->getTimer(), dialect_,
-                  counters_.counter("connections"))
+        , client_(io_.provider->getNetwork(), timer_, dialect_, counters_.counter("connections"))
     {
         status_.address = upstream_.address();
         client_.setAddress(status_.address);
@@ -45,6 +44,7 @@
     core::counters::CounterRegistry counters_;
     transport::dialect::NativeDialect dialect_;
     ScriptedUpstream upstream_;
+    transport::timing::PreciseTimer timer_{io_.provider->getTimer()};
     transport::serving::UpstreamClient client_;
     transport::serving::UpstreamStatus status_;
 };
