Let a response that has arrived win over the deadline of its call

What callers saw: 502 although the upstream had run the call and its response lay in the node's socket.

Cause: a late loop reads its sockets and its timers in the same poll. The timer ends the call at once, while the response takes several turns until it is parsed. The same race closed idle connections of callers on which a request lay, and took exchanges and store calls for lost.

Once a deadline has passed, the loop polls again and handles what it has read before the promise is cancelled (transport/timing/Deadline). Used by links, the client of the upstream, the client of the store and the wait for a caller's request.

--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -4,6 +4,7 @@
 
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
+#include "transport/timing/Deadline.h"
 
 namespace boragetrack::transport::http {
 
@@ -121,7 +122,7 @@
             [](kj::Exception &&exception) -> kj::Promise<Result> {
                 return Result(absl::UnavailableError(exception.getDescription().cStr()));
             });
-    return timer_.timeoutAfter(toKj(timeout), kj::mv(response))
+    return timing::resultWithin(timer_, toKj(timeout), kj::mv(response))
             .catch_([](kj::Exception && /*exception*/) {
                 return Result(absl::UnknownError("no response in time"));
             });
@@ -144,7 +145,7 @@
                                   enableKeepAlive(*stream);
                                   return kj::heap<Connection>(kj::mv(stream));
                               });
-    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
+    return timing::resultWithin(timer_, toKj(connectTimeout), kj::mv(connecting));
 }
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -4,6 +4,7 @@
 
 #include "core/counters/ScopedCount.h"
 #include "transport/http/MessageWriter.h"
+#include "transport/timing/Deadline.h"
 
 namespace boragetrack::transport::http {
 
@@ -36,7 +37,10 @@
     // Cancelling this wait loses no input: bytes that arrive stay in the stream's buffer.
     return stream_.readMore()
             .then([]() { return true; })
-            .exclusiveJoin(timer_.afterDelay(toKj(limits.idleTimeout)).then([]() { return false; }))
+            .exclusiveJoin(
+                    timing::whenPassed(timer_, timer_.now() + toKj(limits.idleTimeout)).then([]() {
+                        return false;
+                    }))
             .then([this](bool hasInput) -> kj::Promise<void> {
                 const bool isOver = !hasInput || (stream_.isEnded() && stream_.bytes().empty());
                 return isOver ? close() : readRequest();
@@ -48,9 +52,8 @@
     const MessageFault overdue{requestTimeout, "timeout while reading the head of the request"};
     return reader_.readHead()
             .exclusiveJoin(
-                    timer_.afterDelay(toKj(handler_.limits().headerTimeout)).then([overdue]() {
-                        return Reader::HeadResult(overdue);
-                    }))
+                    timing::whenPassed(timer_, timer_.now() + toKj(handler_.limits().headerTimeout))
+                            .then([overdue]() { return Reader::HeadResult(overdue); }))
             .attach(kj::heap<core::counters::ScopedCount>(partialRequests_))
             .then([this](Reader::HeadResult &&result) -> kj::Promise<void> {
                 if (auto *head = std::get_if<RequestHead>(&result))
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -2,6 +2,7 @@
 #include "transport/links/PeerLinks.h"
 
 #include "core/events/EventLog.h"
+#include "transport/timing/Deadline.h"
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
@@ -27,6 +28,8 @@
 // Added to a call's time budget, so that a response sent at the end of the budget still arrives.
 constexpr std::chrono::milliseconds responseMargin{20};
 
+using CallResults = kj::Promise<capnp::Response<wire::schema::Peer::CallResults>>;
+
 kj::Duration toKj(std::chrono::nanoseconds time)
 {
     return time.count() * kj::NANOSECONDS;
@@ -102,7 +105,7 @@
                 auto call = link->peer().callRequest(
                         wire::sizeHint(message->body.size() + message->target.size()));
                 wire::encode(*message, call.initRequest());
-                return timer_.timeoutAt(deadline, call.send())
+                return timing::resultBefore(timer_, deadline, CallResults(call.send()))
                         .then(
                                 [this, peer](auto &&response) {
                                     recordResponse(peer);
@@ -122,25 +125,27 @@
 kj::Promise<NodeId> PeerLinks::claim(const NetworkAddress &peer, const IdempotencyKey &key,
                                      const NodeId &claimant)
 {
-    return timer_.timeoutAfter(toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
-        auto request = link->peer().claimRequest();
-        request.setKey(key.value());
-        request.setClaimant(claimant.value());
-        return request.send()
-                .then([](auto &&response) { return NodeId(response.getHolder()); })
-                .attach(kj::mv(link));
-    }));
+    return timing::resultWithin(
+            timer_, toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
+                auto request = link->peer().claimRequest();
+                request.setKey(key.value());
+                request.setClaimant(claimant.value());
+                return request.send()
+                        .then([](auto &&response) { return NodeId(response.getHolder()); })
+                        .attach(kj::mv(link));
+            }));
 }
 
 kj::Promise<void> PeerLinks::release(const NetworkAddress &peer, const IdempotencyKey &key,
                                      const NodeId &claimant)
 {
-    return timer_.timeoutAfter(toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
-        auto request = link->peer().releaseRequest();
-        request.setKey(key.value());
-        request.setClaimant(claimant.value());
-        return request.send().ignoreResult().attach(kj::mv(link));
-    }));
+    return timing::resultWithin(timer_, toKj(connectTimeout),
+                                connect(peer).then([=](kj::Own<Link> &&link) {
+                                    auto request = link->peer().releaseRequest();
+                                    request.setKey(key.value());
+                                    request.setClaimant(claimant.value());
+                                    return request.send().ignoreResult().attach(kj::mv(link));
+                                }));
 }
 
 //==============================================================================
@@ -161,7 +166,7 @@
                 })
                 .attach(kj::mv(link));
     });
-    return timer_.timeoutAfter(toKj(controlTimeout), kj::mv(exchange));
+    return timing::resultWithin(timer_, toKj(controlTimeout), kj::mv(exchange));
 }
 
 kj::Promise<Exchange> PeerLinks::exchange(const NetworkAddress &peer, const Exchange &request)
@@ -252,7 +257,7 @@
                               .then([this, encoding](kj::Own<kj::AsyncIoStream> &&stream) {
                                   return negotiateOpened(kj::mv(stream), encoding, counters_);
                               });
-    return timer_.timeoutAfter(toKj(connectTimeout), kj::mv(connecting));
+    return timing::resultWithin(timer_, toKj(connectTimeout), kj::mv(connecting));
 }
 
 void PeerLinks::recordResponse(const NetworkAddress &peer)
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -7,6 +7,7 @@
 #include "traffic/inbound/RefusalRules.h"
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
+#include "transport/timing/Deadline.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -252,7 +253,7 @@
                 // Without a connection, nothing was written.
                 return CallResponse::notRun(exception.getDescription().cStr());
             });
-    return timer_.timeoutAfter(budget, kj::mv(response))
+    return timing::resultWithin(timer_, budget, kj::mv(response))
             .catch_([this](kj::Exception && /*exception*/) {
                 // Other connections may have become unresponsive like this one.
                 dropIdleConnections();
@@ -277,7 +278,7 @@
         if (connection->isReusable(currentTime()))
             return kj::mv(connection);
     }
-    return timer_.timeoutAfter(toKj(connectTimeout), connect());
+    return timing::resultWithin(timer_, toKj(connectTimeout), connect());
 }
 
 kj::Promise<UpstreamClient::Connection> UpstreamClient::connect()
--- a/tests/unit/LateLoopTest.cpp
+++ b/tests/unit/LateLoopTest.cpp
@@ -62,3 +62,14 @@
                                   }).wait(io_.waitScope);
     EXPECT_EQ(response.outcome, CallOutcome::Completed) << response.reason;
 }
+
+TEST_F(LateLoop, deliversAResponseThatWaitsInTheSocketAtTheDeadline)
+{
+    const CallRequest request = callTaking(milliseconds(100), milliseconds(300));
+    auto call = links_.call(peer_.address(), request).eagerlyEvaluate(nullptr);
+    auto delay = timer_.afterDelay(50 * kj::MILLISECONDS)
+                         .then([]() { holdUp(milliseconds(600)); })
+                         .eagerlyEvaluate(nullptr);
+    const CallResponse response = call.wait(io_.waitScope);
+    EXPECT_EQ(response.outcome, CallOutcome::Completed) << response.reason;
+}
