Break off no call early because its node was paused

What callers saw: 502 some milliseconds after their request had reached its upstream, with most of their time left.

Cause: after a gap of 600 ms between two ticks of its loop, a node takes everything that it reads in the next 100 ms to be as old as the gap, and took that time from the budget of calls. A call that arrived afterwards began at its upstream and was broken off when the shortened budget ended.

The time that may have passed is kept beside the budget now.

--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -42,6 +42,10 @@
     core::identity::IdempotencyKey key;
     /** The time left until the deadline. */
     std::chrono::microseconds budget{0};
+    /** How much of the budget may have passed before this node read the call, because the node was
+        paused; not sent to other nodes. A call is not begun when its time may have passed, but one
+        that was begun keeps its whole budget. */
+    std::chrono::microseconds possibleDelay{0};
     /** When this node received the call; not sent to other nodes. */
     core::timing::MonotonicTime receivedAt{};
     /** The depth of nesting, counting this call. */
@@ -58,8 +62,8 @@
         objective -= passed;
     }
 
-    /** Returns whether the deadline has passed. */
-    bool isExpired() const { return budget <= std::chrono::microseconds::zero(); }
+    /** Returns whether the deadline has passed, or may have. */
+    bool isExpired() const { return budget <= possibleDelay; }
 
     /** Returns the priority rank in queues: nested calls have rank 0 and precede all others. */
     int rank() const { return isNested ? 0 : 1 + priority; }
--- a/packages/transport/callers/CallBuilder.cpp
+++ b/packages/transport/callers/CallBuilder.cpp
@@ -36,7 +36,7 @@
 {
     if (call.hops > traffic::calls::maximumHops)
         return "calls are nested deeper than " + std::to_string(traffic::calls::maximumHops);
-    if (call.budget <= std::chrono::microseconds::zero())
+    if (call.isExpired())
         return "the deadline has passed";
     return std::nullopt;
 }
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -150,7 +150,8 @@
     {
         const auto &route = target_->entry.route;
         CallRequest call = buildCall(exchange_.head(), description_, target_->entry,
-                                     currentTime() - arrivedAt_ + possibleDelay_);
+                                     currentTime() - arrivedAt_);
+        call.possibleDelay = std::chrono::duration_cast<std::chrono::microseconds>(possibleDelay_);
         call.body = std::move(body);
         call.service = route.split.empty() ? route.service : pickService(route);
         call.callerService = server_.dependencies_.service;
--- a/packages/transport/serving/AdmissionController.cpp
+++ b/packages/transport/serving/AdmissionController.cpp
@@ -94,7 +94,7 @@
     const MonotonicTime now = currentTime();
     const Ticket ticket = ++lastTicket_;
     const Arrival arrival{ticket, request.route, request.rank(), now + request.objective,
-                          now + request.budget};
+                          now + request.budget - request.possibleDelay};
     const AdmissionDecision decision = queue_.arrive(arrival, now);
     if (decision == AdmissionDecision::Run)
         return OptionalPermit(kj::heap<ScopedPermit>(*this));
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -80,7 +80,8 @@
     applyIntent();
     request.receivedAt = currentTime();
     // The sender may have given the call up while this process was paused.
-    request.deductTime(dependencies_.pauses.possibleDelay(request.receivedAt));
+    request.possibleDelay = std::chrono::duration_cast<std::chrono::microseconds>(
+            dependencies_.pauses.possibleDelay(request.receivedAt));
     const std::optional<std::string> reason = refusalReason(request);
     const bool isKeyed = !request.key.isEmpty() && !request.isIdempotent;
     // A duplicate receives the stored response even when the upstream has changed since.
--- a/tests/platform/test_hostile.py
+++ b/tests/platform/test_hostile.py
@@ -298,6 +298,25 @@
             self.assertEqual(late, [], f"round {round_number}, answers {results}")
             self.fleet.wait_until_served("/orders/1")
 
+    def test_does_not_break_off_a_fresh_call_early_after_a_pause(self):
+        self.start_fleet()
+        paused = [node for node in self.fleet.nodes if node.service == "orders"]
+        for upstream in self.upstreams("orders"):
+            upstream.service_time = 0.9
+        for round_number in range(3):
+            for node in paused:
+                node.process.signal(signal.SIGSTOP)
+            time.sleep(0.65)
+            results = []
+            caller = threading.Thread(target=lambda found=results: found.append(
+                self.nodes["items-ikeja"].call("POST", "/orders/1", b"x", budget=1500).status))
+            caller.start()
+            time.sleep(0.03)
+            for node in paused:
+                node.process.signal(signal.SIGCONT)
+            caller.join()
+            self.assertEqual(results, [200], f"round {round_number}")
+
 
 if __name__ == "__main__":
     unittest.main()
