Send calls of a test again while they are refused after a restart

Calls that are refused before the kill are sent again now, under the same attempt id and until the kill; what is checked of the responses is unchanged.

--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import threading
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -253,27 +254,40 @@
                                   "the node serves")
             # So slow that the node still holds a part of the responses when it ends.
             proxy.pause = 0.2
-            results = self.call_in_parallel(caller, lambda attempts: self.kill_during(
-                killed, proxy, attempts))
+            ended = threading.Event()
+            results = self.call_in_parallel(caller, ended, lambda attempts: self.kill_during(
+                killed, proxy, ended, attempts))
             for status, body, attempt in results:
                 self.check_response(status, body, attempt, content)
             self.assertIn(502, {status for status, _, _ in results})
             killed.start()
 
-    def kill_during(self, node, proxy, attempts):
-        self.fleet.wait_until(lambda: sum(map(self.run_count, attempts)) >= 2, "calls run")
-        time.sleep(0.03)
+    def kill_during(self, node, proxy, ended, attempts):
+        try:
+            self.fleet.wait_until(lambda: sum(map(self.run_count, attempts)) >= 2, "calls run")
+            time.sleep(0.03)
+        finally:
+            ended.set()
         node.process.kill()
         proxy.pause = 0.0
 
-    def call_in_parallel(self, caller, meanwhile):
+    def call_until_run(self, caller, ended, attempt):
+        # A node that learns of a restart refuses calls until it learns of the upstream as well.
+        response = caller.call("POST", "/orders/1", attempt=attempt)
+        while response.status == 503 and not ended.is_set():
+            time.sleep(0.02)
+            response = caller.call("POST", "/orders/1", attempt=attempt)
+        return response
+
+    def call_in_parallel(self, caller, ended, meanwhile):
         """Sends calls, and calls a function meanwhile. Returns (status, body, attempt) of each.
 
-        Together, the responses exceed what the system sends on after the end of a process.
+        Together, the responses exceed what the system sends on after the end of a process. Calls
+        that are refused are sent again until the event is set.
         """
         attempts = [self.fleet.next_attempt() for _ in range(3)]
         with ThreadPoolExecutor(3) as pool:
-            responses = [pool.submit(caller.call, "POST", "/orders/1", attempt=attempt)
+            responses = [pool.submit(self.call_until_run, caller, ended, attempt)
                          for attempt in attempts]
             meanwhile(attempts)
         return [(response.result().status, response.result().body, attempt)
