Take the time of a planned stop from the settings

What callers saw: none yet; found while looking for other ways in which a call can end without its upstream's response. A planned stop ended after 5 s, whatever ran then.

The settings take graceSeconds, which the platform's template fills in; the stop takes as long as calls run, at most until 1 s before its end. The test sets 9 s and a call of 6 s: the connection was closed without a response with the constant, 200 now.

--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -11,19 +11,19 @@
 
 // The platform probes readiness every second and sends callers elsewhere after two failed probes.
 constexpr std::chrono::milliseconds readinessNoticePeriod{2500};
-// The platform kills a process 6 s after asking it to stop; the remaining time is for the exit of
-// the process.
-constexpr std::chrono::milliseconds shutdownTimeout{5000};
+// The part of the grace period that is left for the exit of the process.
+constexpr std::chrono::milliseconds exitTime{1000};
 
 } // namespace
 
 PlatformEnvironment::PlatformEnvironment(const Dependencies &dependencies)
-    : store_(
-            dependencies.settings.platform, dependencies.trafficThread,
-            [&thread = dependencies.controlThread](platform::PlatformStore::Task task) {
-                return thread.post(std::move(task));
-            },
-            dependencies.counters)
+    : stopGracePeriod_(dependencies.settings.stopGracePeriod)
+    , store_(
+              dependencies.settings.platform, dependencies.trafficThread,
+              [&thread = dependencies.controlThread](platform::PlatformStore::Task task) {
+                  return thread.post(std::move(task));
+              },
+              dependencies.counters)
     , source_({store_, dependencies.controlThread,
                [dataCentres = dependencies.settings.dataCentres]() {
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
@@ -54,7 +54,7 @@
 {
     ShutdownPlan plan;
     plan.callerGracePeriod = readinessNoticePeriod;
-    plan.totalTimeout = shutdownTimeout;
+    plan.totalTimeout = stopGracePeriod_ - exitTime;
     return plan;
 }
 
--- a/packages/daemon/environment/PlatformEnvironment.h
+++ b/packages/daemon/environment/PlatformEnvironment.h
@@ -49,6 +49,7 @@
     bool stop() override { return true; }
 
 private:
+    std::chrono::milliseconds stopGracePeriod_;
     platform::PlatformDialect dialect_;
     platform::PlatformStore store_;
     service::RecordSource source_;
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -50,6 +50,7 @@
   "crossing": {"type": "object", "additionalProperties": false,
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
+  "graceSeconds": {"type": "number", "minimum": 2},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
@@ -111,6 +112,10 @@
     settings.interface = NodeInterface::Platform;
     if (root.contains("repeats"))
         settings.retryLimits = readRetryLimits(root["repeats"]);
+    settings.stopGracePeriod
+            = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(
+                    root.value("graceSeconds",
+                               std::chrono::duration<double>(settings.stopGracePeriod).count())));
     settings.announcements = readAddress(root["announcements"], "/announcements", findings);
     settings.readiness = readAddress(root["readiness"], "/readiness", findings);
     if (root.contains("metrics"))
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -3,6 +3,7 @@
 import http.client
 import threading
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from platform_case import PlatformCase
 from platform_fleet import rule
@@ -40,6 +41,22 @@
         self.assertIn(f"E505 call cut request={attempt}", log)
         self.assertRegex(log, "E102 node stopped drained=no ms=[0-9]+ cut=1")
 
+    def test_planned_stop_lets_calls_end_within_the_grace_period_of_the_settings(self):
+        for node in self.fleet.nodes:
+            node.extra_settings = {"graceSeconds": 9}
+        self.start_fleet(SLOW_RULES)
+        for upstream in self.upstreams("orders"):
+            upstream.service_time = 6.0
+        node = self.nodes["items-ikeja"]
+        attempt = self.fleet.next_attempt()
+        with ThreadPoolExecutor(1) as pool:
+            response = pool.submit(node.call, "POST", "/orders/1", b"x", attempt=attempt,
+                                   budget=8000, timeout=9)
+            self.fleet.wait_until(lambda: self.run_count(attempt) == 1, "the call is running")
+            node.process.terminate()
+            self.assertEqual(response.result().status, 200)
+        self.assertEqual(node.process.wait(9.0), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
