--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include "transport/http/ServerConnection.h"
 
 #include "core/counters/ScopedCount.h"
+#include "core/events/EventLog.h"
 #include "transport/http/MessageWriter.h"
 #include "transport/timing/Deadline.h"
 
@@ -23,6 +24,15 @@
 
 } // namespace
 
+ServerConnection::~ServerConnection()
+{
+    const bool hasUnhandledInput
+            = !isClosing_ && exchange_.get() == nullptr && !stream_.bytes().empty();
+    if (hasUnhandledInput && !stream_.isEnded())
+        core::events::logCall(core::events::EventCode::CallCut, "request cut", false,
+                              {{"reason", "the node stopped before it handled what it had read"}});
+}
+
 kj::Promise<void> ServerConnection::run()
 {
     return awaitRequest();
@@ -92,6 +102,7 @@
 
 kj::Promise<void> ServerConnection::close()
 {
+    isClosing_ = true;
     if (stream_.isEnded())
         return kj::READY_NOW;
     stream_.shutdownWrite();
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -24,6 +24,10 @@
         , partialRequests_(partialRequests)
     {}
 
+    ~ServerConnection();
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
+
     /** Serves the connection until it is closed. */
     kj::Promise<void> run();
 
@@ -44,6 +48,8 @@
     kj::Timer &timer_;
     std::size_t &partialRequests_;
     kj::Own<ServerExchange> exchange_;
+    // Whether input is no longer handled.
+    bool isClosing_ = false;
 };
 
 } // namespace boragetrack::transport::http
