Close links in an orderly way in planned stops

What callers saw: 502 ("Peer disconnected", "Connection reset by peer") for calls that their node had sent to a node in a planned stop.

Cause: a link ended with the process. A call that lay in the socket was not begun, and a response that lay there was lost; the sender can't tell the one from the other and took both for unknown.

A node asks its peers now to close their links (awaitClosing), once its upstream's calls are drained and after it has stopped accepting links. The opener of a link knows alone that nothing more is on its way: it sends no further request on it and closes it after the responses to those in progress. Later calls find no listener, so they did not run. The stop waits for this for 1 s at most; E102 says in `links` whether all peers closed. A peer without the method keeps its link until it is cut, as before.

The planned stops of test_shutdown pass; there the loss itself was not seen before, since few calls are sent that late.

LinkListener takes the accepting and serving of links from TrafficLoop. A failed task of the loop that is no link is reported as E105 now, not as a failed link. PeerThread serves by LinkListener too, in place of a listener of its own.

--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -19,6 +19,9 @@
 
 namespace {
 
+// Maximum time for peers to close their links during a planned stop.
+constexpr std::chrono::milliseconds linkCloseTimeout{1000};
+
 std::shared_ptr<const RoutingSnapshot> makeEmptySnapshot()
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
@@ -139,6 +142,7 @@
     trafficThread_.beginCallerDrain(plan.callerGracePeriod);
     std::this_thread::sleep_for(plan.peerNoticePeriod);
     const bool isDrained = trafficThread_.drain(timeLeft());
+    const bool areLinksClosed = trafficThread_.closeLinks(std::min(timeLeft(), linkCloseTimeout));
     const bool areCallersDrained = trafficThread_.awaitCallerDrain(timeLeft());
     operatorServer_.stop();
     control_.stop();
@@ -149,6 +153,7 @@
     core::events::logEvent(
             EventCode::NodeStopped, "node stopped",
             {{"drained", isDrained && areCallersDrained ? "yes" : "no"},
+             {"links", areLinksClosed ? "closed" : "open"},
              {"ms",
               std::to_string(
                       std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count())},
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -41,12 +41,17 @@
 class PeerLinks::Link : public kj::Refcounted
 {
 public:
-    explicit Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting)
-        : ready_(connecting
+    /** Called when the peer is about to close its links; must not destroy the link. */
+    using ClosingHandler = std::function<void(const Link *)>;
+
+    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, ClosingHandler whenClosing)
+        : whenClosing_(std::move(whenClosing))
+        , ready_(connecting
                          .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
                              stream_ = kj::mv(stream);
                              client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
                              peer_ = client_->bootstrap().castAs<wire::schema::Peer>();
+                             closing_ = awaitClosing();
                          })
                          .fork())
     {}
@@ -68,10 +73,23 @@
     kj::TimePoint lastResponse() const { return lastResponse_; }
 
 private:
+    // A peer of an earlier release does not know the request, and the failure of a link is handled
+    // by the calls on it and by whenClosed().
+    kj::Promise<void> awaitClosing()
+    {
+        return peer_.awaitClosingRequest()
+                .send()
+                .ignoreResult()
+                .then([this]() { whenClosing_(this); })
+                .eagerlyEvaluate([](kj::Exception && /*exception*/) {});
+    }
+
+    ClosingHandler whenClosing_;
     // Members are destroyed in reverse order: the client before the stream that it uses.
     kj::Own<kj::AsyncIoStream> stream_;
     kj::Own<capnp::TwoPartyClient> client_;
     wire::schema::Peer::Client peer_ = nullptr;
+    kj::Promise<void> closing_ = nullptr;
     kj::ForkedPromise<void> ready_;
     kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
     kj::TimePoint lastResponse_ = kj::origin<kj::TimePoint>();
@@ -229,16 +247,20 @@
     auto found = links_.find(address);
     if (found == links_.end()) {
         counters_.linksOpened.add();
-        found = links_.emplace(address, kj::refcounted<Link>(open(peer))).first;
-        Link *opened = found->second.get();
         // The link is removed in a later turn of the event loop, since this destroys the promise
-        // that reports the close. evalLater() keeps a reference to a named function, so it gets a
-        // copy.
-        const auto drop = [this, address, opened]() { dropLink(address, opened); };
-        tasks_.add(
-                opened->whenClosed().catch_([](kj::Exception && /*exception*/) {}).then([drop]() {
-                    return kj::evalLater(kj::cp(drop));
-                }));
+        // that reports the close.
+        const auto dropLater = [this, address](const Link *link) {
+            return kj::evalLater([this, address, link]() { dropLink(address, link); });
+        };
+        found = links_.emplace(address, kj::refcounted<Link>(open(peer),
+                                                             [this, dropLater](const Link *link) {
+                                                                 tasks_.add(dropLater(link));
+                                                             }))
+                        .first;
+        Link *opened = found->second.get();
+        tasks_.add(opened->whenClosed()
+                           .catch_([](kj::Exception && /*exception*/) {})
+                           .then([dropLater, opened]() { return dropLater(opened); }));
     }
     Link &link = *found->second;
     link.recordUse(timer_.now());
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -21,7 +21,9 @@
 
 namespace boragetrack::transport::links {
 
-/** Maintains one multiplexed link to each peer in use. Used on the traffic thread only. */
+/** Maintains one multiplexed link to each peer in use. A link on which the peer gives notice that
+   it is about to close gets no further requests, and is closed after those in progress. Used on the
+    traffic thread only. */
 class PeerLinks : private kj::TaskSet::ErrorHandler
 {
 public:
--- a/packages/transport/links/PeerServer.cpp
+++ b/packages/transport/links/PeerServer.cpp
@@ -104,4 +104,10 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerServer::awaitClosing(AwaitClosingContext context)
+{
+    context.allowCancellation();
+    return closing_.whenGiven();
+}
+
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/PeerServer.h
+++ b/packages/transport/links/PeerServer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "transport/links/CallServer.h"
+#include "transport/links/ClosingNotice.h"
 #include "transport/links/PeerRequestHandler.h"
 #include "transport/wire/TextCompressor.h"
 #include "transport/wire/peer.capnp.h"
@@ -13,10 +14,11 @@
 class PeerServer final : public wire::schema::Peer::Server
 {
 public:
-    /** @param control and @param calls outlive the server */
-    PeerServer(PeerRequestHandler &control, CallServer &calls)
+    /** @param control, @param calls and @param closing outlive the server */
+    PeerServer(PeerRequestHandler &control, CallServer &calls, ClosingNotice &closing)
         : control_(control)
         , calls_(calls)
+        , closing_(closing)
     {}
 
     kj::Promise<void> call(CallContext context) override;
@@ -26,10 +28,12 @@
     kj::Promise<void> fetchMembers(FetchMembersContext context) override;
     kj::Promise<void> claim(ClaimContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
+    kj::Promise<void> awaitClosing(AwaitClosingContext context) override;
 
 private:
     PeerRequestHandler &control_;
     CallServer &calls_;
+    ClosingNotice &closing_;
     wire::TextCompressor compressor_;
 };
 
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -3,9 +3,6 @@
 #include "transport/links/TrafficLoop.h"
 
 #include "core/events/EventLog.h"
-#include "transport/links/PeerServer.h"
-
-#include <capnp/rpc-twoparty.h>
 
 namespace boragetrack::transport::links {
 
@@ -20,16 +17,6 @@
 // Time allowed for requests to arrive on the connections that were accepted last.
 constexpr kj::Duration lastRequestTime = 100 * kj::MILLISECONDS;
 
-// Maximum size of a message from a peer; a call's body and headers must fit.
-constexpr std::uint64_t maximumMessageWords = std::uint64_t{16} * 1024 * 1024 / sizeof(capnp::word);
-
-capnp::ReaderOptions readerOptions()
-{
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = maximumMessageWords;
-    return options;
-}
-
 } // namespace
 
 TrafficLoop::TrafficLoop(TrafficDependencies &dependencies, kj::AsyncIoContext &io)
@@ -49,7 +36,8 @@
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
               monitor_.pauses(), dependencies.counters})
     , callerListener_(io.provider->getNetwork(), timer_, callers_)
-    , server_(kj::heap<PeerServer>(dependencies.requestHandler, inbound_))
+    , linkListener_(io.provider->getNetwork(), timer_, dependencies.requestHandler, inbound_,
+                    counters_)
     , self_(dependencies.self)
     , components_(dependencies.loopComponents)
     , tasks_(*this)
@@ -65,15 +53,9 @@
 absl::Status TrafficLoop::start(const TrafficDependencies &dependencies, kj::AsyncIoContext &io)
 {
     LoopContext context{io.provider->getNetwork(), timer_, io.waitScope};
-    try {
-        auto address = context.network.parseAddress(dependencies.peerAddress.toString())
-                               .wait(io.waitScope);
-        listener_ = address->listen();
-    } catch (const kj::Exception &exception) {
-        return absl::UnavailableError("cannot listen on " + dependencies.peerAddress.toString()
-                                      + ": " + exception.getDescription().cStr());
-    }
-    tasks_.add(acceptNext());
+    if (const absl::Status status = linkListener_.listen(dependencies.peerAddress, io.waitScope);
+        !status.ok())
+        return status;
     tasks_.add(recordTicks());
     for (LoopComponent *component : components_) {
         if (const absl::Status status = component->start(context); !status.ok())
@@ -131,6 +113,11 @@
     });
 }
 
+kj::Promise<bool> TrafficLoop::closeLinks(kj::TimePoint limit)
+{
+    return linkListener_.closeLinks(limit);
+}
+
 kj::TimePoint TrafficLoop::after(std::chrono::milliseconds time)
 {
     return timer_.now() + time.count() * kj::MILLISECONDS;
@@ -152,34 +139,6 @@
             .then([this]() { return recordTicks(); });
 }
 
-kj::Promise<void> TrafficLoop::acceptNext()
-{
-    return listener_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-        serve(kj::mv(stream));
-        return acceptNext();
-    });
-}
-
-void TrafficLoop::serve(kj::Own<kj::AsyncIoStream> accepted)
-{
-    tasks_.add(negotiateAccepted(kj::mv(accepted), counters_)
-                       .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-                           return serveRpc(kj::mv(stream));
-                       }));
-}
-
-kj::Promise<void> TrafficLoop::serveRpc(kj::Own<kj::AsyncIoStream> stream)
-{
-    auto network = kj::heap<capnp::TwoPartyVatNetwork>(*stream, capnp::rpc::twoparty::Side::SERVER,
-                                                       readerOptions());
-    auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
-            capnp::makeRpcServer(*network, server_));
-    auto closed = network->onDisconnect();
-    // The RPC system must be destroyed first and the stream last. The objects are attached one
-    // by one, since of several attachments in one call, the last is destroyed first.
-    return closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream));
-}
-
 // Bandwidth between data centres is expensive; within one, compression is not worth its CPU
 // time.
 LinkEncoding TrafficLoop::encodingFor(const NetworkAddress &address) const
@@ -194,7 +153,7 @@
 
 void TrafficLoop::taskFailed(kj::Exception &&exception)
 {
-    core::events::logEvent(core::events::EventCode::PeerMessageRefused, "peer link failed",
+    core::events::logEvent(core::events::EventCode::InternalFault, "task of the event loop failed",
                            {{"error", exception.getDescription().cStr()}});
 }
 
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -5,6 +5,7 @@
 #include "transport/http/ServerListener.h"
 #include "transport/links/CallSender.h"
 #include "transport/links/LinkCounters.h"
+#include "transport/links/LinkListener.h"
 #include "transport/links/LoopMonitor.h"
 #include "transport/links/PeerLinks.h"
 #include "transport/links/TrafficDependencies.h"
@@ -54,6 +55,10 @@
         limit. */
     kj::Promise<bool> whenDrained(kj::TimePoint limit);
 
+    /** Stops accepting links and asks the peers to close theirs; the node's own links to them stay
+       in use. @returns whether all peers closed their links, as soon as they did or at the limit */
+    kj::Promise<bool> closeLinks(kj::TimePoint limit);
+
     /** Returns the time on the loop's clock after a duration. */
     kj::TimePoint after(std::chrono::milliseconds time);
 
@@ -63,9 +68,6 @@
          const traffic::calls::CallRequest &request) override;
     kj::Promise<bool> whenLastRequestsAnswered(kj::TimePoint limit);
     kj::Promise<void> recordTicks();
-    kj::Promise<void> acceptNext();
-    void serve(kj::Own<kj::AsyncIoStream> accepted);
-    kj::Promise<void> serveRpc(kj::Own<kj::AsyncIoStream> stream);
     LinkEncoding encodingFor(const core::identity::NetworkAddress &address) const;
     void taskFailed(kj::Exception &&exception) override;
 
@@ -77,8 +79,7 @@
     serving::InboundProxy inbound_;
     callers::CallerServer callers_;
     http::ServerListener callerListener_;
-    wire::schema::Peer::Client server_;
-    kj::Own<kj::ConnectionReceiver> listener_;
+    LinkListener linkListener_;
     core::identity::NodeId self_;
     std::vector<LoopComponent *> components_;
     kj::TaskSet tasks_;
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -94,6 +94,18 @@
     return !isPosted || drained.get();
 }
 
+bool TrafficThread::closeLinks(std::chrono::milliseconds timeout)
+{
+    auto promise = std::make_shared<std::promise<bool>>();
+    auto closed = promise->get_future();
+    const bool isPosted = taskQueue_.post([this, timeout, promise]() {
+        loop_->add(loop_->closeLinks(loop_->after(timeout)).then([promise](bool areClosed) {
+            promise->set_value(areClosed);
+        }));
+    });
+    return !isPosted || closed.get();
+}
+
 //==============================================================================
 void TrafficThread::sendExchange(const PeerContact &peer, const Exchange &exchange)
 {
--- a/packages/transport/links/TrafficThread.h
+++ b/packages/transport/links/TrafficThread.h
@@ -50,6 +50,11 @@
         @returns whether all ended within the timeout */
     bool drain(std::chrono::milliseconds timeout);
 
+    /** Stops accepting links and asks the peers to close theirs; calls that arrive meanwhile get
+        their responses. The node's own links to them stay in use.
+        @returns whether all peers closed their links within the timeout */
+    bool closeLinks(std::chrono::milliseconds timeout);
+
     /** Runs a task on the event loop. @returns false once the thread is stopping */
     bool post(TaskQueue::Task task) { return taskQueue_.post(std::move(task)); }
 
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -131,4 +131,6 @@
   fetchMembers @4 (hashes :List(UInt64)) -> (members :List(Member));
   claim @5 (key :Text, claimant :Text) -> (holder :Text);
   release @6 (key :Text, claimant :Text) -> ();
+  # Responds when the node is about to close its links: the sender sends no further request on this one.
+  awaitClosing @7 () -> ();
 }
--- a/packages/transport/wire/peer.capnp.c++
+++ b/packages/transport/wire/peer.capnp.c++
@@ -1619,7 +1619,7 @@
   0, 5, i_8a80c56e47c49ca8, nullptr, nullptr, { &s_8a80c56e47c49ca8, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<91> b_c5317577acba67a0 = {
+static const ::capnp::_::AlignedData<102> b_c5317577acba67a0 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     160, 103, 186, 172, 119, 117,  49, 197,
      11,   0,   0,   0,   3,   0,   0,   0,
@@ -1629,69 +1629,77 @@
      21,   0,   0,   0, 130,   0,   0,   0,
      25,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 199,   1,   0,   0,
-     61,   1,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,   7,   2,   0,   0,
+    105,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     28,   0,   0,   0,   3,   0,   5,   0,
+     32,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     118, 117, 115, 172, 252,  61,  25, 177,
     218, 129, 133, 142, 157,  14, 119, 140,
-    209,   0,   0,   0,  42,   0,   0,   0,
+    241,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      20,  85,  63, 225,  85,   0, 183, 143,
      51, 197,  41, 157, 206,  19,  46, 215,
-    185,   0,   0,   0,  74,   0,   0,   0,
+    217,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    209,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      38,  90,  68, 147, 202,  71,  28, 129,
     101, 117, 181,  38, 108, 133, 210, 172,
-    165,   0,   0,   0,  90,   0,   0,   0,
+    197,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      58,  13,  25,  62, 229, 181,  61, 201,
      13, 168, 189, 160, 166, 128, 140, 158,
-    145,   0,   0,   0,  98,   0,   0,   0,
+    177,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     207, 221,  98, 113, 236,  18, 224, 133,
      75,  29, 180, 150, 117, 166, 165, 181,
-    125,   0,   0,   0, 106,   0,   0,   0,
+    157,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
     215,  23,  48, 131,  75,   2,  86, 190,
     232, 112,  44, 143,  20, 132, 127, 214,
-    105,   0,   0,   0,  50,   0,   0,   0,
+    137,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     93,   0,   0,   0,   7,   0,   0,   0,
+    125,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     191,  80, 225, 134, 229, 118, 112, 233,
     133, 152, 136,  65, 126, 236,  71, 210,
-     81,   0,   0,   0,  66,   0,   0,   0,
+    113,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+    122,  77,  13, 205, 195, 217, 210, 138,
+     47, 211, 242,  83, 211, 244, 169, 219,
+     89,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
      99,  97, 108, 108,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     101, 120,  99, 104,  97, 110, 103, 101,
@@ -1710,6 +1718,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     114, 101, 108, 101,  97, 115, 101,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     97, 119,  97, 105, 116,  67, 108, 111,
+    115, 105, 110, 103,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_c5317577acba67a0 = b_c5317577acba67a0.words;
@@ -1717,6 +1728,7 @@
 static const ::capnp::_::RawSchema* const d_c5317577acba67a0[] = {
   &s_811c47ca93445a26,
   &s_85e012ec7162ddcf,
+  &s_8ad2d9c3cd0d4d7a,
   &s_8c770e9d8e8581da,
   &s_8fb70055e13f5514,
   &s_9e8c80a6a0bda80d,
@@ -1728,12 +1740,13 @@
   &s_d247ec7e41889885,
   &s_d67f84148f2c70e8,
   &s_d72e13ce9d29c533,
+  &s_dba9f4d353f2d32f,
   &s_e97076e586e150bf,
 };
-static const uint16_t m_c5317577acba67a0[] = {0, 5, 1, 3, 4, 2, 6};
+static const uint16_t m_c5317577acba67a0[] = {7, 0, 5, 1, 3, 4, 2, 6};
 const ::capnp::_::RawSchema s_c5317577acba67a0 = {
-  0xc5317577acba67a0, b_c5317577acba67a0.words, 91, d_c5317577acba67a0, m_c5317577acba67a0,
-  14, 7, nullptr, nullptr, nullptr, { &s_c5317577acba67a0, nullptr, nullptr, 0, 0, nullptr }
+  0xc5317577acba67a0, b_c5317577acba67a0.words, 102, d_c5317577acba67a0, m_c5317577acba67a0,
+  16, 8, nullptr, nullptr, nullptr, { &s_c5317577acba67a0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<32> b_b1193dfcac737576 = {
@@ -2406,6 +2419,58 @@
   0, 0, nullptr, nullptr, nullptr, { &s_d247ec7e41889885, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_8ad2d9c3cd0d4d7a = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    122,  77,  13, 205, 195, 217, 210, 138,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  34,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 119,  97, 105, 116,  67, 108, 111,
+    115, 105, 110, 103,  36,  80,  97, 114,
+     97, 109, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8ad2d9c3cd0d4d7a = b_8ad2d9c3cd0d4d7a.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_8ad2d9c3cd0d4d7a = {
+  0x8ad2d9c3cd0d4d7a, b_8ad2d9c3cd0d4d7a.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_8ad2d9c3cd0d4d7a, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_dba9f4d353f2d32f = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     47, 211, 242,  83, 211, 244, 169, 219,
+     16,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     97, 119,  97, 105, 116,  67, 108, 111,
+    115, 105, 110, 103,  36,  82, 101, 115,
+    117, 108, 116, 115,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dba9f4d353f2d32f = b_dba9f4d353f2d32f.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_dba9f4d353f2d32f = {
+  0xdba9f4d353f2d32f, b_dba9f4d353f2d32f.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_dba9f4d353f2d32f, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2575,6 +2640,16 @@
       "peer.capnp:Peer", "release",
       0xc5317577acba67a0ull, 6);
 }
+::capnp::Request< ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams,  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults>
+Peer::Client::awaitClosingRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams,  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults>(
+      0xc5317577acba67a0ull, 7, sizeHint);
+}
+::kj::Promise<void> Peer::Server::awaitClosing(AwaitClosingContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "peer.capnp:Peer", "awaitClosing",
+      0xc5317577acba67a0ull, 7);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2631,6 +2706,12 @@
              ::boragetrack::transport::wire::schema::Peer::ReleaseParams,  ::boragetrack::transport::wire::schema::Peer::ReleaseResults>(context)),
         false
       };
+    case 7:
+      return {
+        awaitClosing(::capnp::Capability::Server::internalGetTypedContext<
+             ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams,  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2758,6 +2839,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ReleaseResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::AwaitClosingParams
+constexpr uint16_t Peer::AwaitClosingParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AwaitClosingParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AwaitClosingParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AwaitClosingParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::AwaitClosingResults
+constexpr uint16_t Peer::AwaitClosingResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::AwaitClosingResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::AwaitClosingResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::AwaitClosingResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -45,6 +45,8 @@
 CAPNP_DECLARE_SCHEMA(d67f84148f2c70e8);
 CAPNP_DECLARE_SCHEMA(e97076e586e150bf);
 CAPNP_DECLARE_SCHEMA(d247ec7e41889885);
+CAPNP_DECLARE_SCHEMA(8ad2d9c3cd0d4d7a);
+CAPNP_DECLARE_SCHEMA(dba9f4d353f2d32f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -241,6 +243,8 @@
   struct ClaimResults;
   struct ReleaseParams;
   struct ReleaseResults;
+  struct AwaitClosingParams;
+  struct AwaitClosingResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -460,6 +464,36 @@
   };
 };
 
+struct Peer::AwaitClosingParams {
+  AwaitClosingParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ad2d9c3cd0d4d7a, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AwaitClosingResults {
+  AwaitClosingResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dba9f4d353f2d32f, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Header::Reader {
@@ -1907,6 +1941,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::boragetrack::transport::wire::schema::Peer::ReleaseParams,  ::boragetrack::transport::wire::schema::Peer::ReleaseResults> releaseRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams,  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults> awaitClosingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1951,6 +1987,10 @@
   typedef  ::boragetrack::transport::wire::schema::Peer::ReleaseResults ReleaseResults;
   typedef ::capnp::CallContext<ReleaseParams, ReleaseResults> ReleaseContext;
   virtual ::kj::Promise<void> release(ReleaseContext context);
+  typedef  ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams AwaitClosingParams;
+  typedef  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults AwaitClosingResults;
+  typedef ::capnp::CallContext<AwaitClosingParams, AwaitClosingResults> AwaitClosingContext;
+  virtual ::kj::Promise<void> awaitClosing(AwaitClosingContext context);
 
   inline  ::boragetrack::transport::wire::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3114,6 +3154,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::AwaitClosingParams::Reader {
+public:
+  typedef AwaitClosingParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AwaitClosingParams::Builder {
+public:
+  typedef AwaitClosingParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AwaitClosingParams::Pipeline {
+public:
+  typedef AwaitClosingParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AwaitClosingResults::Reader {
+public:
+  typedef AwaitClosingResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AwaitClosingResults::Builder {
+public:
+  typedef AwaitClosingResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AwaitClosingResults::Pipeline {
+public:
+  typedef AwaitClosingResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Header::Reader::hasName() const {
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -1,6 +1,8 @@
 """Tests of planned stops of a node on the platform's interface."""
 
+import collections
 import http.client
+import re
 import threading
 import unittest
 
@@ -38,7 +40,40 @@
         caller.join()
         log = node.log_text()
         self.assertIn(f"E505 call cut request={attempt}", log)
-        self.assertRegex(log, "E102 node stopped drained=no ms=[0-9]+ cut=1")
+        self.assertRegex(log, "E102 node stopped drained=no links=[a-z]+ ms=[0-9]+ cut=1")
+
+    def test_planned_stops_lose_no_call_that_peers_send(self):
+        self.start_fleet()
+        statuses = collections.Counter()
+        is_over = threading.Event()
+
+        def call_through(node):
+            while not is_over.is_set():
+                statuses[node.call("POST", "/orders/1", b"x").status] += 1
+
+        callers = [threading.Thread(target=call_through, args=(self.nodes[name],))
+                   for name in ("items-ikeja", "items-lekki") for _ in range(6)]
+        for caller in callers:
+            caller.start()
+        try:
+            for name in ("orders-ikeja", "orders-lekki") * 2:
+                node = self.nodes[name]
+                node.process.terminate()
+                self.assertEqual(node.process.wait(8.0), 0)
+                node.start()
+                self.fleet.wait_until_served("/orders/1")
+                self.fleet.wait_until_upstreams_known()
+        finally:
+            is_over.set()
+            for caller in callers:
+                caller.join()
+        self.assertGreater(statuses[200], 0, statuses)
+        self.assertEqual(statuses[502], 0, statuses)
+        for name in ("items-ikeja", "items-lekki"):
+            self.assertNotRegex(self.nodes[name].log_text(), "E502 .*([Dd]isconnected|reset)")
+        for name in ("orders-ikeja", "orders-lekki"):
+            stops = re.findall("E102 .* links=([a-z]+)", self.nodes[name].log_text())
+            self.assertEqual(stops, ["closed", "closed"], name)
 
 
 if __name__ == "__main__":
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -84,8 +84,9 @@
     core::counters::CounterRegistry counters;
     const LinkCounters linkCounters(counters);
     NoControl control;
+    ClosingNotice closing;
     DelayingCalls calls(timer);
-    transport::wire::schema::Peer::Client server = kj::heap<PeerServer>(control, calls);
+    transport::wire::schema::Peer::Client server = kj::heap<PeerServer>(control, calls, closing);
     auto listener = network.parseAddress("127.0.0.1:0").wait(io.waitScope)->listen();
     const core::identity::NetworkAddress address{"127.0.0.1",
                                                  static_cast<std::uint16_t>(listener->getPort())};
--- a/tests/unit/PeerThread.h
+++ b/tests/unit/PeerThread.h
@@ -4,15 +4,14 @@
 #include "core/counters/CounterRegistry.h"
 #include "core/identity/NetworkAddress.h"
 #include "transport/links/CallServer.h"
-#include "transport/links/LinkEncoding.h"
-#include "transport/links/PeerServer.h"
+#include "transport/links/LinkListener.h"
 
-#include <capnp/rpc-twoparty.h>
 #include <future>
 #include <thread>
 
 /** Serves links on loopback in a thread of its own. Each call gets a response after the time that
-    its body gives in milliseconds. */
+   its body gives in milliseconds. The peer can leave as a node does in a planned stop: it refuses
+   new calls, closes its links and, when it is destroyed, drops what is left. */
 class PeerThread
 {
 public:
@@ -34,9 +33,26 @@
 
     const boragetrack::core::identity::NetworkAddress &address() const { return address_; }
 
+    /** Refuses new calls from now on. Awaited on the event loop of the calling thread. */
+    kj::Promise<void> refuseCalls()
+    {
+        return executor_->executeAsync([this]() { calls_->refuseCalls(); });
+    }
+
+    /** Closes the links. Awaited on the event loop of the calling thread.
+        @returns whether all were closed within the timeout */
+    kj::Promise<bool> closeLinks(std::chrono::milliseconds timeout)
+    {
+        return executor_->executeAsync([this, timeout]() {
+            return listener_->closeLinks(timer_->now() + timeout.count() * kj::MILLISECONDS);
+        });
+    }
+
 private:
+    using CallOutcome = boragetrack::traffic::calls::CallOutcome;
     using CallRequest = boragetrack::traffic::calls::CallRequest;
     using CallResponse = boragetrack::traffic::calls::CallResponse;
+    using LinkListener = boragetrack::transport::links::LinkListener;
 
     class Calls : public boragetrack::transport::links::CallServer
     {
@@ -45,11 +61,15 @@
             : timer_(timer)
         {}
 
+        void refuseCalls() { refusesCalls_ = true; }
+
         kj::Promise<CallResponse> serve(CallRequest request) override
         {
+            if (refusesCalls_)
+                return CallResponse::notRun("leaving");
             return timer_.afterDelay(std::stoi(request.body) * kj::MILLISECONDS).then([]() {
                 CallResponse response;
-                response.outcome = boragetrack::traffic::calls::CallOutcome::Completed;
+                response.outcome = CallOutcome::Completed;
                 response.status = 200;
                 return response;
             });
@@ -66,6 +86,7 @@
 
     private:
         kj::Timer &timer_;
+        bool refusesCalls_ = false;
     };
 
     class NoControl : public boragetrack::transport::links::PeerRequestHandler
@@ -92,41 +113,26 @@
         kj::AsyncIoContext io = kj::setupAsyncIo();
         auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
         stop_ = kj::mv(stop.fulfiller);
+        executor_ = kj::getCurrentThreadExecutor().addRef();
         Calls calls(io.provider->getTimer());
         NoControl control;
-        boragetrack::transport::wire::schema::Peer::Client server
-                = kj::heap<boragetrack::transport::links::PeerServer>(control, calls);
-        auto listener = io.provider->getNetwork()
-                                .parseAddress("127.0.0.1:0")
-                                .wait(io.waitScope)
-                                ->listen();
-        auto links = acceptNext(*listener, server).eagerlyEvaluate(nullptr);
-        listening.set_value(static_cast<std::uint16_t>(listener->getPort()));
+        LinkListener listener(io.provider->getNetwork(), io.provider->getTimer(), control, calls,
+                              boragetrack::transport::links::LinkCounters(registry_));
+        timer_ = &io.provider->getTimer();
+        calls_ = &calls;
+        listener_ = &listener;
+        const absl::Status status = listener.listen({"127.0.0.1", 0}, io.waitScope);
+        listening.set_value(status.ok() ? listener.port() : std::uint16_t{0});
         stop.promise.wait(io.waitScope);
     }
 
-    kj::Promise<void> acceptNext(kj::ConnectionReceiver &listener,
-                                 boragetrack::transport::wire::schema::Peer::Client &server)
-    {
-        return listener.accept()
-                .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-                    return boragetrack::transport::links::negotiateAccepted(kj::mv(stream),
-                                                                            counters_);
-                })
-                .then([&server](kj::Own<kj::AsyncIoStream> &&stream) {
-                    auto vat = kj::heap<capnp::TwoPartyVatNetwork>(
-                            *stream, capnp::rpc::twoparty::Side::SERVER);
-                    auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
-                            capnp::makeRpcServer(*vat, server));
-                    auto closed = vat->onDisconnect();
-                    return closed.attach(kj::mv(system)).attach(kj::mv(vat)).attach(kj::mv(stream));
-                })
-                .then([this, &listener, &server]() { return acceptNext(listener, server); });
-    }
-
     boragetrack::core::counters::CounterRegistry registry_;
-    boragetrack::transport::links::LinkCounters counters_{registry_};
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop_;
+    kj::Own<const kj::Executor> executor_;
     boragetrack::core::identity::NetworkAddress address_;
+    // Used on the peer's thread only.
+    kj::Timer *timer_ = nullptr;
+    Calls *calls_ = nullptr;
+    LinkListener *listener_ = nullptr;
     std::thread thread_;
 };
