Send no call on a link that has just failed

A call that fails on its way may have run; one that is never sent has not, and can go elsewhere.

Cause: only a link that had not responded since the failed call began was dropped at once, and it was looked up by the peer's address, so that a newer link could be dropped in its place. The watch of a link's end was not owned by the link and could have outlived it; that was not seen to happen.

A failed call drops the link that it used. The pending request for the closing notice fails as soon as the link does and drops it as well. The new test lets a peer end between two responses: Unknown ('Peer disconnected.') before, NotRun now.

--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -41,28 +41,27 @@
 class PeerLinks::Link : public kj::Refcounted
 {
 public:
-    /** Called when the peer is about to close its links; must not destroy the link. */
-    using ClosingHandler = std::function<void(const Link *)>;
+    /** Called when the link gets no further requests, because it failed or its peer is about to
+        close it; must not destroy the link. May be called several times. */
+    using EndHandler = std::function<void(const Link *)>;
 
-    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, ClosingHandler whenClosing)
-        : whenClosing_(std::move(whenClosing))
+    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, EndHandler whenEnded)
+        : whenEnded_(std::move(whenEnded))
         , ready_(connecting
-                         .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-                             stream_ = kj::mv(stream);
-                             client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
-                             peer_ = client_->bootstrap().castAs<wire::schema::Peer>();
-                             closing_ = awaitClosing();
-                         })
+                         .then(
+                                 [this](kj::Own<kj::AsyncIoStream> &&stream) {
+                                     open(kj::mv(stream));
+                                 },
+                                 [this](kj::Exception &&exception) {
+                                     whenEnded_(this);
+                                     kj::throwFatalException(kj::mv(exception));
+                                 })
                          .fork())
     {}
 
+    // The promise must not outlive the link.
     kj::Promise<void> whenReady() { return ready_.addBranch(); }
 
-    kj::Promise<void> whenClosed()
-    {
-        return ready_.addBranch().then([this]() { return client_->onDisconnect(); });
-    }
-
     // The bootstrap capability is requested once, since each request for it costs two messages.
     wire::schema::Peer::Client peer() { return peer_; }
 
@@ -73,23 +72,40 @@
     kj::TimePoint lastResponse() const { return lastResponse_; }
 
 private:
-    // A peer of an earlier release does not know the request, and the failure of a link is handled
-    // by the calls on it and by whenClosed().
+    void open(kj::Own<kj::AsyncIoStream> stream)
+    {
+        stream_ = kj::mv(stream);
+        client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
+        peer_ = client_->bootstrap().castAs<wire::schema::Peer>();
+        closing_ = awaitClosing();
+        disconnected_ = client_->onDisconnect()
+                                .then([this]() { whenEnded_(this); })
+                                .eagerlyEvaluate([](kj::Exception && /*exception*/) {
+                                    // Calls on the link report its failure.
+                                });
+    }
+
+    // The failure of this request is the first sign that the link has failed. A peer of an earlier
+    // release rejects it as not implemented.
     kj::Promise<void> awaitClosing()
     {
         return peer_.awaitClosingRequest()
                 .send()
                 .ignoreResult()
-                .then([this]() { whenClosing_(this); })
-                .eagerlyEvaluate([](kj::Exception && /*exception*/) {});
+                .then([this]() { whenEnded_(this); })
+                .eagerlyEvaluate([this](kj::Exception &&exception) {
+                    if (exception.getType() == kj::Exception::Type::DISCONNECTED)
+                        whenEnded_(this);
+                });
     }
 
-    ClosingHandler whenClosing_;
+    EndHandler whenEnded_;
     // Members are destroyed in reverse order: the client before the stream that it uses.
     kj::Own<kj::AsyncIoStream> stream_;
     kj::Own<capnp::TwoPartyClient> client_;
     wire::schema::Peer::Client peer_ = nullptr;
     kj::Promise<void> closing_ = nullptr;
+    kj::Promise<void> disconnected_ = nullptr;
     kj::ForkedPromise<void> ready_;
     kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
     kj::TimePoint lastResponse_ = kj::origin<kj::TimePoint>();
@@ -120,17 +136,18 @@
             [this, message, deadline, startedAt, peer](kj::Own<Link> &&link) {
                 message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
                                     * std::chrono::nanoseconds(1));
-                auto call = link->peer().callRequest(
+                Link &used = *link;
+                auto call = used.peer().callRequest(
                         wire::sizeHint(message->body.size() + message->target.size()));
                 wire::encode(*message, call.initRequest());
                 return timing::resultBefore(timer_, deadline, CallResults(call.send()))
                         .then(
-                                [this, peer](auto &&response) {
-                                    recordResponse(peer);
+                                [this, &used](auto &&response) {
+                                    used.recordResponse(timer_.now());
                                     return wire::decode(response.getAnswer());
                                 },
-                                [this, peer, startedAt](kj::Exception &&exception) {
-                                    dropIfUnresponsive(peer, startedAt);
+                                [this, peer, startedAt, &used](kj::Exception &&exception) {
+                                    handleFailedCall(peer, used, startedAt, exception);
                                     return CallResponse::unknown(exception.getDescription().cStr());
                                 })
                         .attach(kj::mv(link));
@@ -248,19 +265,16 @@
     if (found == links_.end()) {
         counters_.linksOpened.add();
         // The link is removed in a later turn of the event loop, since this destroys the promise
-        // that reports the close.
-        const auto dropLater = [this, address](const Link *link) {
-            return kj::evalLater([this, address, link]() { dropLink(address, link); });
-        };
+        // that reports its end.
         found = links_.emplace(address, kj::refcounted<Link>(open(peer),
-                                                             [this, dropLater](const Link *link) {
-                                                                 tasks_.add(dropLater(link));
+                                                             [this, address](const Link *link) {
+                                                                 tasks_.add(kj::evalLater(
+                                                                         [this, address, link]() {
+                                                                             dropLink(address,
+                                                                                      link);
+                                                                         }));
                                                              }))
                         .first;
-        Link *opened = found->second.get();
-        tasks_.add(opened->whenClosed()
-                           .catch_([](kj::Exception && /*exception*/) {})
-                           .then([dropLater, opened]() { return dropLater(opened); }));
     }
     Link &link = *found->second;
     link.recordUse(timer_.now());
@@ -282,31 +296,30 @@
     return timing::resultWithin(timer_, toKj(connectTimeout), kj::mv(connecting));
 }
 
-void PeerLinks::recordResponse(const NetworkAddress &peer)
-{
-    if (const auto found = links_.find(peer.toString()); found != links_.end())
-        found->second->recordResponse(timer_.now());
-}
-
 // A link may stop responding without failing while a new one to the same peer would work. Calls in
 // progress on the link keep it alive until they end.
-void PeerLinks::dropIfUnresponsive(const NetworkAddress &peer, kj::TimePoint since)
+void PeerLinks::handleFailedCall(const NetworkAddress &peer, const Link &link, kj::TimePoint since,
+                                 const kj::Exception &exception)
 {
-    const auto found = links_.find(peer.toString());
-    if (found == links_.end() || found->second->lastResponse() >= since)
+    const bool hasFailed = exception.getType() == kj::Exception::Type::DISCONNECTED;
+    if (!hasFailed && link.lastResponse() >= since)
+        return;
+    const bool isDropped = dropLink(peer.toString(), &link);
+    if (hasFailed || !isDropped)
         return;
     counters_.linksGivenUp.add();
     core::events::logCall(core::events::EventCode::LinkGivenUp, "link given up", false,
                           {{"peer", peer.toString()},
                            {"callMs", std::to_string((timer_.now() - since) / kj::MILLISECONDS)}});
-    links_.erase(found);
 }
 
-void PeerLinks::dropLink(const std::string &address, const Link *link)
+bool PeerLinks::dropLink(const std::string &address, const Link *link)
 {
     const auto found = links_.find(address);
-    if (found != links_.end() && found->second.get() == link)
-        links_.erase(found);
+    if (found == links_.end() || found->second.get() != link)
+        return false;
+    links_.erase(found);
+    return true;
 }
 
 kj::Promise<void> PeerLinks::closeIdleLinks()
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -87,9 +87,10 @@
     // since the link may be dropped from links_ meanwhile.
     kj::Promise<kj::Own<Link>> connect(const core::identity::NetworkAddress &peer);
     kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
-    void dropLink(const std::string &address, const Link *link);
-    void recordResponse(const core::identity::NetworkAddress &peer);
-    void dropIfUnresponsive(const core::identity::NetworkAddress &peer, kj::TimePoint since);
+    /** Removes a link unless another one has taken its place. @returns whether it was removed */
+    bool dropLink(const std::string &address, const Link *link);
+    void handleFailedCall(const core::identity::NetworkAddress &peer, const Link &link,
+                          kj::TimePoint since, const kj::Exception &exception);
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
 
--- /dev/null
+++ b/tests/unit/LinkFailureTest.cpp
@@ -0,0 +1,88 @@
+/** Tests what follows for later calls when a link to a peer has failed. */
+#include "tests/unit/PeerThread.h"
+#include "transport/links/PeerLinks.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+
+using namespace boragetrack;
+using std::chrono::milliseconds;
+using traffic::calls::CallOutcome;
+using traffic::calls::CallRequest;
+using traffic::calls::CallResponse;
+using transport::links::LinkCounters;
+using transport::links::LinkEncoding;
+using transport::links::PeerLinks;
+
+namespace {
+
+CallRequest callTaking(milliseconds serviceTime, milliseconds budget)
+{
+    CallRequest request;
+    request.body = std::to_string(serviceTime.count());
+    request.budget = budget;
+    return request;
+}
+
+/** Links to a peer that a test can end. */
+class LinkFailure : public testing::Test
+{
+protected:
+    LinkFailure()
+        : io_(kj::setupAsyncIo())
+        , timer_(io_.provider->getTimer())
+        , links_(
+                  io_.provider->getNetwork(), timer_,
+                  [](const auto & /*address*/) { return LinkEncoding::Plain; },
+                  LinkCounters(counters_))
+    {
+        peer_.emplace();
+        address_ = peer_->address();
+        call(milliseconds(0));
+    }
+    ~LinkFailure() noexcept override = default;
+
+    CallResponse call(milliseconds serviceTime)
+    {
+        const CallRequest request = callTaking(serviceTime, milliseconds(1000));
+        return links_.call(address_, request).wait(io_.waitScope);
+    }
+
+    void handleEventsFor(milliseconds time)
+    {
+        timer_.afterDelay(time.count() * kj::MILLISECONDS).wait(io_.waitScope);
+    }
+
+    core::counters::CounterRegistry counters_;
+    kj::AsyncIoContext io_;
+    transport::timing::PreciseTimer timer_;
+    std::optional<PeerThread> peer_;
+    core::identity::NetworkAddress address_;
+    PeerLinks links_;
+};
+
+} // namespace
+
+TEST_F(LinkFailure, noCallIsSentOnALinkThatIsKnownToHaveFailed)
+{
+    peer_.reset();
+    handleEventsFor(milliseconds(5));
+    const CallResponse response = call(milliseconds(0));
+    EXPECT_EQ(response.outcome, CallOutcome::NotRun) << response.reason;
+}
+
+TEST_F(LinkFailure, noCallIsSentOnTheLinkThatHasJustFailedAnotherCall)
+{
+    const CallRequest running = callTaking(milliseconds(500), milliseconds(1000));
+    const CallRequest retry = callTaking(milliseconds(0), milliseconds(1000));
+    auto retried = links_.call(address_, running)
+                           .then([&](const CallResponse &failed) {
+                               EXPECT_EQ(failed.outcome, CallOutcome::Unknown);
+                               return links_.call(address_, retry);
+                           })
+                           .eagerlyEvaluate(nullptr);
+    EXPECT_EQ(call(milliseconds(20)).outcome, CallOutcome::Completed);
+    peer_.reset();
+    const CallResponse response = retried.wait(io_.waitScope);
+    EXPECT_EQ(response.outcome, CallOutcome::NotRun) << response.reason;
+}
