--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -5,6 +5,7 @@
 import time
 
 from asyncserver import Response, AsyncServer
+from run_record import RunRecord
 
 STAMP = "X-Boragetrack-Response-Stamp"
 ATTEMPT = "X-Boragetrack-Attempt-Id"
@@ -33,7 +34,11 @@
         self.cold_seconds_left = 0.0
         self.slots = 8
         self.service_time = 0.005
+        # Returns the service time of one request.
+        self.service_time_of = lambda request: self.service_time
         self.runs = []
+        # A RunRecord for each of the runs.
+        self.records = []
         self.cancelled = []
         # Returns a response that replaces the usual one, or None.
         self.override_response = lambda request: None
@@ -51,12 +56,16 @@
         if replacement is not None and (replacement.headers.get(NOT_RUN)
                                         or replacement.status == MISDIRECTED):
             return replacement
-        self.runs.append((time.monotonic(), attempt, request))
+        record = RunRecord(attempt, time.monotonic())
+        self.records.append(record)
+        self.runs.append((record.started_at, attempt, request))
         try:
-            await asyncio.sleep(self.service_time)
+            await asyncio.sleep(self.service_time_of(request))
         except asyncio.CancelledError:
+            record.cancelled_at = time.monotonic()
             self.cancelled.append(attempt)
             raise
+        record.finished_at = time.monotonic()
         return replacement or self.success_response(request)
 
     def success_response(self, request):
