Soak: throttled nodes and planned stops in series

Throttles give one or several nodes a fifth to a twentieth of a core for some seconds, and nodes are stopped as planned one after another. A freeze ends the throttle of its node, which would resume it. One call in ten takes 0.4 s, so that calls are in progress at a stop.

New promise: no node in a planned stop answers 502 or 504 more than 50 ms before the deadline of a call that ran, unless a kill, a freeze or a fault of links touched its nodes in the last 3 s.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from outcome import UNKNOWN, Outcome
 from platform_fleet import ReceivedResponse
 from upstream import ATTEMPT
 
@@ -34,6 +35,7 @@
 
     def send(self, method, target):
         attempt = self.soak.fleet.next_attempt()
+        sent_at = time.monotonic()
         try:
             if self._connection is None:
                 self._connection = http.client.HTTPConnection(
@@ -49,6 +51,9 @@
             self._close()
             return
         self.soak.guarantees.record_response(attempt, method, target, received)
+        if received.status in UNKNOWN:
+            self.soak.guarantees.record_unknown(Outcome(
+                self.node, attempt, target, sent_at, BUDGET_MS / 1000, received.status))
         if response.getheader("Connection") == "close":
             self._close()
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -12,13 +12,15 @@
 class GuaranteeChecker:
     """Records observations from any thread; violations are lines of text."""
 
-    def __init__(self):
+    def __init__(self, disturbances):
+        self._disturbances = disturbances
         self._lock = threading.Lock()
         self.violations = []
         self.statuses = Counter()
         self._responses = {}
         self._newest_versions = {}
         self._drained = []
+        self._unknown_outcomes = []
 
     def record_violation(self, text):
         with self._lock:
@@ -35,6 +37,11 @@
         if response.status == 200 and not response.stamp:
             self.record_violation(f"{attempt}: success without an upstream's stamp")
 
+    def record_unknown(self, outcome):
+        """Records a response which leaves open whether the request ran."""
+        with self._lock:
+            self._unknown_outcomes.append(outcome)
+
     def record_version(self, node, incarnation, number):
         """Records that a process of a node (its incarnation) has applied a configuration."""
         with self._lock:
@@ -64,3 +71,21 @@
             late = [at for at, _, _ in upstream.runs if at > acknowledged_at + DRAIN_SECONDS]
             if late:
                 self.record_violation(f"{upstream.instance}: {len(late)} requests after its drain")
+
+    def check_planned_stops(self, nodes, upstreams):
+        """Checks that nodes in planned stops gave up no running request before its deadline."""
+        names = {node.upstream_port: node.name for node in nodes}
+        runs = {}
+        for upstream in upstreams:
+            for record in upstream.records:
+                runs.setdefault(record.attempt, []).append((names[upstream.port], record))
+        for outcome in self._unknown_outcomes:
+            node = outcome.node.name
+            places = {node} | {name for name, _ in runs.get(outcome.attempt, [])}
+            if (outcome.attempt in runs and outcome.is_early()
+                    and self._disturbances.is_stopping(node, outcome.ended_at)
+                    and not self._disturbances.touched(places, outcome.sent_at,
+                                                       outcome.ended_at)):
+                text = "; ".join(f"{name} {record.describe(outcome.sent_at)}"
+                                 for name, record in runs[outcome.attempt])
+                self.record_violation(f"{outcome}; {text}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,8 @@
                 str(Path(__file__).resolve().parent)]
 
 from callers import Caller  # noqa: E402
+from disturbances import Disturbances  # noqa: E402
+from late_loops import LateLoops  # noqa: E402
 from platform_fleet import PlatformFleet, configuration, rule  # noqa: E402
 from promises import GuaranteeChecker  # noqa: E402
 from proxy import MODES, Proxy  # noqa: E402
@@ -35,6 +37,11 @@
 SETTLE_SECONDS = 4.0
 # Attempts for a final call, as one upstream may still be regarded as unavailable.
 FINAL_CALL_ATTEMPTS = 3
+# Time for a planned stop, in s; a node that is frozen or throttled meanwhile may need longer and is
+# killed.
+STOP_SECONDS = 8.0
+# Service time in s of calls whose number ends in 0, so that some are in progress at a stop.
+LONG_SERVICE_SECONDS = 0.4
 
 
 class Soak:
@@ -44,9 +51,12 @@
         self.in_force_seconds = in_force_seconds
         self.random = random.Random(seed)
         self.fleet = PlatformFleet(first_port)
-        self.guarantees = GuaranteeChecker()
+        self.disturbances = Disturbances()
+        self.guarantees = GuaranteeChecker(self.disturbances)
         self.finished = threading.Event()
         self.fault_threads = []
+        # Kills and planned stops of one node may overlap.
+        self.restart_lock = threading.Lock()
         self.version = 0
         self.incarnations = {}
         self.upstreams = []
@@ -54,6 +64,7 @@
         self.link_proxies = {}
         for number in range(nodes):
             self._add_node(number)
+        self.late_loops = LateLoops(seed, self.fleet.nodes, self._stop_and_restart)
 
     def _add_node(self, number):
         node = self.fleet.add_node(f"n{number}", ZONES[number % 2], SERVICES[number // 2 % 2])
@@ -72,11 +83,14 @@
             self._write_configuration()
             self.fleet.start()
             self.upstreams = [node.upstream for node in self.fleet.nodes]
+            for upstream in self.upstreams:
+                self._set_service_times(upstream)
             for path in ("/items/1", "/orders/1"):
                 self.fleet.wait_until_served(path)
             callers = [Caller(self, node, self.random.random()) for node in self.fleet.nodes]
             prober = threading.Thread(target=self._probe_versions)
             prober.start()
+            self.late_loops.start()
             self._inject(time.monotonic() + seconds)
             self._end_all_faults()
             self._check_recovered()
@@ -85,16 +99,24 @@
                 caller.join()
             prober.join()
             self.guarantees.check_runs(self.upstreams)
+            self.guarantees.check_planned_stops(self.fleet.nodes, self.upstreams)
         except AssertionError as error:
             self.guarantees.record_violation(str(error))
         finally:
             self.finished.set()
+            self.late_loops.end()
             self._join_fault_threads()
             for proxy in (*self.store_proxies.values(), *self.link_proxies.values()):
                 proxy.stop()
             self.fleet.stop()
         return self.guarantees.violations
 
+    @staticmethod
+    def _set_service_times(upstream):
+        usual = upstream.service_time
+        upstream.service_time_of = lambda request: (
+            LONG_SERVICE_SECONDS if request.path.endswith("0") else usual)
+
     # ------------------------------------------------------------------ configuration
 
     def _write_configuration(self):
@@ -160,41 +182,58 @@
             thread.join()
 
     def _restart(self, node):
-        if not self.finished.is_set() and not node.process.is_running():
-            self.incarnations[node.name] += 1
-            node.start()
+        with self.restart_lock:
+            if not self.finished.is_set() and not node.process.is_running():
+                self.incarnations[node.name] += 1
+                node.start()
 
     def _kill(self, node):
         for victim in self.random.sample(self.fleet.nodes, self.random.choice((1, 1, 2, 5))):
+            self.disturbances.add(victim.name)
             if victim.process.is_running():
                 victim.process.kill()
             self._schedule(self.random.uniform(0.1, 1.0), self._restart, victim)
 
     def _stop_gracefully(self, node):
-        node.process.terminate()
+        stop = self._begin_stop(node)
+        self._start_thread(threading.Thread(target=self._wait_and_restart, args=(node, stop)))
 
-        def wait_and_restart():
-            node.process.wait(8.0)
-            self._restart(node)
+    def _stop_and_restart(self, node):
+        self._wait_and_restart(node, self._begin_stop(node))
 
-        self._start_thread(threading.Thread(target=wait_and_restart))
+    def _begin_stop(self, node):
+        stop = self.disturbances.begin_stop(node.name)
+        node.process.terminate()
+        return stop
+
+    def _wait_and_restart(self, node, stop):
+        if node.process.wait(STOP_SECONDS) is None:
+            self.disturbances.add(node.name)
+        self.disturbances.end_stop(stop)
+        self._restart(node)
 
     def _freeze(self, node):
+        seconds = self.random.uniform(0.2, 3.0)
+        self.late_loops.freeze(node, seconds)
+        self.disturbances.add(node.name, seconds)
         node.process.signal(signal.SIGSTOP)
-        self._schedule(self.random.uniform(0.2, 3.0), node.process.signal, signal.SIGCONT)
+        self._schedule(seconds, node.process.signal, signal.SIGCONT)
 
     def _disturb(self, proxy):
+        """Disturbs the connections of a proxy. Returns for how long, in s."""
         if self.random.random() < 0.3:
             proxy.reset_all()
-            return
+            return 0.0
         proxy.set_mode(self.random.choice(MODES))
-        self._schedule(self.random.uniform(0.3, 3.0), proxy.set_mode, "open")
+        seconds = self.random.uniform(0.3, 3.0)
+        self._schedule(seconds, proxy.set_mode, "open")
+        return seconds
 
     def _cut_from_store(self, node):
         self._disturb(self.store_proxies[node.name])
 
     def _disturb_links(self, node):
-        self._disturb(self.link_proxies[node.name])
+        self.disturbances.add(node.name, self._disturb(self.link_proxies[node.name]))
 
     def _store_outage(self, node):
         self.fleet.store.fault = self.random.choice(("out", "silent", "lost"))
@@ -223,6 +262,7 @@
             old.stop()
             if not self.finished.is_set():
                 node.add_upstream(instance=f"{old.instance}+")
+                self._set_service_times(node.upstream)
                 self.upstreams.append(node.upstream)
 
         self._schedule(3.0, replace)
@@ -230,6 +270,7 @@
     # ------------------------------------------------------------------ after the faults
 
     def _end_all_faults(self):
+        self.late_loops.end()
         self.fleet.store.fault = None
         # Faults that are still active end in this time.
         time.sleep(SETTLE_SECONDS)
