Tell an early close of a link from a wrong first byte

What operators saw: E320 "unknown link encoding" when a peer closed a connection before it had sent anything, as at the end of its process; the same line as for a connection from something that is no node.

Cause: negotiateAccepted() took a read of zero bytes for a wrong byte.

It returns nothing for such a close now, and the link ends without a report. A wrong byte is reported as before.

--- a/packages/transport/links/LinkEncoding.cpp
+++ b/packages/transport/links/LinkEncoding.cpp
@@ -41,16 +41,18 @@
     });
 }
 
-kj::Promise<kj::Own<kj::AsyncIoStream>> negotiateAccepted(kj::Own<kj::AsyncIoStream> stream,
-                                                          const LinkCounters &counters)
+kj::Promise<kj::Maybe<kj::Own<kj::AsyncIoStream>>>
+negotiateAccepted(kj::Own<kj::AsyncIoStream> stream, const LinkCounters &counters)
 {
     kj::Own<kj::AsyncIoStream> plain = prepareConnection(kj::mv(stream), counters);
     auto first = kj::heap<kj::byte>(kj::byte{0});
     auto read = plain->tryRead(first.get(), 1, 1);
-    return read.then([plain = kj::mv(plain), first = kj::mv(first)](size_t length) mutable {
-        const auto last = static_cast<kj::byte>(LinkEncoding::Compressed);
-        if (length != 1 || *first > last)
-            kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "unknown link encoding"));
+    return read.then([plain = kj::mv(plain), first = kj::mv(first)](
+                             size_t length) mutable -> kj::Maybe<kj::Own<kj::AsyncIoStream>> {
+        if (length == 0)
+            return nullptr;
+        if (*first > static_cast<kj::byte>(LinkEncoding::Compressed))
+            kj::throwFatalException(KJ_EXCEPTION(FAILED, "unknown link encoding"));
         return applyEncoding(kj::mv(plain), static_cast<LinkEncoding>(*first));
     });
 }
--- a/packages/transport/links/LinkEncoding.h
+++ b/packages/transport/links/LinkEncoding.h
@@ -17,8 +17,9 @@
                                                         const LinkCounters &counters);
 
 /** Receives the encoding of a newly accepted link from the other side.
-    @returns the stream with the encoding applied; rejects with DISCONNECTED if it is unknown */
-kj::Promise<kj::Own<kj::AsyncIoStream>> negotiateAccepted(kj::Own<kj::AsyncIoStream> stream,
-                                                          const LinkCounters &counters);
+    @returns the stream with the encoding applied, or nothing if the other side closed the link
+             before it sent one; rejects with FAILED if the encoding is unknown */
+kj::Promise<kj::Maybe<kj::Own<kj::AsyncIoStream>>>
+negotiateAccepted(kj::Own<kj::AsyncIoStream> stream, const LinkCounters &counters);
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/LinkListener.cpp
+++ b/packages/transport/links/LinkListener.cpp
@@ -89,8 +89,11 @@
 {
     auto count = kj::heap<core::counters::ScopedCount>(openLinks_);
     tasks_.add(negotiateAccepted(kj::mv(accepted), counters_)
-                       .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
-                           return serveRpc(kj::mv(stream));
+                       .then([this](kj::Maybe<kj::Own<kj::AsyncIoStream>> &&negotiated)
+                                     -> kj::Promise<void> {
+                           KJ_IF_MAYBE (stream, negotiated)
+                               return serveRpc(kj::mv(*stream));
+                           return kj::READY_NOW;
                        })
                        .attach(kj::mv(count)));
 }
--- a/tests/fuzz/LinkTarget.cpp
+++ b/tests/fuzz/LinkTarget.cpp
@@ -129,12 +129,14 @@
     kj::WaitScope scope(loop);
     core::counters::CounterRegistry registry;
     static_cast<void>(kj::runCatchingExceptions([&]() {
-        auto stream = links::negotiateAccepted(
-                              kj::heap<ScriptedStream>(pieces, ScriptedStream::End::Close),
-                              links::LinkCounters(registry))
-                              .wait(scope);
-        capnp::TwoPartyServer server(kj::heap<NoPeer>());
-        server.accept(*stream).wait(scope);
+        auto negotiated = links::negotiateAccepted(
+                                  kj::heap<ScriptedStream>(pieces, ScriptedStream::End::Close),
+                                  links::LinkCounters(registry))
+                                  .wait(scope);
+        KJ_IF_MAYBE (stream, negotiated) {
+            capnp::TwoPartyServer server(kj::heap<NoPeer>());
+            server.accept(**stream).wait(scope);
+        }
     }));
 }
 
--- a/tests/unit/LinkClosingTest.cpp
+++ b/tests/unit/LinkClosingTest.cpp
@@ -5,6 +5,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <gtest/gtest.h>
+#include <kj/debug.h>
 
 using namespace boragetrack;
 using namespace boragetrack::transport::links;
@@ -160,7 +161,8 @@
                             .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
                                 return negotiateAccepted(kj::mv(stream), LinkCounters(counters_));
                             })
-                            .then([&server](kj::Own<kj::AsyncIoStream> &&stream) {
+                            .then([&server](kj::Maybe<kj::Own<kj::AsyncIoStream>> &&negotiated) {
+                                auto stream = kj::mv(KJ_ASSERT_NONNULL(negotiated));
                                 auto closed = server.accept(*stream);
                                 return closed.attach(kj::mv(stream));
                             })
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -6,6 +6,7 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <gtest/gtest.h>
+#include <kj/debug.h>
 
 using namespace boragetrack;
 using namespace boragetrack::transport::links;
@@ -94,7 +95,8 @@
                             .then([&](kj::Own<kj::AsyncIoStream> &&stream) {
                                 return negotiateAccepted(kj::mv(stream), linkCounters);
                             })
-                            .then([&](kj::Own<kj::AsyncIoStream> &&stream) {
+                            .then([&](kj::Maybe<kj::Own<kj::AsyncIoStream>> &&negotiated) {
+                                auto stream = kj::mv(KJ_ASSERT_NONNULL(negotiated));
                                 auto vat = kj::heap<capnp::TwoPartyVatNetwork>(
                                         *stream, capnp::rpc::twoparty::Side::SERVER);
                                 auto system
