Let the response of a keyed call win over its deadline as well

What callers saw: 502 ('the request is still running') for a deposit with a key whose response lay in the node's socket.

Cause: the wait of keyed calls still used a plain timeout, with the same budget as the call that it waits for, so that on a late loop it always fired first.

--- a/packages/transport/serving/KeyedCalls.cpp
+++ b/packages/transport/serving/KeyedCalls.cpp
@@ -3,6 +3,7 @@
 #include "transport/serving/KeyedCalls.h"
 
 #include "core/events/EventLog.h"
+#include "transport/timing/Deadline.h"
 
 namespace boragetrack::transport::serving {
 
@@ -128,7 +129,8 @@
 {
     auto pair = kj::newPromiseAndFulfiller<CallResponse>();
     waiters_[key].push_back(kj::mv(pair.fulfiller));
-    return dependencies_.timer.timeoutAfter(budget.count() * kj::MICROSECONDS, kj::mv(pair.promise))
+    return timing::resultWithin(dependencies_.timer, budget.count() * kj::MICROSECONDS,
+                                kj::mv(pair.promise))
             .catch_([](kj::Exception && /*exception*/) {
                 return CallResponse::unknown("the request is still running");
             });
