Check that no call of a truncation test runs twice

The calls that are sent again while they are refused keep their attempt id; that each runs at most once is checked now, so that the test is as strict as before.

--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -259,6 +259,7 @@
                 killed, proxy, ended, attempts))
             for status, body, attempt in results:
                 self.check_response(status, body, attempt, content)
+                self.assertLessEqual(self.run_count(attempt), 1)
             self.assertIn(502, {status for status, _, _ in results})
             killed.start()
 
