Send calls on a new link only after its peer has answered

Cause: a link counted as open once the system had connected it. What is sent on it then can't be told from a call that ran. A link is ready now when the peer has answered the request for its interface, at most within a second and the call's own time; before that, a failure means that the call has not run. The price is one round trip for each new link.

--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -45,17 +45,20 @@
         close it; must not destroy the link. May be called several times. */
     using EndHandler = std::function<void(const Link *)>;
 
-    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, EndHandler whenEnded)
+    // The link is ready once its peer has answered: the peer's system may have accepted a
+    // connection that the peer never accepts, and what was sent on it has not run.
+    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, kj::Timer &timer, EndHandler whenEnded)
         : whenEnded_(std::move(whenEnded))
         , ready_(connecting
-                         .then(
-                                 [this](kj::Own<kj::AsyncIoStream> &&stream) {
-                                     open(kj::mv(stream));
-                                 },
-                                 [this](kj::Exception &&exception) {
-                                     whenEnded_(this);
-                                     kj::throwFatalException(kj::mv(exception));
-                                 })
+                         .then([this, &timer](kj::Own<kj::AsyncIoStream> &&stream) {
+                             open(kj::mv(stream));
+                             return timing::resultWithin(timer, toKj(answerTimeout),
+                                                         peer_.whenResolved());
+                         })
+                         .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
+                             whenEnded_(this);
+                             return kj::mv(exception);
+                         })
                          .fork())
     {}
 
@@ -130,31 +133,33 @@
     const kj::TimePoint deadline = timer_.now() + toKj(request.budget + responseMargin);
     auto message = std::make_shared<CallRequest>(request);
     const kj::TimePoint startedAt = timer_.now();
-    // Nothing is sent before the link is open, so a failure to open it means that the call did not
+    // Nothing is sent before the link is ready, so a failure until then means that the call did not
     // run.
-    return connect(peer).then(
-            [this, message, deadline, startedAt, peer](kj::Own<Link> &&link) {
-                message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
-                                    * std::chrono::nanoseconds(1));
-                Link &used = *link;
-                auto call = used.peer().callRequest(
-                        wire::sizeHint(message->body.size() + message->target.size()));
-                wire::encode(*message, call.initRequest());
-                return timing::resultBefore(timer_, deadline, CallResults(call.send()))
-                        .then(
-                                [this, &used](auto &&response) {
-                                    used.recordResponse(timer_.now());
-                                    return wire::decode(response.getAnswer());
-                                },
-                                [this, peer, startedAt, &used](kj::Exception &&exception) {
-                                    handleFailedCall(peer, used, startedAt, exception);
-                                    return CallResponse::unknown(exception.getDescription().cStr());
-                                })
-                        .attach(kj::mv(link));
-            },
-            [](kj::Exception &&exception) {
-                return CallResponse::notRun(exception.getDescription().cStr());
-            });
+    return timing::resultBefore(timer_, deadline, connect(peer))
+            .then(
+                    [this, message, deadline, startedAt, peer](kj::Own<Link> &&link) {
+                        message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
+                                            * std::chrono::nanoseconds(1));
+                        Link &used = *link;
+                        auto call = used.peer().callRequest(
+                                wire::sizeHint(message->body.size() + message->target.size()));
+                        wire::encode(*message, call.initRequest());
+                        return timing::resultBefore(timer_, deadline, CallResults(call.send()))
+                                .then(
+                                        [this, &used](auto &&response) {
+                                            used.recordResponse(timer_.now());
+                                            return wire::decode(response.getAnswer());
+                                        },
+                                        [this, peer, startedAt, &used](kj::Exception &&exception) {
+                                            handleFailedCall(peer, used, startedAt, exception);
+                                            return CallResponse::unknown(
+                                                    exception.getDescription().cStr());
+                                        })
+                                .attach(kj::mv(link));
+                    },
+                    [](kj::Exception &&exception) {
+                        return CallResponse::notRun(exception.getDescription().cStr());
+                    });
 }
 
 kj::Promise<NodeId> PeerLinks::claim(const NetworkAddress &peer, const IdempotencyKey &key,
@@ -266,7 +271,7 @@
         counters_.linksOpened.add();
         // The link is removed in a later turn of the event loop, since this destroys the promise
         // that reports its end.
-        found = links_.emplace(address, kj::refcounted<Link>(open(peer),
+        found = links_.emplace(address, kj::refcounted<Link>(open(peer), timer_,
                                                              [this, address](const Link *link) {
                                                                  tasks_.add(kj::evalLater(
                                                                          [this, address, link]() {
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -29,6 +29,8 @@
 public:
     /** Maximum time to open a link, and for a claim or its release as a whole. */
     static constexpr std::chrono::milliseconds connectTimeout{250};
+    /** Maximum time for a peer to answer on a new link. */
+    static constexpr std::chrono::milliseconds answerTimeout{1000};
     /** Maximum time for a control request as a whole. */
     static constexpr std::chrono::milliseconds controlTimeout{1000};
     /** Time without a request after which a link is closed. A compressed link takes some 60 KB at
--- a/tests/unit/LinkClosingTest.cpp
+++ b/tests/unit/LinkClosingTest.cpp
@@ -174,3 +174,39 @@
     }
     EXPECT_EQ(counters_.counter("links_opened").value(), 1);
 }
+
+TEST_F(LinkClosing, leavesNoCallUnknownWhoseLinkIsOpenedWhileThePeerLeaves)
+{
+    constexpr int rounds = 20;
+    constexpr int callsOfARound = 120;
+    for (int round = 0; round < rounds; ++round) {
+        auto peer = kj::heap<PeerThread>();
+        kj::Vector<kj::Own<PeerLinks>> links;
+        kj::Vector<kj::Promise<CallResponse>> responses;
+        bool isClosed = false;
+        peer->refuseCalls().wait(io_.waitScope);
+        auto closing = peer->closeLinks(closeTimeout)
+                               .then([&](bool areAllClosed) {
+                                   isClosed = true;
+                                   EXPECT_TRUE(areAllClosed);
+                               })
+                               .eagerlyEvaluate(nullptr);
+        for (int i = 0; i < callsOfARound && !isClosed; ++i) {
+            links.add(kj::heap<PeerLinks>(
+                    io_.provider->getNetwork(), timer_,
+                    [](const auto & /*address*/) { return LinkEncoding::Plain; },
+                    LinkCounters(counters_)));
+            responses.add(links.back()
+                                  ->call(peer->address(), callTaking(milliseconds(1)))
+                                  .eagerlyEvaluate(nullptr));
+            timer_.afterDelay(50 * kj::MICROSECONDS).wait(io_.waitScope);
+        }
+        closing.wait(io_.waitScope);
+        peer = nullptr;
+        for (auto &response : responses) {
+            const CallResponse received = response.wait(io_.waitScope);
+            EXPECT_NE(received.outcome, CallOutcome::Unknown)
+                    << "round " << round << ": " << received.reason;
+        }
+    }
+}
