Grant no claims once connections are refused

A peer whose connection is refused takes the registrar's claims for lost and asks the next one. Since links are closed in an orderly way, a stopping node refuses connections while it can still be asked over links that are open, so that two nodes might have got claims on one key. From the closing notice on, a node rejects claims on open links too.

--- a/packages/transport/links/ClosingNotice.h
+++ b/packages/transport/links/ClosingNotice.h
@@ -14,7 +14,14 @@
     {}
 
     /** Gives the notice. */
-    void give() { fulfiller_->fulfill(); }
+    void give()
+    {
+        isGiven_ = true;
+        fulfiller_->fulfill();
+    }
+
+    /** Returns whether the notice was given. */
+    bool isGiven() const { return isGiven_; }
 
     /** Returns a promise that is fulfilled once the notice is given. */
     kj::Promise<void> whenGiven() { return given_.addBranch(); }
@@ -25,6 +32,7 @@
         , given_(pair.promise.fork())
     {}
 
+    bool isGiven_ = false;
     kj::Own<kj::PromiseFulfiller<void>> fulfiller_;
     kj::ForkedPromise<void> given_;
 };
--- a/packages/transport/links/PeerServer.cpp
+++ b/packages/transport/links/PeerServer.cpp
@@ -6,6 +6,7 @@
 #include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
 
+#include <kj/debug.h>
 #include <memory>
 
 namespace boragetrack::transport::links {
@@ -90,6 +91,9 @@
 
 kj::Promise<void> PeerServer::claim(ClaimContext context)
 {
+    // Peers whose connections are refused take this node's claims for lost already.
+    if (closing_.isGiven())
+        return KJ_EXCEPTION(OVERLOADED, "the node is closing its links");
     const auto params = context.getParams();
     const NodeId holder
             = calls_.claim(IdempotencyKey(params.getKey()), NodeId(params.getClaimant()));
--- a/packages/transport/serving/ClaimClient.cpp
+++ b/packages/transport/serving/ClaimClient.cpp
@@ -46,8 +46,8 @@
                         return kj::READY_NOW;
                     },
                     [this, &pending](kj::Exception &&exception) -> kj::Promise<void> {
-                        // A refused connection proves that the process has ended and its claims
-                        // with it, so the next candidate replaces it. A timeout proves nothing.
+                        // A process that refuses connections has ended, or grants no claims any
+                        // more, so the next candidate replaces it. A timeout proves nothing.
                         const bool hasEnded
                                 = exception.getType() == kj::Exception::Type::DISCONNECTED;
                         if (!hasEnded || pending.nextSubstitute >= pending.candidates.size())
--- a/tests/unit/LinkClosingTest.cpp
+++ b/tests/unit/LinkClosingTest.cpp
@@ -210,3 +210,24 @@
         }
     }
 }
+
+TEST_F(LinkClosing, grantsNoClaimOnceOtherPeersTakeTheClaimsForLost)
+{
+    PeerThread peer;
+    const core::identity::IdempotencyKey key("k");
+    const core::identity::NodeId claimant("a");
+    const auto running = links_.call(peer.address(), callTaking(milliseconds(300)));
+    EXPECT_EQ(links_.claim(peer.address(), key, claimant).wait(io_.waitScope), claimant);
+    bool isGranted = false;
+    auto claimed = kj::evalLater([&]() {
+                       return peer.closeLinks(closeTimeout);
+                   }).then([](bool /*areAllClosed*/) {
+                     }).eagerlyEvaluate(nullptr);
+    pass(milliseconds(50));
+    links_.claim(peer.address(), key, claimant)
+            .then([&](const core::identity::NodeId & /*holder*/) { isGranted = true; },
+                  [](kj::Exception && /*exception*/) {})
+            .wait(io_.waitScope);
+    EXPECT_FALSE(isGranted);
+    claimed.wait(io_.waitScope);
+}
