Leave time for calls in short grace periods

With a grace period of less than 3.5 s, callers were still accepted when the stop ended, so that it could never count as drained and cut what came last; below 6 s, the second for the exit was more than the last sixth.

--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -5,14 +5,17 @@
 #include "platform/MoveCodec.h"
 #include "platform/PlatformIntentReader.h"
 
+#include <algorithm>
+
 namespace boragetrack::daemon::environment {
 
 namespace {
 
 // The platform probes readiness every second and sends callers elsewhere after two failed probes.
 constexpr std::chrono::milliseconds readinessNoticePeriod{2500};
-// The part of the grace period that is left for the exit of the process.
-constexpr std::chrono::milliseconds exitTime{1000};
+// The part of the grace period that is left for the exit of the process, and its upper bound.
+constexpr int exitDivisor = 6;
+constexpr std::chrono::milliseconds maximumExitTime{1000};
 
 } // namespace
 
@@ -53,8 +56,10 @@
 ShutdownPlan PlatformEnvironment::shutdownPlan() const
 {
     ShutdownPlan plan;
-    plan.callerGracePeriod = readinessNoticePeriod;
-    plan.totalTimeout = stopGracePeriod_ - exitTime;
+    plan.totalTimeout
+            = stopGracePeriod_ - std::min(maximumExitTime, stopGracePeriod_ / exitDivisor);
+    // Calls that are accepted last need time to end.
+    plan.callerGracePeriod = std::min(readinessNoticePeriod, plan.totalTimeout / 2);
     return plan;
 }
 
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -92,6 +92,15 @@
             self.assertEqual(response.result().status, 200)
         self.assertEqual(node.process.wait(9.0), 0)
 
+    def test_planned_stop_leaves_time_for_calls_in_a_short_grace_period(self):
+        for node in self.fleet.nodes:
+            node.extra_settings = {"graceSeconds": 3}
+        self.start_fleet(SLOW_RULES)
+        node = self.nodes["items-ikeja"]
+        node.process.terminate()
+        self.assertEqual(node.process.wait(3.0), 0)
+        self.assertIn("E102 node stopped drained=yes", node.log_text())
+
 
 if __name__ == "__main__":
     unittest.main()
