--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -24,7 +24,7 @@
 /** Maintains one multiplexed link to each peer in use. A link on which the peer gives notice that
    it is about to close gets no further requests, and is closed after those in progress. Used on the
     traffic thread only. */
-class PeerLinks : private kj::TaskSet::ErrorHandler
+class PeerLinks final : private kj::TaskSet::ErrorHandler
 {
 public:
     /** Maximum time to open a link, and for a claim or its release as a whole. */
--- a/tests/unit/LinkClosingTest.cpp
+++ b/tests/unit/LinkClosingTest.cpp
@@ -6,6 +6,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <gtest/gtest.h>
 #include <kj/debug.h>
+#include <list>
 
 using namespace boragetrack;
 using namespace boragetrack::transport::links;
@@ -181,7 +182,7 @@
     constexpr int callsOfARound = 120;
     for (int round = 0; round < rounds; ++round) {
         auto peer = kj::heap<PeerThread>();
-        kj::Vector<kj::Own<PeerLinks>> links;
+        std::list<PeerLinks> links;
         kj::Vector<kj::Promise<CallResponse>> responses;
         bool isClosed = false;
         peer->refuseCalls().wait(io_.waitScope);
@@ -192,12 +193,11 @@
                                })
                                .eagerlyEvaluate(nullptr);
         for (int i = 0; i < callsOfARound && !isClosed; ++i) {
-            links.add(kj::heap<PeerLinks>(
+            PeerLinks &opened = links.emplace_back(
                     io_.provider->getNetwork(), timer_,
                     [](const auto & /*address*/) { return LinkEncoding::Plain; },
-                    LinkCounters(counters_)));
-            responses.add(links.back()
-                                  ->call(peer->address(), callTaking(milliseconds(1)))
+                    LinkCounters(counters_));
+            responses.add(opened.call(peer->address(), callTaking(milliseconds(1)))
                                   .eagerlyEvaluate(nullptr));
             timer_.afterDelay(50 * kj::MICROSECONDS).wait(io_.waitScope);
         }
