--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -272,7 +272,7 @@
         node.process.kill()
         proxy.pause = 0.0
 
-    def call_until_run(self, caller, ended, attempt):
+    def call_while_refused(self, caller, ended, attempt):
         # A node that learns of a restart refuses calls until it learns of the upstream as well.
         response = caller.call("POST", "/orders/1", attempt=attempt)
         while response.status == 503 and not ended.is_set():
@@ -288,7 +288,7 @@
         """
         attempts = [self.fleet.next_attempt() for _ in range(3)]
         with ThreadPoolExecutor(3) as pool:
-            responses = [pool.submit(self.call_until_run, caller, ended, attempt)
+            responses = [pool.submit(self.call_while_refused, caller, ended, attempt)
                          for attempt in attempts]
             meanwhile(attempts)
         return [(response.result().status, response.result().body, attempt)
