--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -542,6 +542,44 @@
             self.process.wait()
 
 
+class Client:
+    """A client beside a node that keeps its connection for many requests."""
+
+    def __init__(self, deployment, machine):
+        self.deployment, self.machine = deployment, machine
+        self._reader = self._writer = None
+
+    async def request(self, method, target, budget_ms, attempt):
+        """Sends a request without a body, or with one byte. Returns the status, or None."""
+
+        async def exchange():
+            if self._writer is None or self._reader.at_eof():
+                self.close()
+                self._reader, self._writer = await asyncio.open_connection(
+                    self.machine.address, OUTBOUND)
+            body = b"" if method == "GET" else b"x"
+            length = "" if method == "GET" else "Content-Length: 1\r\n"
+            self._writer.write(f"{method} {target} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}"
+                               f"\r\n{BUDGET}: {budget_ms}\r\n{length}\r\n".encode() + body)
+            answer = await read_message(self._reader)
+            if answer is None:
+                raise ConnectionError("closed without an answer")
+            if answer.header("connection", "").lower() == "close":
+                self.close()
+            return status_of(answer)
+
+        try:
+            return await asyncio.wait_for(exchange(), budget_ms / 1000 + 0.5)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+            self.close()
+            return None
+
+    def close(self):
+        if self._writer is not None:
+            self._writer.close()
+        self._reader = self._writer = None
+
+
 class Deployment:
     """All stand-ins and nodes of a case, and its record."""
 
