--- a/review/8/case.py
+++ b/review/8/case.py
@@ -127,10 +127,11 @@
     broken = []
     for number, at in enumerate(started):
         until = min([at + COLD_START_S] + [c for c in crashes if c > at])
-        arrivals = [run["at"] for run in server.runs if at <= run["at"] < until]
-        most = max((sum(1 for other in arrivals if first <= other < first + 1.0
-                        and sent[next(r["id"] for r in server.runs if r["at"] == other)] >= first - 1)
-                    for first in arrivals), default=0)
+        # When each request was sent and arrived; a second counts those that did both inside it.
+        cold = sorted((sent[run["id"]], run["at"]) for run in server.runs if at <= run["at"] < until)
+        most = max((sum(1 for sent_at, arrived in cold
+                        if begin <= sent_at and arrived < begin + 1.0)
+                    for begin, _ in cold), default=0)
         text = (f"the cold server {server.instance} got up to {most} requests in one second after "
                 f"its start at {deployment.time_of(at)} (bound {BOUND})")
         deployment.note(text)
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -529,7 +529,7 @@
     def memory_mb(self):
         try:
             text = Path(f"/proc/{self.process.pid}/status").read_text()
-            return int(re.search(r"VmRSS:\s+(\d+) kB", text).group(1)) / 1024
+            return int(re.search(r"RssAnon:\s+(\d+) kB", text).group(1)) / 1024
         except (OSError, AttributeError):
             return 0.0
 
