--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -63,7 +63,7 @@
     , membership_(dependencies.self, std::move(dependencies.neighbours), *this)
     , peers_(membership_, std::move(dependencies.seeds), random_)
     , followerRole_(membership_)
-    , departures_(dependencies.self.id)
+    , departures_(dependencies.self.id, dependencies.self.version.generation)
     , propagator_(
               transport, *this, [this] { return peers_.neighbourContacts(); },
               std::move(dependencies.replica))
@@ -149,7 +149,8 @@
     const auto alive = std::count_if(records.begin(), records.end(), [](const auto &entry) {
         return entry.second.state == MemberState::Alive;
     });
-    return departures_.isComplete(static_cast<std::size_t>(alive) - 1, timers_.now());
+    const auto others = static_cast<std::size_t>(std::max<std::ptrdiff_t>(alive - 1, 0));
+    return departures_.isComplete(others, timers_.now());
 }
 
 //==============================================================================
@@ -275,6 +276,8 @@
 
 void ControlPlane::memberChanged(const MemberRecord *previous, const MemberRecord &record)
 {
+    if (previous != nullptr && previous->version.generation < record.version.generation)
+        departures_.recordRestart(record.id, previous->version.generation, timers_.now());
     const bool isDeparture = record.state != MemberState::Alive
                              || record.upstream.state == membership::UpstreamState::Draining;
     isUrgentExchangeDue_ = isUrgentExchangeDue_ || isDeparture;
@@ -387,7 +390,8 @@
     served = std::max(served, exchange.revision);
     membership_.recordContact(exchange.sender, now);
     peerDigests_[exchange.sender] = exchange.memberDigest;
-    departures_.recordPeer(exchange.sender, exchange.receiverDeparture);
+    departures_.recordPeer(exchange.sender, exchange.receiverDeparture,
+                           exchange.receiverKnownSince);
     departures_.rememberFrom(exchange.members, now);
     membership_.mergeRecords(exchange.members, now);
     membership_.mergeSuspicions(exchange.suspicions, now);
@@ -424,6 +428,8 @@
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
     exchange.receiverDeparture = departures_.departureAt(receiver);
+    if (const MemberRecord *known = membership_.table().find(receiver))
+        exchange.receiverKnownSince = departures_.knownSince(receiver, known->version.generation);
     exchange.memberDigest = membership_.table().digest();
     exchange.isFollower = isFollower_ && !wasPaused();
     // If both tables had equal digests at the last exchange and this node's table has not changed
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -114,12 +114,21 @@
     /** Publishes what the node's upstream announced. Ignored once this node is leaving. */
     void upstreamAnnounced(const membership::UpstreamRecord &upstream);
 
-    /** Returns whether peers have had the chance to tell this process which upstream of the node
-        had departed before its start. */
+    /** Handles the departures at this node that the store keeps. */
+    void storedDeparturesReceived(const std::vector<membership::AnnouncementStamp> &departures)
+    {
+        departures_.recordStore(departures);
+    }
+
+    /** Returns whether the store or peers have told this process which upstream of the node had
+        departed before its start. */
     bool knowsEarlierDepartures() const;
 
-    /** Returns the last departure at this node that any peer keeps, whichever process of this node
-        published it. */
+    /** Returns whether this process has waited long enough for the store and its peers. */
+    bool hasWaitedForDepartures() const { return departures_.hasWaited(timers_.now()); }
+
+    /** Returns the last departure at this node that the store or any peer keeps, whichever process
+        of this node published it. */
     const std::optional<membership::AnnouncementStamp> &replicatedDeparture() const
     {
         return departures_.ownDeparture();
--- a/packages/control/distribution/DepartureMemory.h
+++ b/packages/control/distribution/DepartureMemory.h
@@ -1,10 +1,12 @@
-/** Memory of departed upstreams that survives the restart of a node, since its peers keep it. */
+/** Memory of departed upstreams that survives the restart of a node, since its peers and the store
+    keep it. */
 #pragma once
 
 #include "control/membership/MemberRecord.h"
 #include "core/timing/MonotonicTime.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,11 +16,11 @@
 
 /**
     Keeps the last departure that each other node published, also when a new process of that node
-    publishes a record without it, and collects what the peers keep for this node.
+    publishes a record without it, and collects what the peers and the store keep for this node.
 
-    A node acknowledges a departure once a peer keeps it. Its next process can then tell a late
-    announcement of the departed upstream from a current one, as soon as it has heard from some
-    peers.
+    The next process of a node can then tell a late announcement of the departed upstream from a
+    current one, as soon as it has read the store or, while the store does not respond, has heard
+    from some peers that knew an earlier process of this node.
 */
 class DepartureMemory
 {
@@ -31,15 +33,22 @@
         within a few hundred milliseconds, about the time that a restart takes. */
     static constexpr std::size_t sufficientPeers = 2;
 
-    /** How long a new process waits for its peers. A node without peers would never use its
-        upstream otherwise. */
+    /** How long a new process waits for the store before it relies on its peers. The store keeps
+        each acknowledged departure, whereas a peer may have been cut off when it was published. */
+    static constexpr std::chrono::milliseconds storeWait{500};
+
+    /** How long a new process waits for the store and its peers. A node that neither reaches would
+        never use its upstream otherwise. */
     static constexpr std::chrono::milliseconds maximumWait{2000};
 
-    explicit DepartureMemory(core::identity::NodeId self)
+    /** @param self this node
+        @param generation identifies this process of it */
+    DepartureMemory(core::identity::NodeId self, std::uint64_t generation)
         : self_(std::move(self))
+        , generation_(generation)
     {}
 
-    /** Starts the wait for the peers. */
+    /** Starts the wait for the store and the peers. */
     void start(core::timing::MonotonicTime now) { startedAt_ = now; }
 
     /** Keeps the departures in records that another node sent. */
@@ -50,24 +59,46 @@
     std::optional<membership::AnnouncementStamp>
     departureAt(const core::identity::NodeId &node) const;
 
-    /** Forgets departures whose retention has passed. */
+    /** Records that another node's process was replaced.
+        @param earlier the generation of the replaced process */
+    void recordRestart(const core::identity::NodeId &node, std::uint64_t earlier,
+                       core::timing::MonotonicTime now);
+
+    /** Returns the generation of the earliest process of another node that this node has known.
+        @param current the generation in the node's current record */
+    std::uint64_t knownSince(const core::identity::NodeId &node, std::uint64_t current) const;
+
+    /** Forgets departures and restarts whose retention has passed. */
     void removeExpired(core::timing::MonotonicTime now);
 
     /** Records that a peer was heard from.
-        @param remembered the last departure at this node that the peer keeps */
+        @param remembered the last departure at this node that the peer keeps
+        @param knownSince the generation of the earliest process of this node that the peer has
+        known; a peer that knew none before this process can not have kept a departure */
     void recordPeer(const core::identity::NodeId &peer,
-                    const std::optional<membership::AnnouncementStamp> &remembered);
+                    const std::optional<membership::AnnouncementStamp> &remembered,
+                    std::uint64_t knownSince);
 
-    /** Returns the last departure at this node that any peer keeps. */
+    /** Records that the store was read.
+        @param kept the departures at this node that it keeps */
+    void recordStore(const std::vector<membership::AnnouncementStamp> &kept);
+
+    /** Returns the last departure at this node that the store or any peer keeps. */
     const std::optional<membership::AnnouncementStamp> &ownDeparture() const
     {
         return ownDeparture_;
     }
 
-    /** Returns whether enough peers were heard from since the start, or waited for long enough.
+    /** Returns whether the store or enough peers were heard from since the start.
         @param otherMembers the number of other members that are alive */
     bool isComplete(std::size_t otherMembers, core::timing::MonotonicTime now) const;
 
+    /** Returns whether the wait for the store and the peers has ended. */
+    bool hasWaited(core::timing::MonotonicTime now) const
+    {
+        return now - startedAt_ >= maximumWait;
+    }
+
 private:
     struct Entry
     {
@@ -75,11 +106,24 @@
         core::timing::MonotonicTime publishedAt;
     };
 
+    struct Restart
+    {
+        std::uint64_t earlier;
+        core::timing::MonotonicTime at;
+    };
+
+    void adopt(const membership::AnnouncementStamp &departure);
+
     core::identity::NodeId self_;
+    std::uint64_t generation_;
     core::timing::MonotonicTime startedAt_{};
     std::map<core::identity::NodeId, Entry> departures_;
+    // The earliest replaced process of each node that was restarted.
+    std::map<core::identity::NodeId, Restart> restarts_;
     std::optional<membership::AnnouncementStamp> ownDeparture_;
-    // Invariant: at most sufficientPeers.
+    bool isStoreRead_ = false;
+    // The peers heard from that knew an earlier process of this node. Invariant: at most
+    // sufficientPeers.
     std::set<core::identity::NodeId> heardPeers_;
 };
 
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -25,6 +25,10 @@
     /** The departure of an upstream that the receiver, in this process or an earlier one, reported
         last. After a restart the receiver doesn't use that upstream again. */
     std::optional<membership::AnnouncementStamp> receiverDeparture;
+    /** The generation of the earliest process of the receiver that the sender has known; zero if it
+        has known none. One before the receiver's own shows that the sender's memory goes back to an
+        earlier process. */
+    std::uint64_t receiverKnownSince = 0;
     /** The digest of the sender's member table. */
     std::uint64_t memberDigest = 0;
     /** Whether the sender follows the durable store and can reach it. */
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -32,6 +32,8 @@
     UpstreamDraining = 312,
     AnnouncementRefused = 313,
     DepartureRestored = 314,
+    DepartureNotRecorded = 315,
+    DepartureNotAcknowledged = 316,
     PeerMessageRefused = 320,
     PeerUnreachable = 321,
     LinkGivenUp = 322,
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -93,8 +93,8 @@
             environment::PlatformEnvironment::Dependencies{
                     settings_, counters_, controlThread_,
                     [this](const std::function<void()> &task) { return trafficThread_.post(task); },
-                    [this](const auto &announcement, const std::function<void()> &whenBound) {
-                        control_.upstreamAnnounced(announcement, whenBound);
+                    [this](const auto &announcement, const auto &onProcessed) {
+                        control_.upstreamAnnounced(announcement, onProcessed);
                     },
                     [this]() { return routing_.current()->isServing; }});
 }
--- a/packages/daemon/service/AnnouncementProcessor.cpp
+++ b/packages/daemon/service/AnnouncementProcessor.cpp
@@ -1,5 +1,6 @@
-/** The filter decides which announcements are current. Departures pass at once; an upstream in
-    service waits until the earlier departures are known. */
+/** The filter decides which announcements are current. Departures take effect at once, and are
+    acknowledged once they are kept; an upstream in service waits until the earlier departures are
+    known. */
 #include "daemon/service/AnnouncementProcessor.h"
 
 #include "core/events/EventLog.h"
@@ -13,6 +14,7 @@
 using control::membership::UpstreamState;
 using core::events::EventCode;
 using core::timing::MonotonicTime;
+using transport::serving::AnnouncementOutcome;
 using transport::serving::UpstreamAnnouncement;
 using transport::serving::UpstreamStatus;
 
@@ -37,9 +39,11 @@
 
 } // namespace
 
-void AnnouncementProcessor::start(control::distribution::ControlPlane &plane, UpstreamSink sink)
+void AnnouncementProcessor::start(control::distribution::ControlPlane &plane,
+                                  control::membership::DepartureKeeper &keeper, UpstreamSink sink)
 {
     plane_ = &plane;
+    keeper_ = &keeper;
     sink_ = std::move(sink);
 }
 
@@ -49,23 +53,25 @@
 }
 
 void AnnouncementProcessor::announce(const UpstreamAnnouncement &announcement,
-                                     std::function<void()> onProcessed)
+                                     OutcomeSink onProcessed)
 {
     if (!isDeparture(announcement)) {
         if (!mayHaveDepartedEarlier(announcement.stamp) || plane_->knowsEarlierDepartures())
             apply(announcement);
-        else if (!held_ || !held_->stamp.isLaterThan(announcement.stamp))
-            held_ = announcement;
-        onProcessed();
+        else
+            hold(announcement);
+        onProcessed(AnnouncementOutcome::Processed);
         return;
     }
     apply(announcement);
     const auto &departure = filter_.departure();
-    if (departure && departure->instance == announcement.stamp.instance)
-        acknowledgements_.push_back(
-                {*departure, timers_.now() + maximumReplicationTime, std::move(onProcessed)});
-    else
-        onProcessed();
+    if (!departure || departure->instance != announcement.stamp.instance) {
+        onProcessed(AnnouncementOutcome::Processed);
+        return;
+    }
+    keeper_->keep(*departure);
+    acknowledgements_.push_back(
+            {*departure, timers_.now() + maximumKeepingTime, std::move(onProcessed)});
     acknowledgeDepartures();
 }
 
@@ -145,33 +151,45 @@
     publishDeparture();
 }
 
+void AnnouncementProcessor::hold(const UpstreamAnnouncement &announcement)
+{
+    if (held_ && held_->stamp.isLaterThan(announcement.stamp))
+        return;
+    isHeldRepeated_ = held_ && held_->stamp.instance == announcement.stamp.instance
+                      && announcement.stamp.isLaterThan(held_->stamp);
+    held_ = announcement;
+}
+
+// While neither the store nor a peer tells which upstreams had departed, a single announcement may
+// be a late one, whereas an upstream in service goes on to announce itself.
 void AnnouncementProcessor::applyHeldAnnouncement()
 {
-    if (!held_ || !plane_->knowsEarlierDepartures())
+    const bool isTrusted = plane_->knowsEarlierDepartures()
+                           || (isHeldRepeated_ && plane_->hasWaitedForDepartures());
+    if (!held_ || !isTrusted)
         return;
     const UpstreamAnnouncement announcement = *std::exchange(held_, std::nullopt);
+    isHeldRepeated_ = false;
     apply(announcement);
 }
 
 void AnnouncementProcessor::acknowledgeDepartures()
 {
     const MonotonicTime now = timers_.now();
-    const bool isAlone = plane_->membership().neighbours().empty();
     std::erase_if(acknowledgements_, [&](const Acknowledgement &acknowledgement) {
-        const bool isDue = isAlone || isReplicated(acknowledgement.departure)
-                           || now >= acknowledgement.deadline;
-        if (isDue)
-            acknowledgement.onProcessed();
-        return isDue;
+        const bool isKept = keeper_->isKept(acknowledgement.departure);
+        if (!isKept && now < acknowledgement.deadline)
+            return false;
+        if (!isKept)
+            core::events::logEvent(EventCode::DepartureNotAcknowledged,
+                                   "departure in effect but not acknowledged",
+                                   {{"instance", acknowledgement.departure.instance}});
+        acknowledgement.onProcessed(isKept ? AnnouncementOutcome::Processed
+                                           : AnnouncementOutcome::NotKept);
+        return true;
     });
 }
 
-bool AnnouncementProcessor::isReplicated(const AnnouncementStamp &departure) const
-{
-    const auto &replicated = plane_->replicatedDeparture();
-    return replicated && (*replicated == departure || replicated->isLaterThan(departure));
-}
-
 void AnnouncementProcessor::expireUpstream()
 {
     if (!upstream_ || timers_.now() - announcedAt_ < announcementTimeout_)
--- a/packages/daemon/service/AnnouncementProcessor.h
+++ b/packages/daemon/service/AnnouncementProcessor.h
@@ -3,7 +3,9 @@
 
 #include "control/distribution/ControlPlane.h"
 #include "control/membership/AnnouncementFilter.h"
+#include "control/membership/DepartureKeeper.h"
 #include "core/timing/TimerService.h"
+#include "transport/serving/AnnouncementOutcome.h"
 #include "transport/serving/UpstreamAnnouncement.h"
 #include "transport/serving/UpstreamStatus.h"
 
@@ -15,8 +17,9 @@
 
 /**
     Applies current announcements and ignores late ones, also those from before a restart of the
-    node: a departure is acknowledged once a peer keeps it, and a new process uses no upstream
-    before its peers could tell it which one had departed.
+    node: a departure is acknowledged only once it is kept for later processes, and a new process
+    uses no upstream before the store or its peers could tell it which one had departed. While
+    neither responds, it uses one that announces itself repeatedly.
 
     Used on the control thread only.
 */
@@ -27,9 +30,12 @@
     using UpstreamSink
             = std::function<void(const std::optional<transport::serving::UpstreamStatus> &)>;
 
-    /** How long the acknowledgement of a departure waits for a peer that keeps it. An upstream
-        does not wait for a later one. */
-    static constexpr std::chrono::milliseconds maximumReplicationTime{500};
+    /** Receives the outcome of an announcement. */
+    using OutcomeSink = std::function<void(transport::serving::AnnouncementOutcome)>;
+
+    /** How long the response to a departure waits until it is kept. An upstream does not wait for
+        longer than a second. */
+    static constexpr std::chrono::milliseconds maximumKeepingTime{800};
 
     /** How long before the process an upstream may have started without an earlier process of this
         node having seen it leave. When a VM starts, both start at about the same time. */
@@ -47,19 +53,21 @@
         , announcementTimeout_(announcementTimeout)
     {}
 
-    /** Sets the outputs. Must be called first. @param plane outlives the processor's use */
-    void start(control::distribution::ControlPlane &plane, UpstreamSink sink);
+    /** Sets the collaborators. Must be called first. @param plane and @param keeper outlive the
+        processor's use */
+    void start(control::distribution::ControlPlane &plane,
+               control::membership::DepartureKeeper &keeper, UpstreamSink sink);
 
     /** Handles an announcement without a stamp, which is taken for current. */
     void announce(const transport::serving::UpstreamStatus &status);
 
     /** Handles an announcement with a stamp. @param onProcessed called once the announcement may be
-        acknowledged */
+        responded to */
     void announce(const transport::serving::UpstreamAnnouncement &announcement,
-                  std::function<void()> onProcessed);
+                  OutcomeSink onProcessed);
 
-    /** Applies what the peers keep, acknowledges departures, and drops an upstream that stopped
-        announcing itself. Must be called regularly and after messages from peers. */
+    /** Applies what the store and the peers keep, responds to departures, and drops an upstream
+       that stopped announcing itself. Must be called regularly and after messages from peers. */
     void update();
 
 private:
@@ -67,31 +75,34 @@
     {
         control::membership::AnnouncementStamp departure;
         core::timing::MonotonicTime deadline;
-        std::function<void()> onProcessed;
+        OutcomeSink onProcessed;
     };
 
     void apply(const transport::serving::UpstreamAnnouncement &announcement);
     void setUpstream(const transport::serving::UpstreamStatus &status);
     void publishDeparture();
     void adoptDeparture();
+    void hold(const transport::serving::UpstreamAnnouncement &announcement);
     void applyHeldAnnouncement();
     void acknowledgeDepartures();
     void expireUpstream();
     bool mayHaveDepartedEarlier(const control::membership::AnnouncementStamp &stamp) const;
-    bool isReplicated(const control::membership::AnnouncementStamp &departure) const;
 
     const core::timing::TimerService &timers_;
     const core::timing::WallTime startedAt_;
     const std::chrono::milliseconds announcementTimeout_;
     control::distribution::ControlPlane *plane_ = nullptr;
+    control::membership::DepartureKeeper *keeper_ = nullptr;
     UpstreamSink sink_;
     std::optional<transport::serving::UpstreamStatus> upstream_;
     control::membership::AnnouncementFilter filter_;
     core::timing::MonotonicTime announcedAt_{};
-    // The departure that was adopted from the peers last.
+    // The departure that was adopted from the store or the peers last.
     std::optional<control::membership::AnnouncementStamp> adoptedDeparture_;
     // The last announcement that arrived before the earlier departures were known.
     std::optional<transport::serving::UpstreamAnnouncement> held_;
+    // Whether held_ followed an earlier announcement of the same process.
+    bool isHeldRepeated_ = false;
     std::vector<Acknowledgement> acknowledgements_;
 };
 
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -82,7 +82,7 @@
                                                 dependencies_.thread, planeListener);
         timer_ = std::make_unique<core::timing::ScopedTimer>(dependencies_.thread, timerListener,
                                                              updatePeriod);
-        announcements_.start(*plane_, sink);
+        announcements_.start(*plane_, dependencies_.source.departureKeeper(), sink);
         plane_->start();
         dependencies_.source.attach(*plane_);
     });
@@ -115,7 +115,7 @@
 }
 
 void ControlService::upstreamAnnounced(const UpstreamAnnouncement &announcement,
-                                       const std::function<void()> &onProcessed)
+                                       const AnnouncementProcessor::OutcomeSink &onProcessed)
 {
     post([this, announcement, onProcessed](ControlPlane & /*plane*/) {
         announcements_.announce(announcement, onProcessed);
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -63,10 +63,10 @@
     void upstreamAnnounced(const transport::serving::UpstreamStatus &status);
 
     /** Handles an announcement with a stamp, by which outdated ones are ignored; called on any
-        thread. @param onProcessed called on the control thread once the announcement is in effect
-        or was ignored; not called after stop() */
+        thread. @param onProcessed called on the control thread once the announcement may be
+        responded to; not called after stop() */
     void upstreamAnnounced(const transport::serving::UpstreamAnnouncement &announcement,
-                           const std::function<void()> &onProcessed);
+                           const AnnouncementProcessor::OutcomeSink &onProcessed);
 
     /** Records the outcome of a call to the upstream; called on any thread. */
     void callEnded(const control::moves::CallEvidence &evidence);
--- a/packages/daemon/service/EnvelopeSource.h
+++ b/packages/daemon/service/EnvelopeSource.h
@@ -3,6 +3,7 @@
 
 #include "daemon/service/IntentSource.h"
 #include "daemon/service/MoveRecorder.h"
+#include "daemon/service/PeerDepartureKeeper.h"
 #include "daemon/service/StoreWatcher.h"
 
 namespace boragetrack::daemon::service {
@@ -25,8 +26,19 @@
         return std::make_unique<control::distribution::EnvelopeReplica>();
     }
 
-    void attach(control::distribution::ControlPlane &plane) override { plane_ = &plane; }
-    void detach() override { plane_ = nullptr; }
+    void attach(control::distribution::ControlPlane &plane) override
+    {
+        plane_ = &plane;
+        departures_.setControlPlane(plane_);
+    }
+
+    void detach() override
+    {
+        plane_ = nullptr;
+        departures_.setControlPlane(nullptr);
+    }
+
+    control::membership::DepartureKeeper &departureKeeper() override { return departures_; }
     void update() override { watcher_.setActive(watchesAlways_ || plane_->mustWatchIntentKey()); }
 
     void recordMove(const control::moves::MoveRecord &record) override
@@ -38,6 +50,7 @@
     StoreWatcher &watcher_;
     MoveRecorder &recorder_;
     bool watchesAlways_;
+    PeerDepartureKeeper departures_;
     control::distribution::ControlPlane *plane_ = nullptr;
 };
 
--- a/packages/daemon/service/IntentSource.h
+++ b/packages/daemon/service/IntentSource.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/distribution/ControlPlane.h"
+#include "control/membership/DepartureKeeper.h"
 
 #include <memory>
 
@@ -26,6 +27,9 @@
         second. */
     virtual void update() = 0;
 
+    /** Returns the keeper of departures of this node's upstreams. */
+    virtual control::membership::DepartureKeeper &departureKeeper() = 0;
+
     /** Records the outcome of a move; does nothing while another record is being written. */
     virtual void recordMove(const control::moves::MoveRecord &record) = 0;
 };
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -1,7 +1,8 @@
-/** Passes listings and changes of the store to the replica, and the addresses in node records to
-    the control plane. */
+/** Passes listings and changes of the store to the replica, and the addresses in node records and
+    this node's departures to the control plane. */
 #include "daemon/service/RecordSource.h"
 
+#include "control/records/DepartureRecord.h"
 #include "control/records/NodeRecord.h"
 #include "core/events/EventLog.h"
 
@@ -117,6 +118,7 @@
     core::events::logEvent(EventCode::StoreListed, "store listed",
                            {{"revision", std::to_string(revision.number())},
                             {"entries", std::to_string(records.size())}});
+    plane_->storedDeparturesReceived(control::records::departuresAt(dependencies_.node, records));
     plane_->storeFollowingChanged(true);
     plane_->storeUpdateReceived(replica_->applyListing(records, revision));
     const std::string localKey = control::records::nodeRecordKey(dependencies_.node);
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -1,9 +1,10 @@
-/** The intent as records of the platform's store. */
+/** The intent and the departures of upstreams as records of the platform's store. */
 #pragma once
 
 #include "control/distribution/RecordReplica.h"
 #include "control/records/LeasedRecord.h"
 #include "control/records/MoveWriter.h"
+#include "control/records/StoreDepartureKeeper.h"
 #include "control/records/StoreFollower.h"
 #include "daemon/service/IntentSource.h"
 
@@ -13,7 +14,8 @@
 
 namespace boragetrack::daemon::service {
 
-/** Follows the store's records, maintains the record of this node and records moves. */
+/** Follows the store's records, maintains the record of this node, and records moves and
+ * departures. */
 class RecordSource : public IntentSource, private control::records::StoreFollower::Listener
 {
 public:
@@ -31,12 +33,14 @@
 
     explicit RecordSource(Dependencies dependencies)
         : dependencies_(std::move(dependencies))
+        , departures_(dependencies_.store, dependencies_.timers, dependencies_.node)
     {}
 
     std::unique_ptr<control::distribution::IntentReplica> makeReplica() override;
     void attach(control::distribution::ControlPlane &plane) override;
     void detach() override;
     void update() override;
+    control::membership::DepartureKeeper &departureKeeper() override { return departures_; }
     void recordMove(const control::moves::MoveRecord &record) override;
 
 private:
@@ -53,6 +57,7 @@
                               const absl::StatusOr<core::identity::Revision> &response);
 
     Dependencies dependencies_;
+    control::records::StoreDepartureKeeper departures_;
     // Owned by the control plane; set between makeReplica() and detach().
     control::distribution::RecordReplica *replica_ = nullptr;
     control::distribution::ControlPlane *plane_ = nullptr;
--- /dev/null
+++ b/packages/transport/serving/AnnouncementOutcome.h
@@ -0,0 +1,15 @@
+/** What became of an upstream's announcement. */
+#pragma once
+
+namespace boragetrack::transport::serving {
+
+/** Tells whether an announcement may be acknowledged. */
+enum class AnnouncementOutcome {
+    /** The announcement is in effect, or was recognised as a late one and ignored. */
+    Processed,
+    /** The announced departure is in effect, but a later process of this node might not learn of
+        it. */
+    NotKept,
+};
+
+} // namespace boragetrack::transport::serving
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -112,6 +112,8 @@
   follower @8 :Bool;
   asksForNews @9 :Bool;
   receiverDeparture @10 :Announcement;
+  # The generation of the earliest process of the receiver that the sender has known; zero if none.
+  receiverKnownSince @11 :UInt64;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -199,7 +199,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1690,6 +1690,8 @@
   inline bool hasReceiverDeparture() const;
   inline  ::boragetrack::transport::wire::schema::Announcement::Reader getReceiverDeparture() const;
 
+  inline  ::uint64_t getReceiverKnownSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1775,6 +1777,9 @@
   inline void adoptReceiverDeparture(::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement>&& value);
   inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Announcement> disownReceiverDeparture();
 
+  inline  ::uint64_t getReceiverKnownSince();
+  inline void setReceiverKnownSince( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5230,6 +5235,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Exchange::Reader::getReceiverKnownSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getReceiverKnownSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setReceiverKnownSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -1,76 +1,21 @@
 /** Tests that a node follows the store and maintains its own record through outages and lost
     responses. */
 #include "control/records/StoreFollower.h"
+#include "PendingStore.h"
 #include "control/records/LeasedRecord.h"
 #include "core/timing/ManualTimerService.h"
 
-#include <deque>
 #include <gtest/gtest.h>
 
 using namespace boragetrack;
 using namespace boragetrack::control::records;
 using core::identity::Revision;
 using std::chrono::milliseconds;
+using tests::PendingStore;
+using tests::respond;
 
 namespace {
 
-/** A store whose calls stay pending until the test responds to them. */
-class PendingStore : public RecordStore
-{
-public:
-    void list(const std::string & /*prefix*/, const std::string &after, milliseconds /*timeout*/,
-              Callback<RecordPage> callback) override
-    {
-        lists.push_back({after, std::move(callback)});
-    }
-
-    void watch(const std::string & /*prefix*/, Revision after, milliseconds wait,
-               milliseconds /*timeout*/, Callback<RecordChanges> callback) override
-    {
-        waits.push_back(wait);
-        watches.push_back({after, std::move(callback)});
-    }
-
-    void probe(milliseconds /*timeout*/, Callback<Revision> callback) override
-    {
-        probes.push_back({Revision(0), std::move(callback)});
-    }
-
-    void commit(const std::vector<RecordWrite> &writes, milliseconds /*timeout*/,
-                Callback<Revision> callback) override
-    {
-        commits.push_back({writes, std::move(callback)});
-    }
-
-    void grantLease(std::chrono::milliseconds timeToLive, milliseconds /*timeout*/,
-                    Callback<Lease> callback) override
-    {
-        ++leases;
-        callback(Lease{leases, timeToLive});
-    }
-
-    void renewLease(const Lease &lease, milliseconds /*timeout*/, Callback<Lease> callback) override
-    {
-        callback(lease);
-    }
-
-    std::deque<std::pair<std::string, Callback<RecordPage>>> lists;
-    std::deque<std::pair<Revision, Callback<RecordChanges>>> watches;
-    std::deque<std::pair<Revision, Callback<Revision>>> probes;
-    std::deque<std::pair<std::vector<RecordWrite>, Callback<Revision>>> commits;
-    std::vector<milliseconds> waits;
-    std::uint64_t leases = 0;
-};
-
-template <typename Call, typename Response>
-void respond(std::deque<Call> &calls, const Response &response)
-{
-    ASSERT_FALSE(calls.empty());
-    const auto callback = calls.front().second;
-    calls.pop_front();
-    callback(response);
-}
-
 StoreRecord record(const std::string &key, std::uint64_t revision, bool isRemoved = false)
 {
     return StoreRecord{key, Revision(revision), isRemoved ? "" : "text", isRemoved};
