--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -133,10 +133,14 @@
 
 void ControlPlane::upstreamAnnounced(const membership::UpstreamRecord &upstream)
 {
-    if (isLeaving_ || membership_.self().upstream == upstream)
+    if (membership_.self().upstream == upstream)
         return;
     const bool isNewDeparture
             = upstream.departure && upstream.departure != membership_.self().upstream.departure;
+    // A departure binds this node's next process too, so that peers learn of it also from a node
+    // that is leaving.
+    if (isLeaving_ && !isNewDeparture)
+        return;
     membership_.setUpstream(upstream);
     isUrgentExchangeDue_ = true;
     if (isNewDeparture)
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -111,7 +111,8 @@
     /** Contacts nodes that are registered in the store but unknown to this node. */
     void peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses);
 
-    /** Publishes what the node's upstream announced. Ignored once this node is leaving. */
+    /** Publishes what the node's upstream announced. Once this node is leaving, only departures are
+        published. */
     void upstreamAnnounced(const membership::UpstreamRecord &upstream);
 
     /** Handles the departures at this node that the store keeps. */
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -88,6 +88,22 @@
                     self.assertEqual(self.calls_after(late), 0)
                     self.successor_serves()
 
+    # A node that is leaving acknowledges departures too (review/8).
+    def test_a_departure_during_a_planned_stop_binds_the_next_process(self):
+        for how in ("deregister", "drain"):
+            for delay in (0.1, 0.8, 2.0):
+                with self.subTest(how=how, delay=delay):
+                    late = self.take_late_heartbeat()
+                    self.node.process.signal(signal.SIGTERM)
+                    time.sleep(delay)
+                    status = self.leave(how)
+                    self.node.process.wait(10.0)
+                    self.node.start()
+                    self.fleet.wait_until(self.node.is_ready, "the node is ready again")
+                    if status == 200:
+                        self.assertEqual(self.calls_after(late), 0)
+                    self.successor_serves()
+
     # Each peer that keeps the departure ends before the node itself does.
     def test_planned_stops_of_all_peers_forget_no_departure(self):
         late = self.take_late_heartbeat()
--- a/tests/unit/DepartureTest.cpp
+++ b/tests/unit/DepartureTest.cpp
@@ -258,6 +258,21 @@
     EXPECT_EQ(acknowledged_, 1) << "the next announcement";
 }
 
+// review/8: the departure arrives between the stop of the node and its exit.
+TEST_F(AnnouncementProcessorTest, publishesADepartureWhileTheNodeIsLeaving)
+{
+    readStore({});
+    announceReady(4);
+    plane_.leave();
+    transport_.exchanges.clear();
+    announceDeparture();
+    ASSERT_FALSE(transport_.exchanges.empty());
+    ASSERT_FALSE(transport_.exchanges.back().members.empty());
+    const MemberRecord &published = transport_.exchanges.back().members.back();
+    EXPECT_EQ(published.upstream.departure, stamp("i-1", 4, 100));
+    EXPECT_EQ(published.state, control::membership::MemberState::Left);
+}
+
 // review/7: all nodes were killed, and only the store knows of the departure.
 TEST_F(AnnouncementProcessorTest, refusesALateAnnouncementAfterAllNodesWereKilled)
 {
