Pace a cold upstream by the calls' intent where the node has none (FAILBACK)

Cold servers got 25 to 30 requests in one second, 24.5 allowed, and servers crash at a rate well above that.

Cause: the cold rate comes from the intent, and InboundProxy::applyIntent() took a missing intent, or one without the service, for a rate of zero, which ColdPacer takes for "no limit". A node that starts while the store is silent serves its peers' calls for seconds without an intent.

Ruled out: a late heartbeat (E310 names the cold time).

Change: a call carries the cold rate of its sender's intent, and the node applies the lowest rate that it knows (ColdRate). While it knows none, it refuses calls to a cold upstream as not run. E510 and E511 say which rate applied.

--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -9,6 +9,7 @@
 #include "traffic/calls/HeaderField.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,9 @@
     bool isNested = false;
     /** The priority under overload; 0 is the most urgent. */
     int priority = 0;
+    /** The rate at which the sender's intent lets a cold upstream of the service get calls, in
+        requests per second; zero for no limit, nothing if the sender did not tell. */
+    std::optional<double> coldRate;
     /** The time left until the latency objective; negative when it has passed. */
     std::chrono::microseconds objective{0};
     /** The idempotency key; empty when the caller gave none. */
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -152,6 +152,8 @@
     tried_.insert(endpoint.node);
     ++requestsSent_;
     request_.version = endpoint.version;
+    if (const auto *service = snapshot_->intent->service(request_.service))
+        request_.coldRate = service->coldRate;
     SendAttempt step{endpoint, request_};
     step.request.attempt = isNestedInRetry_ ? request_.attempt : requestsSent_;
     step.request.budget = remaining(now);
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -78,6 +78,8 @@
 kj::Promise<CallResponse> InboundProxy::serve(CallRequest request)
 {
     applyIntent();
+    coldRate_.learn(request.coldRate);
+    applyColdRate();
     request.receivedAt = currentTime();
     // The sender may have given the call up while this process was paused.
     request.possibleDelay = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -115,6 +117,8 @@
 {
     if (request.isExpired())
         return "the deadline has passed";
+    if (currentTime() < coldUntil_ && !coldRate_.rate())
+        return "the rate that the cold upstream can take is not known yet";
     const auto record = status_ ? std::optional(status_->record) : std::nullopt;
     return traffic::inbound::refusalReason(request, record, *dependencies_.routing.current());
 }
@@ -172,6 +176,7 @@
                            {"inFlight", std::to_string(load.inFlight)},
                            {"queued", std::to_string(load.queued)},
                            {"limit", std::to_string(load.limit)},
+                           {"coldRate", coldRateText()},
                            {"reason", reason}});
     CallResponse response = CallResponse::notRun(reason);
     response.load = load;
@@ -210,6 +215,7 @@
                            {"inFlight", std::to_string(load.inFlight)},
                            {"queued", std::to_string(load.queued)},
                            {"limit", std::to_string(load.limit)},
+                           {"coldRate", coldRateText()},
                            {"reason", response.reason}});
 }
 
@@ -221,6 +227,16 @@
            && (responsesSinceStart_ == 0 || currentTime() - firstResponseAt_ < coldTime);
 }
 
+std::string InboundProxy::coldRateText() const
+{
+    if (currentTime() >= coldUntil_)
+        return "warm";
+    const auto rate = coldRate_.rate();
+    if (!rate)
+        return "unknown";
+    return *rate == 0.0 ? "unlimited" : std::to_string(*rate);
+}
+
 // The admission limits and the cold rate come with the intent, which may arrive only after the
 // upstream has announced itself.
 void InboundProxy::applyIntent()
@@ -230,9 +246,16 @@
         return;
     appliedIntent_ = snapshot->intent;
     const auto *service = appliedIntent_->service(status_->record.service);
-    admission_.queue().setCold(coldUntil_, service == nullptr ? 0.0 : service->coldRate);
+    coldRate_.setIntended(service == nullptr ? std::nullopt : std::optional(service->coldRate));
+    applyColdRate();
     admission_.queue().setLimits(traffic::inbound::limitsFor(status_->record, *snapshot,
                                                              UpstreamClient::maximumConnections));
 }
 
+// Without a known rate, a cold upstream gets no calls at all.
+void InboundProxy::applyColdRate()
+{
+    admission_.queue().setCold(coldUntil_, coldRate_.rate().value_or(0.0));
+}
+
 } // namespace boragetrack::transport::serving
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -8,6 +8,7 @@
 #include "core/timing/PauseDetector.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/deduplication/ClaimRegister.h"
+#include "traffic/inbound/ColdRate.h"
 #include "traffic/routing/RoutingSnapshot.h"
 #include "transport/links/CallServer.h"
 #include "transport/serving/AdmissionController.h"
@@ -86,7 +87,10 @@
     void logServed(const Request &request, const Response &response,
                    std::chrono::nanoseconds latency);
     bool isUpstreamCold() const;
+    // Returns the rate that applies to the upstream, for the log.
+    std::string coldRateText() const;
     void applyIntent();
+    void applyColdRate();
 
     Dependencies dependencies_;
     UpstreamClient upstreamClient_;
@@ -98,6 +102,7 @@
     traffic::calls::RunningCalls runningCalls_;
     // The intent that the present admission limits were derived from.
     std::shared_ptr<const control::intent::IntentSnapshot> appliedIntent_;
+    traffic::inbound::ColdRate coldRate_;
     core::timing::MonotonicTime coldUntil_{};
     // Invariant: the number of calls that were received and have not ended.
     std::size_t activeCalls_ = 0;
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -68,6 +68,8 @@
     message.setPriority(static_cast<std::uint16_t>(request.priority));
     message.setObjectiveMicros(request.objective.count());
     message.setNested(request.isNested);
+    if (request.coldRate)
+        message.setColdRate(*request.coldRate);
 }
 
 CallRequest decode(schema::CallRequest::Reader message)
@@ -90,6 +92,8 @@
     request.priority = message.getPriority();
     request.objective = std::chrono::microseconds(message.getObjectiveMicros());
     request.isNested = message.getNested();
+    if (message.getColdRate() >= 0.0)
+        request.coldRate = message.getColdRate();
     return request;
 }
 
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -27,6 +27,8 @@
   priority @14 :UInt16;
   objectiveMicros @15 :Int64;
   nested @16 :Bool;
+  # Calls per second to a cold upstream by the sender's intent; zero for no limit, negative if the sender doesn't tell.
+  coldRate @17 :Float64 = -1;
 }
 
 struct CallAnswer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -79,7 +79,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 3, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 4, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -648,6 +648,8 @@
 
   inline bool getNested() const;
 
+  inline double getColdRate() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -767,6 +769,9 @@
   inline bool getNested();
   inline void setNested(bool value);
 
+  inline double getColdRate();
+  inline void setColdRate(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3809,6 +3814,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double CallRequest::Reader::getColdRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double CallRequest::Builder::getColdRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void CallRequest::Builder::setColdRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
 inline  ::uint8_t CallAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
