Pace an upstream that starts again before it announces itself (FAILBACK)

Cause: only announcements told a node that its upstream is cold, and the first one of the next process under the same name may be seconds late. The refused connections before it were not used.

Change: a refused connection, while no other one to the upstream is open, shows that its process has ended. It then counts as cold for 3 s or until it announces itself.

--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -37,7 +37,7 @@
 InboundProxy::InboundProxy(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , upstreamClient_(dependencies_.network, dependencies_.timer, dependencies_.dialect,
-                      dependencies_.counters.counter("upstream_connections_opened"))
+                      dependencies_.counters.counter("upstream_connections_opened"), *this)
     , claimClient_(dependencies_.links, *this, dependencies_.self)
     , admission_(std::move(dependencies_.admission), dependencies_.timer)
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
@@ -113,6 +113,14 @@
 }
 
 //==============================================================================
+// The next process under the same name is cold and says so only with its first announcement, which
+// may be late.
+void InboundProxy::upstreamEnded()
+{
+    coldUntil_ = std::max(coldUntil_, currentTime() + presumedColdTime);
+    applyColdRate();
+}
+
 std::optional<std::string> InboundProxy::refusalReason(const CallRequest &request) const
 {
     if (request.isExpired())
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -29,9 +29,12 @@
     No other object sends calls to the upstream, so the proxy knows for certain whether a call was
     started. Used on the traffic thread only. @see traffic::inbound::refusalReason
 */
-class InboundProxy : public links::CallServer
+class InboundProxy : public links::CallServer, private UpstreamClient::Listener
 {
 public:
+    /** How long an upstream that starts again counts as cold before it has announced itself. */
+    static constexpr std::chrono::milliseconds presumedColdTime{3000};
+
     /** Receives the outcome of each call; called on the traffic thread. */
     using EvidenceSink = std::function<void(const control::moves::CallEvidence &)>;
 
@@ -78,6 +81,7 @@
     using Response = traffic::calls::CallResponse;
     using Request = traffic::calls::CallRequest;
 
+    void upstreamEnded() override;
     std::optional<std::string> refusalReason(const Request &request) const;
     kj::Promise<Response> admitAndSend(kj::Own<Request> request);
     kj::Promise<Response> send(Request &request, kj::Own<AdmissionController::ScopedPermit> permit);
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -221,11 +221,12 @@
 
 UpstreamClient::UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
                                const dialect::CallDialect &dialect,
-                               core::counters::Counter &connectionsOpened)
+                               core::counters::Counter &connectionsOpened, Listener &listener)
     : network_(network)
     , timer_(timer)
     , dialect_(dialect)
     , connectionsOpened_(connectionsOpened)
+    , listener_(listener)
 {}
 
 void UpstreamClient::setAddress(const core::identity::NetworkAddress &address)
@@ -247,9 +248,11 @@
             [this, &request, upstream](Connection connection) {
                 auto exchange = kj::heap<Exchange>(*this, kj::mv(connection), request, upstream);
                 auto running = exchange->run();
-                return running.attach(kj::mv(exchange));
+                return running.attach(kj::mv(exchange),
+                                      kj::heap<core::counters::ScopedCount>(connectedCalls_));
             },
-            [](kj::Exception &&exception) {
+            [this](kj::Exception &&exception) {
+                handleFailedConnect(exception);
                 // Without a connection, nothing was written.
                 return CallResponse::notRun(exception.getDescription().cStr());
             });
@@ -265,6 +268,19 @@
             .attach(kj::mv(count));
 }
 
+// An upstream that is full refuses connections too, but then it serves others.
+void UpstreamClient::handleFailedConnect(const kj::Exception &exception)
+{
+    const bool isRefused = exception.getType() == kj::Exception::Type::DISCONNECTED;
+    const MonotonicTime now = currentTime();
+    const bool isServing
+            = connectedCalls_ > 0
+              || std::any_of(idleConnections_.begin(), idleConnections_.end(),
+                             [now](const Connection &idle) { return idle->isReusable(now); });
+    if (isRefused && !isServing)
+        listener_.upstreamEnded();
+}
+
 kj::Promise<UpstreamClient::Connection> UpstreamClient::acquire(const CallRequest &request)
 {
     // The upstream may write its refusal of this call again, but only on a connection that has
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -25,6 +25,16 @@
 class UpstreamClient
 {
 public:
+    /** Receives what the client finds out about the upstream's process. */
+    class Listener
+    {
+    public:
+        virtual ~Listener() = default;
+
+        /** Handles that nothing listens at the upstream's address: its process has ended. */
+        virtual void upstreamEnded() = 0;
+    };
+
     /** The upstream's limit of connections, counting those of all clients. */
     static constexpr int maximumConnections = 110;
     /** The largest response body that is passed on, in bytes. */
@@ -38,9 +48,10 @@
     /** How long an idle connection may be reused when the upstream states no timeout. */
     static constexpr std::chrono::milliseconds defaultIdleTimeout{4000};
 
-    /** @param network, @param timer and @param dialect outlive the client */
+    /** @param network, @param timer, @param dialect and @param listener outlive the client */
     UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
-                   const dialect::CallDialect &dialect, core::counters::Counter &connectionsOpened);
+                   const dialect::CallDialect &dialect, core::counters::Counter &connectionsOpened,
+                   Listener &listener);
 
     /** Sets the address that the upstream listens at; a new address drops idle connections. */
     void setAddress(const core::identity::NetworkAddress &address);
@@ -64,6 +75,7 @@
 
     kj::Promise<Connection> acquire(const traffic::calls::CallRequest &request);
     kj::Promise<Connection> connect();
+    void handleFailedConnect(const kj::Exception &exception);
     void release(Connection connection, const http::HeaderList &headers);
 
     kj::Network &network_;
@@ -75,7 +87,10 @@
     traffic::inbound::RefusedCalls refusedCalls_;
     // Invariant: the number of calls that have started and not ended.
     std::size_t inFlight_ = 0;
+    // Invariant: the number of calls that hold a connection.
+    std::size_t connectedCalls_ = 0;
     core::counters::Counter &connectionsOpened_;
+    Listener &listener_;
 };
 
 } // namespace boragetrack::transport::serving
--- a/tests/unit/InboundProxyTest.cpp
+++ b/tests/unit/InboundProxyTest.cpp
@@ -45,15 +45,30 @@
         request_.version = VersionName("v1");
     }
 
+    // 20 connections that respond to 1000 requests each.
+    static ScriptedUpstream::Script script()
+    {
+        return ScriptedUpstream::Script(20, std::vector<ScriptedResponse>(1000, response));
+    }
+
     ~InboundProxyTest() noexcept override {}
 
+    // Ends the upstream's process and starts the next one at the same address.
+    void restartUpstream()
+    {
+        const std::uint16_t port = upstream_->address().port;
+        upstream_ = nullptr;
+        callFor(milliseconds(50));
+        upstream_ = kj::heap<ScriptedUpstream>(io_, script(), port);
+    }
+
     void announce(milliseconds coldLeft)
     {
         UpstreamStatus status;
         status.record = {ServiceName("payments"), VersionName("v1"),
                          control::membership::UpstreamState::Serving, 9};
         status.instance = "i-1";
-        status.address = upstream_.address();
+        status.address = upstream_->address();
         status.coldLeft = coldLeft;
         proxy_.setUpstream(status);
     }
@@ -103,9 +118,7 @@
     core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_{
             std::make_shared<traffic::routing::RoutingSnapshot>()};
     core::timing::PauseDetector pauses_{std::chrono::steady_clock::now()};
-    // 20 connections that respond to 1000 requests each.
-    ScriptedUpstream upstream_{
-            io_, ScriptedUpstream::Script(20, std::vector<ScriptedResponse>(1000, response))};
+    kj::Own<ScriptedUpstream> upstream_ = kj::heap<ScriptedUpstream>(io_, script());
     InboundProxy proxy_{{NodeId("self"), NodeId("self@1"), links_, io_.provider->getNetwork(),
                          timer_, dialect_, routing_,
                          std::make_unique<traffic::admission::FixedConcurrency>(
@@ -143,7 +156,7 @@
     status.record = {ServiceName("added"), VersionName("v1"),
                      control::membership::UpstreamState::Serving, 9};
     status.instance = "i-2";
-    status.address = upstream_.address();
+    status.address = upstream_->address();
     status.coldLeft = milliseconds(3000);
     proxy_.setUpstream(status);
     request_.service = ServiceName("added");
@@ -164,6 +177,18 @@
     EXPECT_LE(run, maximumCalls);
 }
 
+// FAILBACK: the first announcement of an upstream that starts again under its name may be late.
+TEST_F(InboundProxyTest, pacesAnUpstreamThatStartsAgainBeforeItsFirstAnnouncement)
+{
+    applyIntent(coldRate);
+    announce(milliseconds(0));
+    EXPECT_GT(callFor(milliseconds(200)), maximumCalls) << "a warm upstream is not paced";
+    restartUpstream();
+    const int run = callFor(duration);
+    EXPECT_GT(run, 0);
+    EXPECT_LE(run, maximumCalls);
+}
+
 //==============================================================================
 TEST(ColdRate, isTheLowestKnownOneAndFollowsTheIntent)
 {
--- a/tests/unit/LateUpstreamTest.cpp
+++ b/tests/unit/LateUpstreamTest.cpp
@@ -1,5 +1,6 @@
 /** Tests that an upstream's response which waits in the socket wins over the deadline of its call.
  */
+#include "UpstreamListener.h"
 #include "core/counters/Counter.h"
 #include "transport/dialect/NativeDialect.h"
 #include "transport/serving/UpstreamClient.h"
@@ -24,7 +25,8 @@
     auto listener
             = io.provider->getNetwork().parseAddress("127.0.0.1:0").wait(io.waitScope)->listen();
     auto accepted = listener->accept().eagerlyEvaluate(nullptr);
-    UpstreamClient client(io.provider->getNetwork(), timer, dialect, opened);
+    tests::UpstreamListener observer;
+    UpstreamClient client(io.provider->getNetwork(), timer, dialect, opened, observer);
     client.setAddress({"127.0.0.1", static_cast<std::uint16_t>(listener->getPort())});
     CallRequest request;
     request.method = "GET";
--- a/tests/unit/ScriptedUpstream.h
+++ b/tests/unit/ScriptedUpstream.h
@@ -16,11 +16,12 @@
     /** For each connection, in the order in which they are opened, a response to each request. */
     using Script = std::vector<std::vector<ScriptedResponse>>;
 
-    ScriptedUpstream(kj::AsyncIoContext &io, Script script)
+    /** @param port the port to listen at; zero for any */
+    ScriptedUpstream(kj::AsyncIoContext &io, Script script, std::uint16_t port = 0)
         : timer_(io.provider->getTimer())
         , script_(std::move(script))
         , listener_(io.provider->getNetwork()
-                            .parseAddress("127.0.0.1:0")
+                            .parseAddress("127.0.0.1:" + std::to_string(port))
                             .wait(io.waitScope)
                             ->listen())
         , tasks_(*this)
--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -1,5 +1,6 @@
 /** Tests which refusals of an upstream are believed, and which connections carry another call. */
 #include "transport/serving/UpstreamClient.h"
+#include "UpstreamListener.h"
 #include "platform/Names.h"
 #include "platform/PlatformDialect.h"
 #include "tests/unit/ScriptedUpstream.h"
@@ -60,7 +61,7 @@
 public:
     ClientOfScript(const transport::dialect::CallDialect &dialect, ScriptedUpstream::Script script)
         : upstream_(io_, std::move(script))
-        , client_(io_.provider->getNetwork(), timer_, dialect, opened_)
+        , client_(io_.provider->getNetwork(), timer_, dialect, opened_, listener_)
     {
         client_.setAddress(upstream_.address());
     }
@@ -90,6 +91,7 @@
     core::counters::Counter opened_;
     ScriptedUpstream upstream_;
     transport::timing::PreciseTimer timer_{io_.provider->getTimer()};
+    tests::UpstreamListener listener_;
     UpstreamClient client_;
 };
 
--- a/tests/unit/UpstreamResponseTest.cpp
+++ b/tests/unit/UpstreamResponseTest.cpp
@@ -1,5 +1,6 @@
 /** Tests that a call gets the whole response to its own request and leaves none of it to the next
     call on the connection. */
+#include "UpstreamListener.h"
 #include "core/counters/CounterRegistry.h"
 #include "tests/unit/ScriptedUpstream.h"
 #include "transport/dialect/NativeDialect.h"
@@ -22,7 +23,8 @@
 public:
     explicit Caller(ScriptedUpstream::Script script)
         : upstream_(io_, std::move(script))
-        , client_(io_.provider->getNetwork(), timer_, dialect_, counters_.counter("connections"))
+        , client_(io_.provider->getNetwork(), timer_, dialect_, counters_.counter("connections"),
+                  listener_)
     {
         status_.address = upstream_.address();
         client_.setAddress(status_.address);
@@ -45,6 +47,7 @@
     transport::dialect::NativeDialect dialect_;
     ScriptedUpstream upstream_;
     transport::timing::PreciseTimer timer_{io_.provider->getTimer()};
+    tests::UpstreamListener listener_;
     transport::serving::UpstreamClient client_;
     transport::serving::UpstreamStatus status_;
 };
