--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t gossipPerUrgentExchange = 12;
 
 constexpr std::chrono::milliseconds memberFetchInterval{3000};
+// The same after an exchange from a node that is not in the table, which shows that members are
+// missing.
+constexpr std::chrono::milliseconds unknownMemberFetchInterval{200};
 
 // The rate limit of urgent exchanges and of evidence. Periodic exchanges use about 800 bytes per
 // second in addition.
@@ -162,12 +165,19 @@
 {
     const MemberRecord *sender = membership_.table().find(request.sender);
     // A live sender that is recorded as unreachable receives that record and refutes it.
-    const bool isUnreachable = sender != nullptr && sender->state != MemberState::Alive;
+    const bool isUnknown = sender == nullptr;
+    const bool isUnreachable = !isUnknown && sender->state != MemberState::Alive;
     const MemberRecord storedRecord = isUnreachable ? *sender : MemberRecord{};
-    const auto contact = peers_.contactOf(request.sender);
+    PeerContact contact{request.sender, request.senderAddress};
+    if (contact.address.port == 0)
+        contact = peers_.contactOf(request.sender).value_or(contact);
     if (request.requestsUpdates)
         followerRole_.recordPoll(request.sender, timers_.now());
-    mergeExchange(contact.value_or(PeerContact{request.sender, {}}), request);
+    mergeExchange(contact, request);
+    propagator_.raiseMinimumRevision(std::max(request.receiverMinimumRevision, request.revision),
+                                     timers_.now());
+    if (isUnknown)
+        fetchMembersFromUnknown(contact);
     Exchange response = makeExchange(request.sender, gossipPerExchange);
     if (isUnreachable)
         response.members.push_back(storedRecord);
@@ -405,6 +415,17 @@
         propagator_.compareRevisions(peer, exchange.revision, now);
 }
 
+// Does not count as a regular fetch: the unknown node may have started with this one and know as
+// little.
+void ControlPlane::fetchMembersFromUnknown(const PeerContact &peer)
+{
+    const MonotonicTime now = timers_.now();
+    if (peer.address.port == 0 || now - lastUnknownMemberFetch_ < unknownMemberFetchInterval)
+        return;
+    lastUnknownMemberFetch_ = now;
+    transport_.fetchMembers(peer, membership_.table().bucketHashes());
+}
+
 void ControlPlane::fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest)
 {
     const MonotonicTime now = timers_.now();
@@ -427,6 +448,7 @@
 {
     Exchange exchange;
     exchange.sender = membership_.self().id;
+    exchange.senderAddress = membership_.self().peerAddress;
     exchange.revision = propagator_.replica().revision();
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -225,6 +225,7 @@
     void sendOwnRecord();
     void sendExchangeTo(const PeerContact &peer, std::size_t maximumGossip);
     void mergeExchange(const PeerContact &peer, const Exchange &exchange);
+    void fetchMembersFromUnknown(const PeerContact &peer);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     bool wasPaused() const;
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumGossip);
@@ -252,6 +253,7 @@
     // The digest of each peer's member table at the last exchange with that peer.
     std::map<core::identity::NodeId, std::uint64_t> peerDigests_;
     core::timing::MonotonicTime lastMemberFetch_{};
+    core::timing::MonotonicTime lastUnknownMemberFetch_{};
     core::timing::MonotonicTime lastDecisionAt_{};
     ByteRateLimiter exchangeRateLimiter_;
     // Whether there is a durable store for nodes to follow, and whether this node currently follows
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -17,6 +17,9 @@
 struct Exchange
 {
     core::identity::NodeId sender;
+    /** Where the sender's peers reach it; without a port if it did not tell. A receiver that has
+       just started need not have the sender's record. */
+    core::identity::NetworkAddress senderAddress;
     /** The revision that the sender holds. */
     core::identity::Revision revision;
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -162,6 +162,7 @@
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
     if (exchange.receiverDeparture)
         encodeAnnouncement(*exchange.receiverDeparture, message.initReceiverDeparture());
+    encodeAddress(exchange.senderAddress, message.initSenderAddress());
     message.setReceiverKnownSince(exchange.receiverKnownSince);
     message.setMemberDigest(exchange.memberDigest);
     message.setFollower(exchange.isFollower);
@@ -185,6 +186,7 @@
     exchange.receiverMinimumRevision = Revision(message.getReceiverFloor());
     if (message.hasReceiverDeparture())
         exchange.receiverDeparture = decodeAnnouncement(message.getReceiverDeparture());
+    exchange.senderAddress = decodeAddress(message.getSenderAddress());
     exchange.receiverKnownSince = message.getReceiverKnownSince();
     exchange.memberDigest = message.getMemberDigest();
     exchange.isFollower = message.getFollower();
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -116,6 +116,7 @@
   receiverDeparture @10 :Announcement;
   # The generation of the earliest process of the receiver that the sender has known; zero if none.
   receiverKnownSince @11 :UInt64;
+  senderAddress @12 :Address;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -199,7 +199,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1697,6 +1697,9 @@
 
   inline  ::uint64_t getReceiverKnownSince() const;
 
+  inline bool hasSenderAddress() const;
+  inline  ::boragetrack::transport::wire::schema::Address::Reader getSenderAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1785,6 +1788,13 @@
   inline  ::uint64_t getReceiverKnownSince();
   inline void setReceiverKnownSince( ::uint64_t value);
 
+  inline bool hasSenderAddress();
+  inline  ::boragetrack::transport::wire::schema::Address::Builder getSenderAddress();
+  inline void setSenderAddress( ::boragetrack::transport::wire::schema::Address::Reader value);
+  inline  ::boragetrack::transport::wire::schema::Address::Builder initSenderAddress();
+  inline void adoptSenderAddress(::capnp::Orphan< ::boragetrack::transport::wire::schema::Address>&& value);
+  inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Address> disownSenderAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1804,6 +1814,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::boragetrack::transport::wire::schema::Announcement::Pipeline getReceiverDeparture();
+  inline  ::boragetrack::transport::wire::schema::Address::Pipeline getSenderAddress();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5268,6 +5279,45 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Exchange::Reader::hasSenderAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Exchange::Builder::hasSenderAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::boragetrack::transport::wire::schema::Address::Reader Exchange::Reader::getSenderAddress() const {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::boragetrack::transport::wire::schema::Address::Builder Exchange::Builder::getSenderAddress() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::boragetrack::transport::wire::schema::Address::Pipeline Exchange::Pipeline::getSenderAddress() {
+  return  ::boragetrack::transport::wire::schema::Address::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void Exchange::Builder::setSenderAddress( ::boragetrack::transport::wire::schema::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::boragetrack::transport::wire::schema::Address::Builder Exchange::Builder::initSenderAddress() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Exchange::Builder::adoptSenderAddress(
+    ::capnp::Orphan< ::boragetrack::transport::wire::schema::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Address> Exchange::Builder::disownSenderAddress() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/ControlPlaneTest.h
+++ b/tests/unit/ControlPlaneTest.h
@@ -32,6 +32,7 @@
         control::distribution::ControlPlane::Dependencies result;
         result.self.id = core::identity::NodeId("self");
         result.self.version.generation = 2000;
+        result.self.peerAddress = {"10.0.0.1", 7000};
         result.self.dataCentre = core::identity::DataCentreId("ikeja");
         result.neighbours = std::make_unique<control::membership::RingNeighbours>();
         result.movePolicies = std::make_unique<control::moves::StandardMovePolicies>();
--- a/tests/unit/RecordingTransport.h
+++ b/tests/unit/RecordingTransport.h
@@ -7,7 +7,7 @@
 
 namespace boragetrack::tests {
 
-/** Keeps the exchanges that a node sends; none of its messages arrives anywhere. */
+/** Keeps the exchanges and fetches that a node sends; none of its messages arrives anywhere. */
 class RecordingTransport : public control::distribution::PeerTransport
 {
 public:
@@ -19,14 +19,20 @@
     void pushIntent(const control::distribution::PeerContact & /*peer*/,
                     const control::distribution::IntentTransfer & /*transfer*/) override
     {}
-    void fetchIntent(const control::distribution::PeerContact & /*peer*/,
+    void fetchIntent(const control::distribution::PeerContact &peer,
                      core::identity::Revision /*have*/) override
-    {}
-    void fetchMembers(const control::distribution::PeerContact & /*peer*/,
+    {
+        intentsFetchedFrom.push_back(peer.address);
+    }
+    void fetchMembers(const control::distribution::PeerContact &peer,
                       const control::membership::MemberTable::BucketHashes & /*hashes*/) override
-    {}
+    {
+        membersFetchedFrom.push_back(peer.address);
+    }
 
     std::vector<control::distribution::Exchange> exchanges;
+    std::vector<core::identity::NetworkAddress> intentsFetchedFrom;
+    std::vector<core::identity::NetworkAddress> membersFetchedFrom;
 };
 
 } // namespace boragetrack::tests
