--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -34,7 +34,10 @@
 
 void ServerListener::beginAccepting()
 {
-    accepting_ = acceptNext().eagerlyEvaluate([this](kj::Exception &&exception) {
+    // A connection that waits already is accepted at once, and that may fail at once.
+    accepting_ = kj::evalNow([this]() {
+                     return acceptNext();
+                 }).eagerlyEvaluate([this](kj::Exception &&exception) {
         core::events::logEvent(core::events::EventCode::ListenerFailed, "listener failed",
                                {{"error", exception.getDescription().cStr()}});
         // Accepting may fail for lack of file descriptors, so it is tried again.
--- a/packages/transport/links/LinkListener.cpp
+++ b/packages/transport/links/LinkListener.cpp
@@ -9,6 +9,7 @@
 
 namespace boragetrack::transport::links {
 
+using core::events::EventCode;
 using core::identity::NetworkAddress;
 
 namespace {
@@ -34,15 +35,31 @@
         return absl::UnavailableError("cannot listen on " + address.toString() + ": "
                                       + exception.getDescription().cStr());
     }
-    accepting_ = acceptNext().eagerlyEvaluate(
-            [this](kj::Exception &&exception) { taskFailed(kj::mv(exception)); });
+    beginAccepting();
     return absl::OkStatus();
 }
 
+void LinkListener::beginAccepting()
+{
+    // A connection that waits already is accepted at once, and that may fail at once.
+    accepting_ = kj::evalNow([this]() {
+                     return acceptNext();
+                 }).eagerlyEvaluate([this](kj::Exception &&exception) {
+        core::events::logEvent(EventCode::ListenerFailed, "listener failed",
+                               {{"error", exception.getDescription().cStr()}});
+        // Accepting may fail for lack of file descriptors, so it is tried again.
+        tasks_.add(timer_.afterDelay(acceptRetryDelay.count() * kj::MILLISECONDS).then([this]() {
+            if (!isClosing_)
+                beginAccepting();
+        }));
+    });
+}
+
 kj::Promise<bool> LinkListener::closeLinks(kj::TimePoint limit)
 {
     // When the loop has nothing else to do, no accepted connection is on its way to serve().
     return kj::evalLast([this]() {
+               isClosing_ = true;
                accepting_ = nullptr;
                return acceptWaiting();
            })
@@ -112,7 +129,7 @@
 
 void LinkListener::taskFailed(kj::Exception &&exception)
 {
-    core::events::logEvent(core::events::EventCode::PeerMessageRefused, "peer link failed",
+    core::events::logEvent(EventCode::PeerMessageRefused, "peer link failed",
                            {{"error", exception.getDescription().cStr()}});
 }
 
--- a/packages/transport/links/LinkListener.h
+++ b/packages/transport/links/LinkListener.h
@@ -20,6 +20,8 @@
 public:
     /** Interval at which the end of the last links is checked. */
     static constexpr std::chrono::milliseconds closeCheckInterval{20};
+    /** Delay before links are accepted again after a failure. */
+    static constexpr std::chrono::milliseconds acceptRetryDelay{20};
 
     /** @param network, @param timer, @param control and @param calls outlive the listener */
     LinkListener(kj::Network &network, kj::Timer &timer, PeerRequestHandler &control,
@@ -44,6 +46,7 @@
     std::uint16_t port() { return static_cast<std::uint16_t>(receiver_->getPort()); }
 
 private:
+    void beginAccepting();
     kj::Promise<void> acceptNext();
     // Accepts the connections that wait already, which would be reset with the listener.
     kj::Promise<void> acceptWaiting();
@@ -60,6 +63,7 @@
     kj::Own<kj::ConnectionReceiver> receiver_;
     // Accepted links that are not closed yet.
     std::size_t openLinks_ = 0;
+    bool isClosing_ = false;
     kj::TaskSet tasks_;
     kj::Promise<void> accepting_ = nullptr;
 };
--- a/tests/unit/PeerThread.h
+++ b/tests/unit/PeerThread.h
@@ -3,6 +3,7 @@
 
 #include "core/counters/CounterRegistry.h"
 #include "core/identity/NetworkAddress.h"
+#include "tests/unit/NoControl.h"
 #include "transport/links/CallServer.h"
 #include "transport/links/LinkListener.h"
 
@@ -89,25 +90,6 @@
         bool refusesCalls_ = false;
     };
 
-    class NoControl : public boragetrack::transport::links::PeerRequestHandler
-    {
-    public:
-        using Exchange = boragetrack::control::distribution::Exchange;
-        using IntentTransfer = boragetrack::control::distribution::IntentTransfer;
-        using MemberRecord = boragetrack::control::membership::MemberRecord;
-        using BucketHashes = boragetrack::control::membership::MemberTable::BucketHashes;
-        using Revision = boragetrack::core::identity::Revision;
-
-        void handleExchange(Exchange /*request*/, Callback<Exchange> /*callback*/) override {}
-        void handlePush(boragetrack::core::identity::NodeId /*sender*/, IntentTransfer /*transfer*/,
-                        Callback<Revision> /*callback*/) override
-        {}
-        void handleFetchIntent(Revision /*have*/, Callback<IntentTransfer> /*callback*/) override {}
-        void handleFetchMembers(BucketHashes /*hashes*/,
-                                Callback<std::vector<MemberRecord>> /*callback*/) override
-        {}
-    };
-
     void run(std::promise<std::uint16_t> &listening)
     {
         kj::AsyncIoContext io = kj::setupAsyncIo();
@@ -115,7 +97,7 @@
         stop_ = kj::mv(stop.fulfiller);
         executor_ = kj::getCurrentThreadExecutor().addRef();
         Calls calls(io.provider->getTimer());
-        NoControl control;
+        boragetrack::tests::NoControl control;
         LinkListener listener(io.provider->getNetwork(), io.provider->getTimer(), control, calls,
                               boragetrack::transport::links::LinkCounters(registry_));
         timer_ = &io.provider->getTimer();
