Use upstreams without a start time that announce themselves again

A node that starts while the store is silent, without peers that knew its earlier process, waits for a second announcement. That one was recognised by its start time, which a platform need not give, so that such an upstream was not used until the store was back.

Change: the same start, given or not, with a higher sequence number. usesAnUpstreamWithoutAStartTimeThatAnnouncesItselfAgain fails before.

--- a/packages/daemon/service/AnnouncementProcessor.cpp
+++ b/packages/daemon/service/AnnouncementProcessor.cpp
@@ -155,8 +155,10 @@
 {
     if (held_ && held_->stamp.isLaterThan(announcement.stamp))
         return;
-    isHeldRepeated_ = held_ && held_->stamp.instance == announcement.stamp.instance
-                      && announcement.stamp.isLaterThan(held_->stamp);
+    const AnnouncementStamp &stamp = announcement.stamp;
+    isHeldRepeated_ = held_ && held_->stamp.instance == stamp.instance
+                      && held_->stamp.startedAt == stamp.startedAt
+                      && held_->stamp.sequence < stamp.sequence;
     held_ = announcement;
 }
 
--- a/tests/unit/DepartureTest.cpp
+++ b/tests/unit/DepartureTest.cpp
@@ -175,7 +175,8 @@
         processor_.update();
     }
 
-    void announceReady(std::uint64_t sequence, WallTime startedAt = WallTime(milliseconds(100)))
+    void announceReady(std::uint64_t sequence,
+                       std::optional<WallTime> startedAt = WallTime(milliseconds(100)))
     {
         UpstreamAnnouncement announcement;
         announcement.status.record.state = UpstreamState::Serving;
@@ -299,6 +300,17 @@
     EXPECT_TRUE(isServing());
 }
 
+// The start time is optional.
+TEST_F(AnnouncementProcessorTest, usesAnUpstreamWithoutAStartTimeThatAnnouncesItselfAgain)
+{
+    announceReady(4, std::nullopt);
+    wait(DepartureMemory::maximumWait);
+    EXPECT_FALSE(isServing());
+    announceReady(5, std::nullopt);
+    wait(milliseconds(200));
+    EXPECT_TRUE(isServing());
+}
+
 // A late announcement may be the first message that a restarted node gets.
 TEST_F(AnnouncementProcessorTest, usesNoUpstreamBeforeItKnowsTheEarlierDepartures)
 {
