--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -45,8 +45,8 @@
     std::vector<core::identity::DataCentreId> dataCentres;
     /** Time after the last announcement until the upstream counts as lost. */
     std::chrono::milliseconds announcementTimeout{3000};
-    /** Time from the request to stop until the platform ends the process by force; only with the
-        platform's interface. */
+    /** Time from the request to stop until the platform ends the process by force, if the platform
+        does not tell; only with the platform's interface. */
     std::chrono::milliseconds stopGracePeriod{6000};
     /** Peers to contact first. May include this node, which is then skipped. */
     std::vector<core::identity::NetworkAddress> seeds;
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -5,6 +5,7 @@
 #include "core/findings/TextFile.h"
 #include "core/identity/AddressParser.h"
 
+#include <absl/strings/numbers.h>
 #include <map>
 
 namespace boragetrack::daemon::settings {
@@ -50,11 +51,14 @@
   "crossing": {"type": "object", "additionalProperties": false,
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
-  "graceSeconds": {"type": "number", "minimum": 2},
+  "graceSeconds": {"anyOf": [{"type": "number", "minimum": 2}, {"type": "string"}]},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
 
+constexpr double minimumGraceSeconds = 2.0;
+constexpr double maximumGraceSeconds = 3600.0;
+
 // A node uses only this fraction of the shared retry budget: nodes do not exchange how much they
 // have spent, and some calls are retries that no node can recognise as such.
 constexpr double sharedBudgetFraction = 0.5;
@@ -103,6 +107,24 @@
     return limits;
 }
 
+// A platform that does not know the grace period fills in an empty text; the default then applies.
+void readGracePeriod(const json &value, NodeSettings &settings, FindingList &findings)
+{
+    double seconds = 0.0;
+    if (value.is_number())
+        seconds = value.get<double>();
+    else if (value.get<std::string>().empty())
+        return;
+    else if (!absl::SimpleAtod(value.get<std::string>(), &seconds))
+        seconds = 0.0;
+    if (!(seconds >= minimumGraceSeconds && seconds <= maximumGraceSeconds)) {
+        findings.add("/graceSeconds", value.dump() + " is not a number of seconds from 2 to 3600");
+        return;
+    }
+    settings.stopGracePeriod
+            = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 void readPlatformSettings(const json &root, NodeSettings &settings, FindingList &findings)
 {
     settings.announcementTimeout = std::chrono::milliseconds(
@@ -112,10 +134,8 @@
     settings.interface = NodeInterface::Platform;
     if (root.contains("repeats"))
         settings.retryLimits = readRetryLimits(root["repeats"]);
-    settings.stopGracePeriod
-            = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(
-                    root.value("graceSeconds",
-                               std::chrono::duration<double>(settings.stopGracePeriod).count())));
+    if (root.contains("graceSeconds"))
+        readGracePeriod(root["graceSeconds"], settings, findings);
     settings.announcements = readAddress(root["announcements"], "/announcements", findings);
     settings.readiness = readAddress(root["readiness"], "/readiness", findings);
     if (root.contains("metrics"))
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -112,3 +112,24 @@
     head.headers = {{"X-Deadline-Ms", "0"}};
     EXPECT_TRUE(refusalReason(build()));
 }
+
+// An older platform fills in nothing where the template names the grace period.
+TEST(SettingsReader, takesTheDefaultForAnEmptyGracePeriod)
+{
+    const auto read = [](const std::string &grace) {
+        const std::string text = R"({"interface": "platform", "node": "n1", "dataCentre": "ikeja",
+            "service": "payments", "callers": "127.0.0.1:1001", "announcements": "127.0.0.1:1002",
+            "readiness": "127.0.0.1:1003", "peers": "127.0.0.1:1004", "operators": "127.0.0.1:1005",
+            "platform": "127.0.0.1:1006", "dataCentres": ["ikeja"], "seeds": [],
+            "graceSeconds": )" + grace + "}";
+        core::findings::FindingList findings("settings");
+        const auto settings = daemon::settings::readSettings(text, findings);
+        EXPECT_EQ(settings.has_value(), findings.isEmpty()) << findings.toString();
+        return settings ? std::optional(settings->stopGracePeriod) : std::nullopt;
+    };
+    EXPECT_EQ(read(R"("")"), daemon::settings::NodeSettings().stopGracePeriod);
+    EXPECT_EQ(read(R"("7.5")"), std::chrono::milliseconds(7500));
+    EXPECT_EQ(read("9"), std::chrono::seconds(9));
+    for (const char *bad : {R"("1")", R"("soon")", R"("nan")", "1", "null", R"("1e9")"})
+        EXPECT_EQ(read(bad), std::nullopt) << bad;
+}
