--- a/packages/control/membership/AnnouncementFilter.cpp
+++ b/packages/control/membership/AnnouncementFilter.cpp
@@ -59,6 +59,9 @@
 {
     if (stamp.startedAt && current_->startedAt)
         return *stamp.startedAt > *current_->startedAt;
+    // All upstreams of a platform give their start time, or none does.
+    if (current_->startedAt)
+        return false;
     return !replacedInstances_.contains(stamp.instance);
 }
 
--- a/tests/unit/HeartbeatTest.cpp
+++ b/tests/unit/HeartbeatTest.cpp
@@ -36,6 +36,28 @@
     EXPECT_EQ(heartbeat->stamp.startedAt, WallTime(milliseconds(1'760'000'000'000)));
 }
 
+// review/3: a heartbeat with fields missing displaced the server for good.
+TEST(HeartbeatReader, refusesHeartbeatsThatLackAFieldOrHaveOneOfAnotherType)
+{
+    const std::string beginning
+            = R"({"service":"payments","address":"10.0.0.9:8080","version":"v1","slots":9,"state":"ready")";
+    const std::string sound = R"(,"zone":"ikeja","coldLeftS":0,"seqNum":4)";
+    core::findings::FindingList none("heartbeat");
+    EXPECT_TRUE(platform::readHeartbeat("i-1", beginning + sound + "}", none)) << "without born";
+    for (const std::string &rest :
+         {std::string(), std::string(R"(,"coldLeftS":0,"seqNum":4)"),
+          std::string(R"(,"zone":"ikeja","seqNum":4)"),
+          std::string(R"(,"zone":"ikeja","coldLeftS":0)"),
+          std::string(R"(,"zone":7,"coldLeftS":0,"seqNum":4)"),
+          std::string(R"(,"zone":"ikeja","coldLeftS":"0","seqNum":4)"),
+          std::string(R"(,"zone":"ikeja","coldLeftS":0,"seqNum":4.5)"), sound + R"(,"born":"x")",
+          sound + R"(,"born":1.5)", sound + R"(,"born":null)"}) {
+        core::findings::FindingList findings("heartbeat");
+        EXPECT_FALSE(platform::readHeartbeat("i-1", beginning + rest + "}", findings)) << rest;
+        EXPECT_FALSE(findings.isEmpty());
+    }
+}
+
 TEST(HeartbeatReader, refusesMalformedAndIncompleteHeartbeats)
 {
     for (const std::string &bad :
@@ -81,6 +103,14 @@
     EXPECT_FALSE(filter.accept(stamp("i-1", 91, 100), false));
 }
 
+TEST(AnnouncementFilter, replacesNoProcessThatGaveItsStartTimeByOneThatDoesNot)
+{
+    AnnouncementFilter filter;
+    EXPECT_TRUE(filter.accept(stamp("i-1", 5, 100), false));
+    EXPECT_FALSE(filter.accept({"i-2", 1, std::nullopt}, false));
+    EXPECT_TRUE(filter.accept(stamp("i-1", 6, 100), false)) << "it is not replaced";
+}
+
 TEST(AnnouncementFilter, acceptsARestartUnderTheSameNameAsANewProcess)
 {
     AnnouncementFilter filter;
