--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -198,6 +198,7 @@
             response.ok() ? "move recorded" : "move not recorded, will be retried",
             {{"move", record.moveId},
              {"state", nameOf(record.state)},
+             {"evidence", record.evidence},
              {"error", response.ok() ? "" : std::string(response.status().message())}});
 }
 
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -121,7 +121,8 @@
             "service": "payments", "callers": "127.0.0.1:1001", "announcements": "127.0.0.1:1002",
             "readiness": "127.0.0.1:1003", "peers": "127.0.0.1:1004", "operators": "127.0.0.1:1005",
             "platform": "127.0.0.1:1006", "dataCentres": ["ikeja"], "seeds": [],
-            "graceSeconds": )" + grace + "}";
+            "graceSeconds": )" + grace
+                                 + "}";
         core::findings::FindingList findings("settings");
         const auto settings = daemon::settings::readSettings(text, findings);
         EXPECT_EQ(settings.has_value(), findings.isEmpty()) << findings.toString();
