--- a/tests/unit/FailingNetwork.h
+++ b/tests/unit/FailingNetwork.h
@@ -40,7 +40,7 @@
     }
 
 private:
-    class Receiver : public kj::ConnectionReceiver
+    class Receiver final : public kj::ConnectionReceiver
     {
     public:
         Receiver(FailingNetwork &owner, kj::Own<kj::ConnectionReceiver> inner)
@@ -52,7 +52,7 @@
         {
             if (owner_.failuresLeft > 0) {
                 --owner_.failuresLeft;
-                KJ_FAIL_REQUIRE("accept: Too many open files");
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "accept: Too many open files"));
             }
             ++owner_.accepts;
             return inner_->accept();
@@ -64,7 +64,7 @@
         kj::Own<kj::ConnectionReceiver> inner_;
     };
 
-    class Address : public kj::NetworkAddress
+    class Address final : public kj::NetworkAddress
     {
     public:
         Address(FailingNetwork &owner, kj::Own<kj::NetworkAddress> inner)
--- a/tests/unit/ScriptedUpstream.h
+++ b/tests/unit/ScriptedUpstream.h
@@ -10,7 +10,7 @@
 
 /** Serves connections on loopback. Each request gets the next response of its connection; without
     one left, it gets none and the connection stays open. Requests have no bodies. */
-class ScriptedUpstream : private kj::TaskSet::ErrorHandler
+class ScriptedUpstream final : private kj::TaskSet::ErrorHandler
 {
 public:
     /** For each connection, in the order in which they are opened, a response to each request. */
