--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -18,7 +18,7 @@
 {
     core::identity::NodeId sender;
     /** Where the sender's peers reach it; without a port if it did not tell. A receiver that has
-       just started need not have the sender's record. */
+        just started need not have the sender's record. */
     core::identity::NetworkAddress senderAddress;
     /** The revision that the sender holds. */
     core::identity::Revision revision;
--- a/packages/control/records/DepartureRecord.cpp
+++ b/packages/control/records/DepartureRecord.cpp
@@ -1,6 +1,6 @@
 /** The record is a JSON object with the instance, its start in milliseconds since 1970 if known,
-   and the sequence number of the announcement. The key has no instance name as given, since names
-   may be longer than the store's keys. */
+    and the sequence number of the announcement. The key has no instance name as given, since names
+    may be longer than the store's keys. */
 #include "control/records/DepartureRecord.h"
 
 #include "core/hashing/StableHash.h"
--- a/packages/daemon/service/AnnouncementProcessor.h
+++ b/packages/daemon/service/AnnouncementProcessor.h
@@ -67,7 +67,7 @@
                   OutcomeSink onProcessed);
 
     /** Applies what the store and the peers keep, responds to departures, and drops an upstream
-       that stopped announcing itself. Must be called regularly and after messages from peers. */
+        that stopped announcing itself. Must be called regularly and after messages from peers. */
     void update();
 
 private:
--- a/packages/daemon/service/PeerDepartureKeeper.h
+++ b/packages/daemon/service/PeerDepartureKeeper.h
@@ -7,7 +7,7 @@
 namespace boragetrack::daemon::service {
 
 /** Relies on the peers, which keep each departure that this node publishes and return it; used
-   where no store keeps departures. They forget it when all of them end. */
+    where no store keeps departures. They forget it when all of them end. */
 class PeerDepartureKeeper : public control::membership::DepartureKeeper
 {
 public:
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -15,7 +15,7 @@
 namespace boragetrack::daemon::service {
 
 /** Follows the store's records, maintains the record of this node, and records moves and
- * departures. */
+    departures. */
 class RecordSource : public IntentSource, private control::records::StoreFollower::Listener
 {
 public:
--- a/packages/traffic/admission/AdmissionQueue.h
+++ b/packages/traffic/admission/AdmissionQueue.h
@@ -28,7 +28,7 @@
     A request is refused on arrival when the requests ahead of it, including the expected arrivals
     of lower ranks, take too long for its deadline, and later as soon as the remaining time is
     shorter than the service time that recent requests of its route show. A nested call that finds
-   the queue full displaces the request that would run last.
+    the queue full displaces the request that would run last.
 */
 class AdmissionQueue
 {
--- a/packages/traffic/admission/ServiceTimeTable.h
+++ b/packages/traffic/admission/ServiceTimeTable.h
@@ -15,7 +15,8 @@
 {
 public:
     /** Records that a request starts. Until it ends or the estimate has aged again, further
-       requests rely on the present estimate, so that few of them probe an upstream that seems slow.
+        requests rely on the present estimate, so that few of them probe an upstream that seems
+        slow.
      */
     void recordStart(const core::identity::RouteName &route, core::timing::MonotonicTime now);
 
--- a/packages/traffic/inbound/ColdRate.h
+++ b/packages/traffic/inbound/ColdRate.h
@@ -8,7 +8,7 @@
 
 /**
     Combines the rate in the node's own intent with the rates that calls bring along from the
-   intents of their senders.
+    intents of their senders.
 
     A node that has just started may have no intent, or an older one without the upstream's service,
     while its peers already send calls. Of several known rates the lowest applies. Rates are in
@@ -18,7 +18,7 @@
 {
 public:
     /** Sets the rate in the node's intent; nothing if the intent lacks the service. Forgets the
-       rates of calls, which may have come from older intents. */
+        rates of calls, which may have come from older intents. */
     void setIntended(std::optional<double> rate)
     {
         intended_ = rate;
@@ -29,7 +29,7 @@
     void learn(std::optional<double> rate) { learnt_ = lowerOf(learnt_, rate); }
 
     /** Returns the rate that applies; nothing as long as none is known, in which case a cold
-       upstream must not get calls. */
+        upstream must not get calls. */
     std::optional<double> rate() const { return lowerOf(intended_, learnt_); }
 
 private:
--- a/tests/unit/DepartureKeeperTest.cpp
+++ b/tests/unit/DepartureKeeperTest.cpp
@@ -1,5 +1,5 @@
 /** Tests that the store keeps departures through failures of its calls, and that a new process
-   reads them. */
+    reads them. */
 #include "PendingStore.h"
 #include "control/records/DepartureRecord.h"
 #include "control/records/StoreDepartureKeeper.h"
--- a/tests/unit/ListenerFailureTest.cpp
+++ b/tests/unit/ListenerFailureTest.cpp
@@ -33,7 +33,7 @@
 };
 
 /** A listener accepts one connection and then fails three times, as when all file descriptors are
-   in use for a moment. */
+    in use for a moment. */
 class ListenerFailureTest : public testing::Test
 {
 protected:
