--- /dev/null
+++ b/bench/restarts/main.cpp
@@ -0,0 +1,125 @@
+/** bench-restarts: plays random restart plans and prints what they break as JSON. */
+#include "emulator/restarts/PlanGenerator.h"
+#include "emulator/restarts/PlanShrinker.h"
+#include "emulator/restarts/RestartSimulation.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace {
+
+using namespace boragetrack::emulator::restarts;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int usageStatus = 2;
+constexpr int violationStatus = 1;
+
+/** The results of the runs so far. */
+struct Summary
+{
+    std::mutex mutex;
+    int runs = 0;
+    std::vector<milliseconds> waits;
+    // The run with the longest wait for an intent.
+    std::uint64_t slowestSeed = 0;
+    milliseconds longestWait{0};
+    std::map<std::string, std::vector<std::uint64_t>> seedsByRule;
+};
+
+void runSeeds(std::atomic<std::uint64_t> &next, std::uint64_t end, Summary &summary)
+{
+    for (std::uint64_t seed = next++; seed < end; seed = next++) {
+        const RestartPlan plan = PlanGenerator(seed).draw();
+        const RestartResult result = RestartSimulation(plan, false).run();
+        const std::lock_guard lock(summary.mutex);
+        ++summary.runs;
+        for (const milliseconds wait : result.intentWaits) {
+            summary.waits.push_back(wait);
+            if (wait <= summary.longestWait)
+                continue;
+            summary.longestWait = wait;
+            summary.slowestSeed = seed;
+        }
+        for (const Violation &violation : result.violations) {
+            auto &seeds = summary.seedsByRule[violation.rule];
+            if (seeds.empty() || seeds.back() != seed)
+                seeds.push_back(seed);
+        }
+    }
+}
+
+json toJson(Summary &summary)
+{
+    const auto late = std::count_if(summary.waits.begin(), summary.waits.end(),
+                                    [](milliseconds wait) { return wait > milliseconds(1000); });
+    json result{{"runs", summary.runs},
+                {"restarts", summary.waits.size()},
+                {"restarts_over_1_s", late},
+                {"longest_wait_ms", summary.longestWait.count()},
+                {"slowest_seed", summary.slowestSeed},
+                {"violations", json::object()}};
+    for (auto &[rule, seeds] : summary.seedsByRule) {
+        std::sort(seeds.begin(), seeds.end());
+        result["violations"][rule] = seeds;
+    }
+    return result;
+}
+
+void printRun(std::uint64_t seed, const std::string &shrunkRule)
+{
+    RestartPlan plan = PlanGenerator(seed).draw();
+    if (!shrunkRule.empty())
+        plan = shrink(plan,
+                      [&](const RestartPlan &smaller) { return breaksRule(smaller, shrunkRule); });
+    RestartSimulation simulation(plan, true);
+    const RestartResult result = simulation.run();
+    for (const std::string &line : simulation.log())
+        std::cout << line << "\n";
+    std::cout << describe(plan);
+    for (const Violation &violation : result.violations)
+        std::cout << violation.at.count() << " ms: " << violation.rule << ": " << violation.detail
+                  << "\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace options = boost::program_options;
+    options::options_description description("bench-restarts");
+    description.add_options()("seed", options::value<std::uint64_t>()->default_value(1),
+                              "the first seed")(
+            "runs", options::value<std::uint64_t>()->default_value(1000), "number of seeds")(
+            "threads", options::value<unsigned int>()->default_value(1),
+            "number of threads")("log", "play the first seed only, and print what its nodes log")(
+            "shrink", options::value<std::string>()->default_value(""),
+            "with --log: reduce the plan first, as long as it breaks this rule");
+    options::variables_map arguments;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), arguments);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return usageStatus;
+    }
+    const auto seed = arguments["seed"].as<std::uint64_t>();
+    if (arguments.count("log") > 0) {
+        printRun(seed, arguments["shrink"].as<std::string>());
+        return 0;
+    }
+    std::atomic<std::uint64_t> next{seed};
+    const std::uint64_t end = seed + arguments["runs"].as<std::uint64_t>();
+    Summary summary;
+    std::vector<std::thread> threads;
+    for (unsigned int i = 0; i < arguments["threads"].as<unsigned int>(); ++i)
+        threads.emplace_back([&]() { runSeeds(next, end, summary); });
+    for (std::thread &thread : threads)
+        thread.join();
+    std::cout << toJson(summary).dump() << "\n";
+    return summary.seedsByRule.empty() ? 0 : violationStatus;
+}
--- a/packages/core/events/EventLog.cpp
+++ b/packages/core/events/EventLog.cpp
@@ -2,6 +2,7 @@
 #include "core/events/EventLog.h"
 
 #include "core/events/LogRateLimiter.h"
+#include "core/events/ScopedEventSink.h"
 #include "core/events/StandardOutput.h"
 #include "core/timing/WallTime.h"
 
@@ -48,6 +49,10 @@
 
 void logEvent(EventCode code, std::string_view message, std::initializer_list<EventField> fields)
 {
+    if (EventSink *sink = ScopedEventSink::current()) {
+        sink->eventLogged(code, message, fields);
+        return;
+    }
     std::string line = timing::formatWallTimeMillis(timing::currentWallTime()) + " E"
                        + std::to_string(static_cast<int>(code)) + " ";
     line += message;
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformIntentReader.h"
 
 #include <algorithm>
+#include <random>
 
 namespace boragetrack::daemon::environment {
 
@@ -32,7 +33,7 @@
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
                },
                std::make_unique<platform::PlatformMoveWriter>(), dependencies.settings.node,
-               dependencies.settings.advertisedPeerAddress})
+               dependencies.settings.advertisedPeerAddress, std::random_device{}()})
     , heartbeats_(dependencies.announcements)
     , readiness_(
               [this, isServing = dependencies.isServing]() { return !isStopping_ && isServing(); })
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -59,7 +59,7 @@
                           control::records::nodeRecordKey(dependencies_.node),
                           control::records::nodeRecordText(dependencies_.peerAddress));
     control::records::StoreFollower::Listener &listener = *this;
-    follower_.emplace(dependencies_.store, dependencies_.timers, listener, std::random_device{}());
+    follower_.emplace(dependencies_.store, dependencies_.timers, listener, random_());
     follower_->start();
     updatedAt_ = dependencies_.timers.now();
 }
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -29,11 +29,13 @@
         std::unique_ptr<control::records::MoveWriter> moveWriter;
         core::identity::NodeId node;
         core::identity::NetworkAddress peerAddress;
+        std::uint64_t randomSeed = 0;
     };
 
     explicit RecordSource(Dependencies dependencies)
         : dependencies_(std::move(dependencies))
         , departures_(dependencies_.store, dependencies_.timers, dependencies_.node)
+        , random_(dependencies_.randomSeed)
     {}
 
     std::unique_ptr<control::distribution::IntentReplica> makeReplica() override;
@@ -66,7 +68,7 @@
     bool isRecording_ = false;
     // Whether this node had to follow the store at the last update; initially all nodes do.
     bool isFollowRequired_ = true;
-    std::mt19937_64 random_{std::random_device{}()};
+    std::mt19937_64 random_;
     // Whether the last listing contained no other node, when it was received, and when this node
     // registers unless it knows another one by then.
     bool isOnlyListedNode_ = false;
--- a/packages/emulator/emulator.h
+++ b/packages/emulator/emulator.h
@@ -1,11 +1,15 @@
 /**
-    Module emulator: discrete-event simulation of load on a deployment.
+    Module emulator: discrete-event simulations of load and of restarts on a deployment.
 
-    Callers, upstreams and network delays are models; routing, admission and retries are decided by
-    the classes of the module traffic, the same that the daemon uses. Tests simulate load plans and
-    check the results of callers; `scripts/bench load` compares policies.
+    Load: callers, upstreams and network delays are models; routing, admission and retries are
+    decided by the classes of the module traffic, the same that the daemon uses. Tests simulate load
+    plans and check the results of callers; `scripts/bench load` compares policies.
 
-    Dependencies: core, control (intent snapshots), traffic.
+    Restarts: the store and the network are models; the control state of each process is that of the
+    daemon. Tests play random orders of kills, outages, cuts and changes and check what must hold
+    across restarts; `build/bench-restarts` plays many more.
+
+    Dependencies: core, control, traffic, daemon (the control state of a process).
 */
 #pragma once
 
@@ -13,5 +17,8 @@
 #include "emulator/policies/BaselinePolicies.h"
 #include "emulator/policies/StandardPolicies.h"
 #include "emulator/policies/TwoChoicesPolicies.h"
+#include "emulator/restarts/PlanGenerator.h"
+#include "emulator/restarts/PlanShrinker.h"
+#include "emulator/restarts/RestartSimulation.h"
 #include "emulator/results/ResultsWriter.h"
 #include "emulator/simulation/LoadSimulation.h"
--- /dev/null
+++ b/packages/emulator/restarts/RestartResult.h
@@ -0,0 +1,23 @@
+/** What a simulation of restarts has shown. */
+#pragma once
+
+#include "emulator/restarts/Violation.h"
+
+#include <vector>
+
+namespace boragetrack::emulator::restarts {
+
+/** Holds the violations of a run and how long nodes were without an intent. */
+struct RestartResult
+{
+    /** At most one for each rule and process. */
+    std::vector<Violation> violations;
+    /** For each process that started after the first events: the time from its start until it had
+        an intent in force, less the time in which it could reach no process that had one. Processes
+        that ended before are left out. */
+    std::vector<std::chrono::milliseconds> intentWaits;
+    /** The number of calls that reached the store. */
+    int storeCalls = 0;
+};
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/RestartRules.h
@@ -0,0 +1,23 @@
+/** The guarantees that simulations of restarts check. */
+#pragma once
+
+#include <chrono>
+
+namespace boragetrack::emulator::restarts {
+
+/** No process puts an older intent in force than it had. */
+inline constexpr const char *noRevertRule = "no revert";
+
+/** A process has an intent in force soon after its first contact with one that has. */
+inline constexpr const char *intentRule = "intent in force";
+inline constexpr std::chrono::milliseconds intentLimit{1000};
+
+/** An upstream whose departure was acknowledged isn't used again. */
+inline constexpr const char *departureRule = "departure kept";
+inline constexpr std::chrono::milliseconds departureLimit{2000};
+
+/** A version isn't used at a process that can reach one which knows that the version is bad. */
+inline constexpr const char *verdictRule = "verdict kept";
+inline constexpr std::chrono::milliseconds verdictLimit{2000};
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/RestartSimulation.cpp
@@ -0,0 +1,244 @@
+/** The nodes start together, then the plan's events take place; the guarantees are checked at short
+    intervals. */
+#include "emulator/restarts/RestartSimulation.h"
+
+#include "core/events/ScopedEventSink.h"
+#include "emulator/restarts/IntentRecords.h"
+#include "emulator/restarts/RestartRules.h"
+
+#include <algorithm>
+
+namespace boragetrack::emulator::restarts {
+
+using core::timing::MonotonicTime;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds checkPeriod{50};
+constexpr milliseconds callPeriod{100};
+// The nodes of a fleet start within this time.
+constexpr std::int64_t startSpreadMs = 300;
+// From the start of a process until it decides anything.
+constexpr std::int64_t minimumStartTimeMs = 30;
+constexpr std::int64_t maximumStartTimeMs = 150;
+// How long a process in a planned stop goes on after its notice to peers.
+constexpr milliseconds stopTime{1000};
+
+} // namespace
+
+RestartSimulation::RestartSimulation(const RestartPlan &plan, bool isLogged)
+    : plan_(plan)
+    , log_(clock_, isLogged)
+    , random_(plan.seed)
+    , network_(clock_, plan.seed + 1)
+    , nodes_(plan.nodeCount)
+{}
+
+RestartSimulation::~RestartSimulation() = default;
+
+RestartResult RestartSimulation::run()
+{
+    const core::events::ScopedEventSink sink(log_);
+    store_.put(intentKey, std::to_string(++intentCount_));
+    std::uniform_int_distribution<std::int64_t> spread(0, startSpreadMs);
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        nodes_[i].upstream = std::make_unique<AnnouncingUpstream>(
+                clock_, i, [this, i]() { return nodes_[i].process; });
+        nodes_[i].upstream->start(milliseconds(startSpreadMs + spread(random_)));
+        clock_.schedule(milliseconds(spread(random_)), [this, i]() { startNode(i); });
+    }
+    for (const RestartFault &fault : plan_.faults)
+        schedule(fault);
+    recordCallsRegularly();
+    checkRegularly();
+    clock_.runUntil(clock::EventClock::start + plan_.length);
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+        endProcess(i);
+    return result_;
+}
+
+//==============================================================================
+void RestartSimulation::schedule(const RestartFault &fault)
+{
+    clock_.schedule(fault.at, [this, &fault]() { begin(fault); });
+}
+
+void RestartSimulation::begin(const RestartFault &fault)
+{
+    switch (fault.kind) {
+    case RestartFaultKind::Kill:
+        for (const std::size_t node : fault.nodes)
+            kill(node, fault.duration);
+        break;
+    case RestartFaultKind::Stop:
+        for (const std::size_t node : fault.nodes)
+            stop(node, fault.duration);
+        break;
+    case RestartFaultKind::SilentStore:
+        setStoreAccess(fault, StoreAccess::Silent);
+        break;
+    case RestartFaultKind::BusyStore:
+        setStoreAccess(fault, StoreAccess::Busy);
+        break;
+    case RestartFaultKind::LossyStore:
+        setStoreAccess(fault, StoreAccess::Lossy);
+        break;
+    case RestartFaultKind::Cut:
+        network_.setCutOff(fault.nodes);
+        setStoreAccess(fault, StoreAccess::Silent);
+        clock_.schedule(fault.duration, [this]() { network_.setCutOff({}); });
+        break;
+    case RestartFaultKind::Change:
+        store_.put(intentKey, std::to_string(++intentCount_));
+        break;
+    case RestartFaultKind::BadMove: {
+        const auto now = std::chrono::duration_cast<milliseconds>(clock_.now().time_since_epoch());
+        store_.put(moveKey, std::to_string(now.count()));
+        break;
+    }
+    case RestartFaultKind::Departure:
+        for (const std::size_t node : fault.nodes)
+            nodes_[node].upstream->depart(fault.duration);
+        break;
+    }
+}
+
+void RestartSimulation::setStoreAccess(const RestartFault &fault, StoreAccess access)
+{
+    for (const std::size_t node : fault.nodes)
+        store_.setAccess(node, access);
+    clock_.schedule(fault.duration, [this, &fault]() {
+        for (const std::size_t node : fault.nodes)
+            store_.setAccess(node, StoreAccess::Served);
+    });
+}
+
+//==============================================================================
+void RestartSimulation::startNode(std::size_t index)
+{
+    Node &node = nodes_[index];
+    if (node.process || clock_.now() < node.downUntil)
+        return;
+    ++node.generation;
+    node.intentWait = node.verdictWait = milliseconds(0);
+    node.isWaitRecorded = node.generation == 1;
+    node.process = std::make_shared<NodeProcess>(NodeProcess::Dependencies{
+            clock_, store_, network_, log_, result_.violations, index,
+            core::identity::DataCentreId("dc" + std::to_string(index % plan_.dataCentreCount)),
+            node.generation, random_()});
+    log_.setNode(index);
+    log_.add("starts");
+    network_.attach(index, node.process);
+    node.process->start();
+}
+
+void RestartSimulation::endProcess(std::size_t index)
+{
+    Node &node = nodes_[index];
+    if (!node.process)
+        return;
+    result_.storeCalls += node.process->storeCalls();
+    log_.setNode(index);
+    log_.add("ends");
+    network_.detach(index);
+    node.process.reset();
+}
+
+void RestartSimulation::kill(std::size_t index, milliseconds downTime)
+{
+    endProcess(index);
+    std::uniform_int_distribution<std::int64_t> startTime(minimumStartTimeMs, maximumStartTimeMs);
+    const milliseconds untilStart = downTime + milliseconds(startTime(random_));
+    nodes_[index].downUntil = std::max(nodes_[index].downUntil, clock_.now() + untilStart);
+    clock_.schedule(nodes_[index].downUntil - clock_.now(), [this, index]() { startNode(index); });
+}
+
+void RestartSimulation::stop(std::size_t index, milliseconds downTime)
+{
+    const std::shared_ptr<NodeProcess> &process = nodes_[index].process;
+    if (!process)
+        return;
+    process->leave();
+    clock_.schedule(stopTime, [this, index, downTime, stopped = std::weak_ptr(process)]() {
+        if (!stopped.expired())
+            kill(index, downTime);
+    });
+}
+
+//==============================================================================
+void RestartSimulation::recordCallsRegularly()
+{
+    for (const Node &node : nodes_) {
+        if (node.process)
+            node.process->recordCalls();
+    }
+    clock_.schedule(callPeriod, [this]() { recordCallsRegularly(); });
+}
+
+void RestartSimulation::checkRegularly()
+{
+    for (Node &node : nodes_) {
+        if (!node.process)
+            continue;
+        checkIntent(node);
+        checkDeparture(node);
+        checkVerdict(node);
+    }
+    clock_.schedule(checkPeriod, [this]() { checkRegularly(); });
+}
+
+template <typename Condition>
+bool RestartSimulation::reachesProcess(const Node &node, Condition condition) const
+{
+    return std::any_of(nodes_.begin(), nodes_.end(), [&](const Node &other) {
+        return other.process && other.process != node.process
+               && network_.isConnected(node.process->node(), other.process->node())
+               && condition(*other.process);
+    });
+}
+
+void RestartSimulation::checkIntent(Node &node)
+{
+    NodeProcess &process = *node.process;
+    if (process.hasIntent()) {
+        if (!std::exchange(node.isWaitRecorded, true))
+            result_.intentWaits.push_back(node.intentWait);
+        return;
+    }
+    if (reachesProcess(node, [](const NodeProcess &other) { return other.hasIntent(); }))
+        node.intentWait += checkPeriod;
+    if (!process.contact())
+        return;
+    const auto source = process.contact()->source.lock();
+    if (!source || !network_.isConnected(process.node(), source->node()))
+        process.forgetContact();
+    else if (clock_.now() - process.contact()->at > intentLimit)
+        process.reportViolation(intentRule, "no intent since the contact with node "
+                                                    + std::to_string(source->node()) + " ("
+                                                    + process.describeIntent() + "; there "
+                                                    + source->describeIntent() + ")");
+}
+
+void RestartSimulation::checkDeparture(Node &node)
+{
+    const auto &acknowledgedAt = node.upstream->acknowledgedAt();
+    const bool isBound = acknowledgedAt && clock_.now() - *acknowledgedAt > departureLimit;
+    if (isBound && node.process->servingInstance() == node.upstream->instance())
+        node.process->reportViolation(departureRule,
+                                      "uses " + node.upstream->instance() + " again");
+}
+
+void RestartSimulation::checkVerdict(Node &node)
+{
+    NodeProcess &process = *node.process;
+    const bool isUsed = process.hasIntent() && process.mayServeNewVersion();
+    const bool isKnown = isUsed && reachesProcess(node, [](const NodeProcess &other) {
+                             return other.knowsVerdict();
+                         });
+    node.verdictWait = isKnown ? node.verdictWait + checkPeriod : milliseconds(0);
+    if (node.verdictWait > verdictLimit)
+        process.reportViolation(verdictRule, "uses the new version");
+}
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/SimulatedNetwork.cpp
@@ -0,0 +1,81 @@
+/** Cuts are checked when a message is sent and when it arrives. */
+#include "emulator/restarts/SimulatedNetwork.h"
+
+#include "emulator/restarts/NodeProcess.h"
+
+namespace boragetrack::emulator::restarts {
+
+using core::identity::NetworkAddress;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint16_t firstPort = 7000;
+constexpr std::int64_t minimumDelayMs = 1;
+constexpr std::int64_t maximumDelayMs = 6;
+// The time after which a node gives up a control request.
+constexpr milliseconds requestTimeout{1000};
+
+std::size_t nodeAt(const NetworkAddress &address)
+{
+    return static_cast<std::size_t>(address.port - firstPort);
+}
+
+} // namespace
+
+NetworkAddress SimulatedNetwork::addressOf(std::size_t node)
+{
+    return {"10.0.0.1", static_cast<std::uint16_t>(firstPort + node)};
+}
+
+void SimulatedNetwork::attach(std::size_t node, const std::shared_ptr<NodeProcess> &process)
+{
+    processes_[node] = process;
+}
+
+milliseconds SimulatedNetwork::drawDelay()
+{
+    return milliseconds(std::uniform_int_distribution(minimumDelayMs, maximumDelayMs)(random_));
+}
+
+std::shared_ptr<NodeProcess> SimulatedNetwork::processAt(const NetworkAddress &address) const
+{
+    const auto found = processes_.find(nodeAt(address));
+    return found == processes_.end() ? nullptr : found->second.lock();
+}
+
+void SimulatedNetwork::send(NodeProcess &sender, const NetworkAddress &receiver,
+                            const std::function<Action(NodeProcess &)> &handle,
+                            const Action &onFailure)
+{
+    const std::size_t from = sender.node();
+    const std::size_t to = nodeAt(receiver);
+    const auto runAtSender = [weak = sender.weak_from_this()](const Action &action) {
+        if (const auto process = weak.lock())
+            process->run([&]() { action(*process); });
+    };
+    const auto failAfter = [this, runAtSender, onFailure](milliseconds delay) {
+        clock_.schedule(delay, [runAtSender, onFailure]() { runAtSender(onFailure); });
+    };
+    clock_.schedule(drawDelay(), [this, from, to, receiver, handle, runAtSender, failAfter]() {
+        if (!isConnected(from, to)) {
+            failAfter(requestTimeout);
+            return;
+        }
+        const auto process = processAt(receiver);
+        if (!process) {
+            failAfter(drawDelay());
+            return;
+        }
+        Action onResponse;
+        process->run([&]() { onResponse = handle(*process); });
+        clock_.schedule(drawDelay(), [this, from, to, runAtSender, failAfter, onResponse]() {
+            if (isConnected(from, to))
+                runAtSender(onResponse);
+            else
+                failAfter(requestTimeout);
+        });
+    });
+}
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/SimulatedNetwork.h
@@ -0,0 +1,88 @@
+/** The links between simulated nodes. */
+#pragma once
+
+#include "core/identity/NetworkAddress.h"
+#include "emulator/clock/EventClock.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace boragetrack::emulator::restarts {
+
+class NodeProcess;
+
+/** Carries requests and responses between processes. A request to a node without a process is
+    refused; one across a cut fails after a timeout. */
+class SimulatedNetwork
+{
+public:
+    /** @param clock must outlive this object */
+    SimulatedNetwork(clock::EventClock &clock, std::uint64_t seed)
+        : clock_(clock)
+        , random_(seed)
+    {}
+
+    /** Returns the address of a node. */
+    static core::identity::NetworkAddress addressOf(std::size_t node);
+
+    /** Makes a process reachable at its node's address. */
+    void attach(std::size_t node, const std::shared_ptr<NodeProcess> &process);
+
+    /** Makes a node's address refuse requests. */
+    void detach(std::size_t node) { processes_.erase(node); }
+
+    /** Returns the process at an address, or null if there is none. */
+    std::shared_ptr<NodeProcess> processAt(const core::identity::NetworkAddress &address) const;
+
+    /** Sets the nodes that reach each other only. */
+    void setCutOff(std::set<std::size_t> nodes) { cutOff_ = std::move(nodes); }
+
+    /** Returns whether two nodes reach each other. */
+    bool isConnected(std::size_t a, std::size_t b) const
+    {
+        return cutOff_.contains(a) == cutOff_.contains(b);
+    }
+
+    /** Sends a request.
+        @param handle runs at the receiver and returns the response
+        @param onResponse runs at the sender, unless its process has ended
+        @param onFailure the same when no response arrives */
+    template <typename Response>
+    void call(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
+              std::function<Response(NodeProcess &)> handle,
+              std::function<void(NodeProcess &, const Response &)> onResponse,
+              std::function<void(NodeProcess &)> onFailure);
+
+private:
+    using Action = std::function<void(NodeProcess &)>;
+
+    std::chrono::milliseconds drawDelay();
+    void send(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
+              const std::function<Action(NodeProcess &)> &handle, const Action &onFailure);
+
+    clock::EventClock &clock_;
+    std::mt19937_64 random_;
+    std::map<std::size_t, std::weak_ptr<NodeProcess>> processes_;
+    std::set<std::size_t> cutOff_;
+};
+
+template <typename Response>
+void SimulatedNetwork::call(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
+                            std::function<Response(NodeProcess &)> handle,
+                            std::function<void(NodeProcess &, const Response &)> onResponse,
+                            std::function<void(NodeProcess &)> onFailure)
+{
+    send(
+            sender, receiver,
+            [handle = std::move(handle),
+             onResponse = std::move(onResponse)](NodeProcess &process) -> Action {
+                return [onResponse, response = handle(process)](NodeProcess &caller) {
+                    onResponse(caller, response);
+                };
+            },
+            onFailure);
+}
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/StoreAccess.h
@@ -0,0 +1,18 @@
+/** How the simulated store treats the calls of a node. */
+#pragma once
+
+namespace boragetrack::emulator::restarts {
+
+/** Distinguishes what becomes of calls to the store. */
+enum class StoreAccess {
+    /** Calls are executed and responded to. */
+    Served,
+    /** Calls get no response and aren't executed. */
+    Silent,
+    /** Calls are refused; watches that the store has accepted stay. */
+    Busy,
+    /** Calls are executed, and half of the responses are lost. */
+    Lossy,
+};
+
+} // namespace boragetrack::emulator::restarts
--- /dev/null
+++ b/packages/emulator/restarts/StoreClient.cpp
@@ -0,0 +1,136 @@
+/** A call reaches the store after one delay and its response returns after another one. */
+#include "emulator/restarts/StoreClient.h"
+
+namespace boragetrack::emulator::restarts {
+
+using control::records::Lease;
+using control::records::RecordChanges;
+using control::records::RecordPage;
+using control::records::RecordWrite;
+using core::identity::Revision;
+using std::chrono::milliseconds;
+
+namespace {
+constexpr milliseconds delay{2};
+} // namespace
+
+template <typename Response>
+StoreClient::Responder<Response> StoreClient::makeResponder(milliseconds timeout,
+                                                            Callback<Response> callback)
+{
+    const auto isOpen = std::make_shared<bool>(true);
+    Responder<Response> responder
+            = [isOpen, callback = std::move(callback), self = std::weak_ptr(self_)](auto response) {
+                  const auto client = self.lock();
+                  if (!client || !std::exchange(*isOpen, false))
+                      return;
+                  (*client)->beforeResponse_();
+                  callback(std::move(response));
+              };
+    clock_.schedule(timeout, [responder]() { responder(absl::UnknownError("no response")); });
+    return responder;
+}
+
+template <typename Response>
+void StoreClient::call(milliseconds timeout, Callback<Response> callback,
+                       std::function<absl::StatusOr<Response>()> execute)
+{
+    const auto responder = makeResponder(timeout, std::move(callback));
+    clock_.schedule(
+            delay, [this, alive = std::weak_ptr(self_), responder, execute = std::move(execute)]() {
+                if (alive.expired())
+                    return;
+                ++callCount_;
+                const StoreAccess access = store_.accessOf(node_);
+                if (access == StoreAccess::Busy)
+                    respond<Response>(responder, absl::ResourceExhaustedError("busy"));
+                else if (access != StoreAccess::Silent)
+                    respond<Response>(responder, execute());
+            });
+}
+
+template <typename Response>
+void StoreClient::respond(const Responder<Response> &responder,
+                          const absl::StatusOr<Response> &response)
+{
+    const StoreAccess access = store_.accessOf(node_);
+    const bool isLost
+            = access == StoreAccess::Silent || (access == StoreAccess::Lossy && random_() % 2 == 0);
+    if (!isLost)
+        clock_.schedule(delay, [responder, response]() { responder(response); });
+}
+
+void StoreClient::list(const std::string &prefix, const std::string & /*after*/,
+                       milliseconds timeout, Callback<RecordPage> callback)
+{
+    call<RecordPage>(timeout, std::move(callback),
+                     [this, prefix]() { return store_.list(prefix); });
+}
+
+void StoreClient::watch(const std::string &prefix, Revision after, milliseconds wait,
+                        milliseconds timeout, Callback<RecordChanges> callback)
+{
+    const auto responder = makeResponder(timeout, std::move(callback));
+    clock_.schedule(delay, [this, alive = std::weak_ptr(self_), responder, prefix, after, wait]() {
+        if (alive.expired())
+            return;
+        ++callCount_;
+        const StoreAccess access = store_.accessOf(node_);
+        if (access == StoreAccess::Busy)
+            respond<RecordChanges>(responder, absl::ResourceExhaustedError("busy"));
+        else if (access != StoreAccess::Silent)
+            waitForChanges(prefix, after, clock_.now() + wait, responder);
+    });
+}
+
+void StoreClient::waitForChanges(const std::string &prefix, Revision after,
+                                 core::timing::MonotonicTime until,
+                                 const Responder<RecordChanges> &responder)
+{
+    const auto hasEnded = std::make_shared<bool>(false);
+    const auto offer = [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
+        if (alive.expired() || *hasEnded)
+            return true;
+        const RecordChanges changes = store_.changesSince(prefix, after);
+        if (changes.changes.empty())
+            return false;
+        *hasEnded = true;
+        respond<RecordChanges>(responder, changes);
+        return true;
+    };
+    if (offer())
+        return;
+    store_.addWatch(offer);
+    clock_.schedule(until - clock_.now(),
+                    [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
+                        if (alive.expired() || std::exchange(*hasEnded, true))
+                            return;
+                        respond<RecordChanges>(responder, store_.changesSince(prefix, after));
+                    });
+}
+
+void StoreClient::probe(milliseconds timeout, Callback<Revision> callback)
+{
+    call<Revision>(timeout, std::move(callback), [this]() { return store_.revision(); });
+}
+
+void StoreClient::commit(const std::vector<RecordWrite> &writes, milliseconds timeout,
+                         Callback<Revision> callback)
+{
+    call<Revision>(timeout, std::move(callback),
+                   [this, writes]() { return store_.commit(writes); });
+}
+
+void StoreClient::grantLease(milliseconds timeToLive, milliseconds timeout,
+                             Callback<Lease> callback)
+{
+    call<Lease>(timeout, std::move(callback),
+                [this, timeToLive]() { return store_.grantLease(timeToLive); });
+}
+
+void StoreClient::renewLease(const Lease &lease, milliseconds timeout, Callback<Lease> callback)
+{
+    call<Lease>(timeout, std::move(callback), [lease]() { return lease; });
+}
+
+} // namespace boragetrack::emulator::restarts
