--- a/packages/control/distribution/IntentPropagator.cpp
+++ b/packages/control/distribution/IntentPropagator.cpp
@@ -98,7 +98,10 @@
 
 void IntentPropagator::raiseMinimumRevision(Revision minimum, MonotonicTime now)
 {
-    minimumRevision_ = std::max(minimumRevision_, minimum);
+    if (minimum > minimumRevision_) {
+        minimumRevision_ = minimum;
+        minimumRaisedAt_ = now;
+    }
     isMinimumKnown_ = true;
     serveIfAllowed(now);
 }
@@ -153,11 +156,21 @@
 
 bool IntentPropagator::isServingAllowed(MonotonicTime now) const
 {
-    if (replica_->revision() < minimumRevision_)
+    if (replica_->revision() < minimumRevision_ && isMinimumBinding(now))
         return false;
     if (!isMinimumKnown_ && now - startedAt_ < isolationTimeout)
         return false;
     return confirmedRevision_ >= replica_->revision() || now - heldSince_ >= isolationTimeout;
 }
 
+// Refusing all callers until the store responds would be worse for them than the intent that the
+// other nodes serve meanwhile.
+bool IntentPropagator::isMinimumBinding(MonotonicTime now) const
+{
+    if (!followsStore_)
+        return true;
+    return servedRevision_ == Revision{}
+           && now - std::max(heldSince_, minimumRaisedAt_) < minimumWait;
+}
+
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/IntentPropagator.h
+++ b/packages/control/distribution/IntentPropagator.h
@@ -21,6 +21,10 @@
     node's previous process reported, and serves nothing below that minimum. An intent read from the
     platform is served once one peer holds it as well, so that a node that restarts right afterwards
     cannot fall back behind it. Both waits end after isolationTimeout.
+
+    Where there is a durable store, the minimum binds a starting node for minimumWait only: the
+    nodes that held it may all have ended, and the store, which has it, may not respond for long. A
+    process that has served an intent never serves an older one.
 */
 class IntentPropagator
 {
@@ -51,6 +55,11 @@
     /** How long a node without reachable peers waits before it serves the platform's intent. */
     static constexpr std::chrono::milliseconds isolationTimeout{2000};
 
+    /** How long a starting node with a durable store looks for a live node that holds the minimum
+        revision, once it holds an intent itself. Such a node passes its intent on within
+        milliseconds. */
+    static constexpr std::chrono::milliseconds minimumWait{600};
+
     /** @param transport and @param listener must outlive the propagator
         @param peers the peers to push to
         @param replica stores the intent; an EnvelopeReplica by default */
@@ -110,6 +119,7 @@
     void pushToAll(core::identity::Revision previous);
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isServingAllowed(core::timing::MonotonicTime now) const;
+    bool isMinimumBinding(core::timing::MonotonicTime now) const;
     void fetchFrom(const PeerContact &peer, core::identity::Revision target,
                    core::timing::MonotonicTime now);
 
@@ -123,6 +133,8 @@
     // Invariant: at most replica_->revision(); never decreases.
     core::identity::Revision servedRevision_;
     core::identity::Revision minimumRevision_;
+    // When minimumRevision_ was last raised.
+    core::timing::MonotonicTime minimumRaisedAt_{};
     // The highest revision that another node is known to hold.
     core::identity::Revision confirmedRevision_;
     // Whether the held intent contains changes that are not in force yet.
--- a/tests/unit/IntentPropagatorTest.cpp
+++ b/tests/unit/IntentPropagatorTest.cpp
@@ -117,6 +117,38 @@
     EXPECT_EQ(served_, std::vector<Revision>{Revision(4)});
 }
 
+// The node served revision 4 before its restart; all others that held it have ended, and the store
+// does not respond. The node refused its callers until the store was back.
+TEST_F(IntentPropagatorTest, servesAnOlderIntentOfItsPeersWhenNoLiveNodeHoldsTheMinimum)
+{
+    propagator_.start(now_);
+    propagator_.setStoreReachable(false);
+    propagator_.raiseMinimumRevision(Revision(4), now_);
+    EnvelopeReplica peer;
+    peer.offer(tests::envelopeText(3));
+    propagator_.offerFromPeer({core::identity::NodeId("p"), {}}, peer.transferSince(Revision(0)),
+                              now_);
+    propagator_.tick(now_ + std::chrono::milliseconds(200));
+    EXPECT_TRUE(served_.empty()) << "a node that holds it may be found";
+    propagator_.tick(now_ + std::chrono::seconds(1));
+    EXPECT_EQ(served_, std::vector<Revision>{Revision(3)});
+}
+
+TEST_F(IntentPropagatorTest, servesNothingOlderThanThisProcessHasServed)
+{
+    propagator_.start(now_);
+    propagator_.setStoreReachable(false);
+    propagator_.raiseMinimumRevision(Revision(4), now_);
+    for (const std::uint64_t revision : {4, 3}) {
+        EnvelopeReplica peer;
+        peer.offer(tests::envelopeText(revision));
+        propagator_.offerFromPeer({core::identity::NodeId("p"), {}},
+                                  peer.transferSince(Revision(0)), now_);
+        propagator_.tick(now_ + std::chrono::hours(1));
+    }
+    EXPECT_EQ(served_, std::vector<Revision>{Revision(4)});
+}
+
 TEST_F(IntentPropagatorTest, servesTheStoresIntentOnlyOnceAPeerHoldsItOrNoneResponds)
 {
     propagator_.start(now_);
