--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -125,6 +125,9 @@
         departed before its start. */
     bool knowsEarlierDepartures() const;
 
+    /** Returns whether the store has told this process which upstreams of the node had departed. */
+    bool hasReadStoredDepartures() const { return departures_.isStoreRead(); }
+
     /** Returns whether this process has waited long enough for the store and its peers. */
     bool hasWaitedForDepartures() const { return departures_.hasWaited(timers_.now()); }
 
--- a/packages/control/distribution/DepartureMemory.h
+++ b/packages/control/distribution/DepartureMemory.h
@@ -19,8 +19,9 @@
     publishes a record without it, and collects what the peers and the store keep for this node.
 
     The next process of a node can then tell a late announcement of the departed upstream from a
-    current one, as soon as it has read the store or, while the store does not respond, has heard
-    from some peers that knew an earlier process of this node.
+    current one, as soon as it has read the store. Peers help while the store does not respond: a
+    departure that one of them keeps is certain, but that none keeps one is not, since they may not
+    have heard of it.
 */
 class DepartureMemory
 {
@@ -89,6 +90,9 @@
         return ownDeparture_;
     }
 
+    /** Returns whether the store was read since the start. */
+    bool isStoreRead() const { return isStoreRead_; }
+
     /** Returns whether the store or enough peers were heard from since the start.
         @param otherMembers the number of other members that are alive */
     bool isComplete(std::size_t otherMembers, core::timing::MonotonicTime now) const;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -34,6 +34,7 @@
     DepartureRestored = 314,
     DepartureNotRecorded = 315,
     DepartureNotAcknowledged = 316,
+    AnnouncementNotProven = 317,
     PeerMessageRefused = 320,
     PeerUnreachable = 321,
     LinkGivenUp = 322,
--- a/packages/daemon/service/AnnouncementProcessor.cpp
+++ b/packages/daemon/service/AnnouncementProcessor.cpp
@@ -56,11 +56,13 @@
                                      OutcomeSink onProcessed)
 {
     if (!isDeparture(announcement)) {
-        if (!mayHaveDepartedEarlier(announcement.stamp) || plane_->knowsEarlierDepartures())
-            apply(announcement);
-        else
+        const bool isHeld = !isProven(announcement.stamp);
+        if (isHeld)
             hold(announcement);
-        onProcessed(AnnouncementOutcome::Processed);
+        else
+            apply(announcement);
+        onProcessed(isHeld && !isHeldRepeated_ ? AnnouncementOutcome::NotProven
+                                               : AnnouncementOutcome::Processed);
         return;
     }
     apply(announcement);
@@ -90,6 +92,13 @@
     return !stamp.startedAt || *stamp.startedAt + startTolerance < startedAt_;
 }
 
+bool AnnouncementProcessor::isProven(const AnnouncementStamp &stamp) const
+{
+    const bool isSameProcess = proven_ && proven_->instance == stamp.instance
+                               && proven_->startedAt == stamp.startedAt;
+    return isSameProcess || !mayHaveDepartedEarlier(stamp) || plane_->hasReadStoredDepartures();
+}
+
 //==============================================================================
 void AnnouncementProcessor::apply(const UpstreamAnnouncement &announcement)
 {
@@ -160,18 +169,26 @@
                       && held_->stamp.startedAt == stamp.startedAt
                       && held_->stamp.sequence < stamp.sequence;
     held_ = announcement;
+    if (!isHeldRepeated_)
+        core::events::logEvent(
+                EventCode::AnnouncementNotProven, "announcement not proven current",
+                {{"instance", stamp.instance}, {"sequence", std::to_string(stamp.sequence)}});
 }
 
-// While neither the store nor a peer tells which upstreams had departed, a single announcement may
-// be a late one, whereas an upstream in service goes on to announce itself.
+// While the store doesn't tell which upstreams had departed, a single announcement may be a late
+// one, whereas an upstream in service announces itself again after a refusal. Peers, and the time
+// in which they would have responded, are waited for because they may know of a departure.
 void AnnouncementProcessor::applyHeldAnnouncement()
 {
-    const bool isTrusted = plane_->knowsEarlierDepartures()
-                           || (isHeldRepeated_ && plane_->hasWaitedForDepartures());
+    const bool isTrusted
+            = plane_->hasReadStoredDepartures()
+              || (isHeldRepeated_
+                  && (plane_->knowsEarlierDepartures() || plane_->hasWaitedForDepartures()));
     if (!held_ || !isTrusted)
         return;
     const UpstreamAnnouncement announcement = *std::exchange(held_, std::nullopt);
     isHeldRepeated_ = false;
+    proven_ = announcement.stamp;
     apply(announcement);
 }
 
--- a/packages/daemon/service/AnnouncementProcessor.h
+++ b/packages/daemon/service/AnnouncementProcessor.h
@@ -18,8 +18,9 @@
 /**
     Applies current announcements and ignores late ones, also those from before a restart of the
     node: a departure is acknowledged only once it is kept for later processes, and a new process
-    uses no upstream before the store or its peers could tell it which one had departed. While
-    neither responds, it uses one that announces itself repeatedly.
+    uses no upstream before the store could tell it which one had departed. While the store does not
+    respond, it refuses the first announcement and uses an upstream that announces itself again;
+    peers may have been cut off, or started again themselves, when the departure was published.
 
     Used on the control thread only.
 */
@@ -82,6 +83,7 @@
     void setUpstream(const transport::serving::UpstreamStatus &status);
     void publishDeparture();
     void adoptDeparture();
+    bool isProven(const control::membership::AnnouncementStamp &stamp) const;
     void hold(const transport::serving::UpstreamAnnouncement &announcement);
     void applyHeldAnnouncement();
     void acknowledgeDepartures();
@@ -103,6 +105,8 @@
     std::optional<transport::serving::UpstreamAnnouncement> held_;
     // Whether held_ followed an earlier announcement of the same process.
     bool isHeldRepeated_ = false;
+    // An announcement of the upstream process that was last taken for a live one.
+    std::optional<control::membership::AnnouncementStamp> proven_;
     std::vector<Acknowledgement> acknowledgements_;
 };
 
--- a/packages/emulator/restarts/AnnouncingUpstream.cpp
+++ b/packages/emulator/restarts/AnnouncingUpstream.cpp
@@ -12,12 +12,15 @@
 
 namespace {
 
-constexpr milliseconds announcementPeriod{1000};
+constexpr milliseconds announcementPeriod{1500};
 constexpr int departureAttempts = 3;
 constexpr int slots = 10;
 // One node in this many has an upstream of the new version.
 constexpr std::size_t newVersionInterval = 3;
 
+// The time after which a refused announcement is repeated.
+constexpr milliseconds retryDelay{30};
+
 void ignoreOutcome(AnnouncementOutcome /*outcome*/) {}
 
 } // namespace
@@ -53,13 +56,24 @@
 }
 
 void AnnouncingUpstream::announceRegularly()
+{
+    if (isDeparting_)
+        return;
+    announce([this](AnnouncementOutcome outcome) {
+        if (outcome == AnnouncementOutcome::NotProven)
+            clock_.schedule(retryDelay, [this]() { announce(ignoreOutcome); });
+    });
+    clock_.schedule(announcementPeriod, [this]() { announceRegularly(); });
+}
+
+void AnnouncingUpstream::announce(
+        const daemon::service::AnnouncementProcessor::OutcomeSink &onProcessed)
 {
     if (isDeparting_)
         return;
     const UpstreamAnnouncement announcement = nextAnnouncement();
     if (const auto process = process_())
-        process->announce(announcement, ignoreOutcome);
-    clock_.schedule(announcementPeriod, [this]() { announceRegularly(); });
+        process->announce(announcement, onProcessed);
 }
 
 void AnnouncingUpstream::depart(milliseconds lateBy)
--- a/packages/emulator/restarts/AnnouncingUpstream.h
+++ b/packages/emulator/restarts/AnnouncingUpstream.h
@@ -5,7 +5,7 @@
 
 namespace boragetrack::emulator::restarts {
 
-/** Announces itself every second to the node's process, and departs on request. It repeats the
+/** Announces itself regularly to the node's process, and departs on request. It repeats the
     departure until it is acknowledged. */
 class AnnouncingUpstream
 {
@@ -35,6 +35,7 @@
 private:
     transport::serving::UpstreamAnnouncement nextAnnouncement();
     void announceRegularly();
+    void announce(const daemon::service::AnnouncementProcessor::OutcomeSink &onProcessed);
     void sendDeparture(int remainingAttempts);
 
     clock::EventClock &clock_;
--- a/tests/unit/DepartureTest.cpp
+++ b/tests/unit/DepartureTest.cpp
@@ -182,7 +182,8 @@
         announcement.status.record.state = UpstreamState::Serving;
         announcement.status.instance = "i-1";
         announcement.stamp = {"i-1", sequence, startedAt};
-        processor_.announce(announcement, [](AnnouncementOutcome) {});
+        processor_.announce(announcement,
+                            [this](AnnouncementOutcome outcome) { lastOutcome_ = outcome; });
     }
 
     void announceDeparture()
@@ -212,6 +213,7 @@
     AnnouncementProcessor processor_{timers_, processStart, std::chrono::hours(1)};
     std::optional<UpstreamStatus> upstream_;
     ManualDepartureKeeper keeper_;
+    AnnouncementOutcome lastOutcome_ = AnnouncementOutcome::Processed;
     int acknowledged_ = 0;
     int refused_ = 0;
 };
@@ -330,12 +332,30 @@
     EXPECT_TRUE(isServing());
 }
 
-TEST_F(AnnouncementProcessorTest, usesAnUpstreamOnceItsPeersKeepNoDepartureOfIt)
+// A peer that knew an earlier process may have been cut off when the departure was published, or
+// may have started again itself since then.
+TEST_F(AnnouncementProcessorTest, doesNotTakePeersWithoutADepartureForProofThatThereWasNone)
 {
     wait(DepartureMemory::storeWait);
+    hearFromPeer(std::nullopt);
     announceReady(4);
-    EXPECT_FALSE(isServing());
+    wait(DepartureMemory::maximumWait);
+    EXPECT_FALSE(isServing()) << "a late announcement of an upstream that has departed";
+}
+
+TEST_F(AnnouncementProcessorTest, refusesAnAnnouncementOnceSoThatALiveUpstreamRepeatsIt)
+{
+    wait(DepartureMemory::storeWait);
     hearFromPeer(stamp("i-0", 9, 50));
+    announceReady(4);
+    EXPECT_EQ(lastOutcome_, AnnouncementOutcome::NotProven);
+    EXPECT_FALSE(isServing());
+    announceReady(5);
+    EXPECT_EQ(lastOutcome_, AnnouncementOutcome::Processed);
+    wait(milliseconds(0));
+    EXPECT_TRUE(isServing());
+    announceReady(6);
+    EXPECT_EQ(lastOutcome_, AnnouncementOutcome::Processed) << "proven from now on";
     EXPECT_TRUE(isServing());
 }
 
