--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -10,6 +10,7 @@
 
 namespace boragetrack::control::distribution {
 
+using core::identity::NetworkAddress;
 using core::identity::NodeId;
 using core::identity::Revision;
 using core::timing::MonotonicTime;
@@ -65,6 +66,7 @@
     , random_(dependencies.randomSeed)
     , membership_(dependencies.self, std::move(dependencies.neighbours), *this)
     , peers_(membership_, std::move(dependencies.seeds), random_)
+    , introducer_(random_)
     , followerRole_(membership_)
     , departures_(dependencies.self.id, dependencies.self.version.generation)
     , propagator_(
@@ -82,6 +84,7 @@
 void ControlPlane::start()
 {
     propagator_.start(timers_.now());
+    introducer_.start(timers_.now());
     departures_.start(timers_.now());
     lastDecisionAt_ = timers_.now();
     for (const auto &seed : peers_.seeds())
@@ -126,9 +129,9 @@
     propagator_.setStoreReachable(isFollowed);
 }
 
-void ControlPlane::peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses)
+void ControlPlane::peersDiscovered(const std::vector<NetworkAddress> &addresses)
 {
-    for (const auto &address : addresses) {
+    for (const NetworkAddress &address : addresses) {
         if (peers_.addSeed(address))
             sendExchangeTo(PeerContact{{}, address}, gossipPerExchange);
     }
@@ -173,6 +176,7 @@
         contact = peers_.contactOf(request.sender).value_or(contact);
     if (request.requestsUpdates)
         followerRole_.recordPoll(request.sender, timers_.now());
+    introducer_.recordContact(contact.address);
     mergeExchange(contact, request);
     propagator_.raiseMinimumRevision(std::max(request.receiverMinimumRevision, request.revision),
                                      timers_.now());
@@ -194,6 +198,7 @@
         followerRole_.recordResponseAhead(response.sender, response.revision, timers_.now());
     else
         followerRole_.recordResponse(response.sender, covers, timers_.now());
+    introducer_.recordContact(contact.address);
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
                                      timers_.now());
@@ -206,9 +211,18 @@
     if (id.isEmpty())
         return;
     followerRole_.recordFailure(id, timers_.now());
+    const MemberRecord *member = membership_.table().find(id);
+    // Only the first failure: the introducer's own contacts fail until the node responds.
+    if (member != nullptr && member->state == MemberState::Alive)
+        peerDisconnected(member->peerAddress);
     membership_.recordContactFailure(id, timers_.now());
 }
 
+void ControlPlane::peerDisconnected(const NetworkAddress &address)
+{
+    introducer_.nodeLost(address, membership_.table().records().size(), timers_.now());
+}
+
 Revision ControlPlane::intentReceived(const PeerContact &peer, const IntentTransfer &transfer)
 {
     PeerContact source = peer;
@@ -292,6 +306,8 @@
 {
     if (previous != nullptr && previous->version.generation < record.version.generation)
         departures_.recordRestart(record.id, previous->version.generation, timers_.now());
+    if (previous == nullptr)
+        introducer_.nodeFound(record.peerAddress, timers_.now());
     const bool isDeparture = record.state != MemberState::Alive
                              || record.upstream.state == membership::UpstreamState::Draining;
     isUrgentExchangeDue_ = isUrgentExchangeDue_ || isDeparture;
@@ -343,6 +359,7 @@
     expireExceptions();
     if (isUrgentExchangeDue_)
         sendUrgentExchanges();
+    sendIntroductions(now);
     if (!moves_.isActive())
         return;
     // Shares depend on the time, so the traffic side needs a new view even without messages.
@@ -381,6 +398,14 @@
         sendExchangeTo(contact, gossipPerUrgentExchange);
 }
 
+void ControlPlane::sendIntroductions(MonotonicTime now)
+{
+    if (isLeaving_)
+        return;
+    for (const NetworkAddress &address : introducer_.takeRound(now))
+        sendExchangeTo(PeerContact{peers_.idAt(address), address}, 0);
+}
+
 // The acknowledgement of a departure waits for a peer that keeps it, so it is not left to the rate
 // limit.
 void ControlPlane::sendOwnRecord()
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -6,6 +6,7 @@
 #include "control/distribution/EvaluatorGroup.h"
 #include "control/distribution/FollowerRole.h"
 #include "control/distribution/IntentPropagator.h"
+#include "control/distribution/PeerIntroducer.h"
 #include "control/distribution/PeerSelector.h"
 #include "control/distribution/PeerTransport.h"
 #include "control/intent/IntentSnapshot.h"
@@ -151,6 +152,9 @@
     /** Handles the failure of an exchange that this node sent. */
     void exchangeFailed(const PeerContact &peer);
 
+    /** Handles that the link to a peer has ended, as it does when the peer's process ends. */
+    void peerDisconnected(const core::identity::NetworkAddress &address);
+
     /** Handles an intent that a peer pushed, or sent on request.
         @returns the revision held afterwards */
     core::identity::Revision intentReceived(const PeerContact &peer,
@@ -225,6 +229,7 @@
     void decisionTick(core::timing::MonotonicTime now);
     void sendEvidence();
     void sendUrgentExchanges();
+    void sendIntroductions(core::timing::MonotonicTime now);
     void sendOwnRecord();
     void sendExchangeTo(const PeerContact &peer, std::size_t maximumGossip);
     void mergeExchange(const PeerContact &peer, const Exchange &exchange);
@@ -240,6 +245,7 @@
     std::mt19937_64 random_;
     membership::MembershipEngine membership_;
     PeerSelector peers_;
+    PeerIntroducer introducer_;
     FollowerRole followerRole_;
     DepartureMemory departures_;
     IntentPropagator propagator_;
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -192,6 +192,11 @@
     post([peer](ControlPlane &plane) { plane.exchangeFailed(peer); });
 }
 
+void ControlService::peerDisconnected(core::identity::NetworkAddress peer)
+{
+    post([peer](ControlPlane &plane) { plane.peerDisconnected(peer); });
+}
+
 void ControlService::intentFetched(PeerContact peer, IntentTransfer transfer)
 {
     post([peer, transfer = std::move(transfer)](ControlPlane &plane) {
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -95,6 +95,7 @@
     void exchangeResponseReceived(control::distribution::PeerContact peer,
                                   control::distribution::Exchange response) override;
     void exchangeFailed(control::distribution::PeerContact peer) override;
+    void peerDisconnected(core::identity::NetworkAddress peer) override;
     void intentFetched(control::distribution::PeerContact peer,
                        control::distribution::IntentTransfer transfer) override;
     void pushResponseReceived(core::identity::Revision peerRevision) override;
--- a/packages/emulator/restarts/NodeProcess.cpp
+++ b/packages/emulator/restarts/NodeProcess.cpp
@@ -83,6 +83,11 @@
     run([this]() { plane_->leave(); });
 }
 
+void NodeProcess::disconnect(const core::identity::NetworkAddress &address)
+{
+    run([&]() { plane_->peerDisconnected(address); });
+}
+
 void NodeProcess::run(const std::function<void()> &task)
 {
     dependencies_.log.setNode(dependencies_.node);
--- a/packages/emulator/restarts/NodeProcess.h
+++ b/packages/emulator/restarts/NodeProcess.h
@@ -52,6 +52,9 @@
     /** Announces to the peers that this node leaves. */
     void leave();
 
+    /** Handles that the link to a node has ended. */
+    void disconnect(const core::identity::NetworkAddress &address);
+
     /** Runs a task as one of this process. */
     void run(const std::function<void()> &task);
 
--- a/packages/emulator/restarts/SimulatedNetwork.cpp
+++ b/packages/emulator/restarts/SimulatedNetwork.cpp
@@ -3,6 +3,8 @@
 
 #include "emulator/restarts/NodeProcess.h"
 
+#include <algorithm>
+
 namespace boragetrack::emulator::restarts {
 
 using core::identity::NetworkAddress;
@@ -33,6 +35,28 @@
     processes_[node] = process;
 }
 
+void SimulatedNetwork::detach(std::size_t node)
+{
+    processes_.erase(node);
+    for (const auto &link : links_[node]) {
+        clock_.schedule(drawDelay(), [link, node]() {
+            if (const auto process = link.lock())
+                process->disconnect(addressOf(node));
+        });
+    }
+    links_.erase(node);
+}
+
+void SimulatedNetwork::addLink(std::size_t to, const std::weak_ptr<NodeProcess> &from)
+{
+    auto &links = links_[to];
+    const bool isOpen = std::any_of(links.begin(), links.end(), [&](const auto &link) {
+        return !link.owner_before(from) && !from.owner_before(link);
+    });
+    if (!isOpen)
+        links.push_back(from);
+}
+
 milliseconds SimulatedNetwork::drawDelay()
 {
     return milliseconds(std::uniform_int_distribution(minimumDelayMs, maximumDelayMs)(random_));
@@ -57,7 +81,8 @@
     const auto failAfter = [this, runAtSender, onFailure](milliseconds delay) {
         clock_.schedule(delay, [runAtSender, onFailure]() { runAtSender(onFailure); });
     };
-    clock_.schedule(drawDelay(), [this, from, to, receiver, handle, runAtSender, failAfter]() {
+    clock_.schedule(drawDelay(), [this, from, to, receiver, handle, link = sender.weak_from_this(),
+                                  runAtSender, failAfter]() {
         if (!isConnected(from, to)) {
             failAfter(requestTimeout);
             return;
@@ -67,6 +92,7 @@
             failAfter(drawDelay());
             return;
         }
+        addLink(to, link);
         Action onResponse;
         process->run([&]() { onResponse = handle(*process); });
         clock_.schedule(drawDelay(), [this, from, to, runAtSender, failAfter, onResponse]() {
--- a/packages/emulator/restarts/SimulatedNetwork.h
+++ b/packages/emulator/restarts/SimulatedNetwork.h
@@ -30,8 +30,8 @@
     /** Makes a process reachable at its node's address. */
     void attach(std::size_t node, const std::shared_ptr<NodeProcess> &process);
 
-    /** Makes a node's address refuse requests. */
-    void detach(std::size_t node) { processes_.erase(node); }
+    /** Makes a node's address refuse requests, and ends the links to it. */
+    void detach(std::size_t node);
 
     /** Returns the process at an address, or null if there is none. */
     std::shared_ptr<NodeProcess> processAt(const core::identity::NetworkAddress &address) const;
@@ -58,6 +58,8 @@
 private:
     using Action = std::function<void(NodeProcess &)>;
 
+    void addLink(std::size_t to, const std::weak_ptr<NodeProcess> &from);
+
     std::chrono::milliseconds drawDelay();
     void send(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
               const std::function<Action(NodeProcess &)> &handle, const Action &onFailure);
@@ -66,6 +68,8 @@
     std::mt19937_64 random_;
     std::map<std::size_t, std::weak_ptr<NodeProcess>> processes_;
     std::set<std::size_t> cutOff_;
+    // The processes that have sent requests to a node's current process.
+    std::map<std::size_t, std::vector<std::weak_ptr<NodeProcess>>> links_;
 };
 
 template <typename Response>
--- a/packages/transport/links/PeerEventSink.h
+++ b/packages/transport/links/PeerEventSink.h
@@ -24,6 +24,9 @@
     /** Handles an exchange that received no response. */
     virtual void exchangeFailed(control::distribution::PeerContact peer) = 0;
 
+    /** Handles that the link to a peer has ended, as it does when the peer's process ends. */
+    virtual void peerDisconnected(core::identity::NetworkAddress peer) = 0;
+
     /** Handles the intent that a peer sent on request. */
     virtual void intentFetched(control::distribution::PeerContact peer,
                                control::distribution::IntentTransfer transfer)
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -55,6 +55,7 @@
                              return timing::resultWithin(timer, toKj(answerTimeout),
                                                          peer_.whenResolved());
                          })
+                         .then([this]() { isOpen_ = true; })
                          .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
                              whenEnded_(this);
                              return kj::mv(exception);
@@ -65,6 +66,9 @@
     // The promise must not outlive the link.
     kj::Promise<void> whenReady() { return ready_.addBranch(); }
 
+    /** Returns whether the peer has answered on this link. */
+    bool isOpen() const { return isOpen_; }
+
     // The bootstrap capability is requested once, since each request for it costs two messages.
     wire::schema::Peer::Client peer() { return peer_; }
 
@@ -103,6 +107,7 @@
     }
 
     EndHandler whenEnded_;
+    bool isOpen_ = false;
     // Members are destroyed in reverse order: the client before the stream that it uses.
     kj::Own<kj::AsyncIoStream> stream_;
     kj::Own<capnp::TwoPartyClient> client_;
@@ -115,11 +120,13 @@
 };
 
 PeerLinks::PeerLinks(kj::Network &network, timing::PreciseTimer &timer,
-                     EncodingSelector encodingFor, LinkCounters counters)
+                     EncodingSelector encodingFor, LinkCounters counters,
+                     DisconnectHandler whenDisconnected)
     : network_(network)
     , timer_(timer)
     , encodingFor_(std::move(encodingFor))
     , counters_(counters)
+    , whenDisconnected_(std::move(whenDisconnected))
     , tasks_(*this)
 {
     tasks_.add(closeIdleLinks());
@@ -271,15 +278,12 @@
         counters_.linksOpened.add();
         // The link is removed in a later turn of the event loop, since this destroys the promise
         // that reports its end.
-        found = links_.emplace(address, kj::refcounted<Link>(open(peer), timer_,
-                                                             [this, address](const Link *link) {
-                                                                 tasks_.add(kj::evalLater(
-                                                                         [this, address, link]() {
-                                                                             dropLink(address,
-                                                                                      link);
-                                                                         }));
-                                                             }))
-                        .first;
+        const auto whenEnded = [this, peer](const Link *link) {
+            tasks_.add(kj::evalLater([this, peer, link, wasOpen = link->isOpen()]() {
+                endLink(peer, link, wasOpen);
+            }));
+        };
+        found = links_.emplace(address, kj::refcounted<Link>(open(peer), timer_, whenEnded)).first;
     }
     Link &link = *found->second;
     link.recordUse(timer_.now());
@@ -306,11 +310,11 @@
 void PeerLinks::handleFailedCall(const NetworkAddress &peer, const Link &link, kj::TimePoint since,
                                  const kj::Exception &exception)
 {
-    const bool hasFailed = exception.getType() == kj::Exception::Type::DISCONNECTED;
-    if (!hasFailed && link.lastResponse() >= since)
+    if (exception.getType() == kj::Exception::Type::DISCONNECTED) {
+        endLink(peer, &link, link.isOpen());
         return;
-    const bool isDropped = dropLink(peer.toString(), &link);
-    if (hasFailed || !isDropped)
+    }
+    if (link.lastResponse() >= since || !dropLink(peer.toString(), &link))
         return;
     counters_.linksGivenUp.add();
     core::events::logCall(core::events::EventCode::LinkGivenUp, "link given up", false,
@@ -318,6 +322,12 @@
                            {"callMs", std::to_string((timer_.now() - since) / kj::MILLISECONDS)}});
 }
 
+void PeerLinks::endLink(const NetworkAddress &peer, const Link *link, bool wasOpen)
+{
+    if (dropLink(peer.toString(), link) && wasOpen && whenDisconnected_)
+        whenDisconnected_(peer);
+}
+
 bool PeerLinks::dropLink(const std::string &address, const Link *link)
 {
     const auto found = links_.find(address);
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -40,9 +40,14 @@
     /** Returns the encoding for a new link to an address. */
     using EncodingSelector = std::function<LinkEncoding(const core::identity::NetworkAddress &)>;
 
-    /** @param network and @param timer outlive the links */
+    /** Handles that the connection of an open link has ended, as it does when the peer's process
+        ends. */
+    using DisconnectHandler = std::function<void(const core::identity::NetworkAddress &)>;
+
+    /** @param network and @param timer outlive the links
+        @param whenDisconnected called in a turn of the event loop of its own; empty for none */
     PeerLinks(kj::Network &network, timing::PreciseTimer &timer, EncodingSelector encodingFor,
-              LinkCounters counters);
+              LinkCounters counters, DisconnectHandler whenDisconnected = {});
     ~PeerLinks() noexcept(false);
 
     //==============================================================================
@@ -89,6 +94,7 @@
     // since the link may be dropped from links_ meanwhile.
     kj::Promise<kj::Own<Link>> connect(const core::identity::NetworkAddress &peer);
     kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
+    void endLink(const core::identity::NetworkAddress &peer, const Link *link, bool wasOpen);
     /** Removes a link unless another one has taken its place. @returns whether it was removed */
     bool dropLink(const std::string &address, const Link *link);
     void handleFailedCall(const core::identity::NetworkAddress &peer, const Link &link,
@@ -104,6 +110,7 @@
     timing::PreciseTimer &timer_;
     EncodingSelector encodingFor_;
     LinkCounters counters_;
+    DisconnectHandler whenDisconnected_;
     std::map<std::string, kj::Own<Link>> links_;
     wire::TextCompressor compressor_;
     kj::TaskSet tasks_;
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -26,7 +26,10 @@
     , routing_(dependencies.routing)
     , links_(
               io.provider->getNetwork(), timer_,
-              [this](const NetworkAddress &address) { return encodingFor(address); }, counters_)
+              [this](const NetworkAddress &address) { return encodingFor(address); }, counters_,
+              [&sink = dependencies.eventSink](const NetworkAddress &peer) {
+                  sink.peerDisconnected(peer);
+              })
     , inbound_(serving::InboundProxy::Dependencies{
               dependencies.self, dependencies.processId, links_, io.provider->getNetwork(), timer_,
               dependencies.dialect, dependencies.routing, std::move(dependencies.admission),
--- a/tests/unit/LinkFailureTest.cpp
+++ b/tests/unit/LinkFailureTest.cpp
@@ -34,7 +34,8 @@
         , links_(
                   io_.provider->getNetwork(), timer_,
                   [](const auto & /*address*/) { return LinkEncoding::Plain; },
-                  LinkCounters(counters_))
+                  LinkCounters(counters_),
+                  [this](const auto &address) { disconnected_.push_back(address); })
     {
         peer_.emplace();
         address_ = peer_->address();
@@ -58,6 +59,7 @@
     transport::timing::PreciseTimer timer_;
     std::optional<PeerThread> peer_;
     core::identity::NetworkAddress address_;
+    std::vector<core::identity::NetworkAddress> disconnected_;
     PeerLinks links_;
 };
 
@@ -71,6 +73,29 @@
     EXPECT_EQ(response.outcome, CallOutcome::NotRun) << response.reason;
 }
 
+// The end of a link is the first sign that a node may have started again and know no other node.
+TEST_F(LinkFailure, theEndOfAnOpenLinkIsReportedOnce)
+{
+    handleEventsFor(milliseconds(5));
+    EXPECT_TRUE(disconnected_.empty());
+    peer_.reset();
+    handleEventsFor(milliseconds(5));
+    EXPECT_EQ(disconnected_, std::vector{address_});
+    EXPECT_EQ(call(milliseconds(0)).outcome, CallOutcome::NotRun);
+    handleEventsFor(milliseconds(5));
+    EXPECT_EQ(disconnected_.size(), 1U) << "a refused connection is no end of a link";
+}
+
+TEST_F(LinkFailure, theEndOfALinkThatFailsACallIsReportedOnce)
+{
+    auto running = links_.call(address_, callTaking(milliseconds(500), milliseconds(1000)));
+    EXPECT_EQ(call(milliseconds(20)).outcome, CallOutcome::Completed);
+    peer_.reset();
+    EXPECT_EQ(running.wait(io_.waitScope).outcome, CallOutcome::Unknown);
+    handleEventsFor(milliseconds(5));
+    EXPECT_EQ(disconnected_, std::vector{address_});
+}
+
 TEST_F(LinkFailure, noCallIsSentOnTheLinkThatHasJustFailedAnotherCall)
 {
     const CallRequest running = callTaking(milliseconds(500), milliseconds(1000));
--- a/tests/unit/RecordingTransport.h
+++ b/tests/unit/RecordingTransport.h
@@ -3,6 +3,7 @@
 
 #include "control/distribution/PeerTransport.h"
 
+#include <set>
 #include <vector>
 
 namespace boragetrack::tests {
@@ -11,9 +12,10 @@
 class RecordingTransport : public control::distribution::PeerTransport
 {
 public:
-    void sendExchange(const control::distribution::PeerContact & /*peer*/,
+    void sendExchange(const control::distribution::PeerContact &peer,
                       const control::distribution::Exchange &exchange) override
     {
+        contacted.insert(peer.address);
         exchanges.push_back(exchange);
     }
     void pushIntent(const control::distribution::PeerContact & /*peer*/,
@@ -31,6 +33,7 @@
     }
 
     std::vector<control::distribution::Exchange> exchanges;
+    std::set<core::identity::NetworkAddress> contacted;
     std::vector<core::identity::NetworkAddress> intentsFetchedFrom;
     std::vector<core::identity::NetworkAddress> membersFetchedFrom;
 };
--- a/tests/unit/RestartTest.cpp
+++ b/tests/unit/RestartTest.cpp
@@ -5,6 +5,7 @@
 
 using namespace boragetrack;
 using control::distribution::Exchange;
+using control::membership::MemberRecord;
 using core::identity::NetworkAddress;
 using core::identity::NodeId;
 using core::identity::Revision;
@@ -25,6 +26,16 @@
         plane_.storeFollowingChanged(false);
     }
 
+    static MemberRecord member(std::uint16_t number)
+    {
+        MemberRecord record;
+        record.id = NodeId("member-" + std::to_string(number));
+        record.dataCentre = core::identity::DataCentreId("ikeja");
+        record.peerAddress = {"10.0.1.1", number};
+        record.version.generation = 1;
+        return record;
+    }
+
     // Handles an exchange of another node that started at the same time and knows nothing either.
     void hearFromNewcomer()
     {
@@ -61,6 +72,38 @@
     EXPECT_EQ(transport_.membersFetchedFrom.back(), survivorAddress);
 }
 
+// Only a few of the nodes that start together are called by others soon.
+TEST_F(RestartTest, contactsAllMembersThatItLearnsOfWithinASecond)
+{
+    std::vector<MemberRecord> members;
+    for (std::uint16_t i = 1; i <= 12; ++i)
+        members.push_back(member(i));
+    plane_.membersReceived(members);
+    timers_.advance(milliseconds(1000));
+    for (const MemberRecord &record : members)
+        EXPECT_TRUE(transport_.contacted.contains(record.peerAddress)) << record.id.value();
+}
+
+// A process that ended may start again without knowing any other node.
+TEST_F(RestartTest, contactsALostMemberUntilItResponds)
+{
+    plane_.membersReceived({member(1)});
+    timers_.advance(std::chrono::minutes(1));
+    plane_.peerDisconnected(member(1).peerAddress);
+    for (int failed = 0; failed < 5; ++failed) {
+        transport_.contacted.clear();
+        timers_.advance(milliseconds(400));
+        EXPECT_TRUE(transport_.contacted.contains(member(1).peerAddress));
+        plane_.exchangeFailed({member(1).id, member(1).peerAddress});
+    }
+    Exchange response;
+    response.sender = member(1).id;
+    plane_.exchangeResponseReceived({member(1).id, member(1).peerAddress}, response);
+    transport_.contacted.clear();
+    timers_.advance(milliseconds(400));
+    EXPECT_FALSE(transport_.contacted.contains(member(1).peerAddress));
+}
+
 TEST_F(RestartTest, tellsItsOwnAddress)
 {
     Exchange request;
