--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -129,12 +129,23 @@
     propagator_.setStoreReachable(isFollowed);
 }
 
-void ControlPlane::peersDiscovered(const std::vector<NetworkAddress> &addresses)
+void ControlPlane::peersDiscovered(const std::vector<NetworkAddress> &registered,
+                                   const std::vector<NetworkAddress> &known)
 {
-    for (const NetworkAddress &address : addresses) {
+    for (const NetworkAddress &address : registered) {
         if (peers_.addSeed(address))
             sendExchangeTo(PeerContact{{}, address}, gossipPerExchange);
     }
+    for (const NetworkAddress &address : known) {
+        const bool isOwn = address == membership_.self().peerAddress;
+        if (!isOwn && peers_.idAt(address).isEmpty())
+            introducer_.nodeFound(address, timers_.now());
+    }
+}
+
+std::vector<NetworkAddress> ControlPlane::nearestPeers(std::size_t maximum) const
+{
+    return peers_.nearestAddresses(maximum);
 }
 
 void ControlPlane::upstreamAnnounced(const membership::UpstreamRecord &upstream)
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -109,8 +109,15 @@
         store. */
     bool isSelectedFollower() const { return followerRole_.isSelected(); }
 
-    /** Contacts nodes that are registered in the store but unknown to this node. */
-    void peersDiscovered(const std::vector<core::identity::NetworkAddress> &addresses);
+    /** Contacts nodes in the store's records that are unknown to this node.
+        @param registered the addresses of nodes with a record
+        @param known the addresses of other nodes in these records; they are contacted by and by */
+    void peersDiscovered(const std::vector<core::identity::NetworkAddress> &registered,
+                         const std::vector<core::identity::NetworkAddress> &known);
+
+    /** Returns the addresses of the members that follow this node in the order of their hashes,
+        those of its data centre first. */
+    std::vector<core::identity::NetworkAddress> nearestPeers(std::size_t maximum) const;
 
     /** Publishes what the node's upstream announced. Once this node is leaving, only departures are
         published. */
--- a/packages/control/distribution/PeerSelector.cpp
+++ b/packages/control/distribution/PeerSelector.cpp
@@ -1,7 +1,10 @@
 /** Alternates between neighbours and seeds, and probes departed members at random. */
 #include "control/distribution/PeerSelector.h"
 
+#include "core/hashing/StableHash.h"
+
 #include <algorithm>
+#include <tuple>
 
 namespace boragetrack::control::distribution {
 
@@ -89,6 +92,27 @@
     return NodeId{};
 }
 
+std::vector<NetworkAddress> PeerSelector::nearestAddresses(std::size_t maximum) const
+{
+    const MemberRecord &self = members_.self();
+    const std::uint64_t ownHash = core::hashing::stableHash(self.id.value());
+    // Distances on a ring of all hash values: the subtraction wraps around.
+    std::vector<std::tuple<bool, std::uint64_t, NetworkAddress>> distances;
+    for (const auto &[id, record] : members_.table().records()) {
+        if (id != self.id && !hasDeparted(record))
+            distances.emplace_back(record.dataCentre != self.dataCentre,
+                                   core::hashing::stableHash(id.value()) - ownHash,
+                                   record.peerAddress);
+    }
+    std::sort(distances.begin(), distances.end());
+    std::vector<NetworkAddress> addresses;
+    for (const auto &entry : distances) {
+        if (addresses.size() < maximum)
+            addresses.push_back(std::get<NetworkAddress>(entry));
+    }
+    return addresses;
+}
+
 std::vector<PeerContact> PeerSelector::neighbourContacts() const
 {
     std::vector<PeerContact> contacts;
--- a/packages/control/distribution/PeerSelector.h
+++ b/packages/control/distribution/PeerSelector.h
@@ -39,6 +39,10 @@
     /** Returns the member at an address, or an empty id if none is known there. */
     core::identity::NodeId idAt(const core::identity::NetworkAddress &address) const;
 
+    /** Returns the addresses of the members that follow this node in the order of their hashes,
+        those of its data centre first. */
+    std::vector<core::identity::NetworkAddress> nearestAddresses(std::size_t maximum) const;
+
     /** Returns the contacts of the neighbours. */
     std::vector<PeerContact> neighbourContacts() const;
 
--- a/packages/control/records/LeasedRecord.cpp
+++ b/packages/control/records/LeasedRecord.cpp
@@ -9,11 +9,11 @@
 using core::identity::Revision;
 
 LeasedRecord::LeasedRecord(RecordStore &store, core::timing::TimerService &timers, std::string key,
-                           std::string text)
+                           const RecordContent &content)
     : store_(store)
     , timers_(timers)
     , key_(std::move(key))
-    , text_(std::move(text))
+    , content_(content)
 {}
 
 LeasedRecord::~LeasedRecord()
@@ -51,7 +51,7 @@
 void LeasedRecord::updateState(const StoreRecord *record)
 {
     revision_ = record == nullptr ? Revision{} : record->revision;
-    if (record != nullptr && record->text == text_)
+    if (record != nullptr && content_.isCurrent(record->text))
         markPresent();
     else if (state_ != State::Writing && state_ != State::Retrying)
         markAbsent();
@@ -98,7 +98,7 @@
 
 void LeasedRecord::commit()
 {
-    store_.commit({RecordWrite{key_, text_, revision_, lease_}}, responseTimeout,
+    store_.commit({RecordWrite{key_, content_.text(), revision_, lease_}}, responseTimeout,
                   guardedCallback(&LeasedRecord::handleCommitted));
 }
 
--- a/packages/control/records/LeasedRecord.h
+++ b/packages/control/records/LeasedRecord.h
@@ -1,6 +1,7 @@
 /** Maintenance of one record of this node in the store. */
 #pragma once
 
+#include "control/records/RecordContent.h"
 #include "control/records/RecordStore.h"
 #include "core/timing/TimerService.h"
 
@@ -11,8 +12,8 @@
 /**
     Writes a record under a lease, renews the lease and writes the record again when it was removed.
 
-    A record with the same text that a previous process of this node left is accepted as present; it
-    is written again when that process's lease expires.
+    A current record that a previous process of this node left is accepted as present; it is written
+    again when that process's lease expires.
 */
 class LeasedRecord : private core::timing::TimerService::Listener
 {
@@ -26,9 +27,9 @@
     static constexpr std::chrono::milliseconds retryDelay{700};
     static constexpr std::chrono::milliseconds responseTimeout{1500};
 
-    /** @param store and @param timers must outlive the record */
+    /** @param store, @param timers and @param content must outlive the record */
     LeasedRecord(RecordStore &store, core::timing::TimerService &timers, std::string key,
-                 std::string text);
+                 const RecordContent &content);
     ~LeasedRecord() override;
     LeasedRecord(const LeasedRecord &) = delete;
     LeasedRecord &operator=(const LeasedRecord &) = delete;
@@ -65,7 +66,7 @@
     RecordStore &store_;
     core::timing::TimerService &timers_;
     const std::string key_;
-    const std::string text_;
+    const RecordContent &content_;
     std::shared_ptr<LeasedRecord *> self_ = std::make_shared<LeasedRecord *>(this);
     State state_ = State::Unknown;
     bool isActive_ = true;
--- a/packages/control/records/NodeRecord.cpp
+++ b/packages/control/records/NodeRecord.cpp
@@ -1,5 +1,5 @@
-/** The record is a JSON object with the node's peer address. Records that cannot be parsed are
-    ignored. */
+/** The record is a JSON object with the node's peer address and those of other nodes. Records that
+    cannot be parsed are ignored, and so are other nodes' addresses that cannot. */
 #include "control/records/NodeRecord.h"
 
 #include "core/identity/AddressParser.h"
@@ -16,17 +16,34 @@
     return nodeRecordPrefix + node.value();
 }
 
-std::string nodeRecordText(const NetworkAddress &peerAddress)
+std::string nodeRecordText(const NodeRecord &record)
 {
-    return json{{"peers", peerAddress.toString()}}.dump();
+    json root{{"peers", record.peerAddress.toString()}};
+    for (const NetworkAddress &address : record.knownNodes)
+        root["knownNodes"].push_back(address.toString());
+    return root.dump();
 }
 
-std::optional<NetworkAddress> readNodeRecord(const std::string &text)
+std::optional<NodeRecord> readNodeRecord(const std::string &text)
 {
     const json root = json::parse(text, nullptr, false);
     if (!root.is_object() || !root.contains("peers") || !root["peers"].is_string())
         return std::nullopt;
-    return core::identity::parseAddress(root["peers"].get<std::string>());
+    const auto peerAddress = core::identity::parseAddress(root["peers"].get<std::string>());
+    if (!peerAddress)
+        return std::nullopt;
+    NodeRecord record{*peerAddress, {}};
+    const auto known = root.find("knownNodes");
+    if (known == root.end() || !known->is_array())
+        return record;
+    for (const json &entry : *known) {
+        const auto address = entry.is_string()
+                                     ? core::identity::parseAddress(entry.get<std::string>())
+                                     : std::nullopt;
+        if (address && record.knownNodes.size() < maximumKnownNodes)
+            record.knownNodes.push_back(*address);
+    }
+    return record;
 }
 
 } // namespace boragetrack::control::records
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -55,9 +55,9 @@
 {
     plane_ = &plane;
     plane_->storeFollowingChanged(false);
+    const control::records::RecordContent &content = *this;
     leasedRecord_.emplace(dependencies_.store, dependencies_.timers,
-                          control::records::nodeRecordKey(dependencies_.node),
-                          control::records::nodeRecordText(dependencies_.peerAddress));
+                          control::records::nodeRecordKey(dependencies_.node), content);
     control::records::StoreFollower::Listener &listener = *this;
     follower_.emplace(dependencies_.store, dependencies_.timers, listener, random_());
     follower_->start();
@@ -146,14 +146,31 @@
 
 void RecordSource::reportPeers(const std::vector<StoreRecord> &records)
 {
-    std::vector<core::identity::NetworkAddress> addresses;
+    std::vector<core::identity::NetworkAddress> registered;
+    std::vector<core::identity::NetworkAddress> known;
     for (const StoreRecord &record : records) {
         if (record.isRemoved || !record.key.starts_with(control::records::nodeRecordPrefix))
             continue;
-        if (const auto address = control::records::readNodeRecord(record.text))
-            addresses.push_back(*address);
+        const auto node = control::records::readNodeRecord(record.text);
+        if (!node)
+            continue;
+        registered.push_back(node->peerAddress);
+        known.insert(known.end(), node->knownNodes.begin(), node->knownNodes.end());
     }
-    plane_->peersDiscovered(addresses);
+    plane_->peersDiscovered(registered, known);
+}
+
+std::string RecordSource::text() const
+{
+    return control::records::nodeRecordText(
+            {dependencies_.peerAddress, plane_->nearestPeers(control::records::maximumKnownNodes)});
+}
+
+// The other nodes' addresses are a help that may be out of date; they aren't worth another write.
+bool RecordSource::isCurrent(const std::string &stored) const
+{
+    const auto record = control::records::readNodeRecord(stored);
+    return record && record->peerAddress == dependencies_.peerAddress;
 }
 
 void RecordSource::storeUnavailable(const absl::Status &error)
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -16,7 +16,9 @@
 
 /** Follows the store's records, maintains the record of this node, and records moves and
     departures. */
-class RecordSource : public IntentSource, private control::records::StoreFollower::Listener
+class RecordSource : public IntentSource,
+                     private control::records::StoreFollower::Listener,
+                     private control::records::RecordContent
 {
 public:
     /** Settings and collaborators of a source; references outlive it. */
@@ -51,6 +53,8 @@
     void recordsChanged(const control::records::RecordChanges &changes) override;
     void storeUnavailable(const absl::Status &error) override;
     void storeRecovered() override;
+    std::string text() const override;
+    bool isCurrent(const std::string &stored) const override;
     void logStoreRole(bool follows) const;
     bool needsNodeRecord() const;
     void resumeIfPaused();
--- a/tests/unit/RestartTest.cpp
+++ b/tests/unit/RestartTest.cpp
@@ -84,6 +84,15 @@
         EXPECT_TRUE(transport_.contacted.contains(record.peerAddress)) << record.id.value();
 }
 
+// After a kill of all nodes only the store has addresses, and some nodes can't read it.
+TEST_F(RestartTest, contactsNodesThatOthersRegistered)
+{
+    const NetworkAddress registered{"10.0.0.9", 7000};
+    plane_.peersDiscovered({registered}, {survivorAddress, plane_.membership().self().peerAddress});
+    timers_.advance(milliseconds(1000));
+    EXPECT_EQ(transport_.contacted, (std::set{registered, survivorAddress}));
+}
+
 // A process that ended may start again without knowing any other node.
 TEST_F(RestartTest, contactsALostMemberUntilItResponds)
 {
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -3,6 +3,7 @@
 #include "control/records/StoreFollower.h"
 #include "PendingStore.h"
 #include "control/records/LeasedRecord.h"
+#include "control/records/NodeRecord.h"
 #include "core/timing/ManualTimerService.h"
 
 #include <gtest/gtest.h>
@@ -288,14 +289,17 @@
 
 namespace {
 
-class LeasedRecordTest : public testing::Test
+class LeasedRecordTest : public testing::Test, private control::records::RecordContent
 {
 protected:
+    std::string text() const override { return "text"; }
+    bool isCurrent(const std::string &stored) const override { return stored == text(); }
+
     const RecordWrite &write() { return store_.commits.front().first.at(0); }
 
     PendingStore store_;
     core::timing::ManualTimerService timers_;
-    LeasedRecord leasedRecord_{store_, timers_, "own", "text"};
+    LeasedRecord leasedRecord_{store_, timers_, "own", *this};
 };
 
 } // namespace
@@ -348,3 +352,30 @@
     ASSERT_FALSE(store_.commits.empty());
     EXPECT_EQ(store_.leases, 2U);
 }
+
+//==============================================================================
+TEST(NodeRecord, holdsTheAddressesOfOtherNodes)
+{
+    const control::records::NodeRecord record{{"10.0.0.1", 7000},
+                                              {{"10.0.0.2", 7001}, {"10.0.0.3", 7002}}};
+    const auto read = control::records::readNodeRecord(control::records::nodeRecordText(record));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->peerAddress, record.peerAddress);
+    EXPECT_EQ(read->knownNodes, record.knownNodes);
+}
+
+// Other releases write records without other nodes, and other writers odd ones.
+TEST(NodeRecord, ignoresWhatItCanNotRead)
+{
+    using control::records::readNodeRecord;
+    EXPECT_EQ(readNodeRecord(R"({"peers":"10.0.0.1:7000"})")->knownNodes.size(), 0U);
+    EXPECT_EQ(
+            readNodeRecord(R"({"peers":"10.0.0.1:7000","knownNodes":{"a":1}})")->knownNodes.size(),
+            0U);
+    EXPECT_EQ(readNodeRecord(R"({"peers":"10.0.0.1:7000","knownNodes":[1,"x","10.0.0.2:99999",
+                                 "10.0.0.3:7000"]})")
+                      ->knownNodes.size(),
+              1U);
+    EXPECT_FALSE(readNodeRecord(R"({"knownNodes":["10.0.0.3:7000"]})"));
+    EXPECT_FALSE(readNodeRecord("["));
+}
