Contact a lost node from twelve members, and start outages later in simulations

Simulated outages began when the nodes had not registered yet, which in the deployments they have before traffic starts.

Change: about twelve members contact a lost node. Outages begin 4 to 10 s after the start.

--- a/packages/control/distribution/PeerIntroducer.h
+++ b/packages/control/distribution/PeerIntroducer.h
@@ -39,7 +39,7 @@
     static constexpr int lostAttempts = 20;
 
     /** The number of nodes, on average, that contact a lost one. */
-    static constexpr std::size_t contactsOfLostNode = 6;
+    static constexpr std::size_t contactsOfLostNode = 12;
 
     /** The time after the start of the process in which it contacts members that it finds. */
     static constexpr std::chrono::milliseconds startPeriod{10'000};
--- a/packages/emulator/restarts/PlanGenerator.cpp
+++ b/packages/emulator/restarts/PlanGenerator.cpp
@@ -12,8 +12,10 @@
 constexpr std::size_t minimumNodes = 4;
 constexpr std::size_t maximumNodes = 14;
 constexpr std::size_t maximumDataCentres = 4;
-// The nodes start together and have found each other by then.
-constexpr milliseconds warmUp{4000};
+// The nodes start together, have found each other by the first of these times, and have registered
+// by the second one.
+constexpr milliseconds earliestOutage{4000};
+constexpr milliseconds latestOutage{10'000};
 // The time after the last event in which the fleet has to recover.
 constexpr milliseconds recoveryTime{4000};
 
@@ -25,7 +27,7 @@
     plan_.nodeCount = std::uniform_int_distribution(minimumNodes, maximumNodes)(random_);
     plan_.dataCentreCount = std::uniform_int_distribution(
             std::size_t{1}, std::min(maximumDataCentres, plan_.nodeCount / 2))(random_);
-    const milliseconds outageAt = warmUp + drawTime(milliseconds(0), milliseconds(2000));
+    const milliseconds outageAt = drawTime(earliestOutage, latestOutage);
     if (drawChance(0.85))
         addOutage(outageAt);
     if (drawChance(0.6))
