--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -190,7 +190,7 @@
     introducer_.recordContact(contact.address);
     mergeExchange(contact, request);
     propagator_.raiseMinimumRevision(std::max(request.receiverMinimumRevision, request.revision),
-                                     timers_.now());
+                                     timers_.now(), request.sender);
     if (isUnknown)
         fetchMembersFromUnknown(contact);
     Exchange response = makeExchange(request.sender, gossipPerExchange);
@@ -212,7 +212,7 @@
     introducer_.recordContact(contact.address);
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
-                                     timers_.now());
+                                     timers_.now(), response.sender);
     fetchMembersIfDiffering(contact, response.memberDigest);
 }
 
@@ -447,7 +447,9 @@
     membership_.mergeSuspicions(exchange.suspicions, now);
     moves_.mergeVerdicts(exchange.verdicts);
     moves_.mergeEvidence(exchange.evidence);
-    if (peer.address.port != 0)
+    if (peer.address.port == 0)
+        ++exchangesWithoutAddress_;
+    else
         propagator_.compareRevisions(peer, exchange.revision, now);
 }
 
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -58,6 +58,13 @@
         virtual void moveStopped(const intent::MoveIntent &move, const std::string &evidence) = 0;
     };
 
+    /** Returns why this process serves no intent, or nothing once it serves one. */
+    std::optional<IntentWait> intentWait() const { return propagator_.waitAt(timers_.now()); }
+
+    /** Returns how many exchanges came from nodes that neither tell their address nor are known, so
+        that nothing could be asked of them. */
+    int exchangesWithoutAddress() const { return exchangesWithoutAddress_; }
+
     /** Returns the wall clock time that the schedules of moves are compared with. */
     using WallClock = std::function<core::timing::WallTime()>;
 
@@ -279,6 +286,7 @@
     // Whether a change is waiting to be sent before the next periodic exchange.
     bool isUrgentExchangeDue_ = false;
     bool isLeaving_ = false;
+    int exchangesWithoutAddress_ = 0;
     std::vector<std::unique_ptr<Timer>> activeTimers_;
 };
 
--- a/packages/control/distribution/IntentPropagator.cpp
+++ b/packages/control/distribution/IntentPropagator.cpp
@@ -39,7 +39,7 @@
     if (text)
         apply(*text, true, now);
     else if (transfer.base != Revision{})
-        transport_.fetchIntent(peer, Revision{});
+        sendFetch(peer, Revision{});
 }
 
 void IntentPropagator::setStoreReachable(bool isReachable)
@@ -79,7 +79,14 @@
         return;
     fetchedRevision_ = target;
     fetchedAt_ = now;
-    transport_.fetchIntent(peer, replica_->revision());
+    sendFetch(peer, replica_->revision());
+}
+
+void IntentPropagator::sendFetch(const PeerContact &peer, Revision have)
+{
+    ++fetchCount_;
+    lastFetchFrom_ = peer.address;
+    transport_.fetchIntent(peer, have);
 }
 
 void IntentPropagator::compareRevisions(const PeerContact &peer, Revision peerRevision,
@@ -91,16 +98,18 @@
     }
     confirmedRevision_ = std::max(confirmedRevision_, std::min(peerRevision, replica_->revision()));
     if (peerRevision > replica_->revision() && peerRevision > replica_->refusedRevision())
-        transport_.fetchIntent(peer, replica_->revision());
+        sendFetch(peer, replica_->revision());
     else if (peerRevision < replica_->revision())
         transport_.pushIntent(peer, replica_->transferSince(peerRevision));
 }
 
-void IntentPropagator::raiseMinimumRevision(Revision minimum, MonotonicTime now)
+void IntentPropagator::raiseMinimumRevision(Revision minimum, MonotonicTime now,
+                                            const core::identity::NodeId &reporter)
 {
     if (minimum > minimumRevision_) {
         minimumRevision_ = minimum;
         minimumRaisedAt_ = now;
+        minimumReportedBy_ = reporter;
     }
     isMinimumKnown_ = true;
     serveIfAllowed(now);
@@ -163,6 +172,27 @@
     return confirmedRevision_ >= replica_->revision() || now - heldSince_ >= isolationTimeout;
 }
 
+std::optional<IntentWait> IntentPropagator::waitAt(MonotonicTime now) const
+{
+    if (servedRevision_ != Revision{})
+        return std::nullopt;
+    IntentWait wait;
+    wait.duration = std::chrono::duration_cast<std::chrono::milliseconds>(now - startedAt_);
+    wait.held = replica_->revision();
+    wait.minimum = minimumRevision_;
+    wait.minimumReportedBy = minimumReportedBy_;
+    wait.fetches = fetchCount_;
+    wait.lastFetchFrom = lastFetchFrom_;
+    if (wait.held == Revision{})
+        wait.reason
+                = isMinimumKnown_ ? IntentWaitReason::NothingHeld : IntentWaitReason::NothingHeard;
+    else if (wait.held < minimumRevision_ && isMinimumBinding(now))
+        wait.reason = IntentWaitReason::BelowMinimum;
+    else
+        wait.reason = IntentWaitReason::NotConfirmed;
+    return wait;
+}
+
 // Refusing all callers until the store responds would be worse for them than the intent that the
 // other nodes serve meanwhile.
 bool IntentPropagator::isMinimumBinding(MonotonicTime now) const
--- a/packages/control/distribution/IntentPropagator.h
+++ b/packages/control/distribution/IntentPropagator.h
@@ -3,6 +3,7 @@
 
 #include "control/distribution/EnvelopeReplica.h"
 #include "control/distribution/IntentReplica.h"
+#include "control/distribution/IntentWait.h"
 #include "control/distribution/PeerTransport.h"
 #include "core/timing/MonotonicTime.h"
 
@@ -96,8 +97,10 @@
     void setStoreReachable(bool isReachable);
 
     /** Raises the minimum revision to one that a peer reported; a starting node then stops waiting
-        for reports. */
-    void raiseMinimumRevision(core::identity::Revision minimum, core::timing::MonotonicTime now);
+        for reports.
+        @param reporter the peer, for operators */
+    void raiseMinimumRevision(core::identity::Revision minimum, core::timing::MonotonicTime now,
+                              const core::identity::NodeId &reporter = {});
 
     /** Handles a peer's response to a push. @param peerRevision the revision that the peer holds */
     void recordPushResponse(core::identity::Revision peerRevision, core::timing::MonotonicTime now);
@@ -105,6 +108,9 @@
     /** Fetches overdue changes and puts the held intent in force when that is allowed. */
     void tick(core::timing::MonotonicTime now);
 
+    /** Returns why no intent is served, or nothing once one is. */
+    std::optional<IntentWait> waitAt(core::timing::MonotonicTime now) const;
+
     /** Returns the replica of the intent. */
     const IntentReplica &replica() const { return *replica_; }
 
@@ -122,6 +128,7 @@
     bool isMinimumBinding(core::timing::MonotonicTime now) const;
     void fetchFrom(const PeerContact &peer, core::identity::Revision target,
                    core::timing::MonotonicTime now);
+    void sendFetch(const PeerContact &peer, core::identity::Revision have);
 
     PeerTransport &transport_;
     Listener &listener_;
@@ -135,6 +142,7 @@
     core::identity::Revision minimumRevision_;
     // When minimumRevision_ was last raised.
     core::timing::MonotonicTime minimumRaisedAt_{};
+    core::identity::NodeId minimumReportedBy_;
     // The highest revision that another node is known to hold.
     core::identity::Revision confirmedRevision_;
     // Whether the held intent contains changes that are not in force yet.
@@ -142,6 +150,8 @@
     // The newest revision that was fetched from a peer, and the time of the request.
     core::identity::Revision fetchedRevision_;
     core::timing::MonotonicTime fetchedAt_{};
+    int fetchCount_ = 0;
+    core::identity::NetworkAddress lastFetchFrom_;
     bool isMinimumKnown_ = false;
     bool followsStore_ = false;
     bool isStoreReachable_ = false;
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -30,6 +30,9 @@
 // Operators who have only the logs compute rates from two successive lines.
 constexpr std::chrono::milliseconds counterLogPeriod{10'000};
 constexpr std::chrono::milliseconds moveRecordJitter{500};
+// A node has an intent sooner after an ordinary start.
+constexpr std::chrono::milliseconds firstWaitLogDelay{1000};
+constexpr std::chrono::milliseconds waitLogPeriod{5000};
 
 std::unique_ptr<control::moves::MovePolicies> makeMovePolicies(bool isBaseline)
 {
@@ -263,6 +266,7 @@
     announcements_.update();
     recordMoves(now);
     logCounters(now);
+    logMissingIntent(now);
     dependencies_.source.update();
     routingPublisher_.update(*plane_, now);
 }
@@ -288,6 +292,28 @@
     core::events::logSuppressedLines();
 }
 
+void ControlService::logMissingIntent(MonotonicTime now)
+{
+    const auto wait = plane_->intentWait();
+    if (!wait || wait->duration < firstWaitLogDelay)
+        return;
+    if (wait->reason == loggedWaitReason_ && now < nextWaitLogAt_)
+        return;
+    loggedWaitReason_ = wait->reason;
+    nextWaitLogAt_ = now + waitLogPeriod;
+    core::events::logEvent(
+            EventCode::IntentMissing, "no intent in force",
+            {{"reason", describe(wait->reason)},
+             {"ms", std::to_string(wait->duration.count())},
+             {"held", std::to_string(wait->held.number())},
+             {"minimum", std::to_string(wait->minimum.number())},
+             {"reportedBy", wait->minimumReportedBy.value()},
+             {"fetches", std::to_string(wait->fetches)},
+             {"lastFetchFrom", wait->lastFetchFrom.toString()},
+             {"members", std::to_string(plane_->membership().table().records().size())},
+             {"withoutAddress", std::to_string(plane_->exchangesWithoutAddress())}});
+}
+
 void ControlService::recordMoves(MonotonicTime now)
 {
     if (now < nextRecordAt_ || !plane_->followsMoves())
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -116,6 +116,7 @@
     bool post(std::function<void(control::distribution::ControlPlane &)> task);
     void recordMoves(core::timing::MonotonicTime now);
     void logCounters(core::timing::MonotonicTime now);
+    void logMissingIntent(core::timing::MonotonicTime now);
 
     Dependencies dependencies_;
     // The following members are used on the control thread only.
@@ -124,6 +125,9 @@
     AnnouncementProcessor announcements_;
     core::timing::MonotonicTime nextRecordAt_{};
     core::timing::MonotonicTime nextCountersAt_{};
+    // The reason that was logged last for the lack of an intent, and when it is logged again.
+    std::optional<control::distribution::IntentWaitReason> loggedWaitReason_;
+    core::timing::MonotonicTime nextWaitLogAt_{};
     std::mt19937_64 random_{std::random_device{}()};
     std::unique_ptr<core::timing::ScopedTimer> timer_;
 };
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -66,6 +66,17 @@
                 {"upstream", nameOf(record.upstream.state)}};
 }
 
+json describe(const control::distribution::IntentWait &wait)
+{
+    return json{{"reason", control::distribution::describe(wait.reason)},
+                {"ms", wait.duration.count()},
+                {"held", wait.held.number()},
+                {"minimum", wait.minimum.number()},
+                {"reportedBy", wait.minimumReportedBy.value()},
+                {"fetches", wait.fetches},
+                {"lastFetchFrom", wait.lastFetchFrom.toString()}};
+}
+
 std::size_t endpointCount(const traffic::routing::RoutingSnapshot &routing)
 {
     std::size_t count = 0;
@@ -86,6 +97,9 @@
     report["members"] = plane.membership().table().records().size();
     report["endpoints"] = endpointCount(routing);
     report["neighbours"] = plane.membership().neighbours().size();
+    report["exchangesWithoutAddress"] = plane.exchangesWithoutAddress();
+    if (const auto wait = plane.intentWait())
+        report["intentWait"] = describe(*wait);
     if (plane.replica().refusedRevision() > plane.replica().revision()) {
         report["refused"] = {{"revision", plane.replica().refusedRevision().number()},
                              {"findings", plane.replica().refusal()}};
--- a/packages/operators/commands/StatusCommand.cpp
+++ b/packages/operators/commands/StatusCommand.cpp
@@ -7,6 +7,27 @@
 namespace options = boost::program_options;
 using nlohmann::json;
 
+namespace {
+
+// A node that serves no intent reports why.
+std::string describeWait(const json &status)
+{
+    const json wait = status.is_object() ? status.value("intentWait", json()) : json();
+    if (!wait.is_object())
+        return {};
+    std::string text = " (" + wait.value("reason", std::string()) + " for "
+                       + std::to_string(wait.value("ms", std::int64_t{0})) + " ms; holds "
+                       + std::to_string(wait.value("held", std::uint64_t{0})) + ", minimum "
+                       + std::to_string(wait.value("minimum", std::uint64_t{0}));
+    const std::string reporter = wait.value("reportedBy", std::string());
+    if (!reporter.empty())
+        text += " reported by " + reporter;
+    return text + "; " + std::to_string(wait.value("fetches", 0)) + " fetches, the last from "
+           + wait.value("lastFetchFrom", std::string()) + ")";
+}
+
+} // namespace
+
 void StatusCommand::addOptions(options::options_description & /*description*/) const {}
 
 CommandResult StatusCommand::run(CommandContext &context,
@@ -32,13 +53,15 @@
         result.json["nodes"].push_back({{"node", report.node},
                                         {"dataCentre", report.dataCentre},
                                         {"reached", report.isReached},
-                                        {"revision", report.revision.number()}});
+                                        {"revision", report.revision.number()},
+                                        {"status", report.status}});
         if (report.isReached && report.revision >= acceptedRevision)
             ++inForceCount;
         else
             pendingNodes += "\n  " + report.node + " in " + report.dataCentre
                             + (report.isReached ? " serves revision "
                                                           + std::to_string(report.revision.number())
+                                                          + describeWait(report.status)
                                                 : std::string(" does not respond"));
     }
     result.text += "accepted revision " + std::to_string(acceptedRevision.number())
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -144,9 +144,14 @@
     taskQueue_.post([this, peer, have]() {
         loop_->add(loop_->links()
                            .fetchIntent(peer.address, have)
-                           .then([this, peer](IntentTransfer &&transfer) {
-                               dependencies_.eventSink.intentFetched(peer, std::move(transfer));
-                           }));
+                           .then(
+                                   [this, peer](IntentTransfer &&transfer) {
+                                       dependencies_.eventSink.intentFetched(peer,
+                                                                             std::move(transfer));
+                                   },
+                                   [this, peer](kj::Exception &&exception) {
+                                       logFailedFetch("intent", peer, exception);
+                                   }));
     });
 }
 
@@ -155,10 +160,24 @@
     taskQueue_.post([this, peer, hashes]() {
         loop_->add(loop_->links()
                            .fetchMembers(peer.address, hashes)
-                           .then([this](std::vector<MemberRecord> &&records) {
-                               dependencies_.eventSink.membersFetched(std::move(records));
-                           }));
+                           .then(
+                                   [this](std::vector<MemberRecord> &&records) {
+                                       dependencies_.eventSink.membersFetched(std::move(records));
+                                   },
+                                   [this, peer](kj::Exception &&exception) {
+                                       logFailedFetch("members", peer, exception);
+                                   }));
     });
 }
 
+void TrafficThread::logFailedFetch(const char *what, const PeerContact &peer,
+                                   const kj::Exception &exception)
+{
+    dependencies_.counters.counter("control_fetches_failed").add();
+    core::events::logEvent(core::events::EventCode::FetchFailed, "fetch from a peer failed",
+                           {{"what", what},
+                            {"peer", peer.address.toString()},
+                            {"error", exception.getDescription().cStr()}});
+}
+
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/TrafficThread.h
+++ b/packages/transport/links/TrafficThread.h
@@ -70,6 +70,8 @@
 
 private:
     void run(std::promise<absl::Status> started);
+    void logFailedFetch(const char *what, const control::distribution::PeerContact &peer,
+                        const kj::Exception &exception);
 
     Dependencies dependencies_;
     TaskQueue taskQueue_;
--- a/tests/unit/IntentPropagatorTest.cpp
+++ b/tests/unit/IntentPropagatorTest.cpp
@@ -134,6 +134,32 @@
     EXPECT_EQ(served_, std::vector<Revision>{Revision(3)});
 }
 
+// Operators had no line that told why a node refuses all its callers.
+TEST_F(IntentPropagatorTest, tellsWhyNoIntentIsServed)
+{
+    const auto reason = [this]() { return propagator_.waitAt(now_)->reason; };
+    propagator_.start(now_);
+    propagator_.setStoreReachable(false);
+    EXPECT_EQ(reason(), IntentWaitReason::NothingHeard);
+    propagator_.raiseMinimumRevision(Revision(4), now_, core::identity::NodeId("p"));
+    EXPECT_EQ(reason(), IntentWaitReason::NothingHeld);
+    const PeerContact contact{core::identity::NodeId("p"), {"10.0.0.2", 7000}};
+    propagator_.compareRevisions(contact, Revision(3), now_);
+    EnvelopeReplica peer;
+    peer.offer(tests::envelopeText(3));
+    propagator_.offerFromPeer(contact, peer.transferSince(Revision(0)), now_);
+    EXPECT_EQ(reason(), IntentWaitReason::BelowMinimum);
+    const auto wait = propagator_.waitAt(now_);
+    EXPECT_EQ(wait->held, Revision(3));
+    EXPECT_EQ(wait->minimum, Revision(4));
+    EXPECT_EQ(wait->minimumReportedBy.value(), "p");
+    EXPECT_EQ(wait->fetches, 1);
+    EXPECT_EQ(wait->lastFetchFrom, contact.address);
+    now_ += IntentPropagator::minimumWait;
+    propagator_.tick(now_);
+    EXPECT_FALSE(propagator_.waitAt(now_)) << "served";
+}
+
 TEST_F(IntentPropagatorTest, servesNothingOlderThanThisProcessHasServed)
 {
     propagator_.start(now_);
