--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -97,7 +97,7 @@
 
     kj::Promise<void> run()
     {
-        if (server_.refusesCalls_)
+        if (server_.refusesCalls_ && !isNestedCall())
             return respond(CallResponse::notRun("the node is stopping"));
         if (!snapshot_->isServing)
             return respond(CallResponse::notRun("the node has no intent yet"));
@@ -113,6 +113,12 @@
     void handleFault(const kj::Exception &exception) { fault_ = exception.getDescription().cStr(); }
 
 private:
+    // The calls that a running call makes are served for as long as it runs, or it would fail.
+    bool isNestedCall() const
+    {
+        return server_.dependencies_.runningCalls.attemptOf(description_.parentId).has_value();
+    }
+
     kj::Promise<void> handleBody(http::BodyPiece body)
     {
         if (!body.isLast)
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -4,6 +4,7 @@
 import http.client
 import re
 import threading
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -92,6 +93,27 @@
             self.assertEqual(response.result().status, 200)
         self.assertEqual(node.process.wait(9.0), 0)
 
+    # KNOWN-RED 13: the calls that a running call makes were refused like new ones.
+    def test_planned_stop_serves_the_calls_of_a_running_call(self):
+        for node in self.fleet.nodes:
+            node.extra_settings = {"graceSeconds": 9}
+        self.start_fleet(SLOW_RULES)
+        for upstream in self.upstreams("orders"):
+            upstream.service_time = 5.0
+        attempt = self.fleet.next_attempt()
+        with ThreadPoolExecutor(1) as pool:
+            response = pool.submit(self.nodes["items-ikeja"].call, "POST", "/orders/1", b"x",
+                                   attempt=attempt, budget=8000, timeout=9)
+            self.fleet.wait_until(lambda: self.run_count(attempt) == 1, "the call is running")
+            node = next(n for n in self.fleet.nodes if attempt in n.upstream.attempts())
+            node.process.terminate()
+            # New calls are refused by then.
+            time.sleep(3.0)
+            self.assertEqual(node.call("GET", "/items/1").status, 503)
+            self.assertEqual(node.call("GET", "/items/1", attempt=f"{attempt}.1").status, 200)
+            self.assertEqual(response.result().status, 200)
+        self.assertEqual(node.process.wait(9.0), 0)
+
     def test_planned_stop_leaves_time_for_calls_in_a_short_grace_period(self):
         for node in self.fleet.nodes:
             node.extra_settings = {"graceSeconds": 3}
