--- a/packages/traffic/calls/CallResponse.h
+++ b/packages/traffic/calls/CallResponse.h
@@ -39,6 +39,9 @@
     /** Returns whether the upstream ran the call and failed. */
     bool isFailure() const { return outcome == CallOutcome::Completed && status >= 500; }
 
+    /** Returns whether the upstream ran the call and did not fail. */
+    bool isSuccess() const { return outcome == CallOutcome::Completed && status < 500; }
+
     /** Returns whether the upstream's node responded; an unreachable node reports no load. */
     bool hasReachedNode() const { return outcome == CallOutcome::Completed || load.limit > 0; }
 
--- a/packages/traffic/calls/RunningCalls.h
+++ b/packages/traffic/calls/RunningCalls.h
@@ -10,6 +10,14 @@
 /** Identifies nested calls: a request that carries the id of a running call was made by it. */
 class RunningCalls
 {
+private:
+    struct Entry
+    {
+        int attempt = 0;
+        bool hasFailedNestedCall = false;
+    };
+    using Entries = std::multimap<std::string, Entry>;
+
 public:
     /** Registers a call as running while this object exists; the RunningCalls must outlive it. */
     class ScopedCall
@@ -17,28 +25,42 @@
     public:
         ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt)
             : calls_(calls)
-            , entry_(calls_.attempts_.emplace(requestId, attempt))
+            , entry_(calls_.entries_.emplace(requestId, Entry{attempt}))
         {}
-        ~ScopedCall() { calls_.attempts_.erase(entry_); }
+        ~ScopedCall() { calls_.entries_.erase(entry_); }
         ScopedCall(const ScopedCall &) = delete;
         ScopedCall &operator=(const ScopedCall &) = delete;
 
+        /** Returns whether a call that this one made has failed. */
+        bool hasFailedNestedCall() const { return entry_->second.hasFailedNestedCall; }
+
     private:
         RunningCalls &calls_;
-        std::multimap<std::string, int>::iterator entry_;
+        Entries::iterator entry_;
     };
 
     /** Returns the attempt number of the running call with an id; nothing when none runs. */
     std::optional<int> attemptOf(const std::string &requestId) const
     {
-        const auto found = attempts_.find(requestId);
-        return requestId.empty() || found == attempts_.end() ? std::nullopt
-                                                             : std::optional(found->second);
+        const auto found = entries_.find(requestId);
+        return requestId.empty() || found == entries_.end() ? std::nullopt
+                                                            : std::optional(found->second.attempt);
+    }
+
+    /** Records that a call has failed which a running call made. @param requestId the id of the
+        running call; ignored when none with this id runs */
+    void recordFailedNestedCall(const std::string &requestId)
+    {
+        if (requestId.empty())
+            return;
+        const auto [begin, end] = entries_.equal_range(requestId);
+        for (auto it = begin; it != end; ++it)
+            it->second.hasFailedNestedCall = true;
     }
 
 private:
-    // The attempt numbers by request id; several calls may carry the same id.
-    std::multimap<std::string, int> attempts_;
+    // By request id; several calls may carry the same id.
+    Entries entries_;
 };
 
 } // namespace boragetrack::traffic::calls
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -229,6 +229,8 @@
     void logOutcome(EventCode code, const char *message, const CallResponse &response)
     {
         hasEnded_ = true;
+        if (!response.isSuccess())
+            server_.dependencies_.runningCalls.recordFailedNestedCall(description_.parentId);
         if (code == EventCode::CallAnswered)
             server_.latencies_.add(currentTime() - arrivedAt_);
         const bool isGood = code == EventCode::CallAnswered && response.status < 500;
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -31,7 +31,7 @@
         traffic::routing::RoutingPolicy &routingPolicy;
         traffic::retry::RetryPolicy &retryPolicy;
         /** The calls that the node's upstream is running. */
-        const traffic::calls::RunningCalls &runningCalls;
+        traffic::calls::RunningCalls &runningCalls;
         /** The service on this node's VM. */
         core::identity::ServiceName service;
         const core::timing::PauseDetector &pauses;
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -157,12 +157,11 @@
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
             runningCalls_, request.requestId, request.attempt);
     return upstreamClient_.send(request, *status_)
-            .attach(kj::mv(registration))
-            .then([this, &request, startedAt,
-                   permit = kj::mv(permit)](CallResponse &&response) mutable {
+            .then([this, &request, startedAt, permit = kj::mv(permit),
+                   registration = kj::mv(registration)](CallResponse &&response) mutable {
                 const auto latency = currentTime() - startedAt;
                 permit->recordOutcome(request.route, response, latency);
-                recordOutcome(request, response, latency);
+                recordOutcome(request, response, latency, registration->hasFailedNestedCall());
                 response.serviceTime
                         = std::chrono::duration_cast<std::chrono::microseconds>(latency);
                 response.version = request.version;
@@ -192,14 +191,16 @@
 }
 
 void InboundProxy::recordOutcome(const CallRequest &request, const CallResponse &response,
-                                 std::chrono::nanoseconds latency)
+                                 std::chrono::nanoseconds latency, bool hasFailedNestedCall)
 {
     logServed(request, response, latency);
     if (response.outcome == CallOutcome::NotRun)
         return;
     latencies_.add(latency);
     const bool isBroken = response.outcome == CallOutcome::Unknown;
-    if (dependencies_.routing.current()->needsEvidence)
+    // A failure that follows from that of a nested call says nothing of the version that ran it.
+    const bool isEvidence = !(response.isFailure() && hasFailedNestedCall);
+    if (isEvidence && dependencies_.routing.current()->needsEvidence)
         dependencies_.evidence(control::moves::CallEvidence{request.service, request.version,
                                                             request.route, response.isFailure(),
                                                             isBroken, isUpstreamCold(), latency});
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -65,7 +65,7 @@
     void drain();
 
     /** Returns the calls that the upstream is running. */
-    const traffic::calls::RunningCalls &runningCalls() const { return runningCalls_; }
+    traffic::calls::RunningCalls &runningCalls() { return runningCalls_; }
 
     /** Returns the number of calls that were received and have not ended. */
     std::size_t activeCalls() const { return activeCalls_; }
@@ -87,7 +87,7 @@
     kj::Promise<Response> send(Request &request, kj::Own<AdmissionController::ScopedPermit> permit);
     Response refuse(const Request &request, const std::string &reason);
     void recordOutcome(const Request &request, const Response &response,
-                       std::chrono::nanoseconds latency);
+                       std::chrono::nanoseconds latency, bool hasFailedNestedCall);
     void logServed(const Request &request, const Response &response,
                    std::chrono::nanoseconds latency);
     bool isUpstreamCold() const;
--- a/tests/unit/InboundProxyTest.cpp
+++ b/tests/unit/InboundProxyTest.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 const ScriptedResponse response("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+const ScriptedResponse lateFailure(std::vector<ScriptedResponse::Piece>{
+        {milliseconds(20), "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"}});
 constexpr double coldRate = 10.0;
 constexpr milliseconds duration{1000};
 // A pacer at this rate lets its burst pass and one call for each interval.
@@ -118,13 +120,16 @@
     core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_{
             std::make_shared<traffic::routing::RoutingSnapshot>()};
     core::timing::PauseDetector pauses_{std::chrono::steady_clock::now()};
+    std::vector<control::moves::CallEvidence> evidence_;
     kj::Own<ScriptedUpstream> upstream_ = kj::heap<ScriptedUpstream>(io_, script());
     InboundProxy proxy_{{NodeId("self"), NodeId("self@1"), links_, io_.provider->getNetwork(),
                          timer_, dialect_, routing_,
                          std::make_unique<traffic::admission::FixedConcurrency>(
                                  traffic::admission::AdmissionLimits{}),
-                         [](const control::moves::CallEvidence & /*evidence*/) {}, pauses_,
-                         counters_}};
+                         [this](const control::moves::CallEvidence &evidence) {
+                             evidence_.push_back(evidence);
+                         },
+                         pauses_, counters_}};
     CallRequest request_;
 };
 
@@ -189,6 +194,31 @@
     EXPECT_LE(run, maximumCalls);
 }
 
+// KNOWN-RED 17: calls that failed because nodes were killed hid the failures of a bad version,
+// whose rate is compared with that of the old one.
+TEST_F(InboundProxyTest, takesNoFailureThatFollowsFromANestedCallForEvidence)
+{
+    auto snapshot = std::make_shared<traffic::routing::RoutingSnapshot>(*routing_.current());
+    snapshot->needsEvidence = true;
+    routing_.publish(snapshot);
+    upstream_
+            = kj::heap<ScriptedUpstream>(io_, ScriptedUpstream::Script{{lateFailure, lateFailure}});
+    announce(milliseconds(0));
+    for (const bool hasFailedNestedCall : {false, true}) {
+        CallRequest request = request_;
+        request.requestId = "r-1";
+        request.budget = request.objective = milliseconds(500);
+        auto response = proxy_.serve(std::move(request)).eagerlyEvaluate(nullptr);
+        io_.provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(io_.waitScope);
+        EXPECT_TRUE(proxy_.runningCalls().attemptOf("r-1"));
+        if (hasFailedNestedCall)
+            proxy_.runningCalls().recordFailedNestedCall("r-1");
+        EXPECT_TRUE(response.wait(io_.waitScope).isFailure());
+        ASSERT_EQ(evidence_.size(), 1U);
+        EXPECT_TRUE(evidence_.front().isFailed);
+    }
+}
+
 //==============================================================================
 TEST(ColdRate, isTheLowestKnownOneAndFollowsTheIntent)
 {
