--- a/bench/restarts/main.cpp
+++ b/bench/restarts/main.cpp
@@ -71,6 +71,40 @@
     return result;
 }
 
+// Kills a share of a fleet at once in an outage of the store.
+RestartPlan herdPlan(std::uint64_t seed, std::size_t nodes, std::size_t dataCentres, double share)
+{
+    RestartPlan plan;
+    plan.seed = seed;
+    plan.nodeCount = nodes;
+    plan.dataCentreCount = dataCentres;
+    plan.length = milliseconds(18'000);
+    RestartFault outage{RestartFaultKind::SilentStore, milliseconds(9900), milliseconds(7000), {}};
+    RestartFault kill{RestartFaultKind::Kill, milliseconds(12'000), milliseconds(500), {}};
+    std::mt19937_64 random(seed);
+    for (std::size_t node = 0; node < nodes; ++node) {
+        outage.nodes.insert(node);
+        if (std::bernoulli_distribution(share)(random))
+            kill.nodes.insert(node);
+    }
+    plan.faults = {outage, kill};
+    return plan;
+}
+
+void printHerd(const RestartPlan &plan)
+{
+    const RestartResult result = RestartSimulation(plan, false).run();
+    Summary summary;
+    summary.runs = 1;
+    summary.waits = result.intentWaits;
+    for (const milliseconds wait : result.intentWaits)
+        summary.longestWait = std::max(summary.longestWait, wait);
+    json output = toJson(summary);
+    output["peak_messages_received"] = result.peakLoad.messagesReceived;
+    output["peak_intents_sent"] = result.peakLoad.intentsSent;
+    std::cout << output.dump() << "\n";
+}
+
 void printRun(std::uint64_t seed, const std::string &shrunkRule)
 {
     RestartPlan plan = PlanGenerator(seed).draw();
@@ -96,6 +130,10 @@
     description.add_options()("seed", options::value<std::uint64_t>()->default_value(1),
                               "the first seed")(
             "runs", options::value<std::uint64_t>()->default_value(1000), "number of seeds")(
+            "herd", options::value<double>(),
+            "play one kill of this share of a fleet in an outage of the store, and print the load")(
+            "nodes", options::value<std::size_t>()->default_value(300), "with --herd")(
+            "data-centres", options::value<std::size_t>()->default_value(6), "with --herd")(
             "threads", options::value<unsigned int>()->default_value(1),
             "number of threads")("log", "play the first seed only, and print what its nodes log")(
             "shrink", options::value<std::string>()->default_value(""),
@@ -112,6 +150,12 @@
         printRun(seed, arguments["shrink"].as<std::string>());
         return 0;
     }
+    if (arguments.count("herd") > 0) {
+        printHerd(herdPlan(seed, arguments["nodes"].as<std::size_t>(),
+                           arguments["data-centres"].as<std::size_t>(),
+                           arguments["herd"].as<double>()));
+        return 0;
+    }
     std::atomic<std::uint64_t> next{seed};
     const std::uint64_t end = seed + arguments["runs"].as<std::uint64_t>();
     Summary summary;
--- a/packages/emulator/restarts/NodeProcess.cpp
+++ b/packages/emulator/restarts/NodeProcess.cpp
@@ -163,6 +163,7 @@
     dependencies_.network.call<Exchange>(
             *this, peer.address,
             [exchange, sender](NodeProcess &receiver) {
+                receiver.countMessage(false);
                 receiver.recordContact(sender);
                 receiver.logExchange(exchange);
                 return receiver.plane_->exchangeReceived(exchange);
@@ -194,7 +195,10 @@
     dependencies_.log.add("fetches the intent from " + peer.address.toString());
     dependencies_.network.call<IntentTransfer>(
             *this, peer.address,
-            [have](NodeProcess &receiver) { return receiver.plane_->transferSince(have); },
+            [have](NodeProcess &receiver) {
+                receiver.countMessage(true);
+                return receiver.plane_->transferSince(have);
+            },
             [peer](NodeProcess &process, const IntentTransfer &transfer) {
                 process.plane_->intentReceived(peer, transfer);
             },
@@ -207,6 +211,7 @@
     dependencies_.network.call<Records>(
             *this, peer.address,
             [hashes](NodeProcess &receiver) {
+                receiver.countMessage(false);
                 return receiver.plane_->membersDifferingFrom(hashes);
             },
             [](NodeProcess &process, const Records &records) {
@@ -264,6 +269,24 @@
             std::chrono::duration_cast<milliseconds>(dependencies_.clock.now().time_since_epoch()));
 }
 
+void NodeProcess::countMessage(bool isIntentSent)
+{
+    const MonotonicTime now = dependencies_.clock.now();
+    if (now - loadSince_ >= std::chrono::seconds(1)) {
+        peakLoad_.include(currentLoad_);
+        currentLoad_ = PeakLoad{};
+        loadSince_ = now;
+    }
+    ++currentLoad_.messagesReceived;
+    currentLoad_.intentsSent += isIntentSent;
+}
+
+PeakLoad NodeProcess::takePeakLoad()
+{
+    peakLoad_.include(std::exchange(currentLoad_, PeakLoad{}));
+    return std::exchange(peakLoad_, PeakLoad{});
+}
+
 void NodeProcess::logExchange(const Exchange &exchange)
 {
     if (!dependencies_.log.isKept())
--- a/packages/emulator/restarts/NodeProcess.h
+++ b/packages/emulator/restarts/NodeProcess.h
@@ -72,6 +72,9 @@
     bool hasIntent() const { return revisionInForce_ != core::identity::Revision{}; }
     int storeCalls() const { return store_.callCount(); }
 
+    /** Returns the load of the busiest second since the last call. */
+    PeakLoad takePeakLoad();
+
     /** Returns the first contact with a process that had an intent while this one had none. */
     const std::optional<Contact> &contact() const { return contact_; }
 
@@ -114,6 +117,7 @@
 
     core::identity::NodeId id() const;
     core::timing::WallTime wallTime() const;
+    void countMessage(bool isIntentSent);
     void logExchange(const control::distribution::Exchange &exchange);
     void recordContact(const std::weak_ptr<NodeProcess> &other);
 
@@ -129,6 +133,10 @@
     std::optional<Contact> contact_;
     std::optional<transport::serving::UpstreamStatus> upstream_;
     bool knowsVerdict_ = false;
+    // The load of the second that loadSince_ begins, and the highest of the earlier ones.
+    PeakLoad currentLoad_;
+    core::timing::MonotonicTime loadSince_{};
+    PeakLoad peakLoad_;
     std::set<std::string> brokenRules_;
 };
 
--- a/packages/emulator/restarts/RestartResult.h
+++ b/packages/emulator/restarts/RestartResult.h
@@ -1,6 +1,7 @@
 /** What a simulation of restarts has shown. */
 #pragma once
 
+#include "emulator/restarts/PeakLoad.h"
 #include "emulator/restarts/Violation.h"
 
 #include <vector>
@@ -18,6 +19,9 @@
     std::vector<std::chrono::milliseconds> intentWaits;
     /** The number of calls that reached the store. */
     int storeCalls = 0;
+    /** The highest number of messages that one process got within a second, and of the transfers of
+        the intent that it sent, both after the first events. */
+    PeakLoad peakLoad;
 };
 
 } // namespace boragetrack::emulator::restarts
--- a/packages/emulator/restarts/RestartSimulation.cpp
+++ b/packages/emulator/restarts/RestartSimulation.cpp
@@ -50,6 +50,8 @@
     }
     for (const RestartFault &fault : plan_.faults)
         schedule(fault);
+    if (!plan_.faults.empty())
+        clock_.schedule(plan_.faults.front().at, [this]() { discardPeakLoads(); });
     recordCallsRegularly();
     checkRegularly();
     clock_.runUntil(clock::EventClock::start + plan_.length);
@@ -139,6 +141,7 @@
     if (!node.process)
         return;
     result_.storeCalls += node.process->storeCalls();
+    result_.peakLoad.include(node.process->takePeakLoad());
     log_.setNode(index);
     log_.add("ends");
     network_.detach(index);
@@ -167,6 +170,14 @@
 }
 
 //==============================================================================
+void RestartSimulation::discardPeakLoads()
+{
+    for (const Node &node : nodes_) {
+        if (node.process)
+            node.process->takePeakLoad();
+    }
+}
+
 void RestartSimulation::recordCallsRegularly()
 {
     for (const Node &node : nodes_) {
--- a/packages/emulator/restarts/RestartSimulation.h
+++ b/packages/emulator/restarts/RestartSimulation.h
@@ -52,6 +52,7 @@
     void endProcess(std::size_t index);
     void kill(std::size_t index, std::chrono::milliseconds downTime);
     void stop(std::size_t index, std::chrono::milliseconds downTime);
+    void discardPeakLoads();
     void recordCallsRegularly();
     void checkRegularly();
     void checkIntent(Node &node);
