Don't end the control thread with a process's last introduction

Cause: the last of the 48 contacts of a process drops the other found nodes; if it fell into the middle of a round, the round went on with a node that was no longer there (std::out_of_range).

Change: a node that isn't to be contacted any more is left out of the round. Also two findings of the linter in the simulation.

Test: PeerIntroducerTest.limitsTheContactsOfAStartingProcess, with the last contact in the middle of a round, fails before.

--- a/packages/control/distribution/PeerIntroducer.cpp
+++ b/packages/control/distribution/PeerIntroducer.cpp
@@ -40,19 +40,23 @@
     }
     std::shuffle(due.begin(), due.end(), random_);
     due.resize(std::min(due.size(), contactsPerRound));
-    for (const NetworkAddress &address : due)
-        recordAttempt(address, now);
+    // The last contact of the process ends the introductions of other found nodes.
+    std::erase_if(due, [&](const NetworkAddress &address) { return !recordAttempt(address, now); });
     return due;
 }
 
-void PeerIntroducer::recordAttempt(const NetworkAddress &address, MonotonicTime now)
+bool PeerIntroducer::recordAttempt(const NetworkAddress &address, MonotonicTime now)
 {
-    Introduction &introduction = introductions_.at(address);
+    const auto found = introductions_.find(address);
+    if (found == introductions_.end())
+        return false;
+    Introduction &introduction = found->second;
     introduction.dueAt = now + introduction.retryPeriod;
     if (!introduction.isLost && --remainingContacts_ == 0)
         std::erase_if(introductions_, [](const auto &entry) { return !entry.second.isLost; });
     else if (--introduction.remainingAttempts == 0)
-        introductions_.erase(address);
+        introductions_.erase(found);
+    return true;
 }
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/PeerIntroducer.h
+++ b/packages/control/distribution/PeerIntroducer.h
@@ -75,7 +75,8 @@
         bool isLost;
     };
 
-    void recordAttempt(const core::identity::NetworkAddress &address,
+    // Returns whether the node is still to be contacted.
+    bool recordAttempt(const core::identity::NetworkAddress &address,
                        core::timing::MonotonicTime now);
 
     std::mt19937_64 &random_;
--- a/packages/emulator/restarts/PlanGenerator.cpp
+++ b/packages/emulator/restarts/PlanGenerator.cpp
@@ -2,6 +2,7 @@
 #include "emulator/restarts/PlanGenerator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragetrack::emulator::restarts {
 
@@ -91,7 +92,8 @@
     for (std::size_t i = 0; i < all.size(); ++i)
         all[i] = i;
     std::shuffle(all.begin(), all.end(), random_);
-    const auto wanted = static_cast<std::size_t>(share * static_cast<double>(all.size()) + 0.5);
+    const auto wanted
+            = static_cast<std::size_t>(std::lround(share * static_cast<double>(all.size())));
     all.resize(std::clamp<std::size_t>(wanted, 1, all.size()));
     return {all.begin(), all.end()};
 }
--- a/packages/emulator/restarts/SimulatedNetwork.h
+++ b/packages/emulator/restarts/SimulatedNetwork.h
@@ -53,7 +53,7 @@
     void call(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
               std::function<Response(NodeProcess &)> handle,
               std::function<void(NodeProcess &, const Response &)> onResponse,
-              std::function<void(NodeProcess &)> onFailure);
+              const std::function<void(NodeProcess &)> &onFailure);
 
 private:
     using Action = std::function<void(NodeProcess &)>;
@@ -76,7 +76,7 @@
 void SimulatedNetwork::call(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
                             std::function<Response(NodeProcess &)> handle,
                             std::function<void(NodeProcess &, const Response &)> onResponse,
-                            std::function<void(NodeProcess &)> onFailure)
+                            const std::function<void(NodeProcess &)> &onFailure)
 {
     send(
             sender, receiver,
--- a/tests/unit/PeerIntroducerTest.cpp
+++ b/tests/unit/PeerIntroducerTest.cpp
@@ -52,13 +52,16 @@
     EXPECT_EQ(contacts, PeerIntroducer::foundAttempts);
 }
 
-// The fleet may have hundreds of nodes, which all start at once.
+// The fleet may have hundreds of nodes, which all start at once. The last contact may fall into the
+// middle of a round.
 TEST_F(PeerIntroducerTest, limitsTheContactsOfAStartingProcess)
 {
+    introducer_.nodeFound(address(901), now_);
+    EXPECT_EQ(nextRound().size(), 1U);
     for (std::uint16_t number = 1; number <= 900; ++number)
         introducer_.nodeFound(address(number), now_);
     std::set<NetworkAddress> contacted;
-    std::size_t contacts = 0;
+    std::size_t contacts = 1;
     for (int round = 0; round < 100; ++round) {
         const auto due = nextRound();
         EXPECT_LE(due.size(), PeerIntroducer::contactsPerRound);
