--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -139,7 +139,7 @@
     for (const NetworkAddress &address : known) {
         const bool isOwn = address == membership_.self().peerAddress;
         if (!isOwn && peers_.idAt(address).isEmpty())
-            introducer_.nodeFound(address, timers_.now());
+            introducer_.nodeFound(address, timers_.now(), PeerIntroducer::recordDelay);
     }
 }
 
@@ -318,7 +318,7 @@
     if (previous != nullptr && previous->version.generation < record.version.generation)
         departures_.recordRestart(record.id, previous->version.generation, timers_.now());
     if (previous == nullptr)
-        introducer_.nodeFound(record.peerAddress, timers_.now());
+        memberFound(record);
     const bool isDeparture = record.state != MemberState::Alive
                              || record.upstream.state == membership::UpstreamState::Draining;
     isUrgentExchangeDue_ = isUrgentExchangeDue_ || isDeparture;
@@ -326,6 +326,16 @@
     listener_.viewChanged();
 }
 
+// A member that others have found needs no introduction by a process that has read the store; it is
+// in touch with them.
+void ControlPlane::memberFound(const MemberRecord &record)
+{
+    if (!departures_.isStoreRead())
+        introducer_.nodeFound(record.peerAddress, timers_.now());
+    else if (record.state == MemberState::Alive)
+        introducer_.recordContact(record.peerAddress);
+}
+
 void ControlPlane::moveStopped(const intent::MoveIntent &move, const std::string &evidence)
 {
     listener_.moveStopped(move, evidence);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -238,6 +238,7 @@
     }
     void moveStopped(const intent::MoveIntent &move, const std::string &evidence) override;
 
+    void memberFound(const membership::MemberRecord &record);
     void exchangeTick(core::timing::MonotonicTime now);
     void pollTick(core::timing::MonotonicTime now);
     void decisionTick(core::timing::MonotonicTime now);
--- a/packages/control/distribution/PeerIntroducer.cpp
+++ b/packages/control/distribution/PeerIntroducer.cpp
@@ -9,12 +9,14 @@
 using core::identity::NetworkAddress;
 using core::timing::MonotonicTime;
 
-void PeerIntroducer::nodeFound(const NetworkAddress &address, MonotonicTime now)
+void PeerIntroducer::nodeFound(const NetworkAddress &address, MonotonicTime now,
+                               std::chrono::milliseconds delay)
 {
     const bool isStarting = now - startedAt_ < startPeriod;
     if (address.port == 0 || !isStarting || remainingContacts_ == 0)
         return;
-    introductions_.try_emplace(address, Introduction{now, foundRetryPeriod, foundAttempts, false});
+    introductions_.try_emplace(address,
+                               Introduction{now + delay, foundRetryPeriod, foundAttempts, false});
 }
 
 void PeerIntroducer::nodeLost(const NetworkAddress &address, std::size_t memberCount,
--- a/packages/control/distribution/PeerIntroducer.h
+++ b/packages/control/distribution/PeerIntroducer.h
@@ -18,6 +18,10 @@
     Neighbours do that within seconds. Nodes that start together therefore contact each other as
     soon as one of them has learnt the addresses, so that the number of those that know doubles at
     least with each round. A node that was lost is contacted likewise until it responds.
+
+    Nodes that read the store find each other without this, so that the owner reports the members
+    that a process finds only until it has read the store, and those in records of the store with a
+    delay.
 */
 class PeerIntroducer
 {
@@ -41,6 +45,10 @@
     /** The number of nodes, on average, that contact a lost one. */
     static constexpr std::size_t contactsOfLostNode = 12;
 
+    /** The delay before nodes in records of the store are contacted; most of them contact this node
+        meanwhile, or are gossiped about. */
+    static constexpr std::chrono::milliseconds recordDelay{400};
+
     /** The time after the start of the process in which it contacts members that it finds. */
     static constexpr std::chrono::milliseconds startPeriod{10'000};
 
@@ -52,15 +60,18 @@
     /** Begins the start period. */
     void start(core::timing::MonotonicTime now) { startedAt_ = now; }
 
-    /** Handles a node that this process did not know; ignored after the start period. */
-    void nodeFound(const core::identity::NetworkAddress &address, core::timing::MonotonicTime now);
+    /** Handles a node that this process did not know; ignored after the start period.
+        @param delay the time until the first contact */
+    void nodeFound(const core::identity::NetworkAddress &address, core::timing::MonotonicTime now,
+                   std::chrono::milliseconds delay = {});
 
     /** Handles that the link to a node has ended.
         @param memberCount the number of members; a random part of them contacts the node */
     void nodeLost(const core::identity::NetworkAddress &address, std::size_t memberCount,
                   core::timing::MonotonicTime now);
 
-    /** Handles contact with a node in either direction; it needs no other one. */
+    /** Handles contact with a node in either direction, or that others are in contact with it; it
+        needs no other one. */
     void recordContact(const core::identity::NetworkAddress &address);
 
     /** Returns the nodes to contact in this round, in random order. */
--- a/tests/unit/RestartTest.cpp
+++ b/tests/unit/RestartTest.cpp
@@ -84,6 +84,19 @@
         EXPECT_TRUE(transport_.contacted.contains(record.peerAddress)) << record.id.value();
 }
 
+// In a fleet that starts with the store, the contacts would cost bytes and links for nothing.
+TEST_F(RestartTest, contactsFewMembersOnceItHasReadTheStore)
+{
+    plane_.storedDeparturesReceived({});
+    std::vector<MemberRecord> members;
+    for (std::uint16_t i = 1; i <= 40; ++i)
+        members.push_back(member(i));
+    plane_.peersDiscovered({}, {member(1).peerAddress, member(2).peerAddress});
+    plane_.membersReceived(members);
+    timers_.advance(milliseconds(1000));
+    EXPECT_LT(transport_.contacted.size(), 5U) << "a neighbour, and polls of followers";
+}
+
 // After a kill of all nodes only the store has addresses, and some nodes can't read it.
 TEST_F(RestartTest, contactsNodesThatOthersRegistered)
 {
