--- a/packages/control/distribution/PeerIntroducer.h
+++ b/packages/control/distribution/PeerIntroducer.h
@@ -29,8 +29,8 @@
     /** The number of nodes contacted in one round; rounds are 200 ms apart. */
     static constexpr std::size_t contactsPerRound = 3;
 
-    /** The number of contacts with found nodes by one process. With as many from each process that
-        starts, none is missed in a fleet of any size. */
+    /** The number of contacts with found nodes by one process. Nodes are drawn at random, so that
+       in a herd each is contacted by about as many others. */
     static constexpr int maximumContacts = 48;
 
     /** The time between two contacts of a node that was found, and how often they are repeated. */
