Share the tests' callers of scripted responses

Change: they move to tests/platform/response_case.py and tests/unit/ScriptedConnection.h. No check changes.

--- a/tests/platform/test_truncation.py
+++ b/tests/platform/test_truncation.py
@@ -1,6 +1,5 @@
 """Tests that no response that ended early, or was left unread in part, is delivered as whole."""
 
-import itertools
 import random
 import threading
 import time
@@ -9,8 +8,9 @@
 
 from asyncserver import Response
 from cutting_proxy import CuttingProxy
-from platform_case import RULES, SERVICES, PlatformCase
+from platform_case import RULES, SERVICES
 from platform_fleet import configuration, rule
+from response_case import ResponseCase
 from upstream import ATTEMPT, STAMP
 
 CONTENT = b"the whole content"  # 17 bytes
@@ -52,42 +52,11 @@
     return sorted(mark for mark in marks if mark < len(response))
 
 
-class TruncationTest(PlatformCase):
+class TruncationTest(ResponseCase):
     """Responses of upstreams, of nodes and of the store that are cut on their way."""
 
     first_port = 30000
 
-    def start_fleet(self, **arguments):
-        super().start_fleet(**arguments)
-        for node in self.fleet.nodes:
-            node.upstream.service_time = 0.0
-
-    def respond(self, make_response):
-        """Makes all upstreams respond as a function of the request says; as usual for None."""
-        for node in self.fleet.nodes:
-            node.upstream.override_response = make_response
-
-    def call_each(self, calls):
-        """Makes calls (method, path), eight at a time. Returns (call, status, body) of each."""
-        with ThreadPoolExecutor(8) as pool:
-            results = list(pool.map(self.call_until_run, calls))
-        return [(call, response.status, response.body) for call, response in zip(calls, results)]
-
-    def call_until_run(self, call):
-        """Calls through one node after another until an upstream has run the call.
-
-        Returns the response to that call.
-        """
-        for node in itertools.islice(itertools.cycle(self.fleet.nodes), 200):
-            attempt = self.fleet.next_attempt()
-            response = node.call(*call, attempt=attempt)
-            if self.run_count(attempt):
-                return response
-            # An upstream may close a kept connection while a request is on its way to it.
-            self.assertIn(response.status, (502, 503))
-            time.sleep(0.05)
-        raise AssertionError(f"no upstream has run {call}")
-
     # ---------------------------------------------------------------- upstreams
 
     def test_delivers_no_response_that_was_cut(self):
--- a/tests/unit/TruncatedResponseTest.cpp
+++ b/tests/unit/TruncatedResponseTest.cpp
@@ -1,16 +1,15 @@
 /** Tests that a response is complete only with all of its bytes, wherever its input ends. */
-#include "ScriptedStream.h"
-#include "transport/http/MessageReader.h"
+#include "ScriptedConnection.h"
 
 #include <gtest/gtest.h>
 
 using namespace boragetrack::transport::http;
-using boragetrack::tests::ScriptedStream;
-using End = ScriptedStream::End;
+using Connection = boragetrack::tests::ScriptedConnection;
+using End = boragetrack::tests::ScriptedStream::End;
 
 namespace {
 
-constexpr std::size_t bodyBytes = 4096;
+constexpr std::size_t bodyBytes = Connection::bodyBytes;
 constexpr const char *content = "hello world";
 
 /** A response as its sender wrote it. */
@@ -37,64 +36,6 @@
     };
 }
 
-std::deque<std::string> split(const std::string &text, std::size_t pieceBytes)
-{
-    std::deque<std::string> pieces;
-    for (std::size_t at = 0; at < text.size(); at += pieceBytes)
-        pieces.push_back(text.substr(at, pieceBytes));
-    return pieces;
-}
-
-/** Reads responses from one connection; nothing stands for one that failed. */
-class Connection
-{
-public:
-    Connection(const std::string &input, std::size_t pieceBytes, End end)
-        : scope_(loop_)
-        , stream_(kj::heap<ScriptedStream>(split(input, pieceBytes), end))
-        , reader_(stream_, MessageLimits{4096, bodyBytes})
-    {}
-
-    void writeRequest()
-    {
-        const std::string request = "GET / HTTP/1.1\r\n\r\n";
-        stream_.write(kj::arrayPtr(request.data(), request.size()))
-                .catch_([](kj::Exception && /*exception*/) {})
-                .wait(scope_);
-    }
-
-    std::optional<std::string> readResponse()
-    {
-        auto head = reader_.readHead().wait(scope_);
-        if (!std::holds_alternative<ResponseHead>(head))
-            return std::nullopt;
-        status_ = std::get<ResponseHead>(head).status;
-        std::optional<std::string> body;
-        reader_.readBodyUpTo(bodyBytes)
-                .then([&](BodyPiece &&piece) { body = std::move(piece.bytes); },
-                      [](kj::Exception && /*exception*/) {})
-                .wait(scope_);
-        return body;
-    }
-
-    int status() const { return status_; }
-    bool isKept() const { return reader_.message().keepsConnection(); }
-
-    /** Reads the only response of a connection. */
-    static std::optional<std::string> read(const std::string &input, std::size_t pieceBytes,
-                                           End end)
-    {
-        return Connection(input, pieceBytes, end).readResponse();
-    }
-
-private:
-    kj::EventLoop loop_;
-    kj::WaitScope scope_;
-    ReadAheadStream stream_;
-    MessageReader<ResponseHead> reader_;
-    int status_ = 0;
-};
-
 } // namespace
 
 TEST(TruncatedResponse, isNotCompleteWhereverItEnds)
