--- a/packages/transport/http/BeastParser.h
+++ b/packages/transport/http/BeastParser.h
@@ -3,6 +3,7 @@
 
 #include "transport/http/MessageLimits.h"
 #include "transport/http/RequestHead.h"
+#include "transport/http/ResponseHead.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -58,10 +59,14 @@
         }
     }
 
-    void on_response_impl(int code, Text /*reason*/, int /*version*/, Error & /*error*/) override
+    void on_response_impl(int code, Text /*reason*/, int /*version*/, Error &error) override
     {
-        if constexpr (!std::is_same_v<Head, RequestHead>)
+        if constexpr (!std::is_same_v<Head, RequestHead>) {
             head_.status = code;
+            // The library accepts any three digits.
+            if (!Head::isDefinedStatus(code))
+                error = boost::beast::http::error::bad_status;
+        }
     }
 
     void on_field_impl(boost::beast::http::field field, Text name, Text value,
--- a/packages/transport/http/ResponseHead.h
+++ b/packages/transport/http/ResponseHead.h
@@ -11,6 +11,9 @@
     /** The status of an interim response after which the connection has another protocol. */
     static constexpr int switchingProtocols = 101;
 
+    /** Returns whether HTTP defines a class for a status (RFC 9110, section 15). */
+    static bool isDefinedStatus(int number) { return number >= 100 && number <= 599; }
+
     int status = 200;
     HeaderList headers;
 
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -1,6 +1,9 @@
-/** Decodes outcomes that this version does not know as Unknown. */
+/** Decodes outcomes that this version does not know, and responses with an undefined status, as
+    Unknown. */
 #include "transport/wire/CallCodec.h"
 
+#include "transport/http/ResponseHead.h"
+
 namespace boragetrack::transport::wire {
 
 using traffic::calls::CallOutcome;
@@ -46,6 +49,20 @@
     return number <= last ? static_cast<CallOutcome>(number) : CallOutcome::Unknown;
 }
 
+// An earlier version of a node passes on what its upstream sent, whatever its status.
+void dropInvalidResponse(CallResponse &response)
+{
+    if (response.outcome != CallOutcome::Completed
+        || http::ResponseHead::isDefinedStatus(response.status))
+        return;
+    response.outcome = CallOutcome::Unknown;
+    response.reason
+            = "the upstream's response has the undefined status " + std::to_string(response.status);
+    response.status = 0;
+    response.headers.clear();
+    response.body.clear();
+}
+
 } // namespace
 
 void encode(const CallRequest &request, schema::CallRequest::Builder message)
@@ -140,6 +157,7 @@
     if (message.getRetryAfterMillis() >= 0)
         response.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
     response.reachedUpstream = message.getReachedUpstream();
+    dropInvalidResponse(response);
     return response;
 }
 
--- a/packages/transport/wire/CallCodec.h
+++ b/packages/transport/wire/CallCodec.h
@@ -16,7 +16,7 @@
 /** Encodes a response into a message. */
 void encode(const traffic::calls::CallResponse &response, schema::CallAnswer::Builder message);
 
-/** Returns the response that a message holds. */
+/** Returns the response that a message holds; with outcome Unknown if it is not a valid one. */
 traffic::calls::CallResponse decode(schema::CallAnswer::Reader message);
 
 } // namespace boragetrack::transport::wire
