--- a/packages/transport/http/ReadAheadStream.cpp
+++ b/packages/transport/http/ReadAheadStream.cpp
@@ -1,7 +1,13 @@
-/** Keeps at most one read pending and shares its completion among all that wait for it. */
+/** Keeps at most one read pending and shares its completion among all that wait for it. The system
+    reports a reset of the connection once, to a read or to a write. If a write gets it, the next
+    read ends as after a close by the peer, possibly before the failure of the write is known here.
+    Such an end therefore counts as a close only if every write has succeeded, or if the state of
+    the connection shows that the peer has closed it. */
 #include "transport/http/ReadAheadStream.h"
 
 #include <kj/exception.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 namespace boragetrack::transport::http {
 
@@ -43,12 +49,8 @@
 
 kj::Promise<void> ReadAheadStream::write(kj::ArrayPtr<const char> bytes)
 {
-    return stream_->write(bytes.begin(), bytes.size())
-            .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
-                // The system reports a reset once; if a write gets it, reads see a regular close.
-                isReset_ = true;
-                return kj::mv(exception);
-            });
+    ++unsuccessfulWrites_;
+    return stream_->write(bytes.begin(), bytes.size()).then([this]() { --unsuccessfulWrites_; });
 }
 
 void ReadAheadStream::beginRead()
@@ -62,8 +64,9 @@
                        .then(
                                [this](std::size_t length) {
                                    isReading_ = false;
-                                   isEnded_ = length == 0;
                                    buffer_.append(chunk_.begin(), length);
+                                   if (length == 0)
+                                       handleEnd();
                                },
                                [this](kj::Exception && /*exception*/) {
                                    // Any error ends the input; isReset() distinguishes it from a
@@ -75,4 +78,21 @@
                        .fork();
 }
 
+void ReadAheadStream::handleEnd()
+{
+    isEnded_ = true;
+    isReset_ = unsuccessfulWrites_ > 0 && !isClosedByPeer();
+}
+
+// Returns whether the peer has closed its side of the connection and has not reset it since; false
+// if the stream can't tell.
+bool ReadAheadStream::isClosedByPeer()
+{
+    tcp_info info{};
+    kj::uint size = sizeof(info);
+    const auto failure = kj::runCatchingExceptions(
+            [&]() { stream_->getsockopt(IPPROTO_TCP, TCP_INFO, &info, &size); });
+    return failure == nullptr && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -41,7 +41,8 @@
     /** Returns whether the input has ended. */
     bool isEnded() const { return isEnded_; }
 
-    /** Returns whether the connection has failed, in contrast to a close by the peer. */
+    /** Returns whether the input has ended because the connection failed, in contrast to a close by
+        the peer. What was received is then incomplete unless it tells where it ends. */
     bool isReset() const { return isReset_; }
 
     /** Writes all bytes. The stream must outlive the promise. */
@@ -53,6 +54,8 @@
 
 private:
     void beginRead();
+    void handleEnd();
+    bool isClosedByPeer();
 
     kj::Own<kj::AsyncIoStream> stream_;
     std::string buffer_;
@@ -60,7 +63,10 @@
     std::size_t begin_ = 0;
     bool isReading_ = false;
     bool isEnded_ = false;
+    // Invariant: decided when the input ends; a write that fails later doesn't change it.
     bool isReset_ = false;
+    // The writes that are pending, have failed or were cancelled.
+    int unsuccessfulWrites_ = 0;
     kj::Array<char> chunk_ = kj::heapArray<char>(std::size_t{8} * 1024);
     kj::ForkedPromise<void> reading_ = nullptr;
 };
--- a/tests/platform/asyncserver.py
+++ b/tests/platform/asyncserver.py
@@ -70,8 +70,8 @@
         return [data[at:at + size] for at in range(0, len(data), size)]
 
 
-async def read_request(reader):
-    """Returns the next request of a connection, or None at its end."""
+async def read_head(reader):
+    """Returns the next request of a connection without its body, or None at its end."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -83,6 +83,11 @@
         if line:
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
+    return Request(method, target, headers, b"")
+
+
+async def read_body(reader, headers):
+    """Returns the body of the request that has these headers."""
     body = b""
     if headers.get("transfer-encoding") == "chunked":
         while size := int((await reader.readline()).strip(), 16):
@@ -91,7 +96,7 @@
         await reader.readexactly(2)
     elif "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
-    return Request(method, target, headers, body)
+    return body
 
 
 def reset(writer):
@@ -136,9 +141,17 @@
 class AsyncServer:
     """Serves HTTP on a loopback port; subclasses implement handle()."""
 
-    def __init__(self, event_loop, port):
+    # How long a connection stays open, unread, after a response before the body of its request
+    # whose ending is "half"; in seconds.
+    EARLY_HOLD = 1.0
+
+    def __init__(self, event_loop, port, receive_buffer=None):
         self.event_loop = event_loop
         self.port = port
+        # The size of the receive buffer of each connection in bytes; None for the system's default.
+        self.receive_buffer = receive_buffer
+        # Returns a response to send before the body of a request is read, or None.
+        self.early_response = lambda request: None
         self.connections = 0
         self._writers = set()
         self._server = None
@@ -147,7 +160,13 @@
         raise NotImplementedError
 
     async def open(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit it only if it is set before the socket listens.
+        if self.receive_buffer:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        listener.bind(("127.0.0.1", self.port))
+        self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def close_server(self):
         self._server.close()
@@ -165,9 +184,13 @@
         self._writers.add(writer)
         connection = Connection()
         try:
-            while (request := await read_request(reader)) is not None:
+            while (request := await read_head(reader)) is not None:
                 connection.requests += 1
                 request.connection = connection
+                if early := self.early_response(request):
+                    await self.respond_early(early, writer)
+                    return
+                request.body = await read_body(reader, request.headers)
                 response = await self.handle_or_cancel(request, reader)
                 if response is None:
                     writer.transport.abort()
@@ -195,6 +218,16 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def respond_early(self, response, writer):
+        """Sends a response and ends the connection as it says, without reading on."""
+        writer.write(response.to_bytes())
+        await asyncio.sleep(response.pause)
+        if response.ending == "reset":
+            reset(writer)
+        elif response.ending == "half":
+            writer.write_eof()
+            await asyncio.sleep(self.EARLY_HOLD)
+
     async def handle_or_cancel(self, request, reader):
         """Handles a request; cancels it and returns None when the client disconnects first."""
         handling = asyncio.ensure_future(self.handle(request))
--- a/tests/platform/platform_case.py
+++ b/tests/platform/platform_case.py
@@ -27,8 +27,8 @@
                 self.fleet.add_node(f"{service}-{zone}", zone, service)
         self.nodes = {node.name: node for node in self.fleet.nodes}
 
-    def start_fleet(self, rules=RULES):
-        self.store.put("op/config", configuration(5, rules, SERVICES))
+    def start_fleet(self, rules=RULES, limits=None):
+        self.store.put("op/config", configuration(5, rules, SERVICES, limits))
         self.fleet.start()
         self.fleet.wait_until_served("/items/1")
         self.fleet.wait_until_served("/orders/1")
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -97,6 +97,7 @@
         self.process = None
         self.upstream = None
         self.extra_settings = {}
+        self.upstream_options = {}
 
     def write_settings(self, **changes):
         address = lambda port: f"127.0.0.1:{port}"
@@ -126,7 +127,8 @@
 
     def add_upstream(self, version="v1", **options):
         self.upstream = Upstream(self.fleet.event_loop, self.upstream_port, self.announcement_port,
-                                 self.service, version, **options)
+                                 self.service, version,
+                                 **{**self.upstream_options, **options})
         self.upstream.start()
         return self.upstream
 
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -12,6 +12,7 @@
 UNSOUND_STATUSES = ("000", "001", "099", "600", "999")
 # Service and method of a call that may run again, and of one that may not.
 CALLS = (("items", "GET"), ("orders", "POST"))
+UPLOAD_BYTES = 7_900_000
 
 
 def head_of(request, status=b"200 OK", version=b"1.1", framing=b""):
@@ -74,6 +75,59 @@
             calls = [(method, f"/{service}/{status}") for service, method in CALLS]
             self.assert_all(self.call_each(calls), (status, CONTENT))
 
+    # ---------------------------------------------------------------- unfinished uploads
+
+    def start_fleet_for_uploads(self, respond):
+        """Starts a fleet whose upstreams respond to calls before they have read the body."""
+        for node in self.fleet.nodes:
+            # So small that the rest of an upload stays in the node.
+            node.upstream_options = {"receive_buffer": 16 * 1024}
+        self.start_fleet(limits={"maxHeaderBytes": 16384, "maxBodyBytes": 8_000_000,
+                                 "headerTimeoutS": 5, "idleTimeoutS": 15})
+
+        def respond_early(upstream, request):
+            if request.path == "/health" or request.method == "GET":
+                return None
+            upstream.record_run(request)
+            return respond(request)
+
+        for node in self.fleet.nodes:
+            node.upstream.early_response = (
+                lambda request, upstream=node.upstream: respond_early(upstream, request))
+
+    def upload_each(self, count, form):
+        """Makes calls whose path names the form of the response, one after another."""
+        upload = b"u" * UPLOAD_BYTES
+        calls = [("POST", f"/orders/{form}/{number}", upload) for number in range(count)]
+        return self.call_each(calls, parallel=1)
+
+    def test_delivers_no_response_that_was_reset_beside_an_upload(self):
+        self.start_fleet_for_uploads(lambda request: Response(
+            raw=head_of(request, version=request.path.split("/")[2].encode()) + CONTENT[:5],
+            ending="reset"))
+        for version in ("1.1", "1.0"):
+            self.assert_statuses(self.upload_each(16, version), 502)
+
+    def test_delivers_a_response_that_ends_in_order_beside_an_upload(self):
+        self.start_fleet_for_uploads(lambda request: Response(
+            raw=head_of(request, version=request.path.split("/")[2].encode()) + CONTENT,
+            ending="half"))
+        for version in ("1.1", "1.0"):
+            self.assert_all(self.upload_each(4, version), (200, CONTENT))
+
+    def test_delivers_a_response_of_known_length_beside_an_upload(self):
+        chunks = b"11;note=x\r\n" + CONTENT + b"\r\n0\r\n\r\n"
+        framed = {"length": (LENGTH, CONTENT),
+                  "chunks": (b"Transfer-Encoding: chunked\r\n", chunks)}
+
+        def respond(request):
+            framing, body = framed[request.path.split("/")[2]]
+            return Response(raw=head_of(request, framing=framing) + body, pause=1.0)
+
+        self.start_fleet_for_uploads(respond)
+        for name in framed:
+            self.assert_all(self.upload_each(4, name), (200, CONTENT))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/upstream.py
+++ b/tests/platform/upstream.py
@@ -22,8 +22,9 @@
     Service time and cold period are in seconds.
     """
 
-    def __init__(self, event_loop, port, control_port, service, version="v1", instance=None):
-        super().__init__(event_loop, port)
+    def __init__(self, event_loop, port, control_port, service, version="v1", instance=None,
+                 receive_buffer=None):
+        super().__init__(event_loop, port, receive_buffer)
         self.control_port = control_port
         self.service = service
         self.version = version
@@ -51,23 +52,27 @@
         if request.path == "/health":
             status = 200 if self.state == "ready" else 503
             return Response(status, b"", {INSTANCE: self.instance})
-        attempt = request.header(ATTEMPT)
         replacement = self.override_response(request)
         if replacement is not None and (replacement.headers.get(NOT_RUN)
                                         or replacement.status == MISDIRECTED):
             return replacement
-        record = RunRecord(attempt, time.monotonic())
-        self.records.append(record)
-        self.runs.append((record.started_at, attempt, request))
+        record = self.record_run(request)
         try:
             await asyncio.sleep(self.service_time_of(request))
         except asyncio.CancelledError:
             record.cancelled_at = time.monotonic()
-            self.cancelled.append(attempt)
+            self.cancelled.append(record.attempt)
             raise
         record.finished_at = time.monotonic()
         return replacement or self.success_response(request)
 
+    def record_run(self, request):
+        """Records that a request runs from now on. Returns its record."""
+        record = RunRecord(request.header(ATTEMPT), time.monotonic())
+        self.records.append(record)
+        self.runs.append((record.started_at, record.attempt, request))
+        return record
+
     def success_response(self, request):
         body = f"{self.instance} ran {request.method} {request.target} ".encode() + request.body
         return Response(200, body, {ATTEMPT: request.header(ATTEMPT), STAMP: f"s.{self.instance}"})
--- a/tests/unit/ScriptedConnection.h
+++ b/tests/unit/ScriptedConnection.h
@@ -24,13 +24,12 @@
         , reader_(stream_, transport::http::MessageLimits{4096, bodyBytes})
     {}
 
-    /** Writes a request, which fails if the script says so. */
+    /** Begins to write a request, which may fail or remain unfinished. */
     void writeRequest()
     {
-        const std::string request = "GET / HTTP/1.1\r\n\r\n";
-        stream_.write(kj::arrayPtr(request.data(), request.size()))
-                .catch_([](kj::Exception && /*exception*/) {})
-                .wait(scope_);
+        writing_ = stream_.write(kj::StringPtr("GET / HTTP/1.1\r\n\r\n").asArray())
+                           .catch_([](kj::Exception && /*exception*/) {})
+                           .eagerlyEvaluate(nullptr);
     }
 
     /** Returns the body of the next response. */
@@ -74,6 +73,7 @@
     kj::WaitScope scope_;
     transport::http::ReadAheadStream stream_;
     transport::http::MessageReader<transport::http::ResponseHead> reader_;
+    kj::Promise<void> writing_ = nullptr;
     int status_ = 0;
 };
 
--- a/tests/unit/ScriptedStream.h
+++ b/tests/unit/ScriptedStream.h
@@ -5,6 +5,8 @@
 #include <deque>
 #include <kj/async-io.h>
 #include <kj/debug.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 
 namespace boragetrack::tests {
@@ -20,6 +22,13 @@
         Reset,
         /** Writes report a reset, and reads end as after a close. */
         ResetOnWrite,
+        /** As after ResetOnWrite, but the failure of the write is not known yet. */
+        ResetWhileWriting,
+        /** The peer closes its side in order and never reads what is written. */
+        CloseWhileWriting,
+        /** The peer closes its side in order after it has read all, and then resets the
+            connection. */
+        ResetAfterClose,
     };
 
     /** @param pieces empty ones are not allowed; what exceeds a read is left to the next one */
@@ -45,6 +54,8 @@
     {
         if (end_ == End::ResetOnWrite)
             return resetException();
+        if (end_ == End::ResetWhileWriting || end_ == End::CloseWhileWriting)
+            return kj::NEVER_DONE;
         return kj::READY_NOW;
     }
     kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> /*pieces*/) override
@@ -53,6 +64,14 @@
     }
     kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
     void shutdownWrite() override {}
+    void getsockopt(int level, int option, void *value, kj::uint *length) override
+    {
+        KJ_REQUIRE(level == IPPROTO_TCP && option == TCP_INFO && *length >= sizeof(tcp_info));
+        const bool isClosed = end_ == End::Close || end_ == End::CloseWhileWriting;
+        tcp_info info{};
+        info.tcpi_state = isClosed ? TCP_CLOSE_WAIT : TCP_CLOSE;
+        *static_cast<tcp_info *>(value) = info;
+    }
     void setsockopt(int /*level*/, int /*option*/, const void * /*value*/,
                     kj::uint /*length*/) override
     {}
--- a/tests/unit/TruncatedResponseTest.cpp
+++ b/tests/unit/TruncatedResponseTest.cpp
@@ -97,9 +97,31 @@
 
 TEST(TruncatedResponse, isNotCompleteIfWritingTheRequestFoundTheConnectionReset)
 {
-    Connection connection("HTTP/1.1 200 OK\r\n\r\nhello", bodyBytes, End::ResetOnWrite);
+    for (const End end : {End::ResetOnWrite, End::ResetWhileWriting}) {
+        for (const char *body : {"", "hello"}) {
+            for (const std::size_t pieceBytes : {std::size_t{1}, bodyBytes}) {
+                const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+                Connection connection(head + body, pieceBytes, end);
+                connection.writeRequest();
+                EXPECT_EQ(connection.readResponse(), std::nullopt) << body;
+            }
+        }
+    }
+}
+
+// An upstream may respond to a long request, close its side and never read the rest.
+TEST(TruncatedResponse, endsWithTheConnectionAlthoughTheRequestIsUnfinished)
+{
+    Connection connection("HTTP/1.1 200 OK\r\n\r\nhello", bodyBytes, End::CloseWhileWriting);
+    connection.writeRequest();
+    EXPECT_EQ(connection.readResponse(), "hello");
+}
+
+TEST(TruncatedResponse, endsWithTheConnectionThoughAResetFollows)
+{
+    Connection connection("HTTP/1.1 200 OK\r\n\r\nhello", bodyBytes, End::ResetAfterClose);
     connection.writeRequest();
-    EXPECT_EQ(connection.readResponse(), std::nullopt);
+    EXPECT_EQ(connection.readResponse(), "hello");
 }
 
 TEST(TruncatedResponse, acceptsNoLineFeedAloneAsTheEndOfALine)
