Refuse bodies with a transfer coding beneath their chunks

What callers saw: a response with "Transfer-Encoding: gzip, chunked", or with the two codings in two fields, came through as a 200 whose body was the compressed bytes; the field that says so is dropped, as it concerns one connection. Requests passed in the same way. Cause: Boost.Beast decodes chunks if they are the outermost coding and leaves the codings beneath them to its user. BeastParser only checked that there are chunks. Change: it refuses each Transfer-Encoding but "chunked" alone, as a malformed head: 502 for responses, 400 for requests. The node offers no other coding in a TE field, so no upstream may use one (RFC 9112, section 7.4).

--- a/packages/transport/http/BeastParser.h
+++ b/packages/transport/http/BeastParser.h
@@ -70,23 +70,24 @@
     }
 
     void on_field_impl(boost::beast::http::field field, Text name, Text value,
-                       Error & /*error*/) override
+                       Error &error) override
     {
-        hasTransferEncoding_
-                = hasTransferEncoding_ || field == boost::beast::http::field::transfer_encoding;
         // Fields of a trailer are not part of the head.
         if (this->is_header_done())
             return;
+        // The library decodes chunks and leaves any coding beneath them in the body. Without
+        // chunks, the end of the body is unknown, and what follows would be read as another
+        // message.
+        if (field == boost::beast::http::field::transfer_encoding
+            && !equalsIgnoreCase({value.data(), value.size()}, "chunked")) {
+            error = boost::beast::http::error::bad_transfer_encoding;
+            return;
+        }
         head_.headers.push_back(traffic::calls::HeaderField{
                 std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
 
-    // Without a known end of the body, what follows a request would be read as another request.
-    void on_header_impl(Error &error) override
-    {
-        if (hasTransferEncoding_ && !this->chunked())
-            error = boost::beast::http::error::bad_transfer_encoding;
-    }
+    void on_header_impl(Error & /*error*/) override {}
     void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                            Error & /*error*/) override
     {}
@@ -123,7 +124,6 @@
     std::size_t contentBytes_ = 0;
     std::uint64_t chunkBytesLeft_ = 0;
     bool hasChunk_ = false;
-    bool hasTransferEncoding_ = false;
 };
 
 } // namespace boragetrack::transport::http
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -1,5 +1,6 @@
 """Tests that a response which is not sound never reaches a caller, and that unusual ones do."""
 
+import gzip
 import unittest
 
 from asyncserver import Response
@@ -147,6 +148,19 @@
                  for service, method in CALLS for form in forms for piece_bytes in (0, 1)]
         self.assert_all(self.call_each(calls), (200, CONTENT))
 
+    def test_delivers_no_body_in_an_unknown_transfer_coding(self):
+        self.start_fleet()
+        codings = (b"gzip, chunked", b"gzip\r\nTransfer-Encoding: chunked", b"chunked, gzip",
+                   b"gzip")
+        coded = gzip.compress(CONTENT)
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(coded), coded)
+        self.respond(lambda request: Response(raw=head_of(
+            request, framing=b"Transfer-Encoding: %s\r\n" % codings[int(request.path[-1])]) + body,
+            ending="close"))
+        calls = [(method, f"/{service}/{index}") for service, method in CALLS
+                 for index in range(len(codings))]
+        self.assert_statuses(self.call_each(calls), 502)
+
     # ---------------------------------------------------------------- unfinished uploads
 
     def start_fleet_for_uploads(self, respond):
