Read the responses of stores and nodes with the one strict parser

What they took: heads in which the name of a field held a blank, a control byte or a blank before the colon ("X-Version : 7" counted as the version; with "Content-Length : 5" the body was all that followed), status 600, HTTP/2.0, an unrequested change of protocol. A field without a name ended the process by an exception. Cause: they used ulfius's client. libcurl under it passes such lines on, and ulfius trims them before its user sees them, so that no check behind it can tell. Change: BlockingClient takes its place. It waits for AsyncClient, the client of the platform's store, on an event loop of its own, so that all responses pass the same reader. AsyncClient now reads while it writes, as libcurl did: a server may refuse a long request before it has read it. Two errors of one text get texts of their own. Evidence: the tests of BlockingClient, run on with UlfiusClient: returnsNoMalformedResponse fails, first with eleven responses that were accepted and then by the exception; the other four pass there. All pass now, 20 times in a row; the tests of whole processes, which use the command line, pass.

--- a/packages/daemon/environment/NativeEnvironment.h
+++ b/packages/daemon/environment/NativeEnvironment.h
@@ -7,7 +7,7 @@
 #include "daemon/settings/NodeSettings.h"
 #include "transport/dialect/NativeDialect.h"
 #include "transport/http/HttpConfigStore.h"
-#include "transport/http/UlfiusClient.h"
+#include "transport/http/BlockingClient.h"
 
 namespace boragetrack::daemon::environment {
 
@@ -48,7 +48,7 @@
 
 private:
     transport::dialect::NativeDialect dialect_;
-    transport::http::UlfiusClient httpClient_;
+    transport::http::BlockingClient httpClient_;
     transport::http::HttpConfigStore store_;
     service::StoreWatcher watcher_;
     service::MoveRecorder recorder_;
--- a/packages/operators/main.cpp
+++ b/packages/operators/main.cpp
@@ -2,8 +2,8 @@
     the command and prints its result. */
 #include "core/events/EventLog.h"
 #include "operators/commands/CommandTable.h"
+#include "transport/http/BlockingClient.h"
 #include "transport/http/HttpConfigStore.h"
-#include "transport/http/UlfiusClient.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -57,7 +57,7 @@
         return {ExitCode::UsageError, "invalid settings from --settings or "
                                               + std::string(settingsVariable) + ":\n"
                                               + findings.toString()};
-    transport::http::UlfiusClient client;
+    transport::http::BlockingClient client;
     transport::http::HttpConfigStore store(settings->platform, client);
     CommandContext context(*settings, store, client,
                            [](const std::string &line) { std::cerr << line << std::endl; });
@@ -67,7 +67,7 @@
 CommandResult runOffline(const Command &command, const options::variables_map &values)
 {
     const operators::settings::OperatorSettings none;
-    transport::http::UlfiusClient client;
+    transport::http::BlockingClient client;
     transport::http::HttpConfigStore store({}, client);
     CommandContext context(none, store, client, [](const std::string &) {});
     return command.run(context, values);
--- a/packages/standins/upstream/Announcer.cpp
+++ b/packages/standins/upstream/Announcer.cpp
@@ -1,7 +1,7 @@
 /** Ignores errors, because the next announcement follows after a second. */
 #include "standins/upstream/Announcer.h"
 
-#include "transport/http/UlfiusClient.h"
+#include "transport/http/BlockingClient.h"
 
 namespace boragetrack::standins::upstream {
 
@@ -52,7 +52,7 @@
 
 void Announcer::send(const std::string &text) const
 {
-    transport::http::UlfiusClient client;
+    transport::http::BlockingClient client;
     (void)client.send(node_, {"POST", "/v1/announce", {}, text}, sendTimeout);
 }
 
--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -58,17 +58,33 @@
 
     kj::Promise<Result> run()
     {
-        return connection_->stream()
-                .write(kj::arrayPtr(requestText_.data(), requestText_.size()))
-                .then([this]() { return connection_->reader().readHead(); })
+        // A server may respond to a long request, for instance refuse it, before it has read it.
+        auto written = connection_->stream()
+                               .write(kj::arrayPtr(requestText_.data(), requestText_.size()))
+                               .then([this]() { isRequestWritten_ = true; })
+                               .catch_([](kj::Exception && /*exception*/) {
+                                   // The reader detects a broken connection as well.
+                               })
+                               .eagerlyEvaluate(nullptr);
+        return readResponse().attach(kj::mv(written));
+    }
+
+private:
+    kj::Promise<Result> readResponse()
+    {
+        return connection_->reader()
+                .readHead()
                 .then([this](MessageReader<ResponseHead>::HeadResult &&result)
                               -> kj::Promise<Result> {
                     auto *head = std::get_if<ResponseHead>(&result);
                     const auto *fault = std::get_if<MessageFault>(&result);
                     if (fault != nullptr && fault->status == tooLargeStatus)
                         return Result(absl::OutOfRangeError(tooLargeText));
+                    if (fault != nullptr)
+                        return Result(absl::UnknownError("malformed response: " + fault->reason));
                     if (head == nullptr)
-                        return Result(absl::UnknownError("no valid response on the connection"));
+                        return Result(
+                                absl::UnknownError("the connection ended without a response"));
                     response_.status = head->status;
                     response_.headers = std::move(head->headers);
                     return readBody();
@@ -78,7 +94,6 @@
                 });
     }
 
-private:
     kj::Promise<Result> readBody()
     {
         return connection_->reader()
@@ -87,7 +102,7 @@
                     if (!body.isLast)
                         return Result(absl::OutOfRangeError(tooLargeText));
                     response_.body = std::move(body.bytes);
-                    if (connection_->reader().message().keepsConnection()) {
+                    if (isRequestWritten_ && connection_->reader().message().keepsConnection()) {
                         connection_->watchForClose();
                         client_.idleConnections_.push_back(kj::mv(connection_));
                     }
@@ -98,6 +113,7 @@
     AsyncClient &client_;
     kj::Own<Connection> connection_;
     std::string requestText_;
+    bool isRequestWritten_ = false;
     HttpResponse response_;
 };
 
--- a/packages/transport/http/UlfiusClient.h
+++ b/packages/transport/http/BlockingClient.h
@@ -1,12 +1,13 @@
-/** Blocking HTTP client based on ulfius. */
+/** Blocking HTTP client. */
 #pragma once
 
 #include "transport/http/HttpClient.h"
 
 namespace boragetrack::transport::http {
 
-/** Opens a new connection for each request, so that the library never sends a request twice. */
-class UlfiusClient : public HttpClient
+/** Opens a new connection for each request, and runs it on an event loop of its own. The calling
+    thread must not have an event loop. May be called from several threads concurrently. */
+class BlockingClient : public HttpClient
 {
 public:
     absl::StatusOr<HttpResponse> send(const core::identity::NetworkAddress &server,
--- a/packages/transport/http/HttpClient.h
+++ b/packages/transport/http/HttpClient.h
@@ -17,8 +17,9 @@
     virtual ~HttpClient() = default;
 
     /** Sends a request and returns its response.
-        @returns Unavailable if the server certainly did not receive the request, Unknown if the
-        response was lost or late */
+        @param timeout for the whole exchange, including the time to connect
+        @returns Unavailable if the server certainly did not receive the request, OutOfRange if the
+        response is too large, Unknown if it was lost, invalid or late */
     virtual absl::StatusOr<HttpResponse> send(const core::identity::NetworkAddress &server,
                                               const HttpRequest &request,
                                               std::chrono::milliseconds timeout)
--- a/tests/unit/RawServer.cpp
+++ b/tests/unit/RawServer.cpp
@@ -3,6 +3,8 @@
 #include "RawServer.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
+#include <system_error>
 #include <unistd.h>
 
 namespace boragetrack::tests {
@@ -21,10 +23,11 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    ::bind(listener_, reinterpret_cast<sockaddr *>(&address), length);
-    ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+    auto *anyPort = reinterpret_cast<sockaddr *>(&address);
+    if (::bind(listener_, anyPort, length) != 0 || ::listen(listener_, SOMAXCONN) != 0
+        || ::getsockname(listener_, anyPort, &length) != 0)
+        throw std::system_error(errno, std::generic_category(), "no port for a test's server");
     port_ = ntohs(address.sin_port);
-    ::listen(listener_, SOMAXCONN);
     thread_ = std::thread([this]() { run(); });
 }
 
