--- a/tests/platform/response_case.py
+++ b/tests/platform/response_case.py
@@ -46,3 +46,20 @@
             self.assertIn(response.status, (502, 503))
             time.sleep(0.05)
         raise AssertionError(f"no upstream has run {call[:2]}")
+
+    def upstreams_in(self, zone):
+        return [node.upstream for node in self.fleet.nodes if node.zone == zone]
+
+    def receives_no_calls(self, upstreams):
+        """Calls through all nodes. Returns whether none of the given upstreams ran a call."""
+        before = [len(upstream.runs) for upstream in upstreams]
+        statuses = []
+        for node in self.fleet.nodes:
+            for path in ("/items/1", "/orders/1"):
+                try:
+                    statuses.append(node.call(path=path).status)
+                except OSError:
+                    statuses.append(0)  # the node is starting
+        # Without the configuration, a node that starts responds with 503.
+        self.assertNotIn(404, statuses)
+        return before == [len(upstream.runs) for upstream in upstreams]
