--- a/packages/daemon/environment/NativeEnvironment.h
+++ b/packages/daemon/environment/NativeEnvironment.h
@@ -6,8 +6,8 @@
 #include "daemon/service/EnvelopeSource.h"
 #include "daemon/settings/NodeSettings.h"
 #include "transport/dialect/NativeDialect.h"
-#include "transport/http/HttpConfigStore.h"
 #include "transport/http/BlockingClient.h"
+#include "transport/http/HttpConfigStore.h"
 
 namespace boragetrack::daemon::environment {
 
