Deliver no success without its upstream's signature

What callers saw: a 200 that names its request but has no signature of the upstream, or an empty one, came through. To its caller it counts for nothing, as nothing shows that a sound upstream made it. Cause: PlatformDialect required the request's identifier alone. Change: a 2xx without a signature is malformed: 502. A failure may lack it and keeps its status. The native interface has no signatures.

--- a/packages/transport/dialect/ResponseKind.h
+++ b/packages/transport/dialect/ResponseKind.h
@@ -16,7 +16,7 @@
     WrongInstance,
     /** The response belongs to another request. */
     OtherRequest,
-    /** The response can not be attributed to any request; the call may have run. */
+    /** The response lacks a field by which it is attributed; the call may have run. */
     Malformed,
 };
 
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -125,7 +125,7 @@
             return skipBody(maximumResponseBytes);
         }
         if (kind == ResponseKind::Malformed)
-            return unknownOutcome("the upstream's response identifies no request");
+            return unknownOutcome("the upstream's response lacks a field that identifies it");
         if (kind == ResponseKind::UnprovenRefusal)
             return unknownOutcome(
                     "the upstream's refusal does not state that the call did not run");
--- a/tests/platform/test_broken_responses.py
+++ b/tests/platform/test_broken_responses.py
@@ -26,6 +26,8 @@
     b"Transfer-Encoding : chunked", b"Transfer-Encoding\x0b: chunked", b"X-Name", b": 1",
     b"X-(Name): 1", *(b"X-Na%cme: 1" % byte for byte in (0, 1, 8, 11, 13, 27, 31, 127, 233)),
 ]
+# What a response may have in place of the stamp.
+FIELDS_FOR_A_STAMP = {"none": "", "empty": f"{STAMP}:\r\n", "other": f"X-{STAMP}: s.1\r\n"}
 # A head with such a line as its first or last, and an interim response with it before the head.
 MALFORMED_HEADS = {
     "first": lambda head, line: head.replace(b"OK\r\n", b"OK\r\n" + line + b"\r\n", 1),
@@ -137,6 +139,22 @@
 
     # ---------------------------------------------------------------- heads
 
+    def test_delivers_no_success_without_a_stamp(self):
+        self.start_fleet()
+
+        def respond(request):
+            _, _, status, field = request.path.split("/")
+            fields = f"{ATTEMPT}: {request.header(ATTEMPT)}\r\n{FIELDS_FOR_A_STAMP[field]}".encode()
+            return Response(raw=b"HTTP/1.1 " + status.encode() + b" Status\r\n" + fields + LENGTH
+                            + b"\r\n" + CONTENT)
+
+        self.respond(respond)
+        for status, expected in (("200", 502), ("202", 502), ("299", 502), ("404", 404),
+                                 ("500", 500)):
+            calls = [(method, f"/{service}/{status}/{field}") for service, method in CALLS
+                     for field in FIELDS_FOR_A_STAMP]
+            self.assert_statuses(self.call_each(calls), expected)
+
     def test_delivers_no_response_with_a_malformed_field_name(self):
         self.start_fleet()
         broken_attempts = []
