Take no response of the native store without a version

What happened: a 200 without X-Version, or with one that is no number, counted as a value or a write at version 0, and "7x" as 7. Cause: HttpConfigStore read a missing or odd header as its default. Change: such a response is Unknown, as a lost one is: a write may have been done, and a reader keeps what it has.

--- a/packages/transport/http/HttpConfigStore.cpp
+++ b/packages/transport/http/HttpConfigStore.cpp
@@ -1,7 +1,10 @@
-/** Maps the key-value service's HTTP statuses to absl::Status and reads versions from X-Version. */
+/** Maps the key-value service's HTTP statuses to absl::Status and reads versions from X-Version. A
+    response without a version is lost: it doesn't tell what it is about. */
 #include "transport/http/HttpConfigStore.h"
 
-#include <strings.h>
+#include "transport/http/HeaderLookup.h"
+
+#include <charconv>
 
 namespace boragetrack::transport::http {
 
@@ -16,13 +19,15 @@
 constexpr std::chrono::milliseconds watchMargin{3000};
 constexpr const char *versionHeader = "X-Version";
 
-StoreVersion versionOf(const HttpResponse &response)
+absl::StatusOr<StoreVersion> versionOf(const HttpResponse &response)
 {
-    for (const auto &field : response.headers) {
-        if (strcasecmp(field.name.c_str(), versionHeader) == 0)
-            return StoreVersion{std::strtoull(field.value.c_str(), nullptr, 10)};
-    }
-    return StoreVersion{};
+    const std::string *text = findHeader(response.headers, versionHeader);
+    StoreVersion version;
+    const char *const end = text == nullptr ? nullptr : text->data() + text->size();
+    if (text == nullptr || std::from_chars(text->data(), end, version.number).ptr != end
+        || version.number == 0)
+        return absl::UnknownError("the platform's response has no valid version");
+    return version;
 }
 
 absl::Status statusOf(const HttpResponse &response)
@@ -88,7 +93,10 @@
         return response.status();
     if (response->status != 200)
         return statusOf(*response);
-    return StoredValue{versionOf(*response), response->body};
+    const auto version = versionOf(*response);
+    if (!version.ok())
+        return version.status();
+    return StoredValue{*version, response->body};
 }
 
 } // namespace boragetrack::transport::http
