--- a/tests/unit/UpstreamClientTest.cpp
+++ b/tests/unit/UpstreamClientTest.cpp
@@ -28,7 +28,7 @@
 // A response on the platform's interface; without an id it names no request.
 std::string success(const std::string &id)
 {
-    return responseText(200, {{platform::names::requestId, id}});
+    return responseText(200, {{platform::names::requestId, id}, {platform::names::signature, "s"}});
 }
 
 std::string refusal(int status, const std::string &id = {})
