--- a/packages/control/intent/IntentDocument.h
+++ b/packages/control/intent/IntentDocument.h
@@ -6,9 +6,11 @@
 #include "control/intent/EffectiveSettings.h"
 #include "control/intent/IntentException.h"
 #include "control/intent/MoveIntent.h"
+#include "control/intent/Organisation.h"
 #include "control/intent/Route.h"
 #include "control/intent/ServiceIntent.h"
 
+#include <optional>
 #include <vector>
 
 namespace boragetrack::control::intent {
@@ -25,6 +27,9 @@
     CallerLimits callerLimits;
     std::vector<IntentException> exceptions;
     std::vector<MoveIntent> moves;
+    /** The organisations whose keys requests need, unless their route is public; nothing if
+        requests need no key. */
+    std::optional<std::vector<Organisation>> organisations;
 };
 
 } // namespace boragetrack::control::intent
--- a/packages/control/intent/Route.h
+++ b/packages/control/intent/Route.h
@@ -24,6 +24,8 @@
     std::vector<WeightedService> split;
     /** Whether all requests of this route are idempotent and may run more than once. */
     bool isIdempotent = false;
+    /** Whether requests of this route need no key. */
+    bool isPublic = false;
     /** The priority under overload; 0 is the most urgent. */
     int priority = 0;
     /** The response time within which a response has its full value for the caller; zero when not
--- a/packages/traffic/admission/Arrival.h
+++ b/packages/traffic/admission/Arrival.h
@@ -1,6 +1,7 @@
 /** The properties of an arriving request that admission depends on. */
 #pragma once
 
+#include "core/identity/OrganisationName.h"
 #include "core/identity/RouteName.h"
 #include "core/timing/MonotonicTime.h"
 
@@ -20,6 +21,8 @@
     core::timing::MonotonicTime objective;
     /** The time until which the caller waits for a response. */
     core::timing::MonotonicTime deadline;
+    /** The organisation that the request belongs to; empty if there is none. */
+    core::identity::OrganisationName organisation{};
 };
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/identity/IdempotencyKey.h"
+#include "core/identity/OrganisationName.h"
 #include "core/identity/RouteName.h"
 #include "core/identity/ServiceName.h"
 #include "core/identity/VersionName.h"
@@ -31,6 +32,8 @@
     core::identity::VersionName version;
     /** The service on whose VM the call started. */
     core::identity::ServiceName callerService;
+    /** The organisation that the request belongs to; empty if there is none. */
+    core::identity::OrganisationName organisation;
     /** Whether the call may run more than once. */
     bool isIdempotent = false;
     /** Whether a running request waits for this call. */
--- a/packages/transport/serving/AdmissionController.cpp
+++ b/packages/transport/serving/AdmissionController.cpp
@@ -94,7 +94,8 @@
     const MonotonicTime now = currentTime();
     const Ticket ticket = ++lastTicket_;
     const Arrival arrival{ticket, request.route, request.rank(), now + request.objective,
-                          now + request.budget - request.possibleDelay};
+                          now + request.budget - request.possibleDelay,
+                          request.organisation};
     const AdmissionDecision decision = queue_.arrive(arrival, now);
     if (decision == AdmissionDecision::Run)
         return OptionalPermit(kj::heap<ScopedPermit>(*this));
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -82,6 +82,7 @@
     message.setAttempt(static_cast<std::uint16_t>(request.attempt));
     message.setRequestId(request.requestId);
     message.setCallerService(request.callerService.value());
+    message.setOrganisation(request.organisation.value());
     message.setPriority(static_cast<std::uint16_t>(request.priority));
     message.setObjectiveMicros(request.objective.count());
     message.setNested(request.isNested);
@@ -106,6 +107,7 @@
     request.attempt = message.getAttempt();
     request.requestId = message.getRequestId();
     request.callerService = core::identity::ServiceName(message.getCallerService());
+    request.organisation = core::identity::OrganisationName(message.getOrganisation());
     request.priority = message.getPriority();
     request.objective = std::chrono::microseconds(message.getObjectiveMicros());
     request.isNested = message.getNested();
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -29,6 +29,8 @@
   nested @16 :Bool;
   # Calls per second to a cold upstream by the sender's intent; zero for no limit, negative if the sender doesn't tell.
   coldRate @17 :Float64 = -1;
+  # The organisation that the request belongs to; empty if there is none.
+  organisation @18 :Text;
 }
 
 struct CallAnswer {
@@ -128,6 +130,26 @@
   packed @4 :Data;
 }
 
+struct UsageCount {
+  organisation @0 :Text;
+  requests @1 :UInt64;
+}
+
+struct UsageWindow {
+  number @0 :UInt64;
+  counts @1 :List(UsageCount);
+  # Whether the counts of this window do not change any more.
+  final @2 :Bool;
+}
+
+struct UsageSnapshot {
+  node @0 :Text;
+  generation @1 :UInt64;
+  # The number of the snapshot within the process; a higher one replaces a lower one.
+  sequence @2 :UInt64;
+  windows @3 :List(UsageWindow);
+}
+
 interface Peer {
   call @0 (request :CallRequest) -> (answer :CallAnswer);
   exchange @1 (request :Exchange) -> (answer :Exchange);
@@ -138,4 +160,6 @@
   release @6 (key :Text, claimant :Text) -> ();
   # Responds when the node is about to close its links: the sender sends no further request on this one.
   awaitClosing @7 () -> ();
+  # The response names the last window that is reported; zero if none is known to be.
+  reportUsage @8 (snapshot :UsageSnapshot) -> (reportedThrough :UInt64);
 }
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -30,6 +30,9 @@
 CAPNP_DECLARE_SCHEMA(e8f68dd0c0fcedc3);
 CAPNP_DECLARE_SCHEMA(f5290e6998035f28);
 CAPNP_DECLARE_SCHEMA(8a80c56e47c49ca8);
+CAPNP_DECLARE_SCHEMA(f4526a5df42cff77);
+CAPNP_DECLARE_SCHEMA(d9a26d40d1b53278);
+CAPNP_DECLARE_SCHEMA(b4a9c604c1754128);
 CAPNP_DECLARE_SCHEMA(c5317577acba67a0);
 CAPNP_DECLARE_SCHEMA(b1193dfcac737576);
 CAPNP_DECLARE_SCHEMA(8c770e9d8e8581da);
@@ -47,6 +50,8 @@
 CAPNP_DECLARE_SCHEMA(d247ec7e41889885);
 CAPNP_DECLARE_SCHEMA(8ad2d9c3cd0d4d7a);
 CAPNP_DECLARE_SCHEMA(dba9f4d353f2d32f);
+CAPNP_DECLARE_SCHEMA(bfe93b15ec4ae5a9);
+CAPNP_DECLARE_SCHEMA(8c9ad7d80a56097b);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -79,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 4, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 4, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -221,6 +226,51 @@
   };
 };
 
+struct UsageCount {
+  UsageCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4526a5df42cff77, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageWindow {
+  UsageWindow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9a26d40d1b53278, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageSnapshot {
+  UsageSnapshot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4a9c604c1754128, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -245,6 +295,8 @@
   struct ReleaseResults;
   struct AwaitClosingParams;
   struct AwaitClosingResults;
+  struct ReportUsageParams;
+  struct ReportUsageResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -494,6 +546,36 @@
   };
 };
 
+struct Peer::ReportUsageParams {
+  ReportUsageParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bfe93b15ec4ae5a9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ReportUsageResults {
+  ReportUsageResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c9ad7d80a56097b, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Header::Reader {
@@ -650,6 +732,9 @@
 
   inline double getColdRate() const;
 
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -772,6 +857,13 @@
   inline double getColdRate();
   inline void setColdRate(double value);
 
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1929,6 +2021,284 @@
 };
 #endif  // !CAPNP_LITE
 
+class UsageCount::Reader {
+public:
+  typedef UsageCount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline  ::uint64_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageCount::Builder {
+public:
+  typedef UsageCount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline  ::uint64_t getRequests();
+  inline void setRequests( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageCount::Pipeline {
+public:
+  typedef UsageCount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageWindow::Reader {
+public:
+  typedef UsageWindow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasCounts() const;
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Reader getCounts() const;
+
+  inline bool getFinal() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageWindow::Builder {
+public:
+  typedef UsageWindow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasCounts();
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Builder getCounts();
+  inline void setCounts( ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Builder initCounts(unsigned int size);
+  inline void adoptCounts(::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>> disownCounts();
+
+  inline bool getFinal();
+  inline void setFinal(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageWindow::Pipeline {
+public:
+  typedef UsageWindow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageSnapshot::Reader {
+public:
+  typedef UsageSnapshot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasWindows() const;
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Reader getWindows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageSnapshot::Builder {
+public:
+  typedef UsageSnapshot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasWindows();
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Builder getWindows();
+  inline void setWindows( ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Builder initWindows(unsigned int size);
+  inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>> disownWindows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageSnapshot::Pipeline {
+public:
+  typedef UsageSnapshot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1964,6 +2334,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::boragetrack::transport::wire::schema::Peer::AwaitClosingParams,  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults> awaitClosingRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::boragetrack::transport::wire::schema::Peer::ReportUsageParams,  ::boragetrack::transport::wire::schema::Peer::ReportUsageResults> reportUsageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2012,6 +2384,10 @@
   typedef  ::boragetrack::transport::wire::schema::Peer::AwaitClosingResults AwaitClosingResults;
   typedef ::capnp::CallContext<AwaitClosingParams, AwaitClosingResults> AwaitClosingContext;
   virtual ::kj::Promise<void> awaitClosing(AwaitClosingContext context);
+  typedef  ::boragetrack::transport::wire::schema::Peer::ReportUsageParams ReportUsageParams;
+  typedef  ::boragetrack::transport::wire::schema::Peer::ReportUsageResults ReportUsageResults;
+  typedef ::capnp::CallContext<ReportUsageParams, ReportUsageResults> ReportUsageContext;
+  virtual ::kj::Promise<void> reportUsage(ReportUsageContext context);
 
   inline  ::boragetrack::transport::wire::schema::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2999,7 +3375,169 @@
 #if !CAPNP_LITE
 class Peer::ClaimResults::Pipeline {
 public:
-  typedef ClaimResults Pipelines;
+  typedef ClaimResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReleaseParams::Reader {
+public:
+  typedef ReleaseParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasClaimant() const;
+  inline  ::capnp::Text::Reader getClaimant() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReleaseParams::Builder {
+public:
+  typedef ReleaseParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasClaimant();
+  inline  ::capnp::Text::Builder getClaimant();
+  inline void setClaimant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClaimant(unsigned int size);
+  inline void adoptClaimant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClaimant();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReleaseParams::Pipeline {
+public:
+  typedef ReleaseParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ReleaseResults::Reader {
+public:
+  typedef ReleaseResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ReleaseResults::Builder {
+public:
+  typedef ReleaseResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ReleaseResults::Pipeline {
+public:
+  typedef ReleaseResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3013,9 +3551,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReleaseParams::Reader {
+class Peer::AwaitClosingParams::Reader {
 public:
-  typedef ReleaseParams Reads;
+  typedef AwaitClosingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3030,12 +3568,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasClaimant() const;
-  inline  ::capnp::Text::Reader getClaimant() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3048,9 +3580,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReleaseParams::Builder {
+class Peer::AwaitClosingParams::Builder {
 public:
-  typedef ReleaseParams Builds;
+  typedef AwaitClosingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3064,20 +3596,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasClaimant();
-  inline  ::capnp::Text::Builder getClaimant();
-  inline void setClaimant( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initClaimant(unsigned int size);
-  inline void adoptClaimant(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownClaimant();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3088,9 +3606,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReleaseParams::Pipeline {
+class Peer::AwaitClosingParams::Pipeline {
 public:
-  typedef ReleaseParams Pipelines;
+  typedef AwaitClosingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3104,9 +3622,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ReleaseResults::Reader {
+class Peer::AwaitClosingResults::Reader {
 public:
-  typedef ReleaseResults Reads;
+  typedef AwaitClosingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3133,9 +3651,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ReleaseResults::Builder {
+class Peer::AwaitClosingResults::Builder {
 public:
-  typedef ReleaseResults Builds;
+  typedef AwaitClosingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3159,9 +3677,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ReleaseResults::Pipeline {
+class Peer::AwaitClosingResults::Pipeline {
 public:
-  typedef ReleaseResults Pipelines;
+  typedef AwaitClosingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3175,9 +3693,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AwaitClosingParams::Reader {
+class Peer::ReportUsageParams::Reader {
 public:
-  typedef AwaitClosingParams Reads;
+  typedef ReportUsageParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3192,6 +3710,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSnapshot() const;
+  inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Reader getSnapshot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3204,9 +3725,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AwaitClosingParams::Builder {
+class Peer::ReportUsageParams::Builder {
 public:
-  typedef AwaitClosingParams Builds;
+  typedef ReportUsageParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3220,6 +3741,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSnapshot();
+  inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Builder getSnapshot();
+  inline void setSnapshot( ::boragetrack::transport::wire::schema::UsageSnapshot::Reader value);
+  inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Builder initSnapshot();
+  inline void adoptSnapshot(::capnp::Orphan< ::boragetrack::transport::wire::schema::UsageSnapshot>&& value);
+  inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::UsageSnapshot> disownSnapshot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3230,14 +3758,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AwaitClosingParams::Pipeline {
+class Peer::ReportUsageParams::Pipeline {
 public:
-  typedef AwaitClosingParams Pipelines;
+  typedef ReportUsageParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Pipeline getSnapshot();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3246,9 +3775,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::AwaitClosingResults::Reader {
+class Peer::ReportUsageResults::Reader {
 public:
-  typedef AwaitClosingResults Reads;
+  typedef ReportUsageResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3263,6 +3792,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getReportedThrough() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3275,9 +3806,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::AwaitClosingResults::Builder {
+class Peer::ReportUsageResults::Builder {
 public:
-  typedef AwaitClosingResults Builds;
+  typedef ReportUsageResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3291,6 +3822,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getReportedThrough();
+  inline void setReportedThrough( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3301,9 +3835,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::AwaitClosingResults::Pipeline {
+class Peer::ReportUsageResults::Pipeline {
 public:
-  typedef AwaitClosingResults Pipelines;
+  typedef ReportUsageResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3839,6 +4373,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
 }
 
+inline bool CallRequest::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t CallAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5428,6 +5996,212 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool UsageCount::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageCount::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageCount::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageCount::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageCount::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageCount::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageCount::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageCount::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UsageCount::Reader::getRequests() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageCount::Builder::getRequests() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageCount::Builder::setRequests( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageWindow::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageWindow::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageWindow::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageWindow::Reader::hasCounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageWindow::Builder::hasCounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Reader UsageWindow::Reader::getCounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::getCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageWindow::Builder::setCounts( ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>::Builder UsageWindow::Builder::initCounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageWindow::Builder::adoptCounts(
+    ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>> UsageWindow::Builder::disownCounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UsageWindow::Reader::getFinal() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageWindow::Builder::getFinal() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UsageWindow::Builder::setFinal(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageSnapshot::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageSnapshot::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageSnapshot::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageSnapshot::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageSnapshot::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageSnapshot::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageSnapshot::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageSnapshot::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UsageSnapshot::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageSnapshot::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageSnapshot::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t UsageSnapshot::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageSnapshot::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageSnapshot::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageSnapshot::Reader::hasWindows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageSnapshot::Builder::hasWindows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Reader UsageSnapshot::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Builder UsageSnapshot::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UsageSnapshot::Builder::setWindows( ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>::Builder UsageSnapshot::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UsageSnapshot::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>> UsageSnapshot::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::boragetrack::transport::wire::schema::UsageWindow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5990,6 +6764,59 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ReportUsageParams::Reader::hasSnapshot() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ReportUsageParams::Builder::hasSnapshot() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Reader Peer::ReportUsageParams::Reader::getSnapshot() const {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Builder Peer::ReportUsageParams::Builder::getSnapshot() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Pipeline Peer::ReportUsageParams::Pipeline::getSnapshot() {
+  return  ::boragetrack::transport::wire::schema::UsageSnapshot::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ReportUsageParams::Builder::setSnapshot( ::boragetrack::transport::wire::schema::UsageSnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::boragetrack::transport::wire::schema::UsageSnapshot::Builder Peer::ReportUsageParams::Builder::initSnapshot() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ReportUsageParams::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::boragetrack::transport::wire::schema::UsageSnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::UsageSnapshot> Peer::ReportUsageParams::Builder::disownSnapshot() {
+  return ::capnp::_::PointerHelpers< ::boragetrack::transport::wire::schema::UsageSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Peer::ReportUsageResults::Reader::getReportedThrough() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::ReportUsageResults::Builder::getReportedThrough() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::ReportUsageResults::Builder::setReportedThrough( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
