Read organisations and public routes from the intent document

Callers' organisations and public routes are part of the native intent document. Two organisations with one key could not be told apart, so that a key listed twice, a name listed twice and an empty name are findings with their places. Findings are logged, hence they contain neither a key nor a digest.

The editor refuses a change whose action or reason contains a key of the intent, since the audit trail can't be corrected, and its conflict messages show digests by 12 digits.

--- a/packages/control/intent/IntentParser.cpp
+++ b/packages/control/intent/IntentParser.cpp
@@ -125,6 +125,7 @@
         route.split.push_back(WeightedService{core::identity::ServiceName(part["service"]),
                                               part["weight"].get<double>()});
     route.isIdempotent = object.value("idempotent", false);
+    route.isPublic = object.value("public", false);
     route.priority = object.value("priority", 0);
     route.latencyObjective = readMilliseconds(object, "latencyObjectiveMs", {});
     if (object.contains("callTimeoutMs"))
@@ -146,6 +147,19 @@
     return service;
 }
 
+Organisation readOrganisation(const json &object)
+{
+    Organisation organisation;
+    organisation.name = core::identity::OrganisationName(object["name"]);
+    // The schema has checked that each key is a digest.
+    for (const json &key : object["keys"])
+        organisation.keys.push_back(
+                KeyDigest::fromHex(key.get<std::string>()).value_or(KeyDigest{}));
+    if (object.contains("priority"))
+        organisation.priority = object["priority"].get<int>();
+    return organisation;
+}
+
 CallerLimits readCallerLimits(const json &object)
 {
     CallerLimits limits;
@@ -178,6 +192,11 @@
     }
     for (std::size_t i = 0; i < root["moves"].size(); ++i)
         document.moves.push_back(readMove(root["moves"][i], elementPointer("moves", i), findings));
+    if (root.contains("organisations")) {
+        document.organisations.emplace();
+        for (const json &object : root["organisations"])
+            document.organisations->push_back(readOrganisation(object));
+    }
     return document;
 }
 
--- a/packages/control/intent/IntentReferences.cpp
+++ b/packages/control/intent/IntentReferences.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace boragetrack::control::intent {
@@ -95,6 +96,35 @@
     }
 }
 
+// Names the positions of both keys and neither the key nor its digest: findings are logged.
+void checkKeys(const std::vector<Organisation> &organisations, FindingList &findings)
+{
+    std::unordered_map<KeyDigest, std::string> seen;
+    for (std::size_t i = 0; i < organisations.size(); ++i) {
+        for (std::size_t j = 0; j < organisations[i].keys.size(); ++j) {
+            const std::string pointer
+                    = fieldPointer("organisations", i, "keys") + "/" + std::to_string(j);
+            const auto [earlier, isNew] = seen.emplace(organisations[i].keys[j], pointer);
+            if (!isNew)
+                findings.add(pointer, "the same key as " + earlier->second);
+        }
+    }
+}
+
+void checkOrganisations(const IntentDocument &document, FindingList &findings)
+{
+    if (!document.organisations)
+        return;
+    const std::vector<Organisation> &organisations = *document.organisations;
+    for (std::size_t i = 0; i < organisations.size(); ++i) {
+        if (organisations[i].name.value().empty())
+            findings.add(fieldPointer("organisations", i, "name"), "must not be empty");
+    }
+    const auto nameOf = [](const Organisation &each) { return each.name.value(); };
+    checkUnique(organisations, "organisations", "name", nameOf, findings);
+    checkKeys(organisations, findings);
+}
+
 } // namespace
 
 void checkReferences(const IntentDocument &document, FindingList &findings)
@@ -103,6 +133,7 @@
     checkRoutes(document, findings);
     checkScopes(document, findings);
     checkMoves(document, findings);
+    checkOrganisations(document, findings);
 }
 
 } // namespace boragetrack::control::intent
--- a/packages/control/intent/IntentSchema.cpp
+++ b/packages/control/intent/IntentSchema.cpp
@@ -1,5 +1,6 @@
 /** The schema fixes the names and types of all fields and rejects unknown fields. Settings are only
-    checked for integers here; their names and ranges are in SettingCatalogue.cpp. */
+    checked for integers here; their names and ranges are in SettingCatalogue.cpp. The name of an
+    organisation becomes the value of a header field, hence its pattern. */
 #include "control/intent/IntentSchema.h"
 
 namespace boragetrack::control::intent {
@@ -41,10 +42,17 @@
         "type": "object", "additionalProperties": false, "required": ["service", "weight"],
         "properties": {"service": {"type": "string"},
                        "weight": {"type": "number", "minimum": 0}}}},
-      "idempotent": {"type": "boolean"}, "priority": {"type": "integer", "minimum": 0},
+      "idempotent": {"type": "boolean"}, "public": {"type": "boolean"},
+      "priority": {"type": "integer", "minimum": 0},
       "latencyObjectiveMs": {"type": "integer", "minimum": 1},
       "callTimeoutMs": {"type": "integer", "minimum": 1},
       "attemptLimit": {"type": "integer", "minimum": 1}}}},
+  "organisations": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false, "required": ["name", "keys"],
+    "properties": {
+      "name": {"type": "string", "pattern": "^[!-~]*$"},
+      "keys": {"type": "array", "items": {"type": "string", "pattern": "^[0-9a-fA-F]{64}$"}},
+      "priority": {"type": "integer", "minimum": 0}}}},
   "defaults": {"type": "object", "additionalProperties": {"type": "integer"}},
   "exceptions": {"type": "array", "items": {
     "type": "object", "additionalProperties": false,
--- a/packages/control/store/IntentEditor.cpp
+++ b/packages/control/store/IntentEditor.cpp
@@ -4,6 +4,7 @@
 #include "control/store/IntentEditor.h"
 
 #include "control/intent/IntentParser.h"
+#include "control/intent/KeyMentions.h"
 #include "control/store/StoreKeys.h"
 
 namespace boragetrack::control::store {
@@ -60,6 +61,14 @@
     IntentEnvelope next{stored.next(), change, base->envelope.document};
     if (const absl::Status status = mutation(next.document); !status.ok())
         return {EditOutcome::Refused, stored, std::string(status.message())};
+    intent::KeyMentions keys;
+    keys.addKeysOf(base->envelope.document);
+    keys.addKeysOf(next.document);
+    if (keys.areIn(change.action) || keys.areIn(change.reason)) {
+        return {EditOutcome::Refused, stored,
+                "the action or the reason contains a key of an organisation, which the audit trail "
+                "must not hold"};
+    }
     core::findings::FindingList findings("intent");
     if (next.toText().size() > intent::maximumDocumentBytes)
         findings.add("", "the stored document would exceed 1 MB");
@@ -141,7 +150,8 @@
 
 EditResult IntentEditor::makeConflict(const Base &base, const IntentEnvelope &winner) const
 {
-    const json difference = json::diff(base.envelope.document, winner.document);
+    const json difference
+            = intent::withShortDigests(json::diff(base.envelope.document, winner.document));
     return {EditOutcome::Conflict, winner.revision,
             "revision " + std::to_string(winner.revision.number()) + " by " + winner.change.author
                     + " came first (" + winner.change.action
--- a/packages/control/store/IntentEditor.h
+++ b/packages/control/store/IntentEditor.h
@@ -39,6 +39,8 @@
 
     /** Applies one change. Blocks until its outcome is known; if the response to the write was
         lost, for up to 30 seconds plus the time of the store calls.
+        @param change its action and reason must not contain a key of an organisation; otherwise
+        the edit is refused
         @param minimumRevision the highest revision that nodes are known to serve; the edit is
         refused if the stored intent is older */
     EditResult edit(const intent::ChangeRecord &change, const Mutation &mutation,
--- a/tests/unit/IntentParserTest.cpp
+++ b/tests/unit/IntentParserTest.cpp
@@ -45,6 +45,94 @@
     EXPECT_THAT(findings.toString(), HasSubstr("already has a running move"));
 }
 
+namespace {
+
+std::string digestOf(const std::string &key)
+{
+    return control::intent::KeyDigest::of(key).toHex();
+}
+
+json organisationJson(const std::string &name, const std::vector<std::string> &keys)
+{
+    json object{{"name", name}, {"keys", json::array()}};
+    for (const std::string &key : keys)
+        object["keys"].push_back(digestOf(key));
+    return object;
+}
+
+std::string findingsOf(const json &document)
+{
+    FindingList findings("intent");
+    EXPECT_FALSE(control::intent::readIntent(document, findings));
+    return findings.toString();
+}
+
+} // namespace
+
+TEST(IntentParser, readsOrganisationsAndPublicRoutes)
+{
+    json document = tests::intentJson();
+    FindingList findings("intent");
+    auto read = control::intent::readIntent(document, findings);
+    ASSERT_TRUE(read) << findings.toString();
+    EXPECT_FALSE(read->organisations);
+    EXPECT_FALSE(read->routes[0].isPublic);
+    document["organisations"] = json::array();
+    document["routes"][0]["public"] = true;
+    read = control::intent::readIntent(document, findings);
+    ASSERT_TRUE(read) << findings.toString();
+    ASSERT_TRUE(read->organisations);
+    EXPECT_TRUE(read->organisations->empty());
+    EXPECT_TRUE(read->routes[0].isPublic);
+    document["organisations"]
+            = {organisationJson("pulo780", {"k1", "k2"}), organisationJson("kabo51", {})};
+    document["organisations"][0]["priority"] = 0;
+    read = control::intent::readIntent(document, findings);
+    ASSERT_TRUE(read) << findings.toString();
+    const auto &organisations = *read->organisations;
+    ASSERT_EQ(organisations.size(), 2U);
+    EXPECT_EQ(organisations[0].name.value(), "pulo780");
+    EXPECT_EQ(organisations[0].priority, 0);
+    ASSERT_EQ(organisations[0].keys.size(), 2U);
+    EXPECT_EQ(organisations[0].keys[1], control::intent::KeyDigest::of("k2"));
+    EXPECT_FALSE(organisations[1].priority);
+}
+
+// Two organisations with one key could not be told apart. Findings are logged by nodes, so that
+// they must name the places of keys and nothing of the keys.
+TEST(IntentParser, refusesOrganisationsWithTheSameNameOrKey)
+{
+    json document = tests::intentJson();
+    document["organisations"]
+            = {organisationJson("pulo780", {"k1", "k2", "k1"}), organisationJson("kabo51", {"k2"}),
+               organisationJson("pulo780", {}), organisationJson("", {})};
+    const std::string findings = findingsOf(document);
+    EXPECT_THAT(findings, HasSubstr("#/organisations/0/keys/2: the same key as "
+                                    "/organisations/0/keys/0"));
+    EXPECT_THAT(findings, HasSubstr("#/organisations/1/keys/0: the same key as "
+                                    "/organisations/0/keys/1"));
+    EXPECT_THAT(findings, HasSubstr("#/organisations/2/name: 'pulo780' appears twice"));
+    EXPECT_THAT(findings, HasSubstr("#/organisations/3/name: must not be empty"));
+    for (const char *key : {"k1", "k2"})
+        EXPECT_THAT(findings, testing::Not(HasSubstr(digestOf(key).substr(0, 12))));
+}
+
+// Guards against a refusal that repeats a key, written in place of its digest, in logs or on
+// screens, and against names that would break the header field in which the upstream gets them.
+TEST(IntentParser, refusesKeysThatAreNoDigestsWithoutRepeatingThem)
+{
+    const std::string secret = "secret-key-of-pulo780";
+    json document = tests::intentJson();
+    document["organisations"]
+            = {organisationJson("pulo780", {}), organisationJson("a\r\nb: c", {})};
+    document["organisations"][0]["keys"] = {secret, digestOf(secret) + "0"};
+    const std::string findings = findingsOf(document);
+    EXPECT_THAT(findings, HasSubstr("#/organisations/0/keys/0"));
+    EXPECT_THAT(findings, HasSubstr("#/organisations/0/keys/1"));
+    EXPECT_THAT(findings, HasSubstr("#/organisations/1/name"));
+    EXPECT_THAT(findings, testing::Not(HasSubstr(secret)));
+}
+
 TEST(SettingResolver, letsTheNarrowestUnexpiredExceptionWin)
 {
     json document = tests::intentJson();
