Add commands for organisations and their keys

organisation list, add, remove, key add and key remove change the intent as the other commands do. Command names may have three words.

--- a/packages/operators/commands/Command.h
+++ b/packages/operators/commands/Command.h
@@ -16,7 +16,7 @@
 public:
     virtual ~Command() = default;
 
-    /** Returns the one or two words that select the command, such as "default set". */
+    /** Returns the one to three words that select the command, such as "default set". */
     virtual std::string name() const = 0;
 
     /** Returns a one-line description for the list of commands. */
--- a/packages/operators/commands/CommandTable.cpp
+++ b/packages/operators/commands/CommandTable.cpp
@@ -1,4 +1,4 @@
-/** Tries the first two arguments as a name before the first one alone. */
+/** Tries the longest names first: three words, then two, then one. */
 #include "operators/commands/CommandTable.h"
 
 #include "operators/commands/ApplyCommand.h"
@@ -16,6 +16,11 @@
 #include "operators/commands/MoveStatusCommand.h"
 #include "operators/commands/MoveTakeBackCommand.h"
 #include "operators/commands/MoveWaitCommand.h"
+#include "operators/commands/OrganisationAddCommand.h"
+#include "operators/commands/OrganisationKeyAddCommand.h"
+#include "operators/commands/OrganisationKeyRemoveCommand.h"
+#include "operators/commands/OrganisationListCommand.h"
+#include "operators/commands/OrganisationRemoveCommand.h"
 #include "operators/commands/StatusCommand.h"
 
 namespace boragetrack::operators::commands {
@@ -48,13 +53,18 @@
     commands_.push_back(std::make_unique<MoveTakeBackCommand>());
     commands_.push_back(std::make_unique<DataCentreOutCommand>());
     commands_.push_back(std::make_unique<DataCentreBackCommand>());
+    commands_.push_back(std::make_unique<OrganisationListCommand>());
+    commands_.push_back(std::make_unique<OrganisationAddCommand>());
+    commands_.push_back(std::make_unique<OrganisationRemoveCommand>());
+    commands_.push_back(std::make_unique<OrganisationKeyAddCommand>());
+    commands_.push_back(std::make_unique<OrganisationKeyRemoveCommand>());
     commands_.push_back(std::make_unique<StatusCommand>());
     commands_.push_back(std::make_unique<HistoryCommand>());
 }
 
 const Command *CommandTable::takeCommand(std::vector<std::string> &arguments) const
 {
-    for (const std::size_t count : {std::size_t{2}, std::size_t{1}}) {
+    for (const std::size_t count : {std::size_t{3}, std::size_t{2}, std::size_t{1}}) {
         if (arguments.size() < count)
             continue;
         const std::string name = joinFirst(arguments, count);
@@ -71,7 +81,7 @@
 
 std::string CommandTable::help() const
 {
-    constexpr std::size_t column = 20;
+    constexpr std::size_t column = 25;
     std::string text = "boragetrack COMMAND [ARGUMENTS] [--settings FILE] [--json]\n\n";
     for (const auto &command : commands_) {
         std::string name = command->name();
--- a/packages/operators/commands/CommandTable.h
+++ b/packages/operators/commands/CommandTable.h
@@ -15,7 +15,7 @@
 public:
     CommandTable();
 
-    /** Finds the command that the first one or two arguments name.
+    /** Finds the command that the first one to three arguments name.
         @param arguments the arguments of the process; those that name the command are removed
         @returns the command, owned by this table, or null if there is none */
     const Command *takeCommand(std::vector<std::string> &arguments) const;
--- a/packages/operators/operators.h
+++ b/packages/operators/operators.h
@@ -4,7 +4,7 @@
     Each command is a class that implements one interface. Changes are written to the platform with
     compare-and-swap; the state of the fleet is read from the nodes.
 
-    Dependencies: core, control, transport, Boost.Program_options.
+    Dependencies: core, control, transport, Boost.Program_options, libsodium.
 */
 #pragma once
 
