Decide access by the keys of callers' organisations

Nothing decided yet whose request a call is. KeyAccess grants access by a known key, on public routes and to nested calls, which inherit the organisation of the running request; it refuses for good only what it can judge, and leaves the rest undecided.

--- a/packages/daemon/service/RoutingPublisher.cpp
+++ b/packages/daemon/service/RoutingPublisher.cpp
@@ -32,6 +32,7 @@
 {
     rampUp_.update(plane.snapshot()->document(), now);
     members_.reset();
+    access_ = traffic::routing::buildAccessPolicy(plane.snapshot()->document());
     publish(plane, now);
 }
 
@@ -56,8 +57,8 @@
                                   const core::identity::ServiceName &service) {
         return plane.shareOf(route, service);
     };
-    routing_.publish(traffic::routing::buildRoutingSnapshot(plane.snapshot(), members_, self,
-                                                            shareOf, plane.followsMoves()));
+    routing_.publish(traffic::routing::buildRoutingSnapshot(plane.snapshot(), members_, access_,
+                                                            self, shareOf, plane.followsMoves()));
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/RoutingPublisher.h
+++ b/packages/daemon/service/RoutingPublisher.h
@@ -53,6 +53,9 @@
     traffic::routing::DataCentreRampUp rampUp_;
     // The members of the last snapshot; null when they changed since.
     std::shared_ptr<const traffic::routing::RoutableMembers> members_;
+    // The access policy of the intent in force. Invariant: never null.
+    std::shared_ptr<const traffic::access::AccessPolicy> access_
+            = std::make_shared<traffic::access::OpenAccess>();
     core::timing::MonotonicTime publishedAt_{};
     bool isStale_ = false;
 };
--- a/packages/traffic/calls/RunningCalls.h
+++ b/packages/traffic/calls/RunningCalls.h
@@ -1,6 +1,8 @@
 /** The calls that run at the co-located upstream, by request id. */
 #pragma once
 
+#include "core/identity/OrganisationName.h"
+
 #include <map>
 #include <optional>
 #include <string>
@@ -14,6 +16,7 @@
     struct Entry
     {
         int attempt = 0;
+        core::identity::OrganisationName organisation;
         bool hasFailedNestedCall = false;
     };
     using Entries = std::multimap<std::string, Entry>;
@@ -23,9 +26,10 @@
     class ScopedCall
     {
     public:
-        ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt)
+        ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt,
+                   const core::identity::OrganisationName &organisation)
             : calls_(calls)
-            , entry_(calls_.entries_.emplace(requestId, Entry{attempt}))
+            , entry_(calls_.entries_.emplace(requestId, Entry{attempt, organisation}))
         {}
         ~ScopedCall() { calls_.entries_.erase(entry_); }
         ScopedCall(const ScopedCall &) = delete;
@@ -47,6 +51,17 @@
                                                             : std::optional(found->second.attempt);
     }
 
+    /** Returns the organisation of the running call with an id, empty if it has none; nothing when
+        none runs. */
+    std::optional<core::identity::OrganisationName>
+    organisationOf(const std::string &requestId) const
+    {
+        const auto found = entries_.find(requestId);
+        return requestId.empty() || found == entries_.end()
+                       ? std::nullopt
+                       : std::optional(found->second.organisation);
+    }
+
     /** Records that a call has failed which a running call made. @param requestId the id of the
         running call; ignored when none with this id runs */
     void recordFailedNestedCall(const std::string &requestId)
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -3,6 +3,7 @@
 
 #include "control/intent/IntentSnapshot.h"
 #include "core/identity/DataCentreId.h"
+#include "traffic/access/OpenAccess.h"
 #include "traffic/routing/RoutableMembers.h"
 #include "traffic/routing/RouteTarget.h"
 
@@ -22,6 +23,8 @@
     bool isServing = false;
     /** Whether a move is evaluated, so that call outcomes are collected as evidence. */
     bool needsEvidence = false;
+    /** Decides by the intent's organisations which requests of callers are served. Never null. */
+    std::shared_ptr<const access::AccessPolicy> access = std::make_shared<access::OpenAccess>();
     // Invariant: one element for each route of intent, in the same order.
     std::vector<RouteTarget> targets;
     // Invariant: never null.
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -2,6 +2,7 @@
     endpoints. */
 #include "traffic/routing/RoutingSnapshotBuilder.h"
 
+#include "traffic/access/KeyAccess.h"
 #include "traffic/routing/EndpointSubset.h"
 
 #include <algorithm>
@@ -66,14 +67,24 @@
     return routable;
 }
 
+std::shared_ptr<const access::AccessPolicy>
+buildAccessPolicy(const control::intent::IntentDocument &document)
+{
+    if (!document.organisations)
+        return std::make_shared<access::OpenAccess>();
+    return std::make_shared<access::KeyAccess>(*document.organisations);
+}
+
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
-                     std::shared_ptr<const RoutableMembers> members, const MemberRecord &self,
+                     std::shared_ptr<const RoutableMembers> members,
+                     std::shared_ptr<const access::AccessPolicy> access, const MemberRecord &self,
                      const ShareQuery &shareOf, bool needsEvidence)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
     snapshot->members = std::move(members);
+    snapshot->access = std::move(access);
     snapshot->self = self.id;
     snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
--- a/packages/traffic/routing/RoutingSnapshotBuilder.h
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -21,13 +21,20 @@
                      const control::membership::MemberRecord &self, const DataCentreRampUp &rampUp,
                      core::timing::MonotonicTime now);
 
+/** Returns the access policy of an intent: by keys if it has organisations. Worth building only
+   once for each intent. */
+std::shared_ptr<const access::AccessPolicy>
+buildAccessPolicy(const control::intent::IntentDocument &document);
+
 /** Returns a snapshot of the present control state. Runs on the control thread.
     @param members the members that calls may be sent to
+    @param access the access policy of the intent
     @param self the record of this node
     @param needsEvidence whether a move is evaluated */
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      std::shared_ptr<const RoutableMembers> members,
+                     std::shared_ptr<const access::AccessPolicy> access,
                      const control::membership::MemberRecord &self, const ShareQuery &shareOf,
                      bool needsEvidence);
 
--- a/packages/traffic/traffic.h
+++ b/packages/traffic/traffic.h
@@ -1,7 +1,7 @@
 /**
-    The traffic module decides what happens to each call: which endpoint receives it, whether an
-    upstream admits it now, whether it may be retried, and whether a request with the same
-    idempotency key already ran.
+    The traffic module decides what happens to each call: whether its caller may make it, which
+    endpoint receives it, whether an upstream admits it now, whether it may be retried, and whether
+   a request with the same idempotency key already ran.
 
     Callers pass in the time, the source of randomness and the load; nothing here performs I/O or
     depends on the encoding of messages.
@@ -10,6 +10,7 @@
 */
 #pragma once
 
+#include "traffic/access/KeyAccess.h"
 #include "traffic/admission/AdmissionQueue.h"
 #include "traffic/deduplication/ClaimRegister.h"
 #include "traffic/deduplication/ReplayTable.h"
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -155,7 +155,7 @@
         return refuse(request, *reason);
     callsRun_.add();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
-            runningCalls_, request.requestId, request.attempt);
+            runningCalls_, request.requestId, request.attempt, request.organisation);
     return upstreamClient_.send(request, *status_)
             .then([this, &request, startedAt, permit = kj::mv(permit),
                    registration = kj::mv(registration)](CallResponse &&response) mutable {
