Tell how old a node's knowledge of keys is, and add keyFreshness

A node that is cut off can not learn that a key was removed. StoreContact holds the time from which the store is known to have responded, to the node or to a peer whose revision it holds; exchanges carry its age, and the receiver adds the time since its request, so that neither a chain of peers nor a pause makes a contact younger. The limit is given in seconds, as the platform's template can not convert units. In strict mode followers probe the store every quarter of it.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -113,7 +113,7 @@
 void ControlPlane::storeUpdateReceived(OfferResult result)
 {
     propagator_.recordDurableUpdate(result, timers_.now());
-    followerRole_.recordRevision(propagator_.replica().revision());
+    recordHeldRevision();
     if (result != OfferResult::Accepted && result != OfferResult::PartlyAccepted)
         return;
     for (const NodeId &node : followerRole_.updateReceivers(timers_.now())) {
@@ -209,6 +209,7 @@
         followerRole_.recordResponseAhead(response.sender, response.revision, timers_.now());
     else
         followerRole_.recordResponse(response.sender, covers, timers_.now());
+    recordContactOf(response);
     introducer_.recordContact(contact.address);
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
@@ -240,7 +241,7 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     propagator_.offerFromPeer(source, transfer, timers_.now());
-    followerRole_.recordRevision(propagator_.replica().revision());
+    recordHeldRevision();
     return propagator_.replica().revision();
 }
 
@@ -492,6 +493,29 @@
     return timers_.now() - lastDecisionAt_ > maximumDecisionGap;
 }
 
+void ControlPlane::recordHeldRevision()
+{
+    const Revision held = propagator_.replica().revision();
+    followerRole_.recordRevision(held);
+    storeContact_.recordRevision(held);
+}
+
+// Only responses count: how long a request was on its way is not known.
+void ControlPlane::recordContactOf(const Exchange &response)
+{
+    if (response.storeContactAge)
+        storeContact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge,
+                                 propagator_.replica().revision());
+}
+
+std::optional<std::chrono::milliseconds> ControlPlane::storeContactAge() const
+{
+    const auto last = storeContact_.last();
+    if (!last)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(timers_.now() - *last);
+}
+
 Exchange ControlPlane::makeExchange(const NodeId &receiver, std::size_t maximumGossip)
 {
     Exchange exchange;
@@ -506,6 +530,7 @@
         exchange.receiverKnownSince = departures_.knownSince(receiver, known->version.generation);
     exchange.memberDigest = membership_.table().digest();
     exchange.isFollower = isFollower_ && !wasPaused();
+    exchange.storeContactAge = storeContactAge();
     // If both tables had equal digests at the last exchange and this node's table has not changed
     // since, the peer needs no gossip.
     const auto known = peerDigests_.find(receiver);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -9,6 +9,7 @@
 #include "control/distribution/PeerIntroducer.h"
 #include "control/distribution/PeerSelector.h"
 #include "control/distribution/PeerTransport.h"
+#include "control/distribution/StoreContact.h"
 #include "control/intent/IntentSnapshot.h"
 #include "control/membership/MembershipEngine.h"
 #include "control/moves/MoveCoordinator.h"
@@ -109,6 +110,17 @@
     /** Sets whether this node is following the durable store and can reach it. */
     void storeFollowingChanged(bool isFollowed);
 
+    /** Handles that the durable store responded to this node. @param askedAt when the call was sent
+     */
+    void storeContacted(core::timing::MonotonicTime askedAt) { storeContact_.recordStore(askedAt); }
+
+    /** Returns when the durable store last confirmed what this node holds, as far as this node or a
+        peer that told it was in touch with the store; nothing if there was no contact. */
+    std::optional<core::timing::MonotonicTime> lastStoreContact() const
+    {
+        return storeContact_.last();
+    }
+
     /** Returns whether this node should currently follow the durable store. */
     bool mustFollowStore() const { return followerRole_.mustFollow(timers_.now()); }
 
@@ -251,6 +263,9 @@
     void fetchMembersFromUnknown(const PeerContact &peer);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     bool wasPaused() const;
+    void recordHeldRevision();
+    void recordContactOf(const Exchange &response);
+    std::optional<std::chrono::milliseconds> storeContactAge() const;
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumGossip);
 
     PeerTransport &transport_;
@@ -262,6 +277,7 @@
     PeerSelector peers_;
     PeerIntroducer introducer_;
     FollowerRole followerRole_;
+    StoreContact storeContact_;
     DepartureMemory departures_;
     IntentPropagator propagator_;
     moves::MoveCoordinator moves_;
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -7,6 +7,7 @@
 #include "control/moves/MoveVerdict.h"
 #include "core/identity/Revision.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -36,6 +37,9 @@
     std::uint64_t memberDigest = 0;
     /** Whether the sender follows the durable store and can reach it. */
     bool isFollower = false;
+    /** The time since the sender's last contact with the durable store, itself or through peers;
+        nothing if it has had none. The receiver of a response adds the time since its request. */
+    std::optional<std::chrono::milliseconds> storeContactAge;
     /** Whether the sender depends on the receiver for updates of the store. */
     bool requestsUpdates = false;
     std::vector<membership::MemberRecord> members;
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -17,12 +17,13 @@
 } // namespace
 
 StoreFollower::StoreFollower(RecordStore &store, core::timing::TimerService &timers,
-                             Listener &listener, std::uint64_t randomSeed)
+                             Listener &listener, std::uint64_t randomSeed,
+                             std::chrono::milliseconds probePeriod)
     : store_(store)
     , timers_(timers)
     , listener_(listener)
     , random_(randomSeed)
-    , monitor_(store, timers, *this)
+    , monitor_(store, timers, *this, probePeriod)
 {}
 
 StoreFollower::~StoreFollower()
@@ -49,8 +50,10 @@
 //==============================================================================
 void StoreFollower::listFrom(const std::string &after)
 {
-    if (after.empty())
+    if (after.empty()) {
         listed_.clear();
+        sentAt_ = timers_.now();
+    }
     store_.list(allKeysPrefix, after, responseTimeout,
                 guardedCallback(&StoreFollower::handleListResponse));
 }
@@ -115,6 +118,7 @@
     const bool isProven = failures_ == 0 && !isUnconfirmed_;
     const auto wait = isProven ? watchDuration : recoveryWatchDuration;
     const std::uint64_t number = ++watchNumber_;
+    sentAt_ = timers_.now();
     store_.watch(allKeysPrefix, revision_, wait, wait + responseTimeout,
                  [self = self_, number](const absl::StatusOr<RecordChanges> &response) {
                      if (*self != nullptr && (*self)->watchNumber_ == number)
@@ -159,10 +163,16 @@
     const bool wasUnavailable = failures_ > 0;
     failures_ = 0;
     isUnconfirmed_ = false;
+    servedAt_ = sentAt_;
     if (wasUnavailable)
         listener_.storeRecovered();
 }
 
+std::optional<core::timing::MonotonicTime> StoreFollower::lastContact() const
+{
+    return std::max(servedAt_, monitor_.provenAt());
+}
+
 void StoreFollower::handleFailure(const absl::Status &error)
 {
     if (failures_++ == 0)
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -63,9 +63,11 @@
     /** Bounds the time for which a change stays unnoticed after the store has recovered. */
     static constexpr std::chrono::milliseconds maximumBackoff{1000};
 
-    /** @param store, @param timers and @param listener must outlive the follower */
+    /** @param store, @param timers and @param listener must outlive the follower
+        @param probePeriod the delay between probes of the store while a watch is pending */
     StoreFollower(RecordStore &store, core::timing::TimerService &timers, Listener &listener,
-                  std::uint64_t randomSeed);
+                  std::uint64_t randomSeed,
+                  std::chrono::milliseconds probePeriod = WatchMonitor::probePeriod);
     ~StoreFollower() override;
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
@@ -90,6 +92,10 @@
     /** Returns whether the records have been listed and the last call succeeded. */
     bool isStoreReachable() const { return failures_ == 0 && isListed_; }
 
+    /** Returns the time from which the store is known to have responded: when the last call was
+       sent that it served and that left no change unknown. Nothing before the first one. */
+    std::optional<core::timing::MonotonicTime> lastContact() const;
+
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
     void watchLost(const absl::Status &reason) override;
@@ -119,6 +125,9 @@
     bool isListed_ = false;
     core::identity::Revision revision_;
     int failures_ = 0;
+    // When the current listing or watch was sent, and the last one that was served.
+    core::timing::MonotonicTime sentAt_{};
+    std::optional<core::timing::MonotonicTime> servedAt_;
     // Invariant: runs exactly while a watch is pending.
     WatchMonitor monitor_;
     // Counts the starts and ends of watches; responses that belong to an earlier number are
--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -9,10 +9,11 @@
 using core::identity::Revision;
 
 WatchMonitor::WatchMonitor(RecordStore &store, core::timing::TimerService &timers,
-                           Listener &listener)
+                           Listener &listener, std::chrono::milliseconds period)
     : store_(store)
     , timers_(timers)
     , listener_(listener)
+    , period_(period)
 {}
 
 WatchMonitor::~WatchMonitor()
@@ -60,14 +61,15 @@
 
 void WatchMonitor::sendProbe()
 {
-    store_.probe(probeTimeout,
-                 [self = self_, number = number_](const absl::StatusOr<Revision> &response) {
-                     if (*self != nullptr && (*self)->number_ == number)
-                         (*self)->handleResponse(response);
-                 });
+    store_.probe(probeTimeout, [self = self_, number = number_,
+                                sentAt = timers_.now()](const absl::StatusOr<Revision> &response) {
+        if (*self != nullptr && (*self)->number_ == number)
+            (*self)->handleResponse(response, sentAt);
+    });
 }
 
-void WatchMonitor::handleResponse(const absl::StatusOr<Revision> &response)
+void WatchMonitor::handleResponse(const absl::StatusOr<Revision> &response,
+                                  core::timing::MonotonicTime sentAt)
 {
     if (absl::IsUnknown(response.status())) {
         reportLost(response.status());
@@ -79,12 +81,14 @@
         reportLost(absl::UnknownError("the store refused calls while the watch was pending"));
         return;
     }
+    if (response.ok() && response.value() <= watched_)
+        provenAt_ = sentAt;
     const bool wasBehind = std::exchange(isBehind_, response.ok() && response.value() > watched_);
     if (wasBehind && isBehind_) {
         reportLost(absl::UnknownError("the watch did not deliver a change"));
         return;
     }
-    timers_.addListener(*this, probePeriod);
+    timers_.addListener(*this, period_);
 }
 
 void WatchMonitor::reportLost(const absl::Status &reason)
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -5,6 +5,7 @@
 #include "core/timing/TimerService.h"
 
 #include <memory>
+#include <optional>
 
 namespace boragetrack::control::records {
 
@@ -33,14 +34,16 @@
         virtual void watchLost(const absl::Status &reason) = 0;
     };
 
-    /** The delay between a response to a probe and the next probe. With the timeout it bounds the
-        time for which a node believes that it follows a store that is silent. */
+    /** The usual delay between a response to a probe and the next probe. With the timeout it bounds
+        the time for which a node believes that it follows a store that is silent. */
     static constexpr std::chrono::milliseconds probePeriod{1000};
     /** How long the store may take to respond to a probe. */
     static constexpr std::chrono::milliseconds probeTimeout{1000};
 
-    /** @param store, @param timers and @param listener must outlive the monitor */
-    WatchMonitor(RecordStore &store, core::timing::TimerService &timers, Listener &listener);
+    /** @param store, @param timers and @param listener must outlive the monitor
+        @param period the delay between a response to a probe and the next probe */
+    WatchMonitor(RecordStore &store, core::timing::TimerService &timers, Listener &listener,
+                 std::chrono::milliseconds period = probePeriod);
     ~WatchMonitor() override;
     WatchMonitor(const WatchMonitor &) = delete;
     WatchMonitor &operator=(const WatchMonitor &) = delete;
@@ -63,19 +66,26 @@
         nodes gave theirs up in an outage, their retries would meet the store as it recovers. */
     bool isReliable() const { return !isPaused_ && !isUnproven_; }
 
+    /** Returns when the last probe was sent that the store served without a newer revision than the
+        watch's; nothing before the first one. */
+    std::optional<core::timing::MonotonicTime> provenAt() const { return provenAt_; }
+
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
     void sendProbe();
-    void handleResponse(const absl::StatusOr<core::identity::Revision> &response);
+    void handleResponse(const absl::StatusOr<core::identity::Revision> &response,
+                        core::timing::MonotonicTime sentAt);
     void reportLost(const absl::Status &reason);
 
     RecordStore &store_;
     core::timing::TimerService &timers_;
     Listener &listener_;
+    std::chrono::milliseconds period_;
     std::shared_ptr<WatchMonitor *> self_ = std::make_shared<WatchMonitor *>(this);
     // Counts the starts and ends; responses that belong to an earlier number are ignored.
     std::uint64_t number_ = 0;
     core::identity::Revision watched_;
+    std::optional<core::timing::MonotonicTime> provenAt_;
     bool isRunning_ = false;
     // Invariant: false unless isRunning_.
     bool isPaused_ = false;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -54,6 +54,8 @@
     CallTurnedAway = 511,
     DataCentreCutOff = 520,
     DataCentreAnswered = 521,
+    AccessRefused = 530,
+    KeysOutOfDate = 531,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -58,15 +58,16 @@
     : settings_(std::move(settings))
     , self_(selfRecord(settings_))
     , routing_(makeEmptySnapshot())
+    , storeContact_(std::make_shared<const traffic::access::StoreContactTime>())
     , routingPolicy_(makeRoutingPolicy(settings_))
     , retryPolicy_(makeRetryPolicy(settings_))
     , environment_(makeEnvironment())
     , control_({settings_, self_, controlThread_, environment_->source(), routing_, revisions_,
-                counters_})
+                storeContact_, counters_})
     , trafficThread_(
               {settings_.node, control::membership::processIdOf(self_), settings_.peers,
                settings_.callers, settings_.service, environment_->dialect(), control_, control_,
-               routing_,
+               routing_, traffic::access::KeyFreshness(settings_.keyFreshness), storeContact_,
                makeAdmissionPolicy(settings_.usesBaselinePolicies
                                    || settings_.interface == settings::NodeInterface::Platform),
                *routingPolicy_, *retryPolicy_, environment_->loopComponents(),
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -39,6 +39,7 @@
     control::membership::MemberRecord self_;
     core::counters::CounterRegistry counters_;
     core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_;
+    core::concurrency::Published<traffic::access::StoreContactTime> storeContact_;
     service::RevisionMonitor revisions_;
     service::ControlThread controlThread_;
     std::unique_ptr<traffic::routing::RoutingPolicy> routingPolicy_;
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -18,6 +18,21 @@
 constexpr int exitDivisor = 6;
 constexpr std::chrono::milliseconds maximumExitTime{1000};
 
+// The store's responses must reach all nodes well before the keys that they confirm expire: a node
+// that doesn't follow the store hears of them up to half a second later, and the store itself may
+// take a quarter of a second.
+constexpr int probesPerLimit = 4;
+constexpr std::chrono::milliseconds minimumProbePeriod{250};
+
+std::chrono::milliseconds probePeriodFor(const traffic::access::KeyFreshnessLimits &freshness)
+{
+    using control::records::WatchMonitor;
+    if (!freshness.isStrict)
+        return WatchMonitor::probePeriod;
+    return std::clamp(freshness.limit / probesPerLimit, minimumProbePeriod,
+                      WatchMonitor::probePeriod);
+}
+
 } // namespace
 
 PlatformEnvironment::PlatformEnvironment(const Dependencies &dependencies)
@@ -33,7 +48,8 @@
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
                },
                std::make_unique<platform::PlatformMoveWriter>(), dependencies.settings.node,
-               dependencies.settings.advertisedPeerAddress, std::random_device{}()})
+               dependencies.settings.advertisedPeerAddress, std::random_device{}(),
+               probePeriodFor(dependencies.settings.keyFreshness)})
     , heartbeats_(dependencies.announcements)
     , readiness_(
               [this, isServing = dependencies.isServing]() { return !isStopping_ && isServing(); })
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -61,6 +61,8 @@
 ControlService::ControlService(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , routingPublisher_(dependencies_.routing)
+    , keyMonitor_(traffic::access::KeyFreshness(dependencies_.settings.keyFreshness),
+                  dependencies_.storeContact)
     , announcements_(dependencies_.thread, core::timing::currentWallTime(),
                      dependencies_.settings.announcementTimeout)
 {}
@@ -268,6 +270,7 @@
     logCounters(now);
     logMissingIntent(now);
     dependencies_.source.update();
+    keyMonitor_.update(*plane_, now);
     routingPublisher_.update(*plane_, now);
 }
 
@@ -279,6 +282,7 @@
             return;
         task(*plane_);
         announcements_.update();
+        keyMonitor_.update(*plane_, dependencies_.thread.now());
         routingPublisher_.update(*plane_, dependencies_.thread.now());
     });
 }
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -7,6 +7,7 @@
 #include "daemon/service/AnnouncementProcessor.h"
 #include "daemon/service/ControlThread.h"
 #include "daemon/service/IntentSource.h"
+#include "daemon/service/KeyMonitor.h"
 #include "daemon/service/RevisionMonitor.h"
 #include "daemon/service/RoutingPublisher.h"
 #include "daemon/settings/NodeSettings.h"
@@ -39,6 +40,8 @@
         IntentSource &source;
         core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         RevisionMonitor &revisions;
+        /** Receives when the store last confirmed what this node knows. */
+        core::concurrency::Published<traffic::access::StoreContactTime> &storeContact;
         core::counters::CounterRegistry &counters;
     };
 
@@ -122,6 +125,7 @@
     // The following members are used on the control thread only.
     std::unique_ptr<control::distribution::ControlPlane> plane_;
     RoutingPublisher routingPublisher_;
+    KeyMonitor keyMonitor_;
     AnnouncementProcessor announcements_;
     core::timing::MonotonicTime nextRecordAt_{};
     core::timing::MonotonicTime nextCountersAt_{};
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -59,7 +59,8 @@
     leasedRecord_.emplace(dependencies_.store, dependencies_.timers,
                           control::records::nodeRecordKey(dependencies_.node), content);
     control::records::StoreFollower::Listener &listener = *this;
-    follower_.emplace(dependencies_.store, dependencies_.timers, listener, random_());
+    follower_.emplace(dependencies_.store, dependencies_.timers, listener, random_(),
+                      dependencies_.probePeriod);
     follower_->start();
     updatedAt_ = dependencies_.timers.now();
 }
@@ -82,6 +83,13 @@
     follower_->setActive(mustFollow, replica_->table().revision());
     plane_->storeFollowingChanged(follower_->isFollowing());
     leasedRecord_->setActive(needsNodeRecord());
+    reportContact();
+}
+
+void RecordSource::reportContact()
+{
+    if (const auto contact = follower_->lastContact())
+        plane_->storeContacted(*contact);
 }
 
 void RecordSource::logStoreRole(bool follows) const
@@ -120,6 +128,7 @@
                             {"entries", std::to_string(records.size())}});
     plane_->storedDeparturesReceived(control::records::departuresAt(dependencies_.node, records));
     plane_->storeFollowingChanged(true);
+    reportContact();
     plane_->storeUpdateReceived(replica_->applyListing(records, revision));
     const std::string localKey = control::records::nodeRecordKey(dependencies_.node);
     isOnlyListedNode_
@@ -138,6 +147,7 @@
 
 void RecordSource::recordsChanged(const control::records::RecordChanges &changes)
 {
+    reportContact();
     plane_->storeUpdateReceived(replica_->applyChanges(changes));
     for (const StoreRecord &record : changes.changes)
         leasedRecord_->recordChanged(record);
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -32,6 +32,8 @@
         core::identity::NodeId node;
         core::identity::NetworkAddress peerAddress;
         std::uint64_t randomSeed = 0;
+        /** The delay between probes of the store. @see WatchMonitor */
+        std::chrono::milliseconds probePeriod = control::records::WatchMonitor::probePeriod;
     };
 
     explicit RecordSource(Dependencies dependencies)
@@ -58,6 +60,7 @@
     void logStoreRole(bool follows) const;
     bool needsNodeRecord() const;
     void resumeIfPaused();
+    void reportContact();
     void reportPeers(const std::vector<control::records::StoreRecord> &records);
     void handleRecordResponse(const control::moves::MoveRecord &record,
                               const absl::StatusOr<core::identity::Revision> &response);
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -6,6 +6,7 @@
 #include "core/identity/NodeId.h"
 #include "core/identity/ServiceName.h"
 #include "daemon/settings/NodeInterface.h"
+#include "traffic/access/KeyFreshnessLimits.h"
 #include "traffic/retry/RetryLimits.h"
 #include "traffic/routing/CrossDataCentreCost.h"
 
@@ -53,6 +54,9 @@
     /** Limits on retries of calls. */
     traffic::retry::RetryLimits retryLimits;
     traffic::routing::CrossDataCentreCost crossDataCentreCost;
+    /** How long keys of callers may be used without contact with the store; can be strict only with
+        the platform's interface. */
+    traffic::access::KeyFreshnessLimits keyFreshness;
     /** Runs the baseline policies of routing, admission, retries and moves, for measurements. */
     bool usesBaselinePolicies = false;
     /** Makes every node watch the platform, as a baseline for measurements. */
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -50,6 +50,9 @@
                    "reserve": {"type": "number", "minimum": 0}}},
   "crossing": {"type": "object", "additionalProperties": false,
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
+  "keyFreshness": {"type": "object", "additionalProperties": false, "required": ["limitSeconds"],
+    "properties": {"strict": {"anyOf": [{"type": "boolean"}, {"type": "string"}]},
+                   "limitSeconds": {"type": "number", "minimum": 0, "maximum": 86400}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
   "graceSeconds": {"anyOf": [{"type": "number", "minimum": 2}, {"type": "string"}]},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
@@ -125,6 +128,25 @@
             = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
 }
 
+// A platform that does not know whether keys expire fills in an empty text; they don't then.
+void readKeyFreshness(const json &object, NodeSettings &settings, FindingList &findings)
+{
+    using std::chrono::milliseconds;
+    const json strict = object.value("strict", json(false));
+    bool &isStrict = settings.keyFreshness.isStrict;
+    const bool isText = strict.is_string() && !strict.get<std::string>().empty();
+    if (strict.is_boolean())
+        isStrict = strict.get<bool>();
+    else if (isText && !absl::SimpleAtob(strict.get<std::string>(), &isStrict))
+        findings.add("/keyFreshness/strict", strict.dump() + " is neither true nor false");
+    settings.keyFreshness.limit = std::chrono::round<milliseconds>(
+            std::chrono::duration<double>(object["limitSeconds"].get<double>()));
+    if (isStrict && settings.interface == NodeInterface::Native)
+        findings.add(
+                "/keyFreshness/strict",
+                "is possible only with the platform's interface: the native store has no probes");
+}
+
 void readPlatformSettings(const json &root, NodeSettings &settings, FindingList &findings)
 {
     settings.announcementTimeout = std::chrono::milliseconds(
@@ -174,6 +196,8 @@
             = root.value("crossing", json::object())
                       .value("bytesWorthACall", settings.crossDataCentreCost.bytesWorthACall);
     readPlatformSettings(root, settings, findings);
+    if (root.contains("keyFreshness"))
+        readKeyFreshness(root["keyFreshness"], settings, findings);
     checkDistinct(settings, findings);
     if (!findings.isEmpty())
         return std::nullopt;
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -6,6 +6,7 @@
 #include "core/identity/NetworkAddress.h"
 #include "core/identity/NodeId.h"
 #include "core/identity/ServiceName.h"
+#include "traffic/access/KeyFreshness.h"
 #include "traffic/admission/AdmissionPolicy.h"
 #include "traffic/retry/RetryPolicy.h"
 #include "traffic/routing/RoutingPolicy.h"
@@ -36,6 +37,9 @@
     PeerRequestHandler &requestHandler;
     PeerEventSink &eventSink;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
+    traffic::access::KeyFreshness keyFreshness;
+    /** When the store last confirmed what this node knows. */
+    const core::concurrency::Published<traffic::access::StoreContactTime> &storeContact;
     std::unique_ptr<traffic::admission::AdmissionPolicy> admission;
     traffic::routing::RoutingPolicy &routingPolicy;
     traffic::retry::RetryPolicy &retryPolicy;
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -16,6 +16,19 @@
 using control::membership::MemberTable;
 using core::identity::Revision;
 
+namespace {
+
+// Dates the peer's contact with the store back to the time of the request: the response, or this
+// process, may have been held up for any part of the time since then.
+void addAge(Exchange &response, core::timing::MonotonicTime sentAt)
+{
+    if (response.storeContactAge)
+        *response.storeContactAge += std::chrono::ceil<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - sentAt);
+}
+
+} // namespace
+
 TrafficThread::TrafficThread(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
 {}
@@ -109,11 +122,12 @@
 //==============================================================================
 void TrafficThread::sendExchange(const PeerContact &peer, const Exchange &exchange)
 {
-    taskQueue_.post([this, peer, exchange]() {
+    taskQueue_.post([this, peer, exchange, sentAt = std::chrono::steady_clock::now()]() {
         loop_->add(loop_->links()
                            .exchange(peer.address, exchange)
                            .then(
-                                   [this, peer](Exchange &&response) {
+                                   [this, peer, sentAt](Exchange &&response) {
+                                       addAge(response, sentAt);
                                        dependencies_.eventSink.exchangeResponseReceived(
                                                peer, std::move(response));
                                    },
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -25,6 +25,9 @@
 
 namespace {
 
+// An older contact is as good as none; sums of times can not overflow.
+constexpr std::chrono::milliseconds maximumAge = std::chrono::hours(24);
+
 template <typename Enum>
 Enum enumFrom(std::uint8_t number, Enum last)
 {
@@ -167,6 +170,8 @@
     message.setMemberDigest(exchange.memberDigest);
     message.setFollower(exchange.isFollower);
     message.setAsksForNews(exchange.requestsUpdates);
+    if (exchange.storeContactAge)
+        message.setStoreContactMillis(exchange.storeContactAge->count());
     encode(exchange.members, message.initMembers(sizeOf(exchange.members)));
     encodeList(exchange.suspicions, message.initSuspicions(sizeOf(exchange.suspicions)),
                encodeSuspicion);
@@ -191,6 +196,8 @@
     exchange.memberDigest = message.getMemberDigest();
     exchange.isFollower = message.getFollower();
     exchange.requestsUpdates = message.getAsksForNews();
+    if (const auto age = message.getStoreContactMillis(); age >= 0 && age <= maximumAge.count())
+        exchange.storeContactAge = std::chrono::milliseconds(age);
     exchange.members = decode(message.getMembers());
     for (const auto entry : message.getSuspicions()) {
         exchange.suspicions.push_back(
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -119,6 +119,8 @@
   # The generation of the earliest process of the receiver that the sender has known; zero if none.
   receiverKnownSince @11 :UInt64;
   senderAddress @12 :Address;
+  # The time since the sender's last contact with the durable store; negative if it has had none.
+  storeContactMillis @13 :Int64 = -1;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -204,7 +204,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1792,6 +1792,8 @@
   inline bool hasSenderAddress() const;
   inline  ::boragetrack::transport::wire::schema::Address::Reader getSenderAddress() const;
 
+  inline  ::int64_t getStoreContactMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1887,6 +1889,9 @@
   inline void adoptSenderAddress(::capnp::Orphan< ::boragetrack::transport::wire::schema::Address>&& value);
   inline ::capnp::Orphan< ::boragetrack::transport::wire::schema::Address> disownSenderAddress();
 
+  inline  ::int64_t getStoreContactMillis();
+  inline void setStoreContactMillis( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5886,6 +5891,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Exchange::Reader::getStoreContactMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Exchange::Builder::getStoreContactMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Exchange::Builder::setStoreContactMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -134,3 +134,39 @@
     for (const char *bad : {R"("1")", R"("soon")", R"("nan")", "1", "null", R"("1e9")"})
         EXPECT_EQ(read(bad), std::nullopt) << bad;
 }
+
+// A platform fills the template with texts or values; one without the terms leaves the object out.
+TEST(SettingsReader, readsHowLongKeysMayBeUsed)
+{
+    using std::chrono::milliseconds;
+    const auto read = [](const std::string &interface, const std::string &freshness) {
+        const std::string text = R"({"interface": ")" + interface + R"(", "node": "n1",
+            "dataCentre": "ikeja", "operatorToken": "operators-token",
+            "service": "payments", "callers": "127.0.0.1:1001", "announcements": "127.0.0.1:1002",
+            "readiness": "127.0.0.1:1003", "peers": "127.0.0.1:1004", "operators": "127.0.0.1:1005",
+            "platform": "127.0.0.1:1006", "dataCentres": ["ikeja"], "seeds": []
+            )" + freshness + "}";
+        core::findings::FindingList findings("settings");
+        const auto settings = daemon::settings::readSettings(text, findings);
+        EXPECT_EQ(settings.has_value(), findings.isEmpty()) << findings.toString();
+        return settings ? std::optional(settings->keyFreshness) : std::nullopt;
+    };
+    EXPECT_FALSE(read("platform", "")->isStrict);
+    for (const char *strict : {"true", R"("true")", R"("True")"}) {
+        const auto limits = read("platform", std::string(R"(, "keyFreshness": {"strict": )")
+                                                     + strict + R"(, "limitSeconds": 2.5})");
+        ASSERT_TRUE(limits) << strict;
+        EXPECT_TRUE(limits->isStrict);
+        EXPECT_EQ(limits->limit, milliseconds(2500));
+    }
+    for (const char *lenient : {"false", R"("false")", R"("")"})
+        EXPECT_FALSE(read("platform", std::string(R"(, "keyFreshness": {"strict": )") + lenient
+                                              + R"(, "limitSeconds": 2})")
+                             ->isStrict);
+    for (const char *bad : {R"({"strict": "perhaps", "limitSeconds": 2})", R"({"strict": true})",
+                            R"({"strict": true, "limitSeconds": -1})", "7"})
+        EXPECT_FALSE(read("platform", std::string(R"(, "keyFreshness": )") + bad)) << bad;
+    // The native store can't be probed, so that its nodes would refuse callers without a cause.
+    EXPECT_FALSE(read("own", R"(, "keyFreshness": {"strict": true, "limitSeconds": 2})"));
+    EXPECT_TRUE(read("own", R"(, "keyFreshness": {"strict": false, "limitSeconds": 2})"));
+}
