Serve callers by their keys, and name organisations to upstreams

CallerServer checks access once the route is known and before it keeps any of the body; 401 leaves the connection open. The key and a caller's own value of the organisation's header end at the caller's node; idempotency keys of different organisations are different keys.

Measured: OrganisationFieldTest and RunningCallsTest pass, with the existing tests of dialects and of the inbound proxy.

--- a/packages/traffic/calls/CallHeaders.h
+++ b/packages/traffic/calls/CallHeaders.h
@@ -17,6 +17,8 @@
 inline constexpr const char *hopCountHeader = "X-Hop-Count";
 /** The attempt number of a call; the nested calls of a retry are not retried. */
 inline constexpr const char *attemptHeader = "X-Boragetrack-Attempt";
+/** The organisation whose key the caller presented; set by the node for the upstream. */
+inline constexpr const char *organisationHeader = "X-Boragetrack-Organisation";
 /** Set by an upstream on a 503 when it shed the request without running it. */
 inline constexpr const char *shedHeader = "X-Upstream-Shed";
 
--- a/packages/transport/callers/CallBuilder.cpp
+++ b/packages/transport/callers/CallBuilder.cpp
@@ -32,6 +32,38 @@
     return call;
 }
 
+void applyAccess(CallRequest &call, const traffic::access::AccessDecision &access,
+                 const char *organisationHeader)
+{
+    std::erase_if(call.headers, [&](const traffic::calls::HeaderField &field) {
+        return http::equalsIgnoreCase(field.name, keyHeader)
+               || http::equalsIgnoreCase(field.name, organisationHeader);
+    });
+    call.organisation = access.organisation;
+    call.priority = access.priority.value_or(call.priority);
+    // No header contains a line feed, so that different pairs give different keys.
+    if (!call.key.isEmpty())
+        call.key = core::identity::IdempotencyKey(access.organisation.value() + "\n"
+                                                  + call.key.value());
+}
+
+core::identity::ServiceName pickService(const control::intent::Route &route,
+                                        std::mt19937_64 &random)
+{
+    if (route.split.empty())
+        return route.service;
+    double total = 0.0;
+    for (const auto &part : route.split)
+        total += part.weight;
+    double point = std::uniform_real_distribution<>(0.0, total)(random);
+    for (const auto &part : route.split) {
+        point -= part.weight;
+        if (point < 0.0)
+            return part.service;
+    }
+    return route.split.back().service;
+}
+
 std::optional<std::string> refusalReason(const CallRequest &call)
 {
     if (call.hops > traffic::calls::maximumHops)
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -5,6 +5,7 @@
 #include "core/counters/CounterRegistry.h"
 #include "core/counters/LatencyCounters.h"
 #include "core/timing/PauseDetector.h"
+#include "traffic/access/KeyFreshness.h"
 #include "traffic/calls/RunningCalls.h"
 #include "traffic/retry/CallPlan.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -35,6 +36,9 @@
         /** The service on this node's VM. */
         core::identity::ServiceName service;
         const core::timing::PauseDetector &pauses;
+        const traffic::access::KeyFreshness &keyFreshness;
+        /** When the store last confirmed the keys. */
+        const core::concurrency::Published<traffic::access::StoreContactTime> &storeContact;
         core::counters::CounterRegistry &counters;
     };
 
@@ -71,6 +75,7 @@
     core::counters::Counter &attempts_;
     core::counters::Counter &refusals_;
     core::counters::Counter &unknowns_;
+    core::counters::Counter &accessRefusals_;
     core::counters::Counter &callersLeft_;
     core::counters::Counter &cutCalls_;
     core::counters::Counter &crossDataCentreBytes_;
--- a/packages/transport/dialect/CallDialect.h
+++ b/packages/transport/dialect/CallDialect.h
@@ -31,6 +31,9 @@
     virtual http::HeaderList
     responseHeaders(const traffic::calls::CallResponse &response) const = 0;
 
+    /** Returns the name of the header that names the organisation to upstreams. */
+    virtual const char *organisationHeader() const = 0;
+
     //==============================================================================
     /** Returns the headers that the upstream receives with a call. */
     virtual http::HeaderList upstreamHeaders(const traffic::calls::CallRequest &request,
--- a/packages/transport/dialect/NativeDialect.cpp
+++ b/packages/transport/dialect/NativeDialect.cpp
@@ -1,8 +1,9 @@
-/** Maps outcomes to status 503 (not run), 504 (unknown) and 404 (no route). Numbers in headers that
-    can not be parsed count as absent. */
+/** Maps outcomes to status 503 (not run), 504 (unknown), 404 (no route) and 401 (no valid key).
+   Numbers in headers that can not be parsed count as absent. */
 #include "transport/dialect/NativeDialect.h"
 
 #include "traffic/calls/CallHeaders.h"
+#include "transport/dialect/OrganisationField.h"
 #include "transport/http/MessageWriter.h"
 
 #include <array>
@@ -21,6 +22,7 @@
 constexpr int notRunStatus = 503;
 constexpr int unknownStatus = 504;
 constexpr int notFoundStatus = 404;
+constexpr int unauthorizedStatus = 401;
 
 // Headers that upstreamHeaders() sets itself; a caller's values are not forwarded.
 constexpr std::array reservedHeaders{"Host", traffic::calls::deadlineHeader,
@@ -73,10 +75,12 @@
 {
     const bool isNotRun = response.outcome == CallOutcome::NotRun;
     http::ResponseHead head{isNotRun ? notRunStatus : unknownStatus, {}};
-    if (isNotRun && response.status == notFoundStatus)
-        head.status = notFoundStatus;
+    if (isNotRun && (response.status == notFoundStatus || response.status == unauthorizedStatus))
+        head.status = response.status;
     head.headers.push_back({traffic::calls::outcomeHeader, isNotRun ? "not-run" : "unknown"});
     head.headers.push_back({traffic::calls::reasonHeader, response.reason});
+    if (head.status == unauthorizedStatus)
+        head.headers.push_back({"WWW-Authenticate", "Bearer"});
     return head;
 }
 
@@ -89,6 +93,11 @@
     return headers;
 }
 
+const char *NativeDialect::organisationHeader() const
+{
+    return traffic::calls::organisationHeader;
+}
+
 http::HeaderList NativeDialect::upstreamHeaders(const CallRequest &request,
                                                 const serving::UpstreamStatus &upstream) const
 {
@@ -101,6 +110,7 @@
             {traffic::calls::deadlineHeader, std::to_string(request.budget.count() / 1000)});
     headers.push_back({traffic::calls::hopCountHeader, std::to_string(request.hops)});
     headers.push_back({traffic::calls::attemptHeader, std::to_string(request.attempt)});
+    setOrganisationField(headers, organisationHeader(), request);
     return headers;
 }
 
--- a/packages/transport/dialect/NativeDialect.h
+++ b/packages/transport/dialect/NativeDialect.h
@@ -13,6 +13,7 @@
     CallDescription describe(const http::RequestHead &head) const override;
     http::ResponseHead refusalHead(const traffic::calls::CallResponse &response) const override;
     http::HeaderList responseHeaders(const traffic::calls::CallResponse &response) const override;
+    const char *organisationHeader() const override;
     http::HeaderList upstreamHeaders(const traffic::calls::CallRequest &request,
                                      const serving::UpstreamStatus &upstream) const override;
     ResponseKind classifyResponse(const http::ResponseHead &head,
--- a/packages/transport/http/MessageWriter.cpp
+++ b/packages/transport/http/MessageWriter.cpp
@@ -24,6 +24,8 @@
         return "OK";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 408:
--- a/packages/transport/http/ServerExchange.cpp
+++ b/packages/transport/http/ServerExchange.cpp
@@ -5,6 +5,13 @@
 
 namespace boragetrack::transport::http {
 
+kj::Promise<void> ServerExchange::discardBody()
+{
+    return reader_.readBody().then([this](BodyPiece &&piece) -> kj::Promise<void> {
+        return piece.isLast ? kj::Promise<void>(kj::READY_NOW) : discardBody();
+    });
+}
+
 kj::Promise<void> ServerExchange::respond(const ResponseHead &head, const std::string &body)
 {
     hasResponseBegun_ = true;
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -26,6 +26,10 @@
     /** Returns the request's body up to a limit. @see MessageReader::readBodyUpTo */
     kj::Promise<BodyPiece> readBodyUpTo(std::size_t limit) { return reader_.readBodyUpTo(limit); }
 
+    /** Reads the rest of the request's body without keeping it, so that the connection can carry
+        another request. Fails like readBody(). */
+    kj::Promise<void> discardBody();
+
     /** Returns why reading the body failed, if the body was malformed or too large. */
     const std::optional<MessageFault> &bodyFault() const { return reader_.message().fault(); }
 
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -37,7 +37,8 @@
     , callers_(callers::CallerServer::Dependencies{
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
-              monitor_.pauses(), dependencies.counters})
+              monitor_.pauses(), dependencies.keyFreshness, dependencies.storeContact,
+              dependencies.counters})
     , callerListener_(io.provider->getNetwork(), timer_, callers_)
     , linkListener_(io.provider->getNetwork(), timer_, dependencies.requestHandler, inbound_,
                     counters_)
