Decide by its key on a request that names a running parent

A caller that knew the identifier of another organisation's running request could have passed for that organisation by a suffix. Upstreams carry no key, so a request with one is a caller's own.

--- a/packages/traffic/access/KeyAccess.cpp
+++ b/packages/traffic/access/KeyAccess.cpp
@@ -22,7 +22,9 @@
 
 AccessDecision KeyAccess::decide(const AccessRequest &request) const
 {
-    if (request.parentOrganisation)
+    // Upstreams have no keys: a caller that presents one can't take another organisation's name by
+    // an identifier that looks nested.
+    if (request.parentOrganisation && request.authorizations.empty())
         return grantNested(*request.parentOrganisation);
     if (request.route.isPublic) {
         const AccessDecision decision = checkKey(request.authorizations);
--- a/packages/traffic/access/KeyAccess.h
+++ b/packages/traffic/access/KeyAccess.h
@@ -9,10 +9,10 @@
 /**
     Demands a known key of each request, except on public routes and for nested calls.
 
-    A nested call inherits the organisation of the request that makes it. A request without a key
-    whose identifier has the form of a nested call's is refused for the time being, not for good, if
-    no request runs that could have made it: the node may have restarted while its upstream kept
-    running.
+    A nested call inherits the organisation of the request that makes it, and carries no key. A
+   request without a key whose identifier has the form of a nested call's is refused for the time
+   being, not for good, if no request runs that could have made it: the node may have restarted
+   while its upstream kept running.
 */
 class KeyAccess : public AccessPolicy
 {
--- a/tests/unit/KeyAccessTest.cpp
+++ b/tests/unit/KeyAccessTest.cpp
@@ -141,6 +141,15 @@
     EXPECT_EQ(decide({}).organisation.value(), "gone");
 }
 
+// A caller that knows the identifier of another organisation's running request must not pass for
+// that organisation.
+TEST_F(KeyAccessTest, decidesByTheKeyOfARequestThatNamesAParent)
+{
+    request_.hasNestedForm = true;
+    request_.parentOrganisation = OrganisationName("gone");
+    EXPECT_EQ(decide({"Bearer none-of-them"}).verdict, AccessVerdict::Unauthorized);
+}
+
 // After a restart the node can't know what its upstream is running: a refusal for good would end
 // that work, and access would let in anybody who writes a dot.
 TEST_F(KeyAccessTest, leavesNestedCallsWithoutAKnownParentUndecided)
