Run pipelined idempotent requests of a connection side by side

A connection read the next request only after the previous one was answered, so that four idempotent requests of 300 ms took 1.2 s. PipelineQueue now decides which requests may be read and started, whose response is next and what is cancelled; ServerConnection carries it out. A request of a route that is not idempotent runs alone and in its turn. The body of a request counts against the buffer budget until it is answered, no longer until the next head is read.

A planned stop closes the connection after the last request that has started (closeAfterStarted), so that every request that was passed to an upstream is answered.

--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -73,7 +73,7 @@
         , exchange_(exchange)
         , description_(server.dependencies_.dialect.describe(exchange.head()))
         , snapshot_(server.dependencies_.routing.current())
-        , arrivedAt_(currentTime())
+        , arrivedAt_(exchange.arrivedAt())
         , possibleDelay_(server.dependencies_.pauses.possibleDelay(arrivedAt_))
     {
         ++server_.activeCalls_;
@@ -265,7 +265,7 @@
         logOutcome(eventOf(response), "call ended", response);
         const dialect::CallDialect &dialect = server_.dependencies_.dialect;
         if (server_.isStopping_)
-            exchange_.closeAfterResponse();
+            exchange_.closeAfterStarted();
         if (response.outcome == CallOutcome::Completed)
             return exchange_.respond(
                     http::ResponseHead{response.status, dialect.responseHeaders(response)},
@@ -316,6 +316,16 @@
     return running.attach(kj::mv(call));
 }
 
+bool CallerServer::isConcurrent(const http::RequestHead &head) const
+{
+    const auto snapshot = dependencies_.routing.current();
+    if (!snapshot->isServing)
+        return false;
+    const RouteTarget *target
+            = snapshot->targetFor(dependencies_.dialect.describe(head).host, pathOf(head.target));
+    return target != nullptr && target->entry.route.isIdempotent;
+}
+
 http::ServerLimits CallerServer::limits() const
 {
     const auto &limits = dependencies_.routing.current()->intent->document().callerLimits;
--- a/packages/transport/callers/CallerServer.h
+++ b/packages/transport/callers/CallerServer.h
@@ -41,6 +41,7 @@
     explicit CallerServer(Dependencies dependencies);
 
     kj::Promise<void> handle(http::ServerExchange &exchange) override;
+    bool isConcurrent(const http::RequestHead &head) const override;
     http::ServerLimits limits() const override;
 
     /** Closes each connection after its next response. */
--- a/packages/transport/http/ExchangeHandler.h
+++ b/packages/transport/http/ExchangeHandler.h
@@ -6,8 +6,8 @@
 
 namespace boragetrack::transport::http {
 
-/** Handles requests on the traffic thread, concurrently for different connections; each connection
-    has at most one request in progress. */
+/** Handles requests on the traffic thread, concurrently for different connections, and those of one
+    connection as isConcurrent() says. */
 class ExchangeHandler
 {
 public:
@@ -18,6 +18,10 @@
         @param exchange valid as long as the promise */
     virtual kj::Promise<void> handle(ServerExchange &exchange) = 0;
 
+    /** Returns whether a request may run beside others of its connection. Any other request runs
+        when all before it are answered, and those behind it afterwards. */
+    virtual bool isConcurrent(const RequestHead & /*head*/) const { return false; }
+
     /** Returns the limits that apply to a connection's next request. */
     virtual ServerLimits limits() const { return {}; }
 
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -85,6 +85,13 @@
         not kept any longer; otherwise the next message does it. */
     void releaseBody() { share_.reset(); }
 
+    /** Removes and returns the part of the budget that the current body uses, for a body that is
+        kept while the next message is read. @returns null for a body that uses none */
+    std::unique_ptr<BufferBudget::Share> takeBodyShare() { return std::move(share_); }
+
+    /** Returns the bytes of the current message that were consumed. */
+    std::size_t consumedBytes() const { return consumedBytes_; }
+
     /** Returns the parser of the current message. */
     const MessageParser<Head> &message() const { return *parser_; }
 
@@ -142,7 +149,7 @@
         if (budget_ == nullptr)
             return true;
         if (!share_)
-            share_.emplace(*budget_);
+            share_ = std::make_unique<BufferBudget::Share>(*budget_);
         if (share_->resize(bytes))
             return true;
         share_.reset();
@@ -170,7 +177,7 @@
     MessageLimits limits_;
     BufferBudget *budget_;
     // The part of the budget that the current body uses.
-    std::optional<BufferBudget::Share> share_;
+    std::unique_ptr<BufferBudget::Share> share_;
     // The bytes of the current message that were consumed.
     std::size_t consumedBytes_ = 0;
     bool hasBody_ = true;
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -1,8 +1,8 @@
-/** Waits for each request within the idle and header timeouts, and closes the connection such that
-    the client can still read the last response. */
+/** Carries out what the PipelineQueue decides. All that happens to the connection (a request was
+    read or answered, the client has disconnected, a timeout has passed) wakes proceed(), which
+   alone starts and cancels requests: a promise must not be destroyed by its own continuation. */
 #include "transport/http/ServerConnection.h"
 
-#include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 #include "transport/http/MessageWriter.h"
 #include "transport/timing/Deadline.h"
@@ -22,12 +22,21 @@
     return time.count() * kj::NANOSECONDS;
 }
 
+// Returns the size of the reader's current request; nothing if only its end will tell.
+std::optional<std::size_t> sizeOfRequest(const MessageReader<RequestHead> &reader)
+{
+    const std::optional<std::uint64_t> bodyLength = reader.message().bodyLength();
+    if (reader.message().isDone())
+        return reader.consumedBytes();
+    return bodyLength ? std::optional<std::size_t>(reader.consumedBytes() + *bodyLength)
+                      : std::nullopt;
+}
+
 } // namespace
 
-ServerConnection::~ServerConnection()
+ServerConnection::~ServerConnection() noexcept
 {
-    const bool hasUnhandledInput
-            = !isClosing_ && exchange_.get() == nullptr && !stream_.bytes().empty();
+    const bool hasUnhandledInput = !isClosing_ && exchanges_.empty() && !stream_.bytes().empty();
     if (hasUnhandledInput && !stream_.isEnded())
         core::events::logCall(core::events::EventCode::CallCut, "request cut", false,
                               {{"reason", "the node stopped before it handled what it had read"}});
@@ -35,64 +44,239 @@
 
 kj::Promise<void> ServerConnection::run()
 {
-    return awaitRequest();
+    return proceed();
 }
 
-kj::Promise<void> ServerConnection::awaitRequest()
+kj::Promise<void> ServerConnection::proceed()
 {
-    const ServerLimits limits = handler_.limits();
-    reader_.setLimits(limits.message);
-    if (!stream_.bytes().empty())
-        return readRequest();
+    auto event = kj::newPromiseAndFulfiller<void>();
+    wakeUp_ = kj::mv(event.fulfiller);
+    if (isDisconnected_ && !exchanges_.empty()) {
+        cancelRequests();
+        return kj::READY_NOW;
+    }
+    finishAnswered();
+    if (failure_)
+        return kj::cp(*failure_);
+    if (isClosing_)
+        return close();
+    takeInput();
+    startRequest();
+    if (exchanges_.empty() && fault_)
+        return refuse(*fault_);
+    if (exchanges_.empty() && (isInputOver_ || (isAwaitingInput_ && isIdleTimeOver_)))
+        return close();
+    giveTurn();
+    continueReading();
+    watchForEnd();
+    limitIdleTime();
+    return event.promise.then([this]() { return proceed(); });
+}
+
+void ServerConnection::wake()
+{
+    if (wakeUp_.get() != nullptr)
+        wakeUp_->fulfill();
+}
+
+//==============================================================================
+// Removes the requests that were answered, and those that will not be.
+void ServerConnection::finishAnswered()
+{
+    while (!exchanges_.empty() && exchanges_.front().isFinished && !failure_ && !isClosing_) {
+        PipelinedExchange &first = exchanges_.front();
+        if (first.failure) {
+            failure_.emplace(kj::mv(*first.failure));
+            return;
+        }
+        isClosing_ = !first.exchange->isResponseComplete() || !first.exchange->keepsConnection();
+        if (isClosing_)
+            queue_.closeAfter(first.exchange->number());
+        exchanges_.pop_front();
+        queue_.finishFirst();
+    }
+    while (queue_.removeCancelled()) {
+        if (counters_ != nullptr && exchanges_.back().isStarted)
+            counters_->cancelled.add();
+        exchanges_.pop_back();
+    }
+}
+
+void ServerConnection::takeInput()
+{
+    if (!input_)
+        return;
+    Reader::HeadResult input = std::move(*input_);
+    input_.reset();
+    isReading_ = false;
+    if (auto *head = std::get_if<RequestHead>(&input))
+        add(std::move(*head));
+    else if (const auto *fault = std::get_if<MessageFault>(&input))
+        fault_ = *fault;
+    else
+        isInputOver_ = true;
+    partialRequest_ = nullptr;
+}
+
+void ServerConnection::add(RequestHead head)
+{
+    const Number number = queue_.add(handler_.isConcurrent(head), sizeOfRequest(reader_));
+    exchanges_.emplace_back();
+    ResponseOrder &order = *this;
+    exchanges_.back().exchange = kj::heap<ServerExchange>(std::move(head), reader_, stream_, order,
+                                                          number, inputReadAt_);
+}
+
+void ServerConnection::startRequest()
+{
+    if (!queue_.startNext())
+        return;
+    isWatchOutdated_ = true;
+    if (counters_ != nullptr && exchanges_.size() > 1)
+        counters_->requests.add();
+    PipelinedExchange &started = exchanges_.back();
+    started.isStarted = true;
+    started.running = kj::evalNow([&]() { return handler_.handle(*started.exchange); })
+                              .then(
+                                      [this, &started]() {
+                                          started.isFinished = true;
+                                          wake();
+                                      },
+                                      [this, &started](kj::Exception &&exception) {
+                                          started.isFinished = true;
+                                          started.failure.emplace(kj::mv(exception));
+                                          queue_.closeAfter(started.exchange->number());
+                                          wake();
+                                      })
+                              .eagerlyEvaluate(nullptr);
+}
+
+void ServerConnection::giveTurn()
+{
+    if (exchanges_.empty() || exchanges_.front().turn.get() == nullptr)
+        return;
+    exchanges_.front().turn->fulfill();
+    exchanges_.front().turn = nullptr;
+}
+
+void ServerConnection::cancelRequests()
+{
+    isClosing_ = true;
+    reading_ = nullptr;
+    partialRequest_ = nullptr;
+    while (!exchanges_.empty())
+        exchanges_.pop_back();
+}
+
+//==============================================================================
+void ServerConnection::handleRequestRead(Number number, bool mayContinue)
+{
+    isWatchOutdated_ = true;
+    if (mayContinue)
+        queue_.handleRequestRead();
+    else
+        queue_.closeAfter(number);
+    wake();
+}
+
+kj::Promise<void> ServerConnection::whenFirst(Number number, std::size_t bytes)
+{
+    if (!queue_.holdResponse(number, bytes)) {
+        wake();
+        return kj::NEVER_DONE;
+    }
+    for (PipelinedExchange &waiting : exchanges_) {
+        if (waiting.exchange->number() != number)
+            continue;
+        auto turn = kj::newPromiseAndFulfiller<void>();
+        waiting.turn = kj::mv(turn.fulfiller);
+        return kj::mv(turn.promise);
+    }
+    return kj::NEVER_DONE;
+}
+
+void ServerConnection::closeAfter(Number number)
+{
+    queue_.closeAfter(number);
+    wake();
+}
+
+void ServerConnection::closeAfterStarted()
+{
+    queue_.closeAfterStarted();
+    wake();
+}
+
+//==============================================================================
+void ServerConnection::continueReading()
+{
+    if (isReading_ || fault_ || isInputOver_ || !queue_.mayRead())
+        return;
+    isReading_ = true;
     // Cancelling this wait loses no input: bytes that arrive stay in the stream's buffer.
-    return stream_.readMore()
-            .then([]() { return true; })
-            .exclusiveJoin(
-                    timing::whenPassed(timer_, timer_.now() + toKj(limits.idleTimeout)).then([]() {
-                        return false;
-                    }))
-            .then([this](bool hasInput) -> kj::Promise<void> {
-                const bool isOver = !hasInput || (stream_.isEnded() && stream_.bytes().empty());
-                return isOver ? close() : readRequest();
-            });
+    isAwaitingInput_ = stream_.bytes().empty();
+    kj::Promise<void> arrival = isAwaitingInput_ ? stream_.readMore() : kj::READY_NOW;
+    reading_ = arrival.then([this]() { return readHead(); })
+                       .then([this](Reader::HeadResult &&result) {
+                           input_ = std::move(result);
+                           inputReadAt_ = std::chrono::steady_clock::now();
+                           wake();
+                       })
+                       .eagerlyEvaluate([this](kj::Exception &&exception) {
+                           failure_.emplace(kj::mv(exception));
+                           wake();
+                       });
 }
 
-kj::Promise<void> ServerConnection::readRequest()
+kj::Promise<ServerConnection::Reader::HeadResult> ServerConnection::readHead()
 {
+    isAwaitingInput_ = false;
+    if (stream_.isEnded() && stream_.bytes().empty())
+        return Reader::HeadResult(StreamEnd{stream_.isReset()});
+    const ServerLimits limits = handler_.limits();
+    reader_.setLimits(limits.message);
+    partialRequest_ = kj::heap<core::counters::ScopedCount>(partialRequests_);
     const MessageFault overdue{requestTimeout, "timeout while reading the head of the request"};
-    return reader_.readHead()
-            .exclusiveJoin(
-                    timing::whenPassed(timer_, timer_.now() + toKj(handler_.limits().headerTimeout))
-                            .then([overdue]() { return Reader::HeadResult(overdue); }))
-            .attach(kj::heap<core::counters::ScopedCount>(partialRequests_))
-            .then([this](Reader::HeadResult &&result) -> kj::Promise<void> {
-                if (auto *head = std::get_if<RequestHead>(&result))
-                    return serve(std::move(*head));
-                if (auto *fault = std::get_if<MessageFault>(&result))
-                    return refuse(*fault);
-                return close();
-            });
-}
-
-kj::Promise<void> ServerConnection::serve(RequestHead head)
-{
-    exchange_ = kj::heap<ServerExchange>(std::move(head), reader_, stream_);
-    return handler_.handle(*exchange_)
-            .then([]() { return false; })
-            .exclusiveJoin(stream_.whenEnded().then([]() { return true; }))
-            .then([this](bool isClientDisconnected) { return finish(isClientDisconnected); });
-}
-
-kj::Promise<void> ServerConnection::finish(bool isClientDisconnected)
-{
-    const bool mayContinue = !isClientDisconnected && exchange_->isResponseComplete()
-                             && exchange_->keepsConnection();
-    exchange_ = nullptr;
-    if (mayContinue)
-        return awaitRequest();
-    return isClientDisconnected ? kj::Promise<void>(kj::READY_NOW) : close();
+    return reader_.readHead().exclusiveJoin(
+            timing::whenPassed(timer_, timer_.now() + toKj(limits.headerTimeout)).then([overdue]() {
+                return Reader::HeadResult(overdue);
+            }));
 }
 
+// Waiting for the end stops while much input is buffered, so it begins anew once some of it was
+// consumed.
+void ServerConnection::watchForEnd()
+{
+    if (exchanges_.empty() || !isWatchOutdated_)
+        return;
+    isWatchOutdated_ = false;
+    watching_ = stream_.whenEnded()
+                        .then([this]() {
+                            isDisconnected_ = true;
+                            wake();
+                        })
+                        .eagerlyEvaluate(nullptr);
+}
+
+void ServerConnection::limitIdleTime()
+{
+    const bool wasIdle = isIdle_;
+    isIdle_ = exchanges_.empty() && isAwaitingInput_;
+    if (isIdle_ == wasIdle)
+        return;
+    isIdleTimeOver_ = false;
+    idling_ = nullptr;
+    if (!isIdle_)
+        return;
+    idling_ = timing::whenPassed(timer_, timer_.now() + toKj(handler_.limits().idleTimeout))
+                      .then([this]() {
+                          isIdleTimeOver_ = true;
+                          wake();
+                      })
+                      .eagerlyEvaluate(nullptr);
+}
+
+//==============================================================================
 kj::Promise<void> ServerConnection::refuse(const MessageFault &fault)
 {
     auto text = kj::heap<std::string>(serializeHead(handler_.responseTo(fault), 0, false));
@@ -102,7 +286,7 @@
 
 kj::Promise<void> ServerConnection::close()
 {
-    isClosing_ = true;
+    cancelRequests();
     if (stream_.isEnded())
         return kj::READY_NOW;
     stream_.shutdownWrite();
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -1,30 +1,37 @@
 /** The server side of one HTTP connection. */
 #pragma once
 
+#include "core/counters/ScopedCount.h"
 #include "transport/http/ExchangeHandler.h"
+#include "transport/http/PipelineCounters.h"
+#include "transport/http/PipelinedExchange.h"
 
+#include <deque>
 #include <kj/timer.h>
 
 namespace boragetrack::transport::http {
 
-/** Reads requests in sequence and passes each to the handler. If the client disconnects while its
-    request is being handled, the connection drops the handler's promise. */
-class ServerConnection
+/** Reads requests and passes them to the handler, as the PipelineQueue decides. If the client
+    disconnects while requests are being handled, the connection drops the handler's promises. */
+class ServerConnection : private ResponseOrder
 {
 public:
     /** @param handler, @param timer and @param budget outlive the connection
         @param partialRequests counts this connection while the head of a request has arrived in
-        part; outlives the connection */
+        part; outlives the connection
+        @param counters outlives the connection; null to count nothing */
     ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer,
-                     BufferBudget &budget, std::size_t &partialRequests)
+                     BufferBudget &budget, std::size_t &partialRequests,
+                     const PipelineCounters *counters = nullptr)
         : stream_(kj::mv(stream))
         , reader_(stream_, {}, &budget)
         , handler_(handler)
         , timer_(timer)
         , partialRequests_(partialRequests)
+        , counters_(counters)
     {}
 
-    ~ServerConnection();
+    ~ServerConnection() noexcept override;
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
 
@@ -33,11 +40,28 @@
 
 private:
     using Reader = MessageReader<RequestHead>;
+    using Number = PipelineQueue::Number;
 
-    kj::Promise<void> awaitRequest();
-    kj::Promise<void> readRequest();
-    kj::Promise<void> serve(RequestHead head);
-    kj::Promise<void> finish(bool isClientDisconnected);
+    void handleRequestRead(Number number, bool mayContinue) override;
+    bool isFirst(Number number) const override { return queue_.isFirst(number); }
+    kj::Promise<void> whenFirst(Number number, std::size_t bytes) override;
+    void beginFirstResponse() override { queue_.beginFirstResponse(); }
+    void closeAfter(Number number) override;
+    void closeAfterStarted() override;
+    bool closesAfter(Number number) const override { return queue_.closesAfter(number); }
+
+    kj::Promise<void> proceed();
+    void wake();
+    void finishAnswered();
+    void cancelRequests();
+    void takeInput();
+    void add(RequestHead head);
+    void startRequest();
+    void giveTurn();
+    void continueReading();
+    kj::Promise<Reader::HeadResult> readHead();
+    void watchForEnd();
+    void limitIdleTime();
     kj::Promise<void> refuse(const MessageFault &fault);
     kj::Promise<void> close();
     kj::Promise<void> discardInput(std::size_t limit);
@@ -47,9 +71,34 @@
     ExchangeHandler &handler_;
     kj::Timer &timer_;
     std::size_t &partialRequests_;
-    kj::Own<ServerExchange> exchange_;
+    const PipelineCounters *counters_;
+    PipelineQueue queue_;
+    // Invariant: one element for each request of queue_, in the same order.
+    std::deque<PipelinedExchange> exchanges_;
+    // Makes proceed() run again; null while it is going to.
+    kj::Own<kj::PromiseFulfiller<void>> wakeUp_;
+    // The head that was read, or why there is none; taken by takeInput().
+    std::optional<Reader::HeadResult> input_;
+    core::timing::MonotonicTime inputReadAt_;
+    kj::Own<core::counters::ScopedCount> partialRequest_;
+    // Why no further request is read: a fault to respond to, or the end of the input.
+    std::optional<MessageFault> fault_;
+    bool isInputOver_ = false;
+    bool isReading_ = false;
+    // Whether no byte of the next request has arrived.
+    bool isAwaitingInput_ = false;
+    bool isIdle_ = false;
+    bool isIdleTimeOver_ = false;
+    // Whether input was consumed since the end of the connection is watched for.
+    bool isWatchOutdated_ = true;
+    bool isDisconnected_ = false;
     // Whether input is no longer handled.
     bool isClosing_ = false;
+    // Why the connection fails.
+    std::optional<kj::Exception> failure_;
+    kj::Promise<void> reading_ = nullptr;
+    kj::Promise<void> idling_ = nullptr;
+    kj::Promise<void> watching_ = nullptr;
 };
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerExchange.cpp
+++ b/packages/transport/http/ServerExchange.cpp
@@ -1,25 +1,85 @@
-/** Chooses the framing of the response and whether the connection can carry another request. */
+/** Chooses the framing of the response and whether the connection can carry another request. The
+    head of a response is serialized at its turn, since what arrives meanwhile decides whether the
+    connection closes after it. */
 #include "transport/http/ServerExchange.h"
 
 #include "transport/http/MessageWriter.h"
 
 namespace boragetrack::transport::http {
 
+namespace {
+
+std::size_t sizeOf(const ResponseHead &head, const std::string &body)
+{
+    std::size_t size = body.size();
+    for (const auto &field : head.headers)
+        size += field.name.size() + field.value.size();
+    return size;
+}
+
+} // namespace
+
+kj::Promise<BodyPiece> ServerExchange::readBody()
+{
+    if (isRequestRead_)
+        return BodyPiece{{}, true};
+    return noteEnd(reader_.readBody());
+}
+
+kj::Promise<BodyPiece> ServerExchange::readBodyUpTo(std::size_t limit)
+{
+    if (isRequestRead_)
+        return BodyPiece{{}, true};
+    return noteEnd(reader_.readBodyUpTo(limit));
+}
+
+kj::Promise<BodyPiece> ServerExchange::noteEnd(kj::Promise<BodyPiece> reading)
+{
+    return reading.then(
+            [this](BodyPiece &&piece) -> kj::Promise<BodyPiece> {
+                if (piece.isLast)
+                    endReading();
+                return std::move(piece);
+            },
+            [this](kj::Exception &&exception) -> kj::Promise<BodyPiece> {
+                endReading();
+                return kj::mv(exception);
+            });
+}
+
+void ServerExchange::endReading()
+{
+    if (isReadingOver_)
+        return;
+    isReadingOver_ = true;
+    isRequestRead_ = reader_.message().isDone();
+    keepsAlive_ = reader_.message().keepsConnection();
+    bodyFault_ = reader_.message().fault();
+    bodyShare_ = reader_.takeBodyShare();
+    // The unread part of a request's body would be parsed as the next request.
+    order_.handleRequestRead(number_, isRequestRead_ && keepsAlive_);
+}
+
 kj::Promise<void> ServerExchange::respond(const ResponseHead &head, const std::string &body)
 {
-    hasResponseBegun_ = true;
-    std::string text = head_.method == "HEAD"
-                               ? serializeHeadWithoutBody(head, keepsConnection())
-                               : serializeHead(head, body.size(), keepsConnection()) + body;
-    return writeText(std::move(text)).then([this]() { isResponseComplete_ = true; });
+    endReading();
+    if (order_.isFirst(number_))
+        return writeWhole(head, body);
+    return awaitTurn(sizeOf(head, body)).then([this, head, body]() {
+        return writeWhole(head, body);
+    });
 }
 
 kj::Promise<void> ServerExchange::beginResponse(const ResponseHead &head,
                                                 std::optional<std::uint64_t> length)
 {
-    hasResponseBegun_ = true;
+    endReading();
     isChunked_ = !length;
-    return writeText(serializeHead(head, length, keepsConnection()));
+    return awaitTurn(sizeOf(head, {})).then([this, head, length]() {
+        hasResponseBegun_ = true;
+        order_.beginFirstResponse();
+        return writeText(serializeHead(head, length, keepsConnection()));
+    });
 }
 
 kj::Promise<void> ServerExchange::writePiece(const std::string &bytes)
@@ -34,8 +94,23 @@
 
 bool ServerExchange::keepsConnection() const
 {
-    // The unread part of a request's body would be parsed as the next request.
-    return !mustClose_ && isRequestRead() && reader_.message().keepsConnection();
+    return isRequestRead_ && keepsAlive_ && !order_.closesAfter(number_);
+}
+
+kj::Promise<void> ServerExchange::awaitTurn(std::size_t bytes)
+{
+    return order_.isFirst(number_) ? kj::Promise<void>(kj::READY_NOW)
+                                   : order_.whenFirst(number_, bytes);
+}
+
+kj::Promise<void> ServerExchange::writeWhole(const ResponseHead &head, const std::string &body)
+{
+    hasResponseBegun_ = true;
+    order_.beginFirstResponse();
+    std::string text = head_.method == "HEAD"
+                               ? serializeHeadWithoutBody(head, keepsConnection())
+                               : serializeHead(head, body.size(), keepsConnection()) + body;
+    return writeText(std::move(text)).then([this]() { isResponseComplete_ = true; });
 }
 
 kj::Promise<void> ServerExchange::writeText(std::string text)
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -1,39 +1,58 @@
 /** One request on a server connection, and its response. */
 #pragma once
 
+#include "core/timing/MonotonicTime.h"
 #include "transport/http/MessageReader.h"
+#include "transport/http/ResponseOrder.h"
 
 namespace boragetrack::transport::http {
 
-/** Gives a handler access to the request and writes the response, whole or in pieces. */
+/** Gives a handler access to the request and writes the response, whole or in pieces. A response
+    waits until those to all earlier requests of the connection are written. */
 class ServerExchange
 {
 public:
-    ServerExchange(RequestHead head, MessageReader<RequestHead> &reader, ReadAheadStream &stream)
+    /** @param reader, @param stream and @param order outlive the exchange
+        @param arrivedAt when the head was read */
+    ServerExchange(RequestHead head, MessageReader<RequestHead> &reader, ReadAheadStream &stream,
+                   ResponseOrder &order, PipelineQueue::Number number,
+                   core::timing::MonotonicTime arrivedAt)
         : head_(std::move(head))
         , reader_(reader)
         , stream_(stream)
+        , order_(order)
+        , number_(number)
+        , arrivedAt_(arrivedAt)
     {}
     ServerExchange(const ServerExchange &) = delete;
     ServerExchange &operator=(const ServerExchange &) = delete;
 
+    /** Returns the number of the request on its connection. */
+    PipelineQueue::Number number() const { return number_; }
+
     /** Returns the request's head. */
     const RequestHead &head() const { return head_; }
 
+    /** Returns when the request's head was read. */
+    core::timing::MonotonicTime arrivedAt() const { return arrivedAt_; }
+
     /** Returns the next piece of the request's body. @see MessageReader::readBody */
-    kj::Promise<BodyPiece> readBody() { return reader_.readBody(); }
+    kj::Promise<BodyPiece> readBody();
 
     /** Returns the request's body up to a limit. @see MessageReader::readBodyUpTo */
-    kj::Promise<BodyPiece> readBodyUpTo(std::size_t limit) { return reader_.readBodyUpTo(limit); }
+    kj::Promise<BodyPiece> readBodyUpTo(std::size_t limit);
 
     /** Returns why reading the body failed, if the body was malformed or too large. */
-    const std::optional<MessageFault> &bodyFault() const { return reader_.message().fault(); }
+    const std::optional<MessageFault> &bodyFault() const { return bodyFault_; }
 
     /** Returns whether the request's body was read completely. */
-    bool isRequestRead() const { return reader_.message().isDone(); }
+    bool isRequestRead() const { return isRequestRead_; }
+
+    /** Makes the connection close after this response. Requests behind it are cancelled. */
+    void closeAfterResponse() { order_.closeAfter(number_); }
 
-    /** Makes the connection close after the response. */
-    void closeAfterResponse() { mustClose_ = true; }
+    /** Makes the connection close once it has answered the requests that have started. */
+    void closeAfterStarted() { order_.closeAfterStarted(); }
 
     //==============================================================================
     /** Writes a whole response. */
@@ -59,12 +78,25 @@
     bool keepsConnection() const;
 
 private:
+    kj::Promise<void> awaitTurn(std::size_t bytes);
+    kj::Promise<void> writeWhole(const ResponseHead &head, const std::string &body);
     kj::Promise<void> writeText(std::string text);
+    kj::Promise<BodyPiece> noteEnd(kj::Promise<BodyPiece> reading);
+    void endReading();
 
     RequestHead head_;
     MessageReader<RequestHead> &reader_;
     ReadAheadStream &stream_;
-    bool mustClose_ = false;
+    ResponseOrder &order_;
+    const PipelineQueue::Number number_;
+    const core::timing::MonotonicTime arrivedAt_;
+    // Invariant: while false, the reader's current message is this request.
+    bool isReadingOver_ = false;
+    bool isRequestRead_ = false;
+    bool keepsAlive_ = false;
+    std::optional<MessageFault> bodyFault_;
+    // The part of the buffer budget that the body uses.
+    std::unique_ptr<BufferBudget::Share> bodyShare_;
     bool hasResponseBegun_ = false;
     bool isResponseComplete_ = false;
     bool isChunked_ = false;
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -18,11 +18,14 @@
     /** Maximum size of all request bodies that are buffered at a time, in bytes. */
     static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
 
-    /** @param network, @param timer and @param handler outlive the listener */
-    ServerListener(kj::Network &network, kj::Timer &timer, ExchangeHandler &handler)
+    /** @param network, @param timer and @param handler outlive the listener
+        @param counters outlives the listener; null to count nothing */
+    ServerListener(kj::Network &network, kj::Timer &timer, ExchangeHandler &handler,
+                   const PipelineCounters *counters = nullptr)
         : network_(network)
         , timer_(timer)
         , handler_(handler)
+        , counters_(counters)
         , tasks_(*this)
     {}
 
@@ -47,6 +50,7 @@
     kj::Network &network_;
     kj::Timer &timer_;
     ExchangeHandler &handler_;
+    const PipelineCounters *counters_;
     kj::Own<kj::ConnectionReceiver> receiver_;
     BufferBudget budget_{maximumBufferedBytes};
     std::size_t connections_ = 0;
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -38,7 +38,8 @@
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
               monitor_.pauses(), dependencies.counters})
-    , callerListener_(io.provider->getNetwork(), timer_, callers_)
+    , pipelineCounters_(dependencies.counters)
+    , callerListener_(io.provider->getNetwork(), timer_, callers_, &pipelineCounters_)
     , linkListener_(io.provider->getNetwork(), timer_, dependencies.requestHandler, inbound_,
                     counters_)
     , self_(dependencies.self)
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -78,6 +78,7 @@
     PeerLinks links_;
     serving::InboundProxy inbound_;
     callers::CallerServer callers_;
+    http::PipelineCounters pipelineCounters_;
     http::ServerListener callerListener_;
     LinkListener linkListener_;
     core::identity::NodeId self_;
