--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -32,6 +32,16 @@
     return running.attach(kj::mv(call));
 }
 
+bool CallerServer::isConcurrent(const http::RequestHead &head) const
+{
+    const auto snapshot = dependencies_.routing.current();
+    if (!snapshot->isServing)
+        return false;
+    const auto *target = snapshot->targetFor(dependencies_.dialect.describe(head).host,
+                                             head.target.substr(0, head.target.find('?')));
+    return target != nullptr && target->entry.route.isIdempotent;
+}
+
 http::ServerLimits CallerServer::limits() const
 {
     const auto &limits = dependencies_.routing.current()->intent->document().callerLimits;
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -72,7 +72,7 @@
     , exchange_(exchange)
     , description_(server.dependencies_.dialect.describe(exchange.head()))
     , snapshot_(server.dependencies_.routing.current())
-    , arrivedAt_(currentTime())
+    , arrivedAt_(exchange.arrivedAt())
     , possibleDelay_(server.dependencies_.pauses.possibleDelay(arrivedAt_))
 {
     ++server_.activeCalls_;
@@ -188,7 +188,7 @@
     logOutcome(eventOf(response), "call ended", response);
     const dialect::CallDialect &dialect = server_.dependencies_.dialect;
     if (server_.isStopping_)
-        exchange_.closeAfterResponse();
+        exchange_.closeAfterStarted();
     if (response.outcome == CallOutcome::Completed)
         return exchange_.respond(
                 http::ResponseHead{response.status, dialect.responseHeaders(response)},
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -39,7 +39,8 @@
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
               monitor_.pauses(), dependencies.keyFreshness, dependencies.storeContact,
               dependencies.counters})
-    , callerListener_(io.provider->getNetwork(), timer_, callers_)
+    , pipelineCounters_(dependencies.counters)
+    , callerListener_(io.provider->getNetwork(), timer_, callers_, &pipelineCounters_)
     , linkListener_(io.provider->getNetwork(), timer_, dependencies.requestHandler, inbound_,
                     counters_)
     , self_(dependencies.self)
