Carry usage counts between nodes

The holder of the duty of usage reports needs the counts of all nodes. A peer of an earlier release, or one without usage reports, counts as one without a response.

--- a/packages/transport/links/PeerEventSink.h
+++ b/packages/transport/links/PeerEventSink.h
@@ -5,6 +5,7 @@
 #include "control/distribution/IntentTransfer.h"
 #include "control/distribution/PeerContact.h"
 #include "control/membership/MemberRecord.h"
+#include "control/usage/UsageTransport.h"
 
 #include <vector>
 
@@ -37,6 +38,12 @@
 
     /** Handles the member records that a peer sent on request. */
     virtual void membersFetched(std::vector<control::membership::MemberRecord> records) = 0;
+
+    /** Handles the response to counts that were sent to a peer. @param callback of the sender, to
+        be called on the control thread */
+    virtual void usageResponseReceived(control::usage::UsageTransport::Callback callback,
+                                       control::usage::UsageWindow reportedThrough)
+            = 0;
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -6,9 +6,7 @@
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
-
-#include <capnp/rpc-twoparty.h>
-#include <kj/refcount.h>
+#include "transport/wire/UsageCodec.h"
 
 namespace boragetrack::transport::links {
 
@@ -16,6 +14,8 @@
 using control::distribution::IntentTransfer;
 using control::membership::MemberRecord;
 using control::membership::MemberTable;
+using control::usage::UsageSnapshot;
+using control::usage::UsageWindow;
 using core::identity::IdempotencyKey;
 using core::identity::NetworkAddress;
 using core::identity::NodeId;
@@ -37,88 +37,6 @@
 
 } // namespace
 
-/** One link: a connection that is being opened or is open, and its RPC client. */
-class PeerLinks::Link : public kj::Refcounted
-{
-public:
-    /** Called when the link gets no further requests, because it failed or its peer is about to
-        close it; must not destroy the link. May be called several times. */
-    using EndHandler = std::function<void(const Link *)>;
-
-    // The link is ready once its peer has answered: the peer's system may have accepted a
-    // connection that the peer never accepts, and what was sent on it has not run.
-    Link(kj::Promise<kj::Own<kj::AsyncIoStream>> connecting, kj::Timer &timer, EndHandler whenEnded)
-        : whenEnded_(std::move(whenEnded))
-        , ready_(connecting
-                         .then([this, &timer](kj::Own<kj::AsyncIoStream> &&stream) {
-                             open(kj::mv(stream));
-                             return timing::resultWithin(timer, toKj(answerTimeout),
-                                                         peer_.whenResolved());
-                         })
-                         .then([this]() { isOpen_ = true; })
-                         .catch_([this](kj::Exception &&exception) -> kj::Promise<void> {
-                             whenEnded_(this);
-                             return kj::mv(exception);
-                         })
-                         .fork())
-    {}
-
-    // The promise must not outlive the link.
-    kj::Promise<void> whenReady() { return ready_.addBranch(); }
-
-    /** Returns whether the peer has answered on this link. */
-    bool isOpen() const { return isOpen_; }
-
-    // The bootstrap capability is requested once, since each request for it costs two messages.
-    wire::schema::Peer::Client peer() { return peer_; }
-
-    void recordUse(kj::TimePoint now) { lastUse_ = now; }
-    kj::TimePoint lastUse() const { return lastUse_; }
-
-    void recordResponse(kj::TimePoint now) { lastResponse_ = now; }
-    kj::TimePoint lastResponse() const { return lastResponse_; }
-
-private:
-    void open(kj::Own<kj::AsyncIoStream> stream)
-    {
-        stream_ = kj::mv(stream);
-        client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
-        peer_ = client_->bootstrap().castAs<wire::schema::Peer>();
-        closing_ = awaitClosing();
-        disconnected_ = client_->onDisconnect()
-                                .then([this]() { whenEnded_(this); })
-                                .eagerlyEvaluate([](kj::Exception && /*exception*/) {
-                                    // Calls on the link report its failure.
-                                });
-    }
-
-    // The failure of this request is the first sign that the link has failed. A peer of an earlier
-    // release rejects it as not implemented.
-    kj::Promise<void> awaitClosing()
-    {
-        return peer_.awaitClosingRequest()
-                .send()
-                .ignoreResult()
-                .then([this]() { whenEnded_(this); })
-                .eagerlyEvaluate([this](kj::Exception &&exception) {
-                    if (exception.getType() == kj::Exception::Type::DISCONNECTED)
-                        whenEnded_(this);
-                });
-    }
-
-    EndHandler whenEnded_;
-    bool isOpen_ = false;
-    // Members are destroyed in reverse order: the client before the stream that it uses.
-    kj::Own<kj::AsyncIoStream> stream_;
-    kj::Own<capnp::TwoPartyClient> client_;
-    wire::schema::Peer::Client peer_ = nullptr;
-    kj::Promise<void> closing_ = nullptr;
-    kj::Promise<void> disconnected_ = nullptr;
-    kj::ForkedPromise<void> ready_;
-    kj::TimePoint lastUse_ = kj::origin<kj::TimePoint>();
-    kj::TimePoint lastResponse_ = kj::origin<kj::TimePoint>();
-};
-
 PeerLinks::PeerLinks(kj::Network &network, timing::PreciseTimer &timer,
                      EncodingSelector encodingFor, LinkCounters counters,
                      DisconnectHandler whenDisconnected)
@@ -144,10 +62,10 @@
     // run.
     return timing::resultBefore(timer_, deadline, connect(peer))
             .then(
-                    [this, message, deadline, startedAt, peer](kj::Own<Link> &&link) {
+                    [this, message, deadline, startedAt, peer](kj::Own<PeerLink> &&link) {
                         message->deductTime((timer_.now() - startedAt) / kj::NANOSECONDS
                                             * std::chrono::nanoseconds(1));
-                        Link &used = *link;
+                        PeerLink &used = *link;
                         auto call = used.peer().callRequest(
                                 wire::sizeHint(message->body.size() + message->target.size()));
                         wire::encode(*message, call.initRequest());
@@ -173,7 +91,7 @@
                                      const NodeId &claimant)
 {
     return timing::resultWithin(
-            timer_, toKj(connectTimeout), connect(peer).then([=](kj::Own<Link> &&link) {
+            timer_, toKj(connectTimeout), connect(peer).then([=](kj::Own<PeerLink> &&link) {
                 auto request = link->peer().claimRequest();
                 request.setKey(key.value());
                 request.setClaimant(claimant.value());
@@ -187,7 +105,7 @@
                                      const NodeId &claimant)
 {
     return timing::resultWithin(timer_, toKj(connectTimeout),
-                                connect(peer).then([=](kj::Own<Link> &&link) {
+                                connect(peer).then([=](kj::Own<PeerLink> &&link) {
                                     auto request = link->peer().releaseRequest();
                                     request.setKey(key.value());
                                     request.setClaimant(claimant.value());
@@ -199,7 +117,7 @@
 template <typename Results, typename Request, typename Read>
 auto PeerLinks::sendControl(const NetworkAddress &peer, Request makeRequest, Read read)
 {
-    auto exchange = connect(peer).then([this, makeRequest, read](kj::Own<Link> &&link) mutable {
+    auto exchange = connect(peer).then([this, makeRequest, read](kj::Own<PeerLink> &&link) mutable {
         wire::schema::Peer::Client client = link->peer();
         auto request = makeRequest(client);
         counters_.controlMessagesSent.add();
@@ -269,8 +187,21 @@
             [](auto &response) { return wire::decode(response.getMembers()); });
 }
 
+kj::Promise<UsageWindow> PeerLinks::reportUsage(const NetworkAddress &peer,
+                                                const UsageSnapshot &snapshot)
+{
+    return sendControl<UsageWindow>(
+            peer,
+            [snapshot](wire::schema::Peer::Client &client) {
+                auto message = client.reportUsageRequest();
+                wire::encode(snapshot, message.initSnapshot());
+                return message;
+            },
+            [](auto &response) { return UsageWindow(response.getReportedThrough()); });
+}
+
 //==============================================================================
-kj::Promise<kj::Own<PeerLinks::Link>> PeerLinks::connect(const NetworkAddress &peer)
+kj::Promise<kj::Own<PeerLink>> PeerLinks::connect(const NetworkAddress &peer)
 {
     const std::string address = peer.toString();
     auto found = links_.find(address);
@@ -278,14 +209,15 @@
         counters_.linksOpened.add();
         // The link is removed in a later turn of the event loop, since this destroys the promise
         // that reports its end.
-        const auto whenEnded = [this, peer](const Link *link) {
+        const auto whenEnded = [this, peer](const PeerLink *link) {
             tasks_.add(kj::evalLater([this, peer, link, wasOpen = link->isOpen()]() {
                 endLink(peer, link, wasOpen);
             }));
         };
-        found = links_.emplace(address, kj::refcounted<Link>(open(peer), timer_, whenEnded)).first;
+        found = links_.emplace(address, kj::refcounted<PeerLink>(open(peer), timer_, whenEnded))
+                        .first;
     }
-    Link &link = *found->second;
+    PeerLink &link = *found->second;
     link.recordUse(timer_.now());
     return link.whenReady().then(
             [reference = kj::addRef(link)]() mutable { return kj::mv(reference); });
@@ -307,8 +239,8 @@
 
 // A link may stop responding without failing while a new one to the same peer would work. Calls in
 // progress on the link keep it alive until they end.
-void PeerLinks::handleFailedCall(const NetworkAddress &peer, const Link &link, kj::TimePoint since,
-                                 const kj::Exception &exception)
+void PeerLinks::handleFailedCall(const NetworkAddress &peer, const PeerLink &link,
+                                 kj::TimePoint since, const kj::Exception &exception)
 {
     if (exception.getType() == kj::Exception::Type::DISCONNECTED) {
         endLink(peer, &link, link.isOpen());
@@ -322,13 +254,13 @@
                            {"callMs", std::to_string((timer_.now() - since) / kj::MILLISECONDS)}});
 }
 
-void PeerLinks::endLink(const NetworkAddress &peer, const Link *link, bool wasOpen)
+void PeerLinks::endLink(const NetworkAddress &peer, const PeerLink *link, bool wasOpen)
 {
     if (dropLink(peer.toString(), link) && wasOpen && whenDisconnected_)
         whenDisconnected_(peer);
 }
 
-bool PeerLinks::dropLink(const std::string &address, const Link *link)
+bool PeerLinks::dropLink(const std::string &address, const PeerLink *link)
 {
     const auto found = links_.find(address);
     if (found == links_.end() || found->second.get() != link)
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -4,15 +4,16 @@
 #include "control/distribution/Exchange.h"
 #include "control/distribution/IntentTransfer.h"
 #include "control/membership/MemberTable.h"
+#include "control/usage/UsageSnapshot.h"
 #include "core/identity/IdempotencyKey.h"
 #include "core/identity/NetworkAddress.h"
 #include "traffic/calls/CallRequest.h"
 #include "traffic/calls/CallResponse.h"
 #include "transport/links/LinkCounters.h"
 #include "transport/links/LinkEncoding.h"
+#include "transport/links/PeerLink.h"
 #include "transport/timing/PreciseTimer.h"
 #include "transport/wire/TextCompressor.h"
-#include "transport/wire/peer.capnp.h"
 
 #include <chrono>
 #include <kj/async-io.h>
@@ -29,8 +30,6 @@
 public:
     /** Maximum time to open a link, and for a claim or its release as a whole. */
     static constexpr std::chrono::milliseconds connectTimeout{250};
-    /** Maximum time for a peer to answer on a new link. */
-    static constexpr std::chrono::milliseconds answerTimeout{1000};
     /** Maximum time for a control request as a whole. */
     static constexpr std::chrono::milliseconds controlTimeout{1000};
     /** Time without a request after which a link is closed. A compressed link takes some 60 KB at
@@ -87,17 +86,21 @@
     fetchMembers(const core::identity::NetworkAddress &peer,
                  const control::membership::MemberTable::BucketHashes &hashes);
 
-private:
-    class Link;
+    /** Sends counts and returns the last window that the peer knows as reported; rejects if the
+        peer does not respond within controlTimeout, or does not know the request. */
+    kj::Promise<control::usage::UsageWindow>
+    reportUsage(const core::identity::NetworkAddress &peer,
+                const control::usage::UsageSnapshot &snapshot);
 
+private:
     // Returns the open link to a peer. A request in progress keeps its link alive by the reference,
     // since the link may be dropped from links_ meanwhile.
-    kj::Promise<kj::Own<Link>> connect(const core::identity::NetworkAddress &peer);
+    kj::Promise<kj::Own<PeerLink>> connect(const core::identity::NetworkAddress &peer);
     kj::Promise<kj::Own<kj::AsyncIoStream>> open(const core::identity::NetworkAddress &address);
-    void endLink(const core::identity::NetworkAddress &peer, const Link *link, bool wasOpen);
+    void endLink(const core::identity::NetworkAddress &peer, const PeerLink *link, bool wasOpen);
     /** Removes a link unless another one has taken its place. @returns whether it was removed */
-    bool dropLink(const std::string &address, const Link *link);
-    void handleFailedCall(const core::identity::NetworkAddress &peer, const Link &link,
+    bool dropLink(const std::string &address, const PeerLink *link);
+    void handleFailedCall(const core::identity::NetworkAddress &peer, const PeerLink &link,
                           kj::TimePoint since, const kj::Exception &exception);
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
@@ -111,7 +114,7 @@
     EncodingSelector encodingFor_;
     LinkCounters counters_;
     DisconnectHandler whenDisconnected_;
-    std::map<std::string, kj::Own<Link>> links_;
+    std::map<std::string, kj::Own<PeerLink>> links_;
     wire::TextCompressor compressor_;
     kj::TaskSet tasks_;
 };
--- a/packages/transport/links/PeerRequestHandler.h
+++ b/packages/transport/links/PeerRequestHandler.h
@@ -4,6 +4,7 @@
 #include "control/distribution/Exchange.h"
 #include "control/distribution/IntentTransfer.h"
 #include "control/membership/MemberTable.h"
+#include "control/usage/UsageSnapshot.h"
 
 #include <functional>
 #include <vector>
@@ -43,6 +44,12 @@
     handleFetchMembers(control::membership::MemberTable::BucketHashes hashes,
                        Callback<std::vector<control::membership::MemberRecord>> callback)
             = 0;
+
+    /** Handles the counts of a peer; the response is the last window known as reported. A node
+        without usage reports does not respond. */
+    virtual void handleUsage(control::usage::UsageSnapshot snapshot,
+                             Callback<control::usage::UsageWindow> callback)
+            = 0;
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/PeerServer.cpp
+++ b/packages/transport/links/PeerServer.cpp
@@ -5,6 +5,7 @@
 #include "transport/wire/CallCodec.h"
 #include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
+#include "transport/wire/UsageCodec.h"
 
 #include <kj/debug.h>
 #include <memory>
@@ -114,4 +115,13 @@
     return closing_.whenGiven();
 }
 
+kj::Promise<void> PeerServer::reportUsage(ReportUsageContext context)
+{
+    auto [promise, callback] = makeCallback<control::usage::UsageWindow>();
+    control_.handleUsage(wire::decode(context.getParams().getSnapshot()), std::move(callback));
+    return promise.then([context](control::usage::UsageWindow reportedThrough) mutable {
+        context.getResults().setReportedThrough(reportedThrough.number());
+    });
+}
+
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/PeerServer.h
+++ b/packages/transport/links/PeerServer.h
@@ -29,6 +29,7 @@
     kj::Promise<void> claim(ClaimContext context) override;
     kj::Promise<void> release(ReleaseContext context) override;
     kj::Promise<void> awaitClosing(AwaitClosingContext context) override;
+    kj::Promise<void> reportUsage(ReportUsageContext context) override;
 
 private:
     PeerRequestHandler &control_;
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -170,6 +170,22 @@
     });
 }
 
+// Counts without a response are sent again with the next ones. A peer of an earlier release rejects
+// the request as not implemented.
+void TrafficThread::sendUsage(const core::identity::NetworkAddress &peer,
+                              const control::usage::UsageSnapshot &snapshot,
+                              control::usage::UsageTransport::Callback callback)
+{
+    taskQueue_.post([this, peer, snapshot, callback = std::move(callback)]() {
+        loop_->add(loop_->links()
+                           .reportUsage(peer, snapshot)
+                           .then([this, callback](control::usage::UsageWindow reportedThrough) {
+                               dependencies_.eventSink.usageResponseReceived(callback,
+                                                                             reportedThrough);
+                           }));
+    });
+}
+
 void TrafficThread::logFailedFetch(const char *what, const PeerContact &peer,
                                    const kj::Exception &exception)
 {
--- a/packages/transport/links/TrafficThread.h
+++ b/packages/transport/links/TrafficThread.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/distribution/PeerTransport.h"
+#include "control/usage/UsageTransport.h"
 #include "transport/links/TaskQueue.h"
 #include "transport/links/TrafficDependencies.h"
 #include "transport/serving/UpstreamStatus.h"
@@ -17,7 +18,8 @@
 
 /** Runs an event loop with the listeners for callers and peers, the links, the inbound proxy and
     further components. Operations are posted to the loop from other threads. */
-class TrafficThread : public control::distribution::PeerTransport
+class TrafficThread : public control::distribution::PeerTransport,
+                      public control::usage::UsageTransport
 {
 public:
     using Dependencies = TrafficDependencies;
@@ -67,6 +69,9 @@
                      core::identity::Revision have) override;
     void fetchMembers(const control::distribution::PeerContact &peer,
                       const control::membership::MemberTable::BucketHashes &hashes) override;
+    void sendUsage(const core::identity::NetworkAddress &peer,
+                   const control::usage::UsageSnapshot &snapshot,
+                   control::usage::UsageTransport::Callback callback) override;
 
 private:
     void run(std::promise<absl::Status> started);
--- a/tests/unit/NoControl.h
+++ b/tests/unit/NoControl.h
@@ -23,6 +23,9 @@
     void handleFetchMembers(BucketHashes /*hashes*/,
                             Callback<std::vector<MemberRecord>> /*callback*/) override
     {}
+    void handleUsage(control::usage::UsageSnapshot /*snapshot*/,
+                     Callback<control::usage::UsageWindow> /*callback*/) override
+    {}
 };
 
 } // namespace boragetrack::tests
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -63,6 +63,9 @@
             control::membership::MemberTable::BucketHashes /*hashes*/,
             Callback<std::vector<control::membership::MemberRecord>> /*callback*/) override
     {}
+    void handleUsage(control::usage::UsageSnapshot /*snapshot*/,
+                     Callback<control::usage::UsageWindow> /*callback*/) override
+    {}
 };
 
 CallRequest callTaking(milliseconds serviceTime, milliseconds budget)
