Count the requests of organisations that begin to run

UsageMeter counts by organisation and window of the wall clock; the inbound proxy enters each request that it passes to the upstream and withdraws it if it did not run.

--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -43,6 +43,8 @@
     std::vector<LoopComponent *> loopComponents;
     serving::InboundProxy::EvidenceSink evidenceSink;
     core::counters::CounterRegistry &counters;
+    /** Counts organisations' requests; null if they are not counted. */
+    traffic::usage::UsageMeter *usageMeter = nullptr;
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -4,6 +4,7 @@
 #include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 #include "traffic/inbound/InboundRules.h"
+#include "traffic/usage/CountedRequest.h"
 
 namespace boragetrack::transport::serving {
 
@@ -156,9 +157,12 @@
     callsRun_.add();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
             runningCalls_, request.requestId, request.attempt);
+    traffic::usage::CountedRequest counted(dependencies_.usageMeter, request,
+                                           core::timing::currentWallTime());
     return upstreamClient_.send(request, *status_)
-            .then([this, &request, startedAt, permit = kj::mv(permit),
+            .then([this, &request, startedAt, counted, permit = kj::mv(permit),
                    registration = kj::mv(registration)](CallResponse &&response) mutable {
+                counted.end(response.outcome);
                 const auto latency = currentTime() - startedAt;
                 permit->recordOutcome(request.route, response, latency);
                 recordOutcome(request, response, latency, registration->hasFailedNestedCall());
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -10,6 +10,7 @@
 #include "traffic/deduplication/ClaimRegister.h"
 #include "traffic/inbound/ColdRate.h"
 #include "traffic/routing/RoutingSnapshot.h"
+#include "traffic/usage/UsageMeter.h"
 #include "transport/links/CallServer.h"
 #include "transport/serving/AdmissionController.h"
 #include "transport/serving/ClaimClient.h"
@@ -53,6 +54,8 @@
         EvidenceSink evidence;
         const core::timing::PauseDetector &pauses;
         core::counters::CounterRegistry &counters;
+        /** Counts organisations' requests; null if they are not counted. */
+        traffic::usage::UsageMeter *usageMeter = nullptr;
     };
 
     explicit InboundProxy(Dependencies dependencies);
--- a/tests/unit/InboundProxyTest.cpp
+++ b/tests/unit/InboundProxyTest.cpp
@@ -121,6 +121,7 @@
             std::make_shared<traffic::routing::RoutingSnapshot>()};
     core::timing::PauseDetector pauses_{std::chrono::steady_clock::now()};
     std::vector<control::moves::CallEvidence> evidence_;
+    traffic::usage::UsageMeter meter_{milliseconds(1000), core::timing::currentWallTime()};
     kj::Own<ScriptedUpstream> upstream_ = kj::heap<ScriptedUpstream>(io_, script());
     InboundProxy proxy_{{NodeId("self"), NodeId("self@1"), links_, io_.provider->getNetwork(),
                          timer_, dialect_, routing_,
@@ -129,7 +130,7 @@
                          [this](const control::moves::CallEvidence &evidence) {
                              evidence_.push_back(evidence);
                          },
-                         pauses_, counters_}};
+                         pauses_, counters_, &meter_}};
     CallRequest request_;
 };
 
@@ -219,6 +220,37 @@
     }
 }
 
+// Organisations pay for what ran: neither for requests that were refused nor for those that the
+// upstream never got.
+TEST_F(InboundProxyTest, countsTheRequestsOfOrganisationsThatBeganToRun)
+{
+    const auto counted = [this]() {
+        std::uint64_t requests = 0;
+        for (const auto &window : meter_.snapshot(core::timing::currentWallTime())) {
+            for (const auto &[organisation, count] : window.counts)
+                requests += count;
+        }
+        return requests;
+    };
+    applyIntent(0.0);
+    announce(milliseconds(0));
+    EXPECT_GT(callFor(milliseconds(50)), 0);
+    EXPECT_EQ(counted(), 0U) << "requests of no organisation";
+    request_.organisation = core::identity::OrganisationName("kabo51");
+    const int run = callFor(milliseconds(50));
+    EXPECT_EQ(counted(), static_cast<std::uint64_t>(run));
+    upstream_ = nullptr;
+    // The request on the idle connection may have run.
+    callFor(milliseconds(1));
+    const std::uint64_t last = counted();
+    EXPECT_LE(last, static_cast<std::uint64_t>(run) + 1);
+    EXPECT_EQ(callFor(milliseconds(50)), 0);
+    EXPECT_EQ(counted(), last) << "requests to an upstream that is gone";
+    proxy_.drain();
+    EXPECT_EQ(callFor(milliseconds(50)), 0);
+    EXPECT_EQ(counted(), last) << "refused requests";
+}
+
 //==============================================================================
 TEST(ColdRate, isTheLowestKnownOneAndFollowsTheIntent)
 {
