Share the records of the duty of usage reports among all nodes

Each node has to know the holder and the last report. The replica keeps the two keys and passes them on to peers, and a RecordObserver follows them. Their changes do not rebuild the intent's document: one comes with each window, and a rebuild of a large document takes milliseconds. contentRevision() counts the intent's keys only; RecordTable::lastChange is not used any more.

--- a/packages/control/distribution/RecordReplica.cpp
+++ b/packages/control/distribution/RecordReplica.cpp
@@ -53,19 +53,20 @@
 OfferResult RecordReplica::applyListing(const std::vector<StoreRecord> &listed, Revision revision)
 {
     const Revision before = this->revision();
-    std::vector<StoreRecord> intentRecords;
-    std::copy_if(listed.begin(), listed.end(), std::back_inserter(intentRecords),
-                 [&](const auto &record) { return reader_->isIntentKey(record.key); });
-    const bool hasChanges = table_.mergeListing({}, intentRecords, revision);
-    return rebuildDocument(hasChanges, before);
+    std::vector<StoreRecord> kept;
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(kept), [&](const auto &record) {
+        return reader_->isIntentKey(record.key) || reader_->isSharedKey(record.key);
+    });
+    const bool hasChanges = table_.mergeListing({}, kept, revision);
+    return update(hasChanges ? Change::Intent : Change::None, before);
 }
 
 OfferResult RecordReplica::applyChanges(const records::RecordChanges &changes)
 {
     const Revision before = revision();
-    const bool hasChanges = merge(changes.changes);
+    const Change change = merge(changes.changes);
     table_.completeThrough(changes.revision);
-    return rebuildDocument(hasChanges, before);
+    return update(change, before);
 }
 
 OfferResult RecordReplica::offer(const std::string &text)
@@ -84,28 +85,36 @@
             return OfferResult::Refused;
         changes.push_back(std::move(*record));
     }
-    const bool hasChanges = merge(changes);
+    const Change change = merge(changes);
     table_.completeThrough(Revision(root["through"].GetUint64()));
-    return rebuildDocument(hasChanges, before);
+    return update(change, before);
 }
 
-bool RecordReplica::merge(const std::vector<StoreRecord> &changes)
+RecordReplica::Change RecordReplica::merge(const std::vector<StoreRecord> &changes)
 {
-    bool hasChanges = false;
+    Change change = Change::None;
     for (const StoreRecord &record : changes) {
-        if (reader_->isIntentKey(record.key))
-            hasChanges = table_.merge(record) || hasChanges;
+        const bool isIntent = reader_->isIntentKey(record.key);
+        if (!(isIntent || reader_->isSharedKey(record.key)) || !table_.merge(record))
+            continue;
+        change = std::max(change, isIntent ? Change::Intent : Change::SharedOnly);
     }
-    return hasChanges;
+    return change;
 }
 
-OfferResult RecordReplica::rebuildDocument(bool hasChanges, Revision before)
+// A change of shared records leaves the document as it is: some change every few seconds, and
+// rebuilding a large document takes milliseconds.
+OfferResult RecordReplica::update(Change change, Revision before)
 {
-    if (!hasChanges)
+    if (change != Change::None) {
+        cachedTransfer_ = IntentTransfer{};
+        if (observer_ != nullptr)
+            observer_->recordsChanged(table_);
+    }
+    if (change != Change::Intent)
         return revision() > before ? OfferResult::Confirmed : OfferResult::NotNewer;
     core::findings::FindingList findings("records at revision "
                                          + std::to_string(revision().number()));
-    cachedTransfer_ = IntentTransfer{};
     document_ = reader_->read(table_, findings);
     if (findings.isEmpty())
         return OfferResult::Accepted;
@@ -119,6 +128,16 @@
     return reader_->isComplete(table_) ? table_.revision() : Revision{};
 }
 
+Revision RecordReplica::contentRevision() const
+{
+    Revision last;
+    for (const auto &[key, record] : table_.records()) {
+        if (reader_->isIntentKey(key))
+            last = std::max(last, record.revision);
+    }
+    return last;
+}
+
 IntentTransfer RecordReplica::transferSince(Revision have) const
 {
     if (!cachedTransfer_.payload.empty() && cachedTransfer_.target == revision()
--- a/packages/control/distribution/RecordReplica.h
+++ b/packages/control/distribution/RecordReplica.h
@@ -3,19 +3,23 @@
 
 #include "control/distribution/IntentReplica.h"
 #include "control/records/RecordChanges.h"
+#include "control/records/RecordObserver.h"
 #include "control/records/RecordReader.h"
 
 #include <memory>
 
 namespace boragetrack::control::distribution {
 
-/** Holds the records that concern the intent and the document built from them. Peers receive only
-    the records that they lack. */
+/** Holds the records that concern the intent, the document built from them, and the other records
+    that all nodes share. Peers receive only the records that they lack. */
 class RecordReplica : public IntentReplica
 {
 public:
-    explicit RecordReplica(std::unique_ptr<records::RecordReader> reader)
+    /** @param observer outlives the replica; null for none */
+    explicit RecordReplica(std::unique_ptr<records::RecordReader> reader,
+                           records::RecordObserver *observer = nullptr)
         : reader_(std::move(reader))
+        , observer_(observer)
     {}
 
     /** Merges a complete listing of the store.
@@ -31,7 +35,7 @@
 
     OfferResult offer(const std::string &text) override;
     core::identity::Revision revision() const override;
-    core::identity::Revision contentRevision() const override { return table_.lastChange(); }
+    core::identity::Revision contentRevision() const override;
     const intent::IntentDocument &document() const override { return document_; }
     core::identity::Revision refusedRevision() const override { return refusedRevision_; }
     const std::string &refusal() const override { return refusal_; }
@@ -39,10 +43,14 @@
     std::optional<std::string> unpack(const IntentTransfer &transfer) const override;
 
 private:
-    bool merge(const std::vector<records::StoreRecord> &changes);
-    OfferResult rebuildDocument(bool hasChanges, core::identity::Revision before);
+    // What a merge changed in the table.
+    enum class Change { None, SharedOnly, Intent };
+
+    Change merge(const std::vector<records::StoreRecord> &changes);
+    OfferResult update(Change change, core::identity::Revision before);
 
     std::unique_ptr<records::RecordReader> reader_;
+    records::RecordObserver *observer_;
     records::RecordTable table_;
     intent::IntentDocument document_;
     core::identity::Revision refusedRevision_;
--- a/packages/control/records/RecordReader.h
+++ b/packages/control/records/RecordReader.h
@@ -23,8 +23,12 @@
     /** Returns whether the records required to serve callers are present. */
     virtual bool isComplete(const RecordTable &records) const = 0;
 
-    /** Returns whether a key belongs to the intent; other records are not sent to peers. */
+    /** Returns whether a key belongs to the intent. */
     virtual bool isIntentKey(const std::string &key) const = 0;
+
+    /** Returns whether every node keeps the record of a key and sends it to peers, though it does
+        not belong to the intent. */
+    virtual bool isSharedKey(const std::string & /*key*/) const { return false; }
 };
 
 } // namespace boragetrack::control::records
--- a/packages/control/records/RecordTable.cpp
+++ b/packages/control/records/RecordTable.cpp
@@ -47,14 +47,6 @@
     return hasChanges;
 }
 
-Revision RecordTable::lastChange() const
-{
-    Revision last;
-    for (const auto &[key, record] : records_)
-        last = std::max(last, record.revision);
-    return last;
-}
-
 const StoreRecord *RecordTable::find(const std::string &key) const
 {
     const auto found = records_.find(key);
--- a/packages/control/records/RecordTable.h
+++ b/packages/control/records/RecordTable.h
@@ -30,9 +30,6 @@
     /** Returns the revision up to which every change is known. */
     core::identity::Revision revision() const { return revision_; }
 
-    /** Returns the revision of the newest change of any key; zero if there is none. */
-    core::identity::Revision lastChange() const;
-
     /** Returns a key's record, or null if it is removed or unknown. */
     const StoreRecord *find(const std::string &key) const;
 
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -46,7 +46,8 @@
 
 std::unique_ptr<control::distribution::IntentReplica> RecordSource::makeReplica()
 {
-    auto replica = std::make_unique<RecordReplica>(dependencies_.makeReader());
+    auto replica
+            = std::make_unique<RecordReplica>(dependencies_.makeReader(), dependencies_.observer);
     replica_ = replica.get();
     return replica;
 }
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -32,6 +32,8 @@
         core::identity::NodeId node;
         core::identity::NetworkAddress peerAddress;
         std::uint64_t randomSeed = 0;
+        /** Follows the records that all nodes keep; null for none. */
+        control::records::RecordObserver *observer = nullptr;
     };
 
     explicit RecordSource(Dependencies dependencies)
