Add the settings of usage reports

"usageReports" names the receiver and the times in seconds, as the platform gives them; "duties" beside it is the platform's list, and "usage" in it asks for reports. Numbers may be texts, as an older platform fills in an empty one. The native interface refuses the section, since its store has no leases.

--- a/packages/control/usage/UsageSettings.h
+++ b/packages/control/usage/UsageSettings.h
@@ -16,6 +16,8 @@
     std::chrono::milliseconds leaseTime{3000};
     /** The least time between two calls to the receiver. */
     std::chrono::milliseconds callInterval{100};
+
+    friend bool operator==(const UsageSettings &, const UsageSettings &) = default;
 };
 
 } // namespace boragetrack::control::usage
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -6,6 +6,7 @@
 #include "core/identity/NodeId.h"
 #include "core/identity/ServiceName.h"
 #include "daemon/settings/NodeInterface.h"
+#include "daemon/settings/UsageReportSettings.h"
 #include "traffic/retry/RetryLimits.h"
 #include "traffic/routing/CrossDataCentreCost.h"
 
@@ -48,6 +49,8 @@
     /** Time from the request to stop until the platform ends the process by force, if the platform
         does not tell; only with the platform's interface. */
     std::chrono::milliseconds stopGracePeriod{6000};
+    /** Nothing if no usage reports are asked for; only with the platform's interface. */
+    std::optional<UsageReportSettings> usageReports;
     /** Peers to contact first. May include this node, which is then skipped. */
     std::vector<core::identity::NetworkAddress> seeds;
     /** Limits on retries of calls. */
@@ -58,14 +61,16 @@
     /** Makes every node watch the platform, as a baseline for measurements. */
     bool watchesAlways = false;
 
-    /** Returns whether other settings have the same identity, interface and addresses of listeners
-        (except that of metrics) and of the platform; these are fixed while the process runs. */
+    /** Returns whether other settings have the same identity, interface, usage reports and
+       addresses of listeners (except that of metrics) and of the platform; these are fixed while
+       the process runs. */
     bool hasSameFixedSettings(const NodeSettings &other) const
     {
         return node == other.node && dataCentre == other.dataCentre && service == other.service
                && callers == other.callers && peers == other.peers && operators == other.operators
                && announcements == other.announcements && readiness == other.readiness
-               && platform == other.platform && interface == other.interface;
+               && platform == other.platform
+               && interface == other.interface && usageReports == other.usageReports;
     }
 };
 
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -4,6 +4,7 @@
 #include "core/findings/SchemaValidator.h"
 #include "core/findings/TextFile.h"
 #include "core/identity/AddressParser.h"
+#include "daemon/settings/UsageSettingsReader.h"
 
 #include <absl/strings/numbers.h>
 #include <map>
@@ -23,11 +24,13 @@
 "if": {"properties": {"interface": {"const": "platform"}}, "required": ["interface"]},
 "then": {"required": ["announcements", "readiness", "service", "dataCentres"]},
 "else": {"required": ["operatorToken"]},
-"definitions": {"address": {"oneOf": [
-  {"type": "string"},
-  {"type": "object", "additionalProperties": false, "required": ["host", "port"],
-   "properties": {"host": {"type": "string"},
-                  "port": {"type": "integer", "minimum": 1, "maximum": 65535}}}]}},
+"definitions": {
+  "address": {"oneOf": [
+    {"type": "string"},
+    {"type": "object", "additionalProperties": false, "required": ["host", "port"],
+     "properties": {"host": {"type": "string"},
+                    "port": {"type": "integer", "minimum": 1, "maximum": 65535}}}]},
+  "seconds": {"anyOf": [{"type": "number"}, {"type": "string"}]}},
 "properties": {
   "node": {"type": "string", "pattern": "^[A-Za-z0-9._-]+$"},
   "dataCentre": {"type": "string", "minLength": 1},
@@ -52,6 +55,13 @@
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
   "graceSeconds": {"anyOf": [{"type": "number", "minimum": 2}, {"type": "string"}]},
+  "usageReports": {"type": "object", "additionalProperties": false, "required": ["receiver"],
+    "properties": {"receiver": {"type": "string"},
+                   "windowSeconds": {"$ref": "#/definitions/seconds"},
+                   "lateSeconds": {"$ref": "#/definitions/seconds"},
+                   "leaseSeconds": {"$ref": "#/definitions/seconds"},
+                   "callsPerSecond": {"$ref": "#/definitions/seconds"}}},
+  "duties": {"type": "array", "items": {"type": "string"}},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
@@ -174,6 +184,7 @@
             = root.value("crossing", json::object())
                       .value("bytesWorthACall", settings.crossDataCentreCost.bytesWorthACall);
     readPlatformSettings(root, settings, findings);
+    settings.usageReports = readUsageReports(root, settings.interface, findings);
     checkDistinct(settings, findings);
     if (!findings.isEmpty())
         return std::nullopt;
