--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -127,10 +127,14 @@
 AsyncClient::~AsyncClient() noexcept = default;
 
 kj::Promise<absl::StatusOr<HttpResponse>> AsyncClient::send(HttpRequest request,
-                                                            std::chrono::milliseconds timeout)
+                                                            std::chrono::milliseconds timeout,
+                                                            std::function<bool()> mayBegin)
 {
     auto response = acquire().then(
-            [this, request = std::move(request)](kj::Own<Connection> &&connection) mutable {
+            [this, request = std::move(request), mayBegin = std::move(mayBegin)](
+                    kj::Own<Connection> &&connection) mutable -> kj::Promise<Result> {
+                if (mayBegin && !mayBegin())
+                    return Result(absl::UnavailableError("no longer due when it could be sent"));
                 auto exchange = kj::heap<Exchange>(*this, kj::mv(connection), std::move(request));
                 auto running = exchange->run();
                 return running.attach(kj::mv(exchange));
--- a/packages/transport/http/AsyncClient.h
+++ b/packages/transport/http/AsyncClient.h
@@ -8,6 +8,7 @@
 
 #include <absl/status/statusor.h>
 #include <chrono>
+#include <functional>
 #include <kj/timer.h>
 #include <vector>
 
@@ -31,10 +32,13 @@
 
     /** Sends a request and returns its response; never rejects.
         @param timeout for the whole exchange, including the time to connect
+        @param mayBegin evaluated once connected, immediately before the request is written; if it
+        returns false nothing is sent
         @returns Unavailable if the server certainly did not receive the request, OutOfRange if the
         response is too large, Unknown if it was lost, invalid or late */
     kj::Promise<absl::StatusOr<HttpResponse>> send(HttpRequest request,
-                                                   std::chrono::milliseconds timeout);
+                                                   std::chrono::milliseconds timeout,
+                                                   std::function<bool()> mayBegin = {});
 
 private:
     class Connection;
