--- a/packages/operators/commands/CommandTable.cpp
+++ b/packages/operators/commands/CommandTable.cpp
@@ -17,6 +17,7 @@
 #include "operators/commands/MoveTakeBackCommand.h"
 #include "operators/commands/MoveWaitCommand.h"
 #include "operators/commands/StatusCommand.h"
+#include "operators/commands/UsageCommand.h"
 
 namespace boragetrack::operators::commands {
 
@@ -49,6 +50,7 @@
     commands_.push_back(std::make_unique<DataCentreOutCommand>());
     commands_.push_back(std::make_unique<DataCentreBackCommand>());
     commands_.push_back(std::make_unique<StatusCommand>());
+    commands_.push_back(std::make_unique<UsageCommand>());
     commands_.push_back(std::make_unique<HistoryCommand>());
 }
 
--- a/packages/operators/fleet/FleetClient.cpp
+++ b/packages/operators/fleet/FleetClient.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 constexpr std::chrono::milliseconds responseTimeout{2000};
+
+NetworkAddress operatorAddressOf(const json &member)
+{
+    return {member["operators"]["host"], member["operators"]["port"].get<std::uint16_t>()};
+}
 } // namespace
 
 absl::StatusOr<json> FleetClient::fetchMembers()
@@ -27,6 +32,33 @@
 
 absl::StatusOr<std::vector<NodeReport>> FleetClient::fetchReports(Revision revision,
                                                                   std::chrono::milliseconds timeout)
+{
+    const auto members = fetchActiveMembers();
+    if (!members.ok())
+        return members.status();
+    std::vector<NodeReport> reports(members->size());
+    forEachConcurrently(members->size(), [&](std::size_t i) {
+        reports[i] = fetchReport((*members)[i], revision, timeout);
+    });
+    return reports;
+}
+
+absl::StatusOr<std::vector<json>> FleetClient::fetchUsage()
+{
+    const auto members = fetchActiveMembers();
+    if (!members.ok())
+        return members.status();
+    std::vector<json> responses(members->size());
+    forEachConcurrently(members->size(), [&](std::size_t i) {
+        const auto response = query(operatorAddressOf((*members)[i]), "/v1/usage", responseTimeout);
+        if (response.ok())
+            responses[i] = *response;
+    });
+    std::erase_if(responses, [](const json &response) { return !response.is_object(); });
+    return responses;
+}
+
+absl::StatusOr<std::vector<json>> FleetClient::fetchActiveMembers()
 {
     const auto members = fetchMembers();
     if (!members.ok())
@@ -37,18 +69,22 @@
         if (state == "alive" || state == "suspect")
             activeMembers.push_back(member);
     }
-    std::vector<NodeReport> reports(activeMembers.size());
+    return activeMembers;
+}
+
+void FleetClient::forEachConcurrently(std::size_t count,
+                                      const std::function<void(std::size_t)> &function)
+{
     std::atomic<std::size_t> next{0};
     const auto worker = [&]() {
-        for (std::size_t i = next++; i < activeMembers.size(); i = next++)
-            reports[i] = fetchReport(activeMembers[i], revision, timeout);
+        for (std::size_t i = next++; i < count; i = next++)
+            function(i);
     };
     std::vector<std::thread> threads;
-    for (std::size_t i = 0; i < std::min(maximumConcurrentRequests, activeMembers.size()); ++i)
+    for (std::size_t i = 0; i < std::min(maximumConcurrentRequests, count); ++i)
         threads.emplace_back(worker);
     for (std::thread &thread : threads)
         thread.join();
-    return reports;
 }
 
 Revision FleetClient::highestRevision()
@@ -95,13 +131,11 @@
                                     std::chrono::milliseconds timeout)
 {
     NodeReport report{member["node"], member["dataCentre"], false, {}, {}};
-    const NetworkAddress address{member["operators"]["host"],
-                                 member["operators"]["port"].get<std::uint16_t>()};
     std::string target = "/v1/status";
     if (revision != Revision{})
         target += "?revision=" + std::to_string(revision.number())
                   + "&timeoutMs=" + std::to_string(timeout.count());
-    const auto status = query(address, target, timeout + responseTimeout);
+    const auto status = query(operatorAddressOf(member), target, timeout + responseTimeout);
     if (!status.ok() || !status->is_object())
         return report;
     report.isReached = true;
--- a/packages/operators/fleet/FleetClient.h
+++ b/packages/operators/fleet/FleetClient.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 #include <chrono>
+#include <functional>
 #include <vector>
 
 namespace boragetrack::operators::fleet {
@@ -38,6 +39,11 @@
         responds. */
     absl::StatusOr<nlohmann::json> fetchMoves();
 
+    /** Queries the usage reports of every member that is alive or suspect.
+        @returns the responses of those that responded; none if the settings of the nodes ask for no
+        usage reports */
+    absl::StatusOr<std::vector<nlohmann::json>> fetchUsage();
+
     /** Queries the status of every member that is alive or suspect.
         @param revision each node delays its response until this revision is in force there; zero
         for an immediate response
@@ -54,6 +60,11 @@
     absl::StatusOr<nlohmann::json> query(const core::identity::NetworkAddress &node,
                                          const std::string &target,
                                          std::chrono::milliseconds timeout);
+    // Returns the members that are alive or suspect.
+    absl::StatusOr<std::vector<nlohmann::json>> fetchActiveMembers();
+    // Calls a function with each index below a count, on several threads.
+    static void forEachConcurrently(std::size_t count,
+                                    const std::function<void(std::size_t)> &function);
     NodeReport fetchReport(const nlohmann::json &member, core::identity::Revision revision,
                            std::chrono::milliseconds timeout);
 
