Run usage reports on the node's threads

UsageService owns the reporter on the control thread and passes it these counts, those of peers, the live members and the records. In a planned stop the node passes on its final counts and waits up to 0.6 s for the peers that receive them.

The receiver does not send with a token that was revoked: the duty may end before its lease does. A mutex covers the check and the write.

Nothing of this exists without "usageReports".

--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -54,6 +54,12 @@
     CallTurnedAway = 511,
     DataCentreCutOff = 520,
     DataCentreAnswered = 521,
+    UsageDutyGained = 600,
+    UsageDutyLost = 601,
+    UsageReportAccepted = 602,
+    UsageReportFailed = 603,
+    UsageWindowIncomplete = 604,
+    UsageCountsDropped = 605,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -21,6 +21,8 @@
 
 // Maximum time for peers to close their links during a planned stop.
 constexpr std::chrono::milliseconds linkCloseTimeout{1000};
+// Maximum time for peers to acknowledge the final usage counts during a planned stop.
+constexpr std::chrono::milliseconds finalCountsTimeout{600};
 
 std::shared_ptr<const RoutingSnapshot> makeEmptySnapshot()
 {
@@ -62,18 +64,21 @@
     , retryPolicy_(makeRetryPolicy(settings_))
     , environment_(makeEnvironment())
     , control_({settings_, self_, controlThread_, environment_->source(), routing_, revisions_,
-                counters_})
+                counters_, environment_->usage()})
+    , peerMessages_(control_)
     , trafficThread_(
               {settings_.node, control::membership::processIdOf(self_), settings_.peers,
-               settings_.callers, settings_.service, environment_->dialect(), control_, control_,
-               routing_,
+               settings_.callers, settings_.service, environment_->dialect(), peerMessages_,
+               peerMessages_, routing_,
                makeAdmissionPolicy(settings_.usesBaselinePolicies
                                    || settings_.interface == settings::NodeInterface::Platform),
                *routingPolicy_, *retryPolicy_, environment_->loopComponents(),
                [this](const control::moves::CallEvidence &evidence) {
                    control_.callEnded(evidence);
                },
-               counters_})
+               counters_,
+               environment_->usage() != nullptr ? &environment_->usage()->sampler().meter()
+                                                : nullptr})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
@@ -96,7 +101,7 @@
                     [this](const auto &announcement, const auto &onProcessed) {
                         control_.upstreamAnnounced(announcement, onProcessed);
                     },
-                    [this]() { return routing_.current()->isServing; }});
+                    [this]() { return routing_.current()->isServing; }, self_.version.generation});
 }
 
 absl::Status Node::start()
@@ -104,7 +109,7 @@
     controlThread_.start();
     if (const absl::Status status = trafficThread_.start(); !status.ok())
         return status;
-    control_.start(trafficThread_,
+    control_.start(trafficThread_, trafficThread_,
                    [this](const auto &status) { trafficThread_.setUpstream(status); });
     environment_->start();
     if (const absl::Status status = operatorServer_.start(); !status.ok())
@@ -142,6 +147,8 @@
     trafficThread_.beginCallerDrain(plan.callerGracePeriod);
     std::this_thread::sleep_for(plan.peerNoticePeriod);
     const bool isDrained = trafficThread_.drain(timeLeft());
+    if (environment_->usage() != nullptr)
+        environment_->usage()->sendFinalCounts(std::min(timeLeft(), finalCountsTimeout));
     const bool areLinksClosed = trafficThread_.closeLinks(std::min(timeLeft(), linkCloseTimeout));
     const bool areCallersDrained = trafficThread_.awaitCallerDrain(timeLeft());
     operatorServer_.stop();
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -4,6 +4,7 @@
 #include "daemon/environment/NodeEnvironment.h"
 #include "daemon/frontends/OperatorHandler.h"
 #include "daemon/service/ControlService.h"
+#include "daemon/service/PeerMessages.h"
 #include "daemon/settings/NodeSettings.h"
 #include "transport/http/HttpServer.h"
 #include "transport/links/TrafficThread.h"
@@ -45,6 +46,7 @@
     std::unique_ptr<traffic::retry::RetryPolicy> retryPolicy_;
     std::unique_ptr<environment::NodeEnvironment> environment_;
     service::ControlService control_;
+    service::PeerMessages peerMessages_;
     transport::links::TrafficThread trafficThread_;
     frontends::OperatorHandler operatorHandler_;
     transport::http::HttpServer operatorServer_;
--- a/packages/daemon/environment/NodeEnvironment.h
+++ b/packages/daemon/environment/NodeEnvironment.h
@@ -3,6 +3,7 @@
 
 #include "daemon/environment/ShutdownPlan.h"
 #include "daemon/service/IntentSource.h"
+#include "daemon/usage/UsageService.h"
 #include "transport/dialect/CallDialect.h"
 #include "transport/links/LoopComponent.h"
 
@@ -25,6 +26,9 @@
     /** Returns the components that run on the traffic thread; they belong to the environment. */
     virtual std::vector<transport::links::LoopComponent *> loopComponents() = 0;
 
+    /** Returns the usage reports of the node; null without them. */
+    virtual usage::UsageService *usage() { return nullptr; }
+
     /** Starts the environment's threads; called after the control and traffic threads started. */
     virtual void start() = 0;
 
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -28,12 +28,14 @@
                   return thread.post(std::move(task));
               },
               dependencies.counters)
+    , usage_(makeUsage(dependencies, store_))
     , source_({store_, dependencies.controlThread,
                [dataCentres = dependencies.settings.dataCentres]() {
                    return std::make_unique<platform::PlatformIntentReader>(dataCentres);
                },
                std::make_unique<platform::PlatformMoveWriter>(), dependencies.settings.node,
-               dependencies.settings.advertisedPeerAddress, std::random_device{}()})
+               dependencies.settings.advertisedPeerAddress, std::random_device{}(),
+               usage_ ? &usage_->service() : nullptr})
     , heartbeats_(dependencies.announcements)
     , readiness_(
               [this, isServing = dependencies.isServing]() { return !isStopping_ && isServing(); })
@@ -51,9 +53,29 @@
                                                                   &readinessListener_};
     if (metricsListener_)
         loopComponents.push_back(&*metricsListener_);
+    if (usage_) {
+        const auto components = usage_->loopComponents();
+        loopComponents.insert(loopComponents.end(), components.begin(), components.end());
+    }
     return loopComponents;
 }
 
+std::unique_ptr<usage::PlatformUsage>
+PlatformEnvironment::makeUsage(const Dependencies &dependencies,
+                               control::records::RecordStore &store)
+{
+    const settings::NodeSettings &settings = dependencies.settings;
+    if (!settings.usageReports)
+        return nullptr;
+    return std::make_unique<usage::PlatformUsage>(usage::PlatformUsage::Dependencies{
+            *settings.usageReports,
+            store,
+            dependencies.controlThread,
+            dependencies.trafficThread,
+            dependencies.counters,
+            {settings.node, dependencies.generation, settings.advertisedPeerAddress}});
+}
+
 ShutdownPlan PlatformEnvironment::shutdownPlan() const
 {
     ShutdownPlan plan;
--- a/packages/daemon/environment/PlatformEnvironment.h
+++ b/packages/daemon/environment/PlatformEnvironment.h
@@ -11,6 +11,7 @@
 #include "daemon/service/ControlThread.h"
 #include "daemon/service/RecordSource.h"
 #include "daemon/settings/NodeSettings.h"
+#include "daemon/usage/PlatformUsage.h"
 #include "transport/http/ListenerComponent.h"
 #include "transport/http/MetricsHandler.h"
 
@@ -35,6 +36,8 @@
         platform::HeartbeatHandler::Sink announcements;
         /** Returns whether the node can serve callers; called on the traffic thread. */
         std::function<bool()> isServing;
+        /** The generation of this process. */
+        std::uint64_t generation = 0;
     };
 
     explicit PlatformEnvironment(const Dependencies &dependencies);
@@ -43,15 +46,21 @@
     const transport::dialect::CallDialect &dialect() const override { return dialect_; }
     service::IntentSource &source() override { return source_; }
     std::vector<transport::links::LoopComponent *> loopComponents() override;
+    usage::UsageService *usage() override { return usage_ ? &usage_->service() : nullptr; }
     void start() override {}
     void requestStop() override { isStopping_ = true; }
     ShutdownPlan shutdownPlan() const override;
     bool stop() override { return true; }
 
 private:
+    static std::unique_ptr<usage::PlatformUsage> makeUsage(const Dependencies &dependencies,
+                                                           control::records::RecordStore &store);
+
     std::chrono::milliseconds stopGracePeriod_;
     platform::PlatformDialect dialect_;
     platform::PlatformStore store_;
+    // Null without usage reports.
+    std::unique_ptr<usage::PlatformUsage> usage_;
     service::RecordSource source_;
     std::atomic<bool> isStopping_{false};
     platform::HeartbeatHandler heartbeats_;
--- a/packages/daemon/frontends/OperatorHandler.cpp
+++ b/packages/daemon/frontends/OperatorHandler.cpp
@@ -1,5 +1,5 @@
-/** Dispatches requests by path. Status, members and moves require the operator token; health,
-    metrics and announcements do not. */
+/** Dispatches requests by path. Status, members, moves and usage reports require the operator
+   token; health, metrics and announcements do not. */
 #include "daemon/frontends/OperatorHandler.h"
 
 #include "daemon/frontends/AnnouncementReader.h"
@@ -40,6 +40,8 @@
         return jsonResponse(dependencies_.control.members());
     if (path == "/v1/moves")
         return jsonResponse(dependencies_.control.moves());
+    if (path == "/v1/usage")
+        return usage();
     return HttpResponse{404, {}, "unknown path " + path + "\n"};
 }
 
@@ -62,6 +64,13 @@
     return jsonResponse(dependencies_.control.status());
 }
 
+HttpResponse OperatorHandler::usage()
+{
+    if (dependencies_.control.usage() == nullptr)
+        return HttpResponse{404, {}, "the settings ask for no usage reports\n"};
+    return jsonResponse(dependencies_.control.usageStatus());
+}
+
 HttpResponse OperatorHandler::announce(const HttpRequest &request)
 {
     core::findings::FindingList findings("announcement");
--- a/packages/daemon/frontends/OperatorHandler.h
+++ b/packages/daemon/frontends/OperatorHandler.h
@@ -8,7 +8,8 @@
 
 namespace boragetrack::daemon::frontends {
 
-/** Responds to requests for health, metrics, status, members and moves, and accepts announcements.
+/** Responds to requests for health, metrics, status, members, moves and usage reports, and accepts
+    announcements.
     Called concurrently on the threads of the HTTP server. */
 class OperatorHandler : public transport::http::HttpHandler
 {
@@ -32,6 +33,7 @@
 private:
     transport::http::HttpResponse health() const;
     transport::http::HttpResponse status(const transport::http::HttpRequest &request);
+    transport::http::HttpResponse usage();
     transport::http::HttpResponse announce(const transport::http::HttpRequest &request);
     bool isAuthorised(const transport::http::HttpRequest &request) const;
 
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -10,14 +10,9 @@
 namespace boragetrack::daemon::service {
 
 using control::distribution::ControlPlane;
-using control::distribution::Exchange;
-using control::distribution::IntentTransfer;
-using control::distribution::PeerContact;
 using control::membership::MemberRecord;
 using control::membership::MemberState;
-using control::membership::MemberTable;
 using core::events::EventCode;
-using core::identity::NodeId;
 using core::identity::Revision;
 using core::timing::MonotonicTime;
 using transport::serving::UpstreamAnnouncement;
@@ -68,38 +63,48 @@
 ControlService::~ControlService() = default;
 
 void ControlService::start(control::distribution::PeerTransport &transport,
+                           control::usage::UsageTransport &usageTransport,
                            UpstreamSink upstreamSink)
 {
-    dependencies_.thread.post([this, &transport, sink = std::move(upstreamSink)]() {
-        ControlPlane::Dependencies dependencies{
-                dependencies_.self,
-                dependencies_.settings.seeds,
-                std::make_unique<control::membership::RingNeighbours>(),
-                makeMovePolicies(dependencies_.settings.usesBaselinePolicies),
-                core::timing::currentWallTime,
-                std::random_device{}(),
-                dependencies_.source.makeReplica()};
-        ControlPlane::Listener &planeListener = *this;
-        core::timing::TimerService::Listener &timerListener = *this;
-        plane_ = std::make_unique<ControlPlane>(std::move(dependencies), transport,
-                                                dependencies_.thread, planeListener);
-        timer_ = std::make_unique<core::timing::ScopedTimer>(dependencies_.thread, timerListener,
-                                                             updatePeriod);
-        announcements_.start(*plane_, dependencies_.source.departureKeeper(), sink);
-        plane_->start();
-        dependencies_.source.attach(*plane_);
-    });
+    dependencies_.thread.post(
+            [this, &transport, &usageTransport, sink = std::move(upstreamSink)]() {
+                ControlPlane::Dependencies dependencies{
+                        dependencies_.self,
+                        dependencies_.settings.seeds,
+                        std::make_unique<control::membership::RingNeighbours>(),
+                        makeMovePolicies(dependencies_.settings.usesBaselinePolicies),
+                        core::timing::currentWallTime,
+                        std::random_device{}(),
+                        dependencies_.source.makeReplica()};
+                ControlPlane::Listener &planeListener = *this;
+                core::timing::TimerService::Listener &timerListener = *this;
+                plane_ = std::make_unique<ControlPlane>(std::move(dependencies), transport,
+                                                        dependencies_.thread, planeListener);
+                timer_ = std::make_unique<core::timing::ScopedTimer>(dependencies_.thread,
+                                                                     timerListener, updatePeriod);
+                announcements_.start(*plane_, dependencies_.source.departureKeeper(), sink);
+                plane_->start();
+                if (dependencies_.usage != nullptr)
+                    dependencies_.usage->start(usageTransport, *plane_);
+                dependencies_.source.attach(*plane_);
+            });
 }
 
 void ControlService::leave()
 {
-    post([](ControlPlane &plane) { plane.leave(); });
+    post([this](ControlPlane &plane) {
+        plane.leave();
+        if (dependencies_.usage != nullptr)
+            dependencies_.usage->beginStop();
+    });
 }
 
 void ControlService::stop()
 {
     dependencies_.thread.post([this]() {
         timer_.reset();
+        if (dependencies_.usage != nullptr)
+            dependencies_.usage->stop();
         if (plane_)
             dependencies_.source.detach();
         plane_.reset();
@@ -152,69 +157,12 @@
     return report.value_or(nlohmann::json());
 }
 
-//==============================================================================
-void ControlService::handleExchange(Exchange request, Callback<Exchange> callback)
-{
-    post([request = std::move(request), callback = std::move(callback)](ControlPlane &plane) {
-        callback(plane.exchangeReceived(request));
-    });
-}
-
-void ControlService::handlePush(NodeId sender, IntentTransfer transfer, Callback<Revision> callback)
-{
-    post([sender, transfer = std::move(transfer),
-          callback = std::move(callback)](ControlPlane &plane) {
-        callback(plane.intentReceived(PeerContact{sender, {}}, transfer));
-    });
-}
-
-void ControlService::handleFetchIntent(Revision have, Callback<IntentTransfer> callback)
-{
-    post([have, callback = std::move(callback)](ControlPlane &plane) {
-        callback(plane.transferSince(have));
-    });
-}
-
-void ControlService::handleFetchMembers(MemberTable::BucketHashes hashes,
-                                        Callback<std::vector<MemberRecord>> callback)
-{
-    post([hashes, callback = std::move(callback)](ControlPlane &plane) {
-        callback(plane.membersDifferingFrom(hashes));
-    });
-}
-
-void ControlService::exchangeResponseReceived(PeerContact peer, Exchange response)
+nlohmann::json ControlService::usageStatus()
 {
-    post([peer, response = std::move(response)](ControlPlane &plane) {
-        plane.exchangeResponseReceived(peer, response);
-    });
-}
-
-void ControlService::exchangeFailed(PeerContact peer)
-{
-    post([peer](ControlPlane &plane) { plane.exchangeFailed(peer); });
-}
-
-void ControlService::peerDisconnected(core::identity::NetworkAddress peer)
-{
-    post([peer](ControlPlane &plane) { plane.peerDisconnected(peer); });
-}
-
-void ControlService::intentFetched(PeerContact peer, IntentTransfer transfer)
-{
-    post([peer, transfer = std::move(transfer)](ControlPlane &plane) {
-        plane.intentReceived(peer, transfer);
+    const auto report = dependencies_.thread.query([this]() {
+        return dependencies_.usage != nullptr ? dependencies_.usage->status() : nlohmann::json();
     });
-}
-
-void ControlService::pushResponseReceived(Revision peerRevision)
-{
-    post([peerRevision](ControlPlane &plane) { plane.pushResponseReceived(peerRevision); });
-}
-
-void ControlService::membersFetched(std::vector<MemberRecord> records)
-{
-    post([records = std::move(records)](ControlPlane &plane) { plane.membersReceived(records); });
+    return report.value_or(nlohmann::json());
 }
 
 //==============================================================================
@@ -240,6 +188,8 @@
 void ControlService::memberChanged(const MemberRecord *previous, const MemberRecord &record)
 {
     routingPublisher_.memberChanged();
+    if (dependencies_.usage != nullptr)
+        dependencies_.usage->membersChanged();
     if (previous != nullptr && previous->state == record.state)
         return;
     core::events::logEvent(
@@ -268,6 +218,8 @@
     logCounters(now);
     logMissingIntent(now);
     dependencies_.source.update();
+    if (dependencies_.usage != nullptr)
+        dependencies_.usage->update();
     routingPublisher_.update(*plane_, now);
 }
 
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -10,9 +10,8 @@
 #include "daemon/service/RevisionMonitor.h"
 #include "daemon/service/RoutingPublisher.h"
 #include "daemon/settings/NodeSettings.h"
+#include "daemon/usage/UsageService.h"
 #include "traffic/routing/RoutingSnapshot.h"
-#include "transport/links/PeerEventSink.h"
-#include "transport/links/PeerRequestHandler.h"
 #include "transport/serving/UpstreamAnnouncement.h"
 
 #include <nlohmann/json.hpp>
@@ -21,9 +20,7 @@
 
 /** Owns the control plane. Posts events from other threads to it, and publishes its results as
     routing snapshots, log events and responses. */
-class ControlService : public transport::links::PeerRequestHandler,
-                       public transport::links::PeerEventSink,
-                       private control::distribution::ControlPlane::Listener,
+class ControlService : private control::distribution::ControlPlane::Listener,
                        private core::timing::TimerService::Listener
 {
 public:
@@ -40,14 +37,17 @@
         core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing;
         RevisionMonitor &revisions;
         core::counters::CounterRegistry &counters;
+        /** Null without usage reports. */
+        usage::UsageService *usage = nullptr;
     };
 
     explicit ControlService(Dependencies dependencies);
     ~ControlService() override;
 
-    /** Creates and starts the control plane on the control thread. @param transport outlives the
-        control plane */
-    void start(control::distribution::PeerTransport &transport, UpstreamSink upstreamSink);
+    /** Creates and starts the control plane on the control thread. @param transport and
+        @param usageTransport outlive the control plane */
+    void start(control::distribution::PeerTransport &transport,
+               control::usage::UsageTransport &usageTransport, UpstreamSink upstreamSink);
 
     /** Announces to the peers that this node leaves. */
     void leave();
@@ -81,25 +81,16 @@
     /** Returns the moves with their current shares for operators, like status(). */
     nlohmann::json moves();
 
-    //==============================================================================
-    void handleExchange(control::distribution::Exchange request,
-                        Callback<control::distribution::Exchange> callback) override;
-    void handlePush(core::identity::NodeId sender, control::distribution::IntentTransfer transfer,
-                    Callback<core::identity::Revision> callback) override;
-    void handleFetchIntent(core::identity::Revision have,
-                           Callback<control::distribution::IntentTransfer> callback) override;
-    void
-    handleFetchMembers(control::membership::MemberTable::BucketHashes hashes,
-                       Callback<std::vector<control::membership::MemberRecord>> callback) override;
-
-    void exchangeResponseReceived(control::distribution::PeerContact peer,
-                                  control::distribution::Exchange response) override;
-    void exchangeFailed(control::distribution::PeerContact peer) override;
-    void peerDisconnected(core::identity::NetworkAddress peer) override;
-    void intentFetched(control::distribution::PeerContact peer,
-                       control::distribution::IntentTransfer transfer) override;
-    void pushResponseReceived(core::identity::Revision peerRevision) override;
-    void membersFetched(std::vector<control::membership::MemberRecord> records) override;
+    /** Returns the state of usage reports for operators, like status(); null without them. */
+    nlohmann::json usageStatus();
+
+    /** Returns the usage reports of this node; null without them. */
+    usage::UsageService *usage() { return dependencies_.usage; }
+
+    /** Runs a task on the control thread, then publishes a new routing snapshot if it is due.
+        @returns false if the task was dropped; it is dropped later if the control plane does not
+        run */
+    bool post(std::function<void(control::distribution::ControlPlane &)> task);
 
 private:
     void viewChanged() override { routingPublisher_.viewChanged(); }
@@ -111,9 +102,6 @@
     void moveStopped(const control::intent::MoveIntent &move, const std::string &evidence) override;
     void timerElapsed(core::timing::MonotonicTime now) override;
 
-    // Runs a task on the control thread, then publishes a new routing snapshot if it is due.
-    // Returns false if the task was dropped.
-    bool post(std::function<void(control::distribution::ControlPlane &)> task);
     void recordMoves(core::timing::MonotonicTime now);
     void logCounters(core::timing::MonotonicTime now);
     void logMissingIntent(core::timing::MonotonicTime now);
--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -126,16 +126,16 @@
 
 AsyncClient::~AsyncClient() noexcept = default;
 
-kj::Promise<absl::StatusOr<HttpResponse>> AsyncClient::send(HttpRequest request,
-                                                            std::chrono::milliseconds timeout,
-                                                            std::function<bool()> mayBegin)
+kj::Promise<absl::StatusOr<HttpResponse>>
+AsyncClient::send(HttpRequest request, std::chrono::milliseconds timeout, BeginFunction begin)
 {
     auto response = acquire().then(
-            [this, request = std::move(request), mayBegin = std::move(mayBegin)](
+            [this, request = std::move(request), begin = std::move(begin)](
                     kj::Own<Connection> &&connection) mutable -> kj::Promise<Result> {
-                if (mayBegin && !mayBegin())
-                    return Result(absl::UnavailableError("no longer due when it could be sent"));
                 auto exchange = kj::heap<Exchange>(*this, kj::mv(connection), std::move(request));
+                std::optional<std::unique_lock<std::mutex>> permit;
+                if (begin && !(permit = begin()))
+                    return Result(absl::UnavailableError("not due any more once connected"));
                 auto running = exchange->run();
                 return running.attach(kj::mv(exchange));
             },
--- a/packages/transport/http/AsyncClient.h
+++ b/packages/transport/http/AsyncClient.h
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <functional>
 #include <kj/timer.h>
+#include <mutex>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::transport::http {
@@ -24,6 +26,9 @@
     /** Maximum time to connect; beyond it the server counts as unreachable. */
     static constexpr std::chrono::milliseconds connectTimeout{1000};
 
+    /** Decides whether a request may be sent now. @returns nothing if it may not */
+    using BeginFunction = std::function<std::optional<std::unique_lock<std::mutex>>()>;
+
     /** @param network and @param timer outlive the client */
     AsyncClient(kj::Network &network, kj::Timer &timer, core::identity::NetworkAddress server);
     ~AsyncClient() noexcept;
@@ -32,13 +37,13 @@
 
     /** Sends a request and returns its response; never rejects.
         @param timeout for the whole exchange, including the time to connect
-        @param mayBegin evaluated once connected, immediately before the request is written; if it
-        returns false nothing is sent
+        @param begin called once connected, immediately before the request is written; if it returns
+        nothing, nothing is sent. The lock that it returns is held while the request is written, as
+        far as the system takes its bytes at once
         @returns Unavailable if the server certainly did not receive the request, OutOfRange if the
         response is too large, Unknown if it was lost, invalid or late */
-    kj::Promise<absl::StatusOr<HttpResponse>> send(HttpRequest request,
-                                                   std::chrono::milliseconds timeout,
-                                                   std::function<bool()> mayBegin = {});
+    kj::Promise<absl::StatusOr<HttpResponse>>
+    send(HttpRequest request, std::chrono::milliseconds timeout, BeginFunction begin = {});
 
 private:
     class Connection;
--- a/tests/unit/UsageReceiverTest.cpp
+++ b/tests/unit/UsageReceiverTest.cpp
@@ -48,7 +48,7 @@
 
     // Sends a report before the given time and returns the result.
     absl::Status send(const core::identity::NetworkAddress &address, nanoseconds sendBefore,
-                      nanoseconds clockOnceConnected = {})
+                      nanoseconds clockOnceConnected = {}, FencingToken revoked = {})
     {
         const auto runHere = [](const std::function<void()> &task) {
             task();
@@ -62,6 +62,7 @@
         receiver.send(exampleReport(), NodeId("n1"), FencingToken(12), sendBefore,
                       milliseconds(2000), [&](const absl::Status &status) { result = status; });
         clock_.time = clockOnceConnected;
+        receiver.revoke(revoked);
         while (!result)
             io_.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io_.waitScope);
         receiver.stop();
@@ -127,3 +128,15 @@
     clock_.time = nanoseconds(0);
     EXPECT_TRUE(send(server.address(), nanoseconds(10), nanoseconds(9)).ok());
 }
+
+// A duty that ends before its lease, for example by a refusal, must stop a report that was handed
+// over before and waits for its connection.
+TEST_F(UsageReceiverTest, sendsNothingWithATokenThatWasRevoked)
+{
+    const RawServer server(responseWith(200), RawServer::End::Close);
+    for (const std::uint64_t revoked : {12, 13})
+        EXPECT_EQ(send(server.address(), nanoseconds(1), {}, FencingToken(revoked)).code(),
+                  absl::StatusCode::kUnavailable);
+    EXPECT_EQ(counters_.counter("usage_reports_sent").value(), 0U);
+    EXPECT_TRUE(send(server.address(), nanoseconds(1), {}, FencingToken(11)).ok());
+}
