--- a/packages/control/usage/UsageReceiver.h
+++ b/packages/control/usage/UsageReceiver.h
@@ -32,6 +32,10 @@
                       FencingToken token, std::chrono::nanoseconds sendBefore,
                       std::chrono::milliseconds timeout, Callback callback)
             = 0;
+
+    /** Makes no further call with a token, as the duty was lost. Also holds for reports that were
+        handed over and are not sent yet: on return nothing more is sent with the token. */
+    virtual void revoke(FencingToken token) = 0;
 };
 
 } // namespace boragetrack::control::usage
