--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 from urllib.parse import unquote
 
@@ -17,7 +18,9 @@
         self.items = {}
         self.history = []
         self.compacted_revision = 0
-        self.leases = {}
+        self.leases = {}  # the lifetime of each lease after a renewal, in seconds
+        self._lease_numbers = itertools.count(1000)
+        self._expiries = {}  # the timer of each lease
         self.calls = 0
         self.changed = asyncio.Condition()
         # Faults: "out" responds with 503, "silent" never responds, also to calls in progress, "lost"
@@ -51,7 +54,7 @@
 
     def expire_leases(self):
         """Expires all leases and removes their records, as an outage may do."""
-        self.event_loop.run(self._expire_leases())
+        self.event_loop.run(self._expire_leases(list(self.leases)))
 
     # ------------------------------------------------------------------ protocol
 
@@ -80,9 +83,7 @@
         if path == "/api/kv-lease":
             return self.grant_lease(json.loads(request.body))
         if path.startswith("/api/kv-keep/"):
-            lease = int(path.rsplit("/", 1)[1])
-            known = lease in self.leases
-            return self.json_response(200 if known else 404, {"ttlS": self.leases.get(lease, 0)})
+            return self.renew_lease(int(path.rsplit("/", 1)[1]))
         return self.json_response(404, {})
 
     @staticmethod
@@ -136,10 +137,24 @@
         return self.json_response(200, {"revision": self.revision})
 
     def grant_lease(self, body):
-        lease = 1000 + len(self.leases)
+        lease = next(self._lease_numbers)
         self.leases[lease] = body["ttlS"]
+        self._schedule_expiry(lease)
         return self.json_response(200, {"lease": lease, "ttlS": body["ttlS"]})
 
+    def renew_lease(self, lease):
+        if lease not in self.leases:
+            return self.json_response(404, {})
+        self._schedule_expiry(lease)
+        return self.json_response(200, {"ttlS": self.leases[lease]})
+
+    def _schedule_expiry(self, lease):
+        if lease in self._expiries:
+            self._expiries[lease].cancel()
+        self._expiries[lease] = self.event_loop.loop.call_later(
+            self.leases[lease],
+            lambda: self.event_loop.loop.create_task(self._expire_leases([lease])))
+
     async def _put(self, key, value):
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
         return await self._set(key, base64.b64encode(text).decode(), 0)
@@ -165,7 +180,8 @@
             self.changed.notify_all()
             return self.revision
 
-    async def _expire_leases(self):
-        keys = [key for key, item in self.items.items() if item["lease"]]
-        self.leases.clear()
-        await self._remove_all(keys)
+    async def _expire_leases(self, leases):
+        for lease in leases:
+            self.leases.pop(lease, None)
+            self._expiries.pop(lease).cancel()
+        await self._remove_all([k for k, item in self.items.items() if item["lease"] in leases])
