--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -54,6 +54,8 @@
     CallTurnedAway = 511,
     DataCentreCutOff = 520,
     DataCentreAnswered = 521,
+    AccessRefused = 530,
+    KeysOutOfDate = 531,
     UsageDutyGained = 600,
     UsageDutyLost = 601,
     UsageReportAccepted = 602,
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -34,6 +34,8 @@
         std::uint64_t randomSeed = 0;
         /** Follows the records that all nodes keep; null for none. */
         control::records::RecordObserver *observer = nullptr;
+        /** The delay between probes of the store. @see WatchMonitor */
+        std::chrono::milliseconds probePeriod = control::records::WatchMonitor::probePeriod;
     };
 
     explicit RecordSource(Dependencies dependencies)
@@ -60,6 +62,7 @@
     void logStoreRole(bool follows) const;
     bool needsNodeRecord() const;
     void resumeIfPaused();
+    void reportContact();
     void reportPeers(const std::vector<control::records::StoreRecord> &records);
     void handleRecordResponse(const control::moves::MoveRecord &record,
                               const absl::StatusOr<core::identity::Revision> &response);
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -156,7 +156,7 @@
         return refuse(request, *reason);
     callsRun_.add();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
-            runningCalls_, request.requestId, request.attempt);
+            runningCalls_, request.requestId, request.attempt, request.organisation);
     traffic::usage::CountedRequest counted(dependencies_.usageMeter, request,
                                            core::timing::currentWallTime());
     return upstreamClient_.send(request, *status_)
