--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -56,6 +56,12 @@
     DataCentreAnswered = 521,
     AccessRefused = 530,
     KeysOutOfDate = 531,
+    UsageDutyGained = 600,
+    UsageDutyLost = 601,
+    UsageReportAccepted = 602,
+    UsageReportFailed = 603,
+    UsageWindowIncomplete = 604,
+    UsageCountsDropped = 605,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/operators/commands/CommandTable.cpp
+++ b/packages/operators/commands/CommandTable.cpp
@@ -22,6 +22,7 @@
 #include "operators/commands/OrganisationListCommand.h"
 #include "operators/commands/OrganisationRemoveCommand.h"
 #include "operators/commands/StatusCommand.h"
+#include "operators/commands/UsageCommand.h"
 
 namespace boragetrack::operators::commands {
 
@@ -59,6 +60,7 @@
     commands_.push_back(std::make_unique<OrganisationKeyAddCommand>());
     commands_.push_back(std::make_unique<OrganisationKeyRemoveCommand>());
     commands_.push_back(std::make_unique<StatusCommand>());
+    commands_.push_back(std::make_unique<UsageCommand>());
     commands_.push_back(std::make_unique<HistoryCommand>());
 }
 
