Share an upstream's permits between organisations

An organisation that sent more than an upstream can take had the requests of all others refused in the same proportion. The admission queue now measures the demand of each organisation, divides the permits by max-min fairness and protects requests of organisations within their share; within a rank the organisation with the fewest requests goes first, and a full queue refuses the one with the most. The order of the queue becomes an interface, QueueOrder, and the selection a class of its own.

--- a/packages/emulator/model/CallerModel.cpp
+++ b/packages/emulator/model/CallerModel.cpp
@@ -22,16 +22,20 @@
 struct CallerModel::Request
 {
     const plan::KindPlan *kind = nullptr;
+    core::identity::OrganisationName organisation;
     core::timing::MonotonicTime startedAt;
     int retriesLeft = 0;
     bool retriesImmediately = false;
     bool isFinished = false;
 };
 
-void CallerModel::request(const plan::KindPlan &kind, int retries, bool retriesImmediately)
+void CallerModel::request(const plan::KindPlan &kind,
+                          const core::identity::OrganisationName &organisation, int retries,
+                          bool retriesImmediately)
 {
     auto request = std::make_shared<Request>();
     request->kind = &kind;
+    request->organisation = organisation;
     request->startedAt = dependencies_.clock.now();
     request->retriesLeft = retries;
     request->retriesImmediately = retriesImmediately;
@@ -51,6 +55,7 @@
     call.route = core::identity::RouteName(kind.name);
     call.service = core::identity::ServiceName(kind.service);
     call.isIdempotent = kind.isIdempotent;
+    call.organisation = request->organisation;
     call.priority = kind.priority;
     // Nodes do not know of earlier attempts, so each attempt carries the full objective.
     call.objective = kind.objective;
@@ -98,6 +103,7 @@
     request->isFinished = true;
     const std::chrono::duration<double> startOffset = request->startedAt - clock::EventClock::start;
     dependencies_.results.recordRequest(*request->kind, dependencies_.dataCentre,
+                                        request->organisation.value(),
                                         static_cast<int>(startOffset.count()), outcome);
 }
 
--- a/packages/emulator/model/CallerModel.h
+++ b/packages/emulator/model/CallerModel.h
@@ -31,9 +31,11 @@
     {}
 
     /** Starts a request.
+        @param organisation the organisation of the caller; empty if there is none
         @param retries the maximum number of further attempts
         @param retriesImmediately whether retries ignore the delay that a response asks for */
-    void request(const plan::KindPlan &kind, int retries, bool retriesImmediately);
+    void request(const plan::KindPlan &kind, const core::identity::OrganisationName &organisation,
+                 int retries, bool retriesImmediately);
 
 private:
     struct Request;
--- a/packages/emulator/model/InboundProxyModel.cpp
+++ b/packages/emulator/model/InboundProxyModel.cpp
@@ -29,20 +29,23 @@
     , service_(service)
     , policies_(policies)
     , upstream_(upstream)
-    , queue_(policies.makeAdmission(admissionLimits(service)), admissionLimits(service))
+    , queue_(policies.makeAdmission(admissionLimits(service)), admissionLimits(service),
+             policies.makeQueueOrder())
 {}
 
 void InboundProxyModel::handle(const CallRequest &request, ResponseCallback done)
 {
-    const WaitingCall call{request, std::move(done), clock_.now()};
+    WaitingCall call{request, std::move(done), clock_.now(), {}};
     if (!upstream_.isRunning()) {
         refuse(call, "this node has no running upstream of the requested service");
         return;
     }
     const auto now = clock_.now();
     const auto ticket = ++lastTicket_;
-    const Arrival arrival = policies_.adjustArrival(Arrival{
-            ticket, request.route, request.rank(), now + request.objective, now + request.budget});
+    const Arrival arrival = policies_.adjustArrival(
+            Arrival{ticket, request.route, request.rank(), now + request.objective,
+                    now + request.budget, request.organisation, 1 + request.priority});
+    call.organisation = arrival.organisation;
     const AdmissionDecision decision = queue_.arrive(arrival, now);
     if (decision == AdmissionDecision::Refuse)
         refuse(call, "refused by the admission queue");
@@ -72,7 +75,7 @@
     upstream_.handle(request, [this, call, startedAt, inFlight](CallResponse response) {
         const auto latency = clock_.now() - startedAt;
         queue_.finishRequest(AdmissionSample{latency, response.outcome != CallOutcome::Completed,
-                                             inFlight, call.request.route},
+                                             inFlight, call.request.route, call.organisation},
                              clock_.now());
         response.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(latency);
         response.load = queue_.load(clock_.now());
--- a/packages/emulator/model/InboundProxyModel.h
+++ b/packages/emulator/model/InboundProxyModel.h
@@ -30,6 +30,8 @@
         traffic::calls::CallRequest request;
         ResponseCallback done;
         core::timing::MonotonicTime arrivedAt;
+        // As the queue counts it.
+        core::identity::OrganisationName organisation;
     };
 
     void forward(const WaitingCall &call);
--- a/packages/emulator/model/UpstreamModel.cpp
+++ b/packages/emulator/model/UpstreamModel.cpp
@@ -201,7 +201,8 @@
     call.service = core::identity::ServiceName(kind.service);
     call.isIdempotent = kind.isIdempotent;
     call.isNested = true;
-    call.priority = kind.priority;
+    call.priority = run.request.priority;
+    call.organisation = run.request.organisation;
     call.attempt = run.request.attempt;
     call.objective = kind.objective;
     const auto left = run.deadline - dependencies_.clock.now();
--- a/packages/emulator/plan/LoadPlan.h
+++ b/packages/emulator/plan/LoadPlan.h
@@ -4,6 +4,7 @@
 #include "emulator/plan/DataCentrePlan.h"
 #include "emulator/plan/FaultPlan.h"
 #include "emulator/plan/KindPlan.h"
+#include "emulator/plan/OrganisationPlan.h"
 #include "emulator/plan/ServicePlan.h"
 
 namespace boragetrack::emulator::plan {
@@ -21,6 +22,8 @@
     std::vector<ServicePlan> services;
     std::vector<KindPlan> kinds;
     std::vector<FaultPlan> faults;
+    /** The organisations that requests belong to; requests belong to none if there are none. */
+    std::vector<OrganisationPlan> organisations;
 
     /** Returns the kind with a name, or null. The pointer is valid as long as `kinds` is unchanged.
      */
--- a/packages/emulator/plan/LoadPlanReader.cpp
+++ b/packages/emulator/plan/LoadPlanReader.cpp
@@ -53,6 +53,9 @@
         "properties": {"kind": {"$ref": "#/definitions/name"},
           "times": {"$ref": "#/definitions/count"}, "share": {"$ref": "#/definitions/share"},
           "together": {"type": "boolean"}}}}}}},
+  "organisations": {"type": "array", "items": {
+    "type": "object", "additionalProperties": false, "required": ["name", "weight"],
+    "properties": {"name": {"$ref": "#/definitions/name"}, "weight": {"$ref": "#/definitions/time"}}}},
   "troubles": {"type": "array", "items": {
     "type": "object", "additionalProperties": false, "required": ["kind", "atMs", "lengthMs"],
     "properties": {
@@ -227,6 +230,8 @@
         plan.kinds.push_back(readKind(element));
     for (const json &element : object.value("troubles", json::array()))
         plan.faults.push_back(readFault(element));
+    for (const json &element : object.value("organisations", json::array()))
+        plan.organisations.push_back({element["name"], element["weight"]});
     checkKindReferences(plan, findings);
     checkMixReferences(plan, findings);
     checkFaultTargets(plan, findings);
--- a/packages/emulator/policies/BaselinePolicies.h
+++ b/packages/emulator/policies/BaselinePolicies.h
@@ -31,6 +31,7 @@
     {
         arrival.rank = 1;
         arrival.objective = arrival.deadline;
+        arrival.organisation = {};
         return arrival;
     }
 };
--- a/packages/emulator/policies/PolicySet.h
+++ b/packages/emulator/policies/PolicySet.h
@@ -3,6 +3,7 @@
 
 #include "traffic/admission/AdmissionPolicy.h"
 #include "traffic/admission/Arrival.h"
+#include "traffic/admission/ObjectiveOrder.h"
 #include "traffic/retry/RetryPolicy.h"
 #include "traffic/routing/RoutingPolicy.h"
 
@@ -25,6 +26,11 @@
     virtual std::unique_ptr<traffic::admission::AdmissionPolicy>
     makeAdmission(const traffic::admission::AdmissionLimits &limits) const = 0;
 
+    virtual std::unique_ptr<traffic::admission::QueueOrder> makeQueueOrder() const
+    {
+        return std::make_unique<traffic::admission::ObjectiveOrder>();
+    }
+
     /** Returns the arrival with the rank and objective by which the admission queue orders it. */
     virtual traffic::admission::Arrival
     adjustArrival(traffic::admission::Arrival arrival) const = 0;
--- a/packages/emulator/results/LoadResults.cpp
+++ b/packages/emulator/results/LoadResults.cpp
@@ -40,11 +40,13 @@
 } // namespace
 
 void LoadResults::recordRequest(const plan::KindPlan &kind, const std::string &dataCentre,
-                                int second, RequestOutcome outcome)
+                                const std::string &organisation, int second, RequestOutcome outcome)
 {
     add(total_, kind, outcome);
     add(byKind_[kind.name], kind, outcome);
     add(byDataCentre_[dataCentre], kind, outcome);
+    if (!organisation.empty())
+        add(byOrganisation_[organisation], kind, outcome);
     add(bySecond_[second], kind, outcome);
 }
 
--- a/packages/emulator/results/LoadResults.h
+++ b/packages/emulator/results/LoadResults.h
@@ -15,9 +15,10 @@
 public:
     /** Records the outcome of a request.
         @param dataCentre the data centre of its caller
+        @param organisation the organisation of its caller; empty if there is none
         @param second the second of the simulation in which its first attempt was made, from 0 */
-    void recordRequest(const plan::KindPlan &kind, const std::string &dataCentre, int second,
-                       RequestOutcome outcome);
+    void recordRequest(const plan::KindPlan &kind, const std::string &dataCentre,
+                       const std::string &organisation, int second, RequestOutcome outcome);
 
     /** Records an attempt.
         @param isRemote whether the chosen upstream is in another data centre than the node
@@ -32,6 +33,8 @@
     const OutcomeCounts &total() const { return total_; }
     const std::map<std::string, OutcomeCounts> &byKind() const { return byKind_; }
     const std::map<std::string, OutcomeCounts> &byDataCentre() const { return byDataCentre_; }
+    /** Returns the counts by organisation; empty if requests belong to none. */
+    const std::map<std::string, OutcomeCounts> &byOrganisation() const { return byOrganisation_; }
     const std::map<int, OutcomeCounts> &bySecond() const { return bySecond_; }
 
     /** Returns the lowest value share of two consecutive seconds; 1 if there are none. */
@@ -53,6 +56,7 @@
     OutcomeCounts total_;
     std::map<std::string, OutcomeCounts> byKind_;
     std::map<std::string, OutcomeCounts> byDataCentre_;
+    std::map<std::string, OutcomeCounts> byOrganisation_;
     std::map<int, OutcomeCounts> bySecond_;
     int attempts_ = 0;
     int remoteAttempts_ = 0;
--- a/packages/emulator/results/ResultsWriter.cpp
+++ b/packages/emulator/results/ResultsWriter.cpp
@@ -36,6 +36,7 @@
     return {{"day", countsToJson(results.total())},
             {"kinds", countsByNameToJson(results.byKind())},
             {"dataCentres", countsByNameToJson(results.byDataCentre())},
+            {"organisations", countsByNameToJson(results.byOrganisation())},
             {"seconds", seconds},
             {"worstSeconds", results.lowestTwoSecondShare()},
             {"worstKind", results.lowestKindShare()},
--- a/packages/emulator/simulation/LoadSimulation.cpp
+++ b/packages/emulator/simulation/LoadSimulation.cpp
@@ -185,7 +185,7 @@
             retriesImmediately = true;
         }
     }
-    callers_[target]->request(kind, retries, retriesImmediately);
+    callers_[target]->request(kind, drawOrganisation(), retries, retriesImmediately);
 }
 
 double LoadSimulation::currentRate(const plan::DataCentrePlan &dataCentre) const
@@ -214,6 +214,17 @@
     return *plan_.findKind(dataCentre.mix.rbegin()->first);
 }
 
+core::identity::OrganisationName LoadSimulation::drawOrganisation()
+{
+    if (plan_.organisations.empty())
+        return {};
+    std::vector<double> weights;
+    for (const auto &organisation : plan_.organisations)
+        weights.push_back(organisation.weight);
+    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+    return core::identity::OrganisationName(plan_.organisations[draw(random_)].name);
+}
+
 //==============================================================================
 void LoadSimulation::scheduleFault(const FaultPlan &fault)
 {
--- a/packages/emulator/simulation/LoadSimulation.h
+++ b/packages/emulator/simulation/LoadSimulation.h
@@ -42,6 +42,7 @@
     void generateRequest(std::size_t dataCentre);
     double currentRate(const plan::DataCentrePlan &dataCentre) const;
     const plan::KindPlan &drawKind(const plan::DataCentrePlan &dataCentre);
+    core::identity::OrganisationName drawOrganisation();
 
     void scheduleFault(const plan::FaultPlan &fault);
     void beginFault(const plan::FaultPlan &fault);
--- a/packages/traffic/admission/AdmissionQueue.cpp
+++ b/packages/traffic/admission/AdmissionQueue.cpp
@@ -29,9 +29,10 @@
 } // namespace
 
 AdmissionQueue::AdmissionQueue(std::unique_ptr<AdmissionPolicy> policy,
-                               const AdmissionLimits &limits)
+                               const AdmissionLimits &limits, std::unique_ptr<QueueOrder> order)
     : policy_(std::move(policy))
     , limits_(limits)
+    , selection_(std::move(order))
 {}
 
 void AdmissionQueue::setLimits(const AdmissionLimits &limits)
@@ -57,46 +58,51 @@
     if (isDraining_ || arrival.deadline <= now)
         return AdmissionDecision::Refuse;
     const ServiceTimeEstimate estimate = serviceTimes_.estimate(arrival.route, now);
-    const Waiting waiting{arrival, estimate.average(), estimate.assured()};
-    offeredLoad_.recordArrival(arrival.rank, waiting.serviceTime, now);
+    const WaitingRequest request{arrival, estimate.average(), estimate.assured()};
+    offeredLoad_.recordArrival(arrival.rank, request.serviceTime, now);
+    organisationDemand_.recordArrival(arrival.organisation, request.serviceTime, now);
     if (waiting_.empty() && hasFreePermit(now)) {
-        grantPermit(waiting, now);
+        grantPermit(request, now);
         return AdmissionDecision::Run;
     }
-    const MonotonicTime expectedStart = now + expectedWait(arrival.rank, now);
-    if (!canMeet(waiting, arrival.deadline, expectedStart))
+    const MonotonicTime expectedStart = now + expectedWait(arrival, now);
+    if (!request.canMeet(arrival.deadline, expectedStart))
         return AdmissionDecision::Refuse;
-    const bool isLate = !canMeet(waiting, arrival.objective, expectedStart);
-    if (isLate && static_cast<double>(countLate(now)) >= latePerPermit * policy_->limit())
+    const bool isLate = !request.canMeet(arrival.objective, expectedStart);
+    if (isLate && hasTooManyLate(now) && !makeRoomFor(request, Shortage::TooManyLate, now))
         return AdmissionDecision::Refuse;
-    if (!makeRoomFor(waiting, now))
+    const bool isFull = waiting_.size() >= static_cast<std::size_t>(limits_.queue);
+    if (isFull && !makeRoomFor(request, Shortage::QueueFull, now))
         return AdmissionDecision::Refuse;
-    waiting_.push_back(waiting);
+    waiting_.push_back(request);
+    organisations_.addWaiting(arrival.organisation);
     return AdmissionDecision::Wait;
 }
 
 void AdmissionQueue::finishRequest(const AdmissionSample &sample, MonotonicTime now)
 {
-    releasePermit();
+    releasePermit(sample.organisation);
     policy_->recordRequest(sample, now);
     if (!sample.isOverload)
         serviceTimes_.record(sample.route, sample.latency, now);
 }
 
-void AdmissionQueue::releasePermit()
+void AdmissionQueue::releasePermit(const core::identity::OrganisationName &organisation)
 {
     assert(!running_.empty());
     running_.erase(running_.begin());
+    organisations_.removeRunning(organisation);
 }
 
 std::vector<AdmissionQueue::Ticket> AdmissionQueue::takeRunnable(MonotonicTime now)
 {
     std::vector<Ticket> tickets;
     while (!waiting_.empty() && hasFreePermit(now)) {
-        const auto next = nextToRun(now);
+        const auto index = static_cast<std::ptrdiff_t>(selection_.nextToRun(stateAt(now)));
+        const auto next = waiting_.begin() + index;
         tickets.push_back(next->arrival.ticket);
         grantPermit(*next, now);
-        waiting_.erase(next);
+        remove(next);
     }
     return tickets;
 }
@@ -104,19 +110,25 @@
 std::vector<AdmissionQueue::Ticket> AdmissionQueue::takeRefused(MonotonicTime now)
 {
     std::vector<Ticket> tickets = std::exchange(displaced_, {});
-    std::erase_if(waiting_, [&](const Waiting &waiting) {
-        const bool isExpired = !canMeet(waiting, waiting.arrival.deadline, now);
-        if (isExpired)
-            tickets.push_back(waiting.arrival.ticket);
-        return isExpired;
-    });
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+        if (waiting->canMeet(waiting->arrival.deadline, now)) {
+            ++waiting;
+            continue;
+        }
+        tickets.push_back(waiting->arrival.ticket);
+        waiting = remove(waiting);
+    }
     return tickets;
 }
 
 void AdmissionQueue::withdraw(Ticket ticket)
 {
-    std::erase_if(waiting_,
-                  [&](const Waiting &waiting) { return waiting.arrival.ticket == ticket; });
+    const auto found
+            = std::find_if(waiting_.begin(), waiting_.end(), [&](const WaitingRequest &waiting) {
+                  return waiting.arrival.ticket == ticket;
+              });
+    if (found != waiting_.end())
+        remove(found);
 }
 
 std::optional<std::chrono::nanoseconds> AdmissionQueue::timeUntilNextCheck(MonotonicTime now)
@@ -131,11 +143,32 @@
 
 //==============================================================================
 std::chrono::nanoseconds AdmissionQueue::expectedWait(int rank, MonotonicTime now)
+{
+    return waitBehind([&](const Arrival &waiting) { return waiting.rank <= rank; },
+                      offeredLoad_.loadBelow(rank, now), now);
+}
+
+// A request of an organisation within its share waits only for others like it.
+std::chrono::nanoseconds AdmissionQueue::expectedWait(const Arrival &arrival, MonotonicTime now)
+{
+    const QueueSelection::State state = stateAt(now);
+    if (!state.isWithinShare(arrival.organisation))
+        return expectedWait(arrival.rank, now);
+    const auto isAhead
+            = [&](const Arrival &waiting) { return state.isWithinShare(waiting.organisation); };
+    return waitBehind(isAhead, 0.0, now);
+}
+
+// Returns the time until a request gets a permit. @param load the permits that requests which are
+// yet to arrive use before it
+std::chrono::nanoseconds
+AdmissionQueue::waitBehind(const std::function<bool(const Arrival &)> &isAhead, double load,
+                           MonotonicTime now)
 {
     std::chrono::nanoseconds ahead{0};
     double requests = 1.0;
-    for (const Waiting &waiting : waiting_) {
-        if (waiting.arrival.rank > rank)
+    for (const WaitingRequest &waiting : waiting_) {
+        if (!isAhead(waiting.arrival))
             continue;
         ahead += waiting.serviceTime;
         requests += 1.0;
@@ -145,8 +178,7 @@
     const bool isFree = running_.size() < static_cast<std::size_t>(limit);
     if (ahead.count() == 0 && isFree)
         return paced;
-    const double freePermits
-            = std::max(minimumFreePermits, limit - offeredLoad_.loadBelow(rank, now));
+    const double freePermits = std::max(minimumFreePermits, limit - load);
     const std::chrono::duration<double> total = ahead + remainingServiceTime(now);
     return std::max(paced,
                     std::chrono::duration_cast<std::chrono::nanoseconds>(total / freePermits));
@@ -165,30 +197,26 @@
     return report;
 }
 
-bool AdmissionQueue::canMeet(const Waiting &waiting, MonotonicTime end, MonotonicTime start) const
-{
-    return start + waiting.assuredTime < end;
-}
-
 bool AdmissionQueue::hasFreePermit(MonotonicTime now)
 {
     return running_.size() < static_cast<std::size_t>(std::max(1, policy_->limit()))
            && pacer_.mayAcquire(now);
 }
 
-void AdmissionQueue::grantPermit(const Waiting &request, MonotonicTime now)
+void AdmissionQueue::grantPermit(const WaitingRequest &request, MonotonicTime now)
 {
+    organisations_.addRunning(request.arrival.organisation);
     pacer_.acquire(now);
     serviceTimes_.recordStart(request.arrival.route, now);
     running_.push_back(Running{now, request.serviceTime});
 }
 
-std::size_t AdmissionQueue::countLate(MonotonicTime now) const
+bool AdmissionQueue::hasTooManyLate(MonotonicTime now) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) {
-                return !canMeet(waiting, waiting.arrival.objective, now);
-            }));
+    const auto late
+            = std::count_if(waiting_.begin(), waiting_.end(),
+                            [&](const WaitingRequest &waiting) { return !waiting.isInTime(now); });
+    return static_cast<double>(late) >= latePerPermit * policy_->limit();
 }
 
 std::chrono::nanoseconds AdmissionQueue::remainingServiceTime(MonotonicTime now) const
@@ -201,42 +229,29 @@
     return total;
 }
 
-bool AdmissionQueue::runsBefore(const Waiting &a, const Waiting &b, MonotonicTime now) const
+QueueSelection::State AdmissionQueue::stateAt(MonotonicTime now) const
 {
-    // The request that makes a nested call keeps its permit until that call ends, late or not.
-    if ((a.arrival.rank == 0) != (b.arrival.rank == 0))
-        return a.arrival.rank == 0;
-    const bool isLateA = !canMeet(a, a.arrival.objective, now);
-    const bool isLateB = !canMeet(b, b.arrival.objective, now);
-    return isLateA != isLateB ? isLateB : a.arrival.rank < b.arrival.rank;
+    return {waiting_, organisations_, organisationDemand_,
+            organisationDemand_.fairShare(policy_->limit(), now), now};
 }
 
-std::vector<AdmissionQueue::Waiting>::iterator AdmissionQueue::nextToRun(MonotonicTime now)
+// Returns whether a waiting request was displaced.
+bool AdmissionQueue::makeRoomFor(const WaitingRequest &arriving, Shortage shortage,
+                                 MonotonicTime now)
 {
-    return std::min_element(
-            waiting_.begin(), waiting_.end(),
-            [&](const Waiting &a, const Waiting &b) { return runsBefore(a, b, now); });
+    const auto displaced = selection_.displacedBy(arriving, stateAt(now), shortage);
+    if (!displaced)
+        return false;
+    const auto waiting = waiting_.begin() + static_cast<std::ptrdiff_t>(*displaced);
+    displaced_.push_back(waiting->arrival.ticket);
+    remove(waiting);
+    return true;
 }
 
-// Returns whether the queue has room, after displacing a request for a nested call. Refusing a
-// nested call because the queue is full of new requests would waste what its parent already did.
-bool AdmissionQueue::makeRoomFor(const Waiting &arriving, MonotonicTime now)
+AdmissionQueue::WaitingIterator AdmissionQueue::remove(WaitingIterator waiting)
 {
-    if (waiting_.size() < static_cast<std::size_t>(limits_.queue))
-        return true;
-    // Other requests displace none: a displaced request would have waited in vain, whereas the
-    // arriving one is refused immediately, with a retry time.
-    if (arriving.arrival.rank != 0)
-        return false;
-    // Searches from the back, so that of equals the latest arrival is displaced.
-    const auto last = std::max_element(
-            waiting_.rbegin(), waiting_.rend(),
-            [&](const Waiting &a, const Waiting &b) { return runsBefore(a, b, now); });
-    if (last == waiting_.rend() || !runsBefore(arriving, *last, now))
-        return false;
-    displaced_.push_back(last->arrival.ticket);
-    waiting_.erase(std::prev(last.base()));
-    return true;
+    organisations_.removeWaiting(waiting->arrival.organisation);
+    return waiting_.erase(waiting);
 }
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/admission/AdmissionQueue.h
+++ b/packages/traffic/admission/AdmissionQueue.h
@@ -5,12 +5,14 @@
 #include "traffic/admission/AdmissionPolicy.h"
 #include "traffic/admission/Arrival.h"
 #include "traffic/admission/ColdPacer.h"
+#include "traffic/admission/ObjectiveOrder.h"
 #include "traffic/admission/OfferedLoad.h"
+#include "traffic/admission/QueueSelection.h"
 #include "traffic/admission/ServiceTimeTable.h"
 #include "traffic/calls/LoadReport.h"
 
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -19,23 +21,20 @@
 
 /**
     Gives permits up to the policy's concurrency limit and queues further requests while they can
-    still meet their deadline.
-
-    The order under overload: requests that can still meet their objective run before those that can
-    only meet their deadline, then lower ranks run first, then earlier arrivals. Nested calls (rank
-    0) run before all others, late or not.
+    still meet their deadline. A QueueSelection decides which of them runs next and which gives way
+    to an arriving one.
 
     A request is refused on arrival when the requests ahead of it, including the expected arrivals
     of lower ranks, take too long for its deadline, and later as soon as the remaining time is
-    shorter than the service time that recent requests of its route show. A nested call that finds
-    the queue full displaces the request that would run last.
+    shorter than the service time that recent requests of its route show.
 */
 class AdmissionQueue
 {
 public:
     using Ticket = std::uint64_t;
 
-    AdmissionQueue(std::unique_ptr<AdmissionPolicy> policy, const AdmissionLimits &limits);
+    AdmissionQueue(std::unique_ptr<AdmissionPolicy> policy, const AdmissionLimits &limits,
+                   std::unique_ptr<QueueOrder> order = std::make_unique<ObjectiveOrder>());
 
     //==============================================================================
     /** Sets the bounds on concurrency and queue length. */
@@ -62,14 +61,15 @@
     /** Releases the permit of a request that ran, and records how it ended. */
     void finishRequest(const AdmissionSample &sample, core::timing::MonotonicTime now);
 
-    /** Releases the permit of a request that was not sent to the upstream. */
-    void releasePermit();
+    /** Releases the permit of a request that was not sent to the upstream.
+        @param organisation that of the request */
+    void releasePermit(const core::identity::OrganisationName &organisation = {});
 
     /** Removes and returns the waiting requests that get a permit now, in the order to run. */
     std::vector<Ticket> takeRunnable(core::timing::MonotonicTime now);
 
     /** Removes and returns the waiting requests that are refused: those that can no longer meet
-        their deadline and those that a nested call displaced. */
+        their deadline and those that an arriving request displaced. */
     std::vector<Ticket> takeRefused(core::timing::MonotonicTime now);
 
     /** Removes a waiting request whose caller disconnected. */
@@ -90,15 +90,6 @@
     const AdmissionPolicy &policy() const { return *policy_; }
 
 private:
-    struct Waiting
-    {
-        Arrival arrival;
-        // Expected, as of the arrival.
-        std::chrono::nanoseconds serviceTime;
-        // The part of it that is certain enough for a refusal.
-        std::chrono::nanoseconds assuredTime;
-    };
-
     struct Running
     {
         core::timing::MonotonicTime startedAt;
@@ -106,15 +97,20 @@
         std::chrono::nanoseconds serviceTime;
     };
 
-    bool canMeet(const Waiting &waiting, core::timing::MonotonicTime end,
-                 core::timing::MonotonicTime start) const;
+    using Shortage = QueueSelection::Shortage;
+    using WaitingIterator = std::vector<WaitingRequest>::iterator;
+
     bool hasFreePermit(core::timing::MonotonicTime now);
-    void grantPermit(const Waiting &request, core::timing::MonotonicTime now);
-    std::size_t countLate(core::timing::MonotonicTime now) const;
+    void grantPermit(const WaitingRequest &request, core::timing::MonotonicTime now);
+    bool hasTooManyLate(core::timing::MonotonicTime now) const;
     std::chrono::nanoseconds remainingServiceTime(core::timing::MonotonicTime now) const;
-    bool runsBefore(const Waiting &a, const Waiting &b, core::timing::MonotonicTime now) const;
-    std::vector<Waiting>::iterator nextToRun(core::timing::MonotonicTime now);
-    bool makeRoomFor(const Waiting &arriving, core::timing::MonotonicTime now);
+    std::chrono::nanoseconds expectedWait(const Arrival &arrival, core::timing::MonotonicTime now);
+    std::chrono::nanoseconds waitBehind(const std::function<bool(const Arrival &)> &isAhead,
+                                        double load, core::timing::MonotonicTime now);
+    QueueSelection::State stateAt(core::timing::MonotonicTime now) const;
+    bool makeRoomFor(const WaitingRequest &arriving, Shortage shortage,
+                     core::timing::MonotonicTime now);
+    WaitingIterator remove(WaitingIterator waiting);
 
     std::unique_ptr<AdmissionPolicy> policy_;
     AdmissionLimits limits_;
@@ -122,11 +118,15 @@
     ServiceTimeTable serviceTimes_;
     OfferedLoad offeredLoad_;
     ColdPacer pacer_;
+    QueueSelection selection_;
     // Invariant: one element for each permit in use, the earliest start first. Elements are not
     // matched to requests: a request that ends removes the first one.
     std::vector<Running> running_;
     // Invariant: in the order of arrival.
-    std::vector<Waiting> waiting_;
+    std::vector<WaitingRequest> waiting_;
+    // Invariant: counts the requests of running_ and waiting_.
+    OrganisationLoad organisations_;
+    OrganisationDemand organisationDemand_;
     // Requests that were displaced since the last call of takeRefused.
     std::vector<Ticket> displaced_;
 };
--- a/packages/traffic/admission/AdmissionSample.h
+++ b/packages/traffic/admission/AdmissionSample.h
@@ -1,6 +1,7 @@
 /** The outcome of one request, as admission policies use it. */
 #pragma once
 
+#include "core/identity/OrganisationName.h"
 #include "core/identity/RouteName.h"
 
 #include <chrono>
@@ -16,6 +17,7 @@
     /** Requests in flight when this one started, itself included. */
     int inFlight = 0;
     core::identity::RouteName route{};
+    core::identity::OrganisationName organisation{};
 };
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/admission/Arrival.h
+++ b/packages/traffic/admission/Arrival.h
@@ -23,6 +23,15 @@
     core::timing::MonotonicTime deadline;
     /** The organisation that the request belongs to; empty if there is none. */
     core::identity::OrganisationName organisation{};
+    /** For a nested call, the rank of the request that makes it; zero if that is not known. */
+    int parentRank = 0;
+
+    /** Returns whether a running request waits for this one. */
+    bool isNested() const { return rank == 0; }
+
+    /** Returns the rank by which urgency is compared, which a nested call shares with the request
+        that makes it. */
+    int urgency() const { return isNested() ? parentRank : rank; }
 };
 
 } // namespace boragetrack::traffic::admission
--- a/packages/traffic/calls/RunningCalls.h
+++ b/packages/traffic/calls/RunningCalls.h
@@ -14,6 +14,7 @@
     struct Entry
     {
         int attempt = 0;
+        int priority = 0;
         bool hasFailedNestedCall = false;
     };
     using Entries = std::multimap<std::string, Entry>;
@@ -23,9 +24,9 @@
     class ScopedCall
     {
     public:
-        ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt)
+        ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt, int priority = 0)
             : calls_(calls)
-            , entry_(calls_.entries_.emplace(requestId, Entry{attempt}))
+            , entry_(calls_.entries_.emplace(requestId, Entry{attempt, priority}))
         {}
         ~ScopedCall() { calls_.entries_.erase(entry_); }
         ScopedCall(const ScopedCall &) = delete;
@@ -47,6 +48,14 @@
                                                             : std::optional(found->second.attempt);
     }
 
+    /** Returns the priority of the running call with an id; nothing when none runs. */
+    std::optional<int> priorityOf(const std::string &requestId) const
+    {
+        const auto found = entries_.find(requestId);
+        return requestId.empty() || found == entries_.end() ? std::nullopt
+                                                            : std::optional(found->second.priority);
+    }
+
     /** Records that a call has failed which a running call made. @param requestId the id of the
         running call; ignored when none with this id runs */
     void recordFailedNestedCall(const std::string &requestId)
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -7,6 +7,7 @@
 #include "core/identity/NodeId.h"
 #include "core/identity/ServiceName.h"
 #include "traffic/admission/AdmissionPolicy.h"
+#include "traffic/admission/ObjectiveOrder.h"
 #include "traffic/retry/RetryPolicy.h"
 #include "traffic/routing/RoutingPolicy.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -43,6 +44,8 @@
     std::vector<LoopComponent *> loopComponents;
     serving::InboundProxy::EvidenceSink evidenceSink;
     core::counters::CounterRegistry &counters;
+    std::unique_ptr<traffic::admission::QueueOrder> queueOrder
+            = std::make_unique<traffic::admission::ObjectiveOrder>();
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -33,7 +33,8 @@
     , inbound_(serving::InboundProxy::Dependencies{
               dependencies.self, dependencies.processId, links_, io.provider->getNetwork(), timer_,
               dependencies.dialect, dependencies.routing, std::move(dependencies.admission),
-              dependencies.evidenceSink, monitor_.pauses(), dependencies.counters})
+              dependencies.evidenceSink, monitor_.pauses(), dependencies.counters,
+              std::move(dependencies.queueOrder)})
     , callers_(callers::CallerServer::Dependencies{
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
--- a/packages/transport/serving/AdmissionController.cpp
+++ b/packages/transport/serving/AdmissionController.cpp
@@ -28,15 +28,17 @@
 
 } // namespace
 
-AdmissionController::ScopedPermit::ScopedPermit(AdmissionController &controller)
+AdmissionController::ScopedPermit::ScopedPermit(AdmissionController &controller,
+                                                core::identity::OrganisationName organisation)
     : controller_(controller)
+    , organisation_(std::move(organisation))
     , inFlight_(controller.load().inFlight)
 {}
 
 AdmissionController::ScopedPermit::~ScopedPermit() noexcept
 {
     if (!hasOutcome_)
-        controller_.queue_.releasePermit();
+        controller_.queue_.releasePermit(organisation_);
     controller_.processQueue();
 }
 
@@ -46,8 +48,8 @@
 {
     hasOutcome_ = true;
     const bool isOverload = response.outcome != CallOutcome::Completed;
-    controller_.queue_.finishRequest(AdmissionSample{latency, isOverload, inFlight_, route},
-                                     currentTime());
+    controller_.queue_.finishRequest(
+            AdmissionSample{latency, isOverload, inFlight_, route, organisation_}, currentTime());
 }
 
 /** A request that waits for a permit; withdrawn from the queue when it is destroyed before it was
@@ -56,9 +58,11 @@
 {
 public:
     QueuedRequest(AdmissionController &controller, Ticket ticket,
+                  core::identity::OrganisationName organisation,
                   kj::Own<kj::PromiseFulfiller<OptionalPermit>> fulfiller)
         : controller_(controller)
         , ticket_(ticket)
+        , organisation_(std::move(organisation))
         , fulfiller_(kj::mv(fulfiller))
     {
         controller_.queuedRequests_[ticket_] = this;
@@ -71,17 +75,21 @@
     QueuedRequest(const QueuedRequest &) = delete;
     QueuedRequest &operator=(const QueuedRequest &) = delete;
 
+    const core::identity::OrganisationName &organisation() const { return organisation_; }
+
     void resolve(OptionalPermit permit) { fulfiller_->fulfill(kj::mv(permit)); }
 
 private:
     AdmissionController &controller_;
     Ticket ticket_;
+    core::identity::OrganisationName organisation_;
     kj::Own<kj::PromiseFulfiller<OptionalPermit>> fulfiller_;
 };
 
 AdmissionController::AdmissionController(
-        std::unique_ptr<traffic::admission::AdmissionPolicy> policy, timing::PreciseTimer &timer)
-    : queue_(std::move(policy), {})
+        std::unique_ptr<traffic::admission::AdmissionPolicy> policy, timing::PreciseTimer &timer,
+        std::unique_ptr<traffic::admission::QueueOrder> order)
+    : queue_(std::move(policy), {}, std::move(order))
     , timer_(timer)
     , tasks_(*this)
 {}
@@ -93,16 +101,21 @@
 {
     const MonotonicTime now = currentTime();
     const Ticket ticket = ++lastTicket_;
-    const Arrival arrival{ticket, request.route, request.rank(), now + request.objective,
+    const Arrival arrival{ticket,
+                          request.route,
+                          request.rank(),
+                          now + request.objective,
                           now + request.budget - request.possibleDelay,
-                          request.organisation};
+                          request.organisation,
+                          1 + request.priority};
     const AdmissionDecision decision = queue_.arrive(arrival, now);
     if (decision == AdmissionDecision::Run)
-        return OptionalPermit(kj::heap<ScopedPermit>(*this));
+        return OptionalPermit(kj::heap<ScopedPermit>(*this, request.organisation));
     if (decision == AdmissionDecision::Refuse)
         return OptionalPermit(nullptr);
     auto pair = kj::newPromiseAndFulfiller<OptionalPermit>();
-    auto queued = kj::heap<QueuedRequest>(*this, ticket, kj::mv(pair.fulfiller));
+    auto queued
+            = kj::heap<QueuedRequest>(*this, ticket, request.organisation, kj::mv(pair.fulfiller));
     resolveRefused();
     scheduleRecheck();
     return timer_.timeoutAfter(toKj(request.budget), kj::mv(pair.promise))
@@ -122,7 +135,7 @@
 {
     resolveRefused();
     for (const Ticket ticket : queue_.takeRunnable(currentTime()))
-        resolve(ticket, OptionalPermit(kj::heap<ScopedPermit>(*this)));
+        admitQueued(ticket);
 }
 
 void AdmissionController::resolveRefused()
@@ -145,6 +158,14 @@
     }));
 }
 
+void AdmissionController::admitQueued(Ticket ticket)
+{
+    const auto found = queuedRequests_.find(ticket);
+    const auto organisation = found == queuedRequests_.end() ? core::identity::OrganisationName()
+                                                             : found->second->organisation();
+    resolve(ticket, OptionalPermit(kj::heap<ScopedPermit>(*this, organisation)));
+}
+
 void AdmissionController::resolve(Ticket ticket, OptionalPermit permit)
 {
     const auto found = queuedRequests_.find(ticket);
--- a/packages/transport/serving/AdmissionController.h
+++ b/packages/transport/serving/AdmissionController.h
@@ -26,7 +26,9 @@
 
     /** @param timer outlives the controller */
     AdmissionController(std::unique_ptr<traffic::admission::AdmissionPolicy> policy,
-                        timing::PreciseTimer &timer);
+                        timing::PreciseTimer &timer,
+                        std::unique_ptr<traffic::admission::QueueOrder> order
+                        = std::make_unique<traffic::admission::ObjectiveOrder>());
     ~AdmissionController() noexcept;
     AdmissionController(const AdmissionController &) = delete;
     AdmissionController &operator=(const AdmissionController &) = delete;
@@ -48,6 +50,7 @@
     void processQueue();
     void resolveRefused();
     void scheduleRecheck();
+    void admitQueued(Ticket ticket);
     void resolve(Ticket ticket, OptionalPermit permit);
     void taskFailed(kj::Exception &&exception) override;
 
@@ -64,7 +67,8 @@
 class AdmissionController::ScopedPermit
 {
 public:
-    explicit ScopedPermit(AdmissionController &controller);
+    /** @param organisation that of the request */
+    ScopedPermit(AdmissionController &controller, core::identity::OrganisationName organisation);
     ~ScopedPermit() noexcept;
     ScopedPermit(const ScopedPermit &) = delete;
     ScopedPermit &operator=(const ScopedPermit &) = delete;
@@ -77,6 +81,7 @@
 
 private:
     AdmissionController &controller_;
+    core::identity::OrganisationName organisation_;
     // Requests at the upstream when the permit was granted, this one included.
     int inFlight_;
     bool hasOutcome_ = false;
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -39,7 +39,8 @@
     , upstreamClient_(dependencies_.network, dependencies_.timer, dependencies_.dialect,
                       dependencies_.counters.counter("upstream_connections_opened"), *this)
     , claimClient_(dependencies_.links, *this, dependencies_.self)
-    , admission_(std::move(dependencies_.admission), dependencies_.timer)
+    , admission_(std::move(dependencies_.admission), dependencies_.timer,
+                 std::move(dependencies_.queueOrder))
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
                    [this](CallRequest &request, kj::Own<AdmissionController::ScopedPermit> permit) {
                        return send(request, kj::mv(permit));
@@ -155,7 +156,7 @@
         return refuse(request, *reason);
     callsRun_.add();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
-            runningCalls_, request.requestId, request.attempt);
+            runningCalls_, request.requestId, request.attempt, request.priority);
     return upstreamClient_.send(request, *status_)
             .then([this, &request, startedAt, permit = kj::mv(permit),
                    registration = kj::mv(registration)](CallResponse &&response) mutable {
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -53,6 +53,8 @@
         EvidenceSink evidence;
         const core::timing::PauseDetector &pauses;
         core::counters::CounterRegistry &counters;
+        std::unique_ptr<traffic::admission::QueueOrder> queueOrder
+                = std::make_unique<traffic::admission::ObjectiveOrder>();
     };
 
     explicit InboundProxy(Dependencies dependencies);
