Put urgent requests first with the setting urgencyFirst

Nested calls have rank 0 and delay urgent requests of the same service, and an urgent request was refused while less urgent ones waited. With urgencyFirst, off by default and turned on by the term 'pressure', an arriving request displaces less urgent ones, a nested call has the rank of the request that makes it and goes before others that can wait, and an admitted late request runs at its last moment before requests that can wait. A new request displaces no nested call.

--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -21,6 +21,8 @@
     all.push_back(std::make_unique<policies::BaselinePolicies>());
     all.push_back(std::make_unique<policies::TwoChoicesPolicies>());
     all.push_back(std::make_unique<policies::StandardPolicies>());
+    all.push_back(std::make_unique<policies::UrgencyPolicies>());
+    all.push_back(std::make_unique<policies::NestedFirstPolicies>());
     return all;
 }
 
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -7,6 +7,8 @@
 #include "daemon/environment/PlatformEnvironment.h"
 #include "traffic/admission/AdaptiveConcurrency.h"
 #include "traffic/admission/FixedConcurrency.h"
+#include "traffic/admission/ObjectiveOrder.h"
+#include "traffic/admission/UrgencyOrder.h"
 #include "traffic/retry/BudgetedRetry.h"
 #include "traffic/retry/PlainRetry.h"
 #include "traffic/routing/OnTimeRouting.h"
@@ -52,6 +54,13 @@
     return std::make_unique<traffic::retry::BudgetedRetry>(settings.retryLimits);
 }
 
+std::unique_ptr<traffic::admission::QueueOrder> makeQueueOrder(bool isUrgencyFirst)
+{
+    if (isUrgencyFirst)
+        return std::make_unique<traffic::admission::UrgencyOrder>();
+    return std::make_unique<traffic::admission::ObjectiveOrder>();
+}
+
 } // namespace
 
 Node::Node(settings::NodeSettings settings)
@@ -73,7 +82,7 @@
                [this](const control::moves::CallEvidence &evidence) {
                    control_.callEnded(evidence);
                },
-               counters_})
+               counters_, makeQueueOrder(settings_.isUrgencyFirst)})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -53,19 +53,24 @@
     /** Limits on retries of calls. */
     traffic::retry::RetryLimits retryLimits;
     traffic::routing::CrossDataCentreCost crossDataCentreCost;
+    /** Whether urgent requests displace less urgent ones that wait for an upstream, and nested
+       calls have the rank of the request that makes them. */
+    bool isUrgencyFirst = false;
     /** Runs the baseline policies of routing, admission, retries and moves, for measurements. */
     bool usesBaselinePolicies = false;
     /** Makes every node watch the platform, as a baseline for measurements. */
     bool watchesAlways = false;
 
-    /** Returns whether other settings have the same identity, interface and addresses of listeners
-        (except that of metrics) and of the platform; these are fixed while the process runs. */
+    /** Returns whether other settings have the same identity, interface, order of waiting requests
+        and addresses of listeners (except that of metrics) and of the platform; these are fixed
+       while the process runs. */
     bool hasSameFixedSettings(const NodeSettings &other) const
     {
         return node == other.node && dataCentre == other.dataCentre && service == other.service
                && callers == other.callers && peers == other.peers && operators == other.operators
                && announcements == other.announcements && readiness == other.readiness
-               && platform == other.platform && interface == other.interface;
+               && platform == other.platform
+               && interface == other.interface && isUrgencyFirst == other.isUrgencyFirst;
     }
 };
 
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -4,6 +4,7 @@
 #include "core/findings/SchemaValidator.h"
 #include "core/findings/TextFile.h"
 #include "core/identity/AddressParser.h"
+#include "platform/DeploymentTerms.h"
 
 #include <absl/strings/numbers.h>
 #include <map>
@@ -52,6 +53,8 @@
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
   "graceSeconds": {"anyOf": [{"type": "number", "minimum": 2}, {"type": "string"}]},
+  "urgencyFirst": {"type": "boolean"},
+  "contracts": {"type": "array", "items": {"type": "string"}},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
@@ -127,11 +130,15 @@
 
 void readPlatformSettings(const json &root, NodeSettings &settings, FindingList &findings)
 {
+    settings.isUrgencyFirst = root.value("urgencyFirst", false);
     settings.announcementTimeout = std::chrono::milliseconds(
             root.value("announcementLifeMs", settings.announcementTimeout.count()));
     if (root.value("interface", "own") != "platform")
         return;
     settings.interface = NodeInterface::Platform;
+    const auto terms
+            = platform::readDeploymentTerms(root.value("contracts", std::vector<std::string>()));
+    settings.isUrgencyFirst = root.value("urgencyFirst", terms.isUrgencyFirst);
     if (root.contains("repeats"))
         settings.retryLimits = readRetryLimits(root["repeats"]);
     if (root.contains("graceSeconds"))
--- a/packages/emulator/emulator.h
+++ b/packages/emulator/emulator.h
@@ -15,8 +15,10 @@
 
 #include "emulator/plan/LoadPlanReader.h"
 #include "emulator/policies/BaselinePolicies.h"
+#include "emulator/policies/NestedFirstPolicies.h"
 #include "emulator/policies/StandardPolicies.h"
 #include "emulator/policies/TwoChoicesPolicies.h"
+#include "emulator/policies/UrgencyPolicies.h"
 #include "emulator/restarts/PlanGenerator.h"
 #include "emulator/restarts/PlanShrinker.h"
 #include "emulator/restarts/RestartSimulation.h"
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -165,6 +165,9 @@
             = server_.dependencies_.runningCalls.attemptOf(description_.parentId)) {
             call.isNested = true;
             call.attempt = std::max(call.attempt, *attempt);
+            // Work for an urgent request is urgent, whichever route it takes.
+            call.priority = server_.dependencies_.runningCalls.priorityOf(description_.parentId)
+                                    .value_or(call.priority);
         }
         return call;
     }
--- a/tests/unit/LoadTest.cpp
+++ b/tests/unit/LoadTest.cpp
@@ -50,6 +50,7 @@
 
 const emulator::policies::StandardPolicies standard;
 const emulator::policies::TwoChoicesPolicies twoChoices;
+const emulator::policies::UrgencyPolicies urgencyFirst;
 const emulator::policies::BaselinePolicies baseline;
 
 } // namespace
@@ -138,6 +139,58 @@
     }
 }
 
+// One organisation sends 17 of 20 requests, together more than twice what the upstreams can take.
+// The others demand less than an equal share and must not be refused for it.
+TEST(Load, servesOrganisationsWithinTheirShareWhileAnotherFloods)
+{
+    const LoadPlan plan = readPlan("flood-12");
+    const emulator::policies::PolicySet *const sets[] = {&standard, &urgencyFirst};
+    for (const auto *policies : sets) {
+        LoadSimulation simulation(plan, *policies, firstSeed);
+        const auto &counts = simulation.run().byOrganisation();
+        for (const char *name : {"small-1", "small-2", "small-3"}) {
+            const auto &small = counts.at(name);
+            EXPECT_LT(small.refused + small.failed, 0.03 * small.requests)
+                    << policies->name() << " " << name;
+            EXPECT_GT(small.valueShare(), 0.88) << policies->name() << " " << name;
+        }
+        EXPECT_GT(counts.at("flood").valueShare(), 0.45) << policies->name();
+    }
+}
+
+namespace {
+
+double purchaseShare(const LoadResults &results)
+{
+    return results.byKind().at("purchase").valueShare();
+}
+
+} // namespace
+
+// Views, the least urgent kind, make nested calls of the service that runs purchases. If these
+// always run first, purchases are served worse than they could be.
+TEST(Load, servesUrgentKindsBetterWithUrgencyFirst)
+{
+    const LoadPlan plan = readPlan("heavy-12");
+    EXPECT_GT(mean(plan, urgencyFirst, purchaseShare), mean(plan, standard, purchaseShare) + 0.03);
+}
+
+// Putting urgent requests first must cost others no more than it gives the urgent ones.
+TEST(Load, deliversNearlyTheSameValueWithUrgencyFirst)
+{
+    const LoadPlan plan = readPlan("heavy-12");
+    EXPECT_GT(mean(plan, urgencyFirst, valueShare), mean(plan, standard, valueShare) - 0.015);
+}
+
+// One upstream is left of the service of purchases and of the nested calls of views.
+TEST(Load, servesUrgentKindsBetterThanOthersWhenTheirServiceIsScarce)
+{
+    const LoadPlan plan = readPlan("scarce-12");
+    LoadSimulation simulation(plan, urgencyFirst, firstSeed);
+    const auto &counts = simulation.run().byKind();
+    EXPECT_GT(counts.at("purchase").valueShare(), counts.at("view").valueShare());
+}
+
 TEST(LoadPlanReader, reportsTheLocationsOfFindings)
 {
     core::findings::FindingList findings("plan");
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -113,6 +113,32 @@
     EXPECT_TRUE(refusalReason(build()));
 }
 
+TEST(SettingsReader, putsUrgentRequestsFirstIfASettingOrATermAsksForIt)
+{
+    const auto read = [](const std::string &fields) {
+        const std::string text = R"({"interface": "platform", "node": "n1", "dataCentre": "ikeja",
+            "service": "payments", "callers": "127.0.0.1:1001", "announcements": "127.0.0.1:1002",
+            "readiness": "127.0.0.1:1003", "peers": "127.0.0.1:1004", "operators": "127.0.0.1:1005",
+            "platform": "127.0.0.1:1006", "dataCentres": ["ikeja"], "seeds": [])"
+                                 + fields + "}";
+        core::findings::FindingList findings("settings");
+        const auto settings = daemon::settings::readSettings(text, findings);
+        return settings ? std::optional(settings->isUrgencyFirst) : std::nullopt;
+    };
+    EXPECT_EQ(read(""), false);
+    EXPECT_EQ(read(R"(, "contracts": [])"), false);
+    EXPECT_EQ(read(R"(, "contracts": ["unheard-of"])"), false);
+    EXPECT_EQ(read(R"(, "contracts": ["unheard-of", "pressure"])"), true);
+    EXPECT_EQ(read(R"(, "urgencyFirst": true)"), true);
+    EXPECT_EQ(read(R"(, "urgencyFirst": false, "contracts": ["pressure"])"), false);
+    EXPECT_EQ(read(R"(, "urgencyFirst": "yes")"), std::nullopt);
+    FindingList findings("s.json");
+    const auto native = daemon::settings::readSettings(
+            replaced(validSettings, "\"seeds\"", "\"urgencyFirst\": true, \"seeds\""), findings);
+    ASSERT_TRUE(native) << findings.toString();
+    EXPECT_TRUE(native->isUrgencyFirst);
+}
+
 // An older platform fills in nothing where the template names the grace period.
 TEST(SettingsReader, takesTheDefaultForAnEmptyGracePeriod)
 {
