--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -7,6 +7,8 @@
 #include "daemon/environment/PlatformEnvironment.h"
 #include "traffic/admission/AdaptiveConcurrency.h"
 #include "traffic/admission/FixedConcurrency.h"
+#include "traffic/admission/ObjectiveOrder.h"
+#include "traffic/admission/UrgencyOrder.h"
 #include "traffic/retry/BudgetedRetry.h"
 #include "traffic/retry/PlainRetry.h"
 #include "traffic/routing/OnTimeRouting.h"
@@ -54,6 +56,13 @@
     return std::make_unique<traffic::retry::BudgetedRetry>(settings.retryLimits);
 }
 
+std::unique_ptr<traffic::admission::QueueOrder> makeQueueOrder(bool isUrgencyFirst)
+{
+    if (isUrgencyFirst)
+        return std::make_unique<traffic::admission::UrgencyOrder>();
+    return std::make_unique<traffic::admission::ObjectiveOrder>();
+}
+
 } // namespace
 
 Node::Node(settings::NodeSettings settings)
@@ -80,7 +89,8 @@
                },
                counters_,
                environment_->usage() != nullptr ? &environment_->usage()->sampler().meter()
-                                                : nullptr})
+                                                : nullptr,
+               makeQueueOrder(settings_.isUrgencyFirst)})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -5,6 +5,7 @@
 #include "core/findings/TextFile.h"
 #include "core/identity/AddressParser.h"
 #include "daemon/settings/UsageSettingsReader.h"
+#include "platform/DeploymentTerms.h"
 
 #include <absl/strings/numbers.h>
 #include <map>
@@ -65,6 +66,8 @@
                    "leaseSeconds": {"$ref": "#/definitions/seconds"},
                    "callsPerSecond": {"$ref": "#/definitions/seconds"}}},
   "duties": {"type": "array", "items": {"type": "string"}},
+  "urgencyFirst": {"type": "boolean"},
+  "contracts": {"type": "array", "items": {"type": "string"}},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
@@ -159,11 +162,15 @@
 
 void readPlatformSettings(const json &root, NodeSettings &settings, FindingList &findings)
 {
+    settings.isUrgencyFirst = root.value("urgencyFirst", false);
     settings.announcementTimeout = std::chrono::milliseconds(
             root.value("announcementLifeMs", settings.announcementTimeout.count()));
     if (root.value("interface", "own") != "platform")
         return;
     settings.interface = NodeInterface::Platform;
+    const auto terms
+            = platform::readDeploymentTerms(root.value("contracts", std::vector<std::string>()));
+    settings.isUrgencyFirst = root.value("urgencyFirst", terms.isUrgencyFirst);
     if (root.contains("repeats"))
         settings.retryLimits = readRetryLimits(root["repeats"]);
     if (root.contains("graceSeconds"))
--- a/packages/traffic/calls/RunningCalls.h
+++ b/packages/traffic/calls/RunningCalls.h
@@ -17,6 +17,7 @@
     {
         int attempt = 0;
         core::identity::OrganisationName organisation;
+        int priority = 0;
         bool hasFailedNestedCall = false;
     };
     using Entries = std::multimap<std::string, Entry>;
@@ -27,9 +28,9 @@
     {
     public:
         ScopedCall(RunningCalls &calls, const std::string &requestId, int attempt,
-                   const core::identity::OrganisationName &organisation)
+                   const core::identity::OrganisationName &organisation, int priority = 0)
             : calls_(calls)
-            , entry_(calls_.entries_.emplace(requestId, Entry{attempt, organisation}))
+            , entry_(calls_.entries_.emplace(requestId, Entry{attempt, organisation, priority}))
         {}
         ~ScopedCall() { calls_.entries_.erase(entry_); }
         ScopedCall(const ScopedCall &) = delete;
@@ -62,6 +63,14 @@
                        : std::optional(found->second.organisation);
     }
 
+    /** Returns the priority of the running call with an id; nothing when none runs. */
+    std::optional<int> priorityOf(const std::string &requestId) const
+    {
+        const auto found = entries_.find(requestId);
+        return requestId.empty() || found == entries_.end() ? std::nullopt
+                                                            : std::optional(found->second.priority);
+    }
+
     /** Records that a call has failed which a running call made. @param requestId the id of the
         running call; ignored when none with this id runs */
     void recordFailedNestedCall(const std::string &requestId)
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -176,6 +176,9 @@
     if (const auto attempt = server_.dependencies_.runningCalls.attemptOf(description_.parentId)) {
         call.isNested = true;
         call.attempt = std::max(call.attempt, *attempt);
+        // Work for an urgent request is urgent, whichever route it takes.
+        call.priority = server_.dependencies_.runningCalls.priorityOf(description_.parentId)
+                                .value_or(call.priority);
     }
     if (snapshot_->access->usesKeys())
         applyAccess(call, access_, server_.dependencies_.dialect.organisationHeader());
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -8,6 +8,7 @@
 #include "core/identity/ServiceName.h"
 #include "traffic/access/KeyFreshness.h"
 #include "traffic/admission/AdmissionPolicy.h"
+#include "traffic/admission/ObjectiveOrder.h"
 #include "traffic/retry/RetryPolicy.h"
 #include "traffic/routing/RoutingPolicy.h"
 #include "traffic/routing/RoutingSnapshot.h"
@@ -49,6 +50,8 @@
     core::counters::CounterRegistry &counters;
     /** Counts organisations' requests; null if they are not counted. */
     traffic::usage::UsageMeter *usageMeter = nullptr;
+    std::unique_ptr<traffic::admission::QueueOrder> queueOrder
+            = std::make_unique<traffic::admission::ObjectiveOrder>();
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -34,7 +34,7 @@
               dependencies.self, dependencies.processId, links_, io.provider->getNetwork(), timer_,
               dependencies.dialect, dependencies.routing, std::move(dependencies.admission),
               dependencies.evidenceSink, monitor_.pauses(), dependencies.counters,
-              dependencies.usageMeter})
+              dependencies.usageMeter, std::move(dependencies.queueOrder)})
     , callers_(callers::CallerServer::Dependencies{
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -40,7 +40,8 @@
     , upstreamClient_(dependencies_.network, dependencies_.timer, dependencies_.dialect,
                       dependencies_.counters.counter("upstream_connections_opened"), *this)
     , claimClient_(dependencies_.links, *this, dependencies_.self)
-    , admission_(std::move(dependencies_.admission), dependencies_.timer)
+    , admission_(std::move(dependencies_.admission), dependencies_.timer,
+                 std::move(dependencies_.queueOrder))
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
                    [this](CallRequest &request, kj::Own<AdmissionController::ScopedPermit> permit) {
                        return send(request, kj::mv(permit));
@@ -156,7 +157,8 @@
         return refuse(request, *reason);
     callsRun_.add();
     auto registration = kj::heap<traffic::calls::RunningCalls::ScopedCall>(
-            runningCalls_, request.requestId, request.attempt, request.organisation);
+            runningCalls_, request.requestId, request.attempt, request.organisation,
+            request.priority);
     traffic::usage::CountedRequest counted(dependencies_.usageMeter, request,
                                            core::timing::currentWallTime());
     return upstreamClient_.send(request, *status_)
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -56,6 +56,8 @@
         core::counters::CounterRegistry &counters;
         /** Counts organisations' requests; null if they are not counted. */
         traffic::usage::UsageMeter *usageMeter = nullptr;
+        std::unique_ptr<traffic::admission::QueueOrder> queueOrder
+                = std::make_unique<traffic::admission::ObjectiveOrder>();
     };
 
     explicit InboundProxy(Dependencies dependencies);
