--- a/tests/platform/pipelined_caller.py
+++ b/tests/platform/pipelined_caller.py
@@ -32,6 +32,15 @@
 
     def read_response(self):
         """Returns the next response, or None at the end of the connection."""
+        head = self.read_head()
+        if head is None:
+            return None
+        status, headers = head
+        body = self._reader.read(int(headers.get("Content-Length", 0)))
+        return ReceivedResponse(status, headers, body)
+
+    def read_head(self):
+        """Returns the status and the headers of the next response, or None at the end."""
         try:
             status_line = self._reader.readline()
         except ConnectionError:
@@ -42,8 +51,7 @@
         while (line := self._reader.readline().strip()):
             name, _, value = line.decode().partition(":")
             headers[name] = value.strip()
-        body = self._reader.read(int(headers.get("Content-Length", 0)))
-        return ReceivedResponse(int(status_line.split()[1]), headers, body)
+        return int(status_line.split()[1]), headers
 
     def close(self):
         self._reader.close()
