Bound what calls hold by the memory of the VM

A node kept the responses of callers that read slowly for as long as they took. At the budget the connection of the caller that has taken nothing for the longest time is closed; a request whose body finds no room is refused as not run. A response of an upstream waits for room before it is read, also within the older limit of 24 MiB, which ended such calls as unknown. A call drops its request once its response is there. Without the setting there is no bound as before.

--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -54,6 +54,8 @@
     CallTurnedAway = 511,
     DataCentreCutOff = 520,
     DataCentreAnswered = 521,
+    SlowReaderClosed = 540,
+    MemoryBudgetExhausted = 541,
 };
 
 } // namespace boragetrack::core::events
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -73,7 +73,7 @@
                [this](const control::moves::CallEvidence &evidence) {
                    control_.callEnded(evidence);
                },
-               counters_})
+               counters_, settings_.memoryBytes})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -48,6 +48,8 @@
     /** Time from the request to stop until the platform ends the process by force, if the platform
         does not tell; only with the platform's interface. */
     std::chrono::milliseconds stopGracePeriod{6000};
+    /** The memory of the VM in bytes, which bounds what calls take; empty for no bound. */
+    std::optional<std::size_t> memoryBytes;
     /** Peers to contact first. May include this node, which is then skipped. */
     std::vector<core::identity::NetworkAddress> seeds;
     /** Limits on retries of calls. */
--- a/packages/daemon/settings/SettingsReader.cpp
+++ b/packages/daemon/settings/SettingsReader.cpp
@@ -6,6 +6,7 @@
 #include "core/identity/AddressParser.h"
 
 #include <absl/strings/numbers.h>
+#include <cmath>
 #include <map>
 
 namespace boragetrack::daemon::settings {
@@ -52,6 +53,7 @@
     "properties": {"bytesWorthACall": {"type": "integer", "minimum": 1}}},
   "announcementLifeMs": {"type": "integer", "minimum": 1},
   "graceSeconds": {"anyOf": [{"type": "number", "minimum": 2}, {"type": "string"}]},
+  "memoryMegabytes": {"anyOf": [{"type": "number"}, {"type": "string"}]},
   "experiment": {"type": "object", "additionalProperties": false, "properties": {
     "baselinePolicies": {"type": "boolean"}, "watchAlways": {"type": "boolean"}}}
 }})json";
@@ -59,6 +61,11 @@
 constexpr double minimumGraceSeconds = 2.0;
 constexpr double maximumGraceSeconds = 3600.0;
 
+// The budget of a smaller VM would not hold the largest body.
+constexpr double minimumMemoryMegabytes = 64.0;
+constexpr double maximumMemoryMegabytes = 1024.0 * 1024.0;
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
+
 // A node uses only this fraction of the shared retry budget: nodes do not exchange how much they
 // have spent, and some calls are retries that no node can recognise as such.
 constexpr double sharedBudgetFraction = 0.5;
@@ -107,6 +114,36 @@
     return limits;
 }
 
+// Reads a number that the platform may fill in as text. Returns nothing for an empty text, which a
+// platform fills in that does not know the number, and for one out of range.
+std::optional<double> readNumber(const json &value, double minimum, double maximum,
+                                 const std::string &pointer, FindingList &findings)
+{
+    double number = 0.0;
+    if (value.is_number())
+        number = value.get<double>();
+    else if (value.get<std::string>().empty())
+        return std::nullopt;
+    else if (!absl::SimpleAtod(value.get<std::string>(), &number))
+        number = minimum - 1.0;
+    if (number >= minimum && number <= maximum)
+        return number;
+    findings.add(pointer, value.dump() + " is not a number from "
+                                  + std::to_string(std::lround(minimum)) + " to "
+                                  + std::to_string(std::lround(maximum)));
+    return std::nullopt;
+}
+
+void readMemory(const json &root, NodeSettings &settings, FindingList &findings)
+{
+    if (!root.contains("memoryMegabytes"))
+        return;
+    const auto megabytes = readNumber(root["memoryMegabytes"], minimumMemoryMegabytes,
+                                      maximumMemoryMegabytes, "/memoryMegabytes", findings);
+    if (megabytes)
+        settings.memoryBytes = static_cast<std::size_t>(*megabytes * bytesPerMegabyte);
+}
+
 // A platform that does not know the grace period fills in an empty text; the default then applies.
 void readGracePeriod(const json &value, NodeSettings &settings, FindingList &findings)
 {
@@ -164,6 +201,7 @@
     settings.operators = readAddress(root["operators"], "/operators", findings);
     settings.operatorToken = root.value("operatorToken", "");
     settings.platform = readAddress(root["platform"], "/platform", findings);
+    readMemory(root, settings, findings);
     for (std::size_t i = 0; i < root["seeds"].size(); ++i)
         settings.seeds.push_back(
                 readAddress(root["seeds"][i], "/seeds/" + std::to_string(i), findings));
--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -263,6 +263,8 @@
     kj::Promise<void> respond(const CallResponse &response)
     {
         logOutcome(eventOf(response), "call ended", response);
+        // The request is not needed any longer, while the caller may take its time to read.
+        plan_.reset();
         const dialect::CallDialect &dialect = server_.dependencies_.dialect;
         if (server_.isStopping_)
             exchange_.closeAfterStarted();
--- a/packages/transport/http/BufferBudget.h
+++ b/packages/transport/http/BufferBudget.h
@@ -1,6 +1,8 @@
 /** A bound on the memory of all bodies that a process buffers. */
 #pragma once
 
+#include "transport/http/MemoryBudget.h"
+
 #include <cstddef>
 
 namespace boragetrack::transport::http {
@@ -14,9 +16,11 @@
 class BufferBudget
 {
 public:
-    /** @param maximum in bytes */
-    explicit BufferBudget(std::size_t maximum)
+    /** @param maximum in bytes
+        @param memory the budget that this one is a part of; null for none; outlives this one */
+    explicit BufferBudget(std::size_t maximum, MemoryBudget *memory = nullptr)
         : maximum_(maximum)
+        , memory_(memory)
     {}
     BufferBudget(const BufferBudget &) = delete;
     BufferBudget &operator=(const BufferBudget &) = delete;
@@ -24,6 +28,23 @@
     /** Returns the bytes in use. */
     std::size_t used() const { return used_; }
 
+    /** Resolves at the next time that bytes are returned to this budget, or to the one that it is a
+        part of. */
+    kj::Promise<void> whenReleased()
+    {
+        auto released = released_.whenReleased();
+        return memory_ == nullptr ? kj::mv(released)
+                                  : released.exclusiveJoin(memory_->whenReleased());
+    }
+
+    /** Records that a body was given up for lack of room in the budget that this one is a part of.
+     */
+    void recordRefusal(std::size_t bytes)
+    {
+        if (memory_ != nullptr)
+            memory_->recordRefusal(bytes);
+    }
+
     /** The part of one body; returns its bytes to the budget when it is destroyed. */
     class Share
     {
@@ -43,18 +64,33 @@
             const std::size_t others = budget_->used_ - bytes_;
             if (bytes > bytes_ && others + bytes > budget_->maximum_)
                 return false;
+            if (budget_->memory_ != nullptr && !resizeInMemory(*budget_->memory_, bytes))
+                return false;
+            const bool isRelease = bytes < bytes_;
             budget_->used_ = others + bytes;
             bytes_ = bytes;
+            if (isRelease)
+                budget_->released_.release();
             return true;
         }
 
     private:
+        bool resizeInMemory(MemoryBudget &memory, std::size_t bytes) const
+        {
+            if (bytes > bytes_)
+                return memory.add(bytes - bytes_);
+            memory.remove(bytes_ - bytes);
+            return true;
+        }
+
         BufferBudget *budget_;
         std::size_t bytes_ = 0;
     };
 
 private:
     const std::size_t maximum_;
+    MemoryBudget *memory_;
+    RoomSignal released_;
     // Invariant: the sum of the sizes of all shares, at most maximum_.
     std::size_t used_ = 0;
 };
--- /dev/null
+++ b/packages/transport/http/MemoryBudget.cpp
@@ -0,0 +1,101 @@
+/** Selects the connections that are closed for lack of memory. */
+#include "transport/http/MemoryBudget.h"
+
+#include "core/events/EventLog.h"
+
+#include <chrono>
+
+namespace boragetrack::transport::http {
+
+using core::events::EventCode;
+
+bool MemoryBudget::add(std::size_t bytes)
+{
+    if (!makeRoom(bytes))
+        return false;
+    used_ += bytes;
+    return true;
+}
+
+void MemoryBudget::recordRefusal(std::size_t bytes)
+{
+    refusals_.add();
+    core::events::logCall(EventCode::MemoryBudgetExhausted, "no memory for a body", false,
+                          {{"bytes", std::to_string(bytes)}, {"used", std::to_string(used_)}});
+}
+
+void MemoryBudget::addPresent(std::size_t bytes)
+{
+    used_ += bytes;
+    makeRoom(0);
+}
+
+void MemoryBudget::remove(std::size_t bytes)
+{
+    used_ -= bytes;
+    // Whoever finds no room and releases nothing must not wake the others.
+    if (bytes > 0)
+        released_.release();
+}
+
+void MemoryBudget::hold(SlowReader &reader, std::size_t bytes)
+{
+    Holding &holding = holdings_[&reader];
+    holding.bytes += bytes;
+    used_ += bytes;
+    if (holding.isCutOff)
+        leaving_ += bytes;
+    makeRoom(0);
+}
+
+void MemoryBudget::release(SlowReader &reader, std::size_t bytes)
+{
+    const auto found = holdings_.find(&reader);
+    found->second.bytes -= bytes;
+    used_ -= bytes;
+    if (found->second.isCutOff)
+        leaving_ -= bytes;
+    if (found->second.bytes == 0)
+        holdings_.erase(found);
+    released_.release();
+}
+
+// What the connections that are cut off hold counts as released: they end before the next input is
+// read.
+bool MemoryBudget::makeRoom(std::size_t bytes)
+{
+    if (bytes > maximum_)
+        return false;
+    while (used_ - leaving_ > maximum_ - bytes) {
+        if (!cutOffSlowest())
+            return false;
+    }
+    return true;
+}
+
+bool MemoryBudget::cutOffSlowest()
+{
+    SlowReader *slowest = nullptr;
+    for (const auto &[reader, holding] : holdings_) {
+        if (!holding.isCutOff
+            && (slowest == nullptr || reader->lastProgress() < slowest->lastProgress()))
+            slowest = reader;
+    }
+    if (slowest == nullptr)
+        return false;
+    Holding &holding = holdings_.at(slowest);
+    holding.isCutOff = true;
+    leaving_ += holding.bytes;
+    closedReaders_.add();
+    const auto idle = std::chrono::steady_clock::now() - slowest->lastProgress();
+    core::events::logCall(
+            EventCode::SlowReaderClosed, "slow reader closed", false,
+            {{"bytes", std::to_string(holding.bytes)},
+             {"idleMs",
+              std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(idle).count())}});
+    slowest->cutOff();
+    return true;
+}
+
+} // namespace boragetrack::transport::http
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -7,6 +7,7 @@
 #include "transport/http/ReadAheadStream.h"
 #include "transport/http/StreamEnd.h"
 
+#include <algorithm>
 #include <kj/debug.h>
 #include <optional>
 #include <variant>
@@ -71,16 +72,27 @@
     {
         return readBody().then([this, limit, received = std::move(received)](
                                        BodyPiece &&piece) mutable -> kj::Promise<BodyPiece> {
-            received += piece.bytes;
-            // The allocated size, which may be twice the length.
-            if (!reserve(received.capacity()))
+            append(received, piece.bytes);
+            if (!reserve(received.capacity())) {
+                budget_->recordRefusal(received.capacity());
                 return KJ_EXCEPTION(OVERLOADED, "too many bytes of bodies are buffered");
+            }
             if (piece.isLast || received.size() >= limit)
                 return BodyPiece{std::move(received), piece.isLast};
             return readBodyUpTo(limit, std::move(received));
         });
     }
 
+    /** Waits until the budget has room for the whole body of the current message, and takes it. Has
+       no effect on a body of unknown length or beyond the limit. */
+    kj::Promise<void> takeRoom(std::size_t limit)
+    {
+        const std::optional<std::uint64_t> length = parser_->bodyLength();
+        if (budget_ == nullptr || !length || *length > limit || reserve(*length))
+            return kj::READY_NOW;
+        return budget_->whenReleased().then([this, limit]() { return takeRoom(limit); });
+    }
+
     /** Returns the bytes of a body that was read whole to the budget. To be called when the body is
         not kept any longer; otherwise the next message does it. */
     void releaseBody() { share_.reset(); }
@@ -89,8 +101,15 @@
         kept while the next message is read. @returns null for a body that uses none */
     std::unique_ptr<BufferBudget::Share> takeBodyShare() { return std::move(share_); }
 
-    /** Returns the bytes of the current message that were consumed. */
-    std::size_t consumedBytes() const { return consumedBytes_; }
+    /** Returns the size of the current message, whose head was read; empty if only its end will
+        tell. */
+    std::optional<std::size_t> messageBytes() const
+    {
+        const std::optional<std::uint64_t> bodyLength = parser_->bodyLength();
+        if (parser_->isDone())
+            return consumedBytes_;
+        return bodyLength ? std::optional<std::size_t>(consumedBytes_ + *bodyLength) : std::nullopt;
+    }
 
     /** Returns the parser of the current message. */
     const MessageParser<Head> &message() const { return *parser_; }
@@ -144,14 +163,35 @@
         return std::nullopt;
     }
 
+    // Appends to a body. A string doubles when it grows, which a body of known length need not.
+    void append(std::string &received, const std::string &bytes) const
+    {
+        const std::size_t size = received.size() + bytes.size();
+        const auto length = parser_->bodyLength();
+        if (length && size > received.capacity()) {
+            std::string grown;
+            grown.reserve(std::max(size, std::min<std::size_t>(2 * received.capacity(), *length)));
+            grown += received;
+            received = std::move(grown);
+        }
+        received += bytes;
+    }
+
+    // Makes the share of the current body at least as large.
     bool reserve(std::size_t bytes)
     {
         if (budget_ == nullptr)
             return true;
-        if (!share_)
+        if (!share_) {
             share_ = std::make_unique<BufferBudget::Share>(*budget_);
-        if (share_->resize(bytes))
+            reservedBytes_ = 0;
+        }
+        if (bytes <= reservedBytes_)
+            return true;
+        if (share_->resize(bytes)) {
+            reservedBytes_ = bytes;
             return true;
+        }
         share_.reset();
         return false;
     }
@@ -178,6 +218,7 @@
     BufferBudget *budget_;
     // The part of the budget that the current body uses.
     std::unique_ptr<BufferBudget::Share> share_;
+    std::size_t reservedBytes_ = 0;
     // The bytes of the current message that were consumed.
     std::size_t consumedBytes_ = 0;
     bool hasBody_ = true;
--- a/packages/transport/http/ResponseOrder.h
+++ b/packages/transport/http/ResponseOrder.h
@@ -3,7 +3,10 @@
 
 #include "transport/http/PipelineQueue.h"
 
+#include "transport/http/HeldResponse.h"
+
 #include <kj/async.h>
+#include <memory>
 
 namespace boragetrack::transport::http {
 
@@ -29,6 +32,12 @@
     /** Handles that the first exchange begins to write its response. */
     virtual void beginFirstResponse() = 0;
 
+    /** Counts bytes of a response until the result is destroyed. */
+    virtual std::unique_ptr<HeldResponse> hold(std::size_t bytes) = 0;
+
+    /** Handles that the client has taken a part of a response. */
+    virtual void handleProgress() = 0;
+
     /** @see PipelineQueue::closeAfter */
     virtual void closeAfter(PipelineQueue::Number number) = 0;
 
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include "transport/http/ServerConnection.h"
 
 #include "core/events/EventLog.h"
+#include "transport/http/LingeringClose.h"
 #include "transport/http/MessageWriter.h"
 #include "transport/timing/Deadline.h"
 
@@ -12,26 +13,12 @@
 namespace {
 
 constexpr int requestTimeout = 408;
-// Limits on the input that is discarded before a connection is closed. Closing it with unread input
-// would reset it, and the client might lose the response.
-constexpr std::size_t maximumDiscardedBytes = std::size_t{256} * 1024;
-constexpr kj::Duration discardTime = 500 * kj::MILLISECONDS;
 
 kj::Duration toKj(std::chrono::nanoseconds time)
 {
     return time.count() * kj::NANOSECONDS;
 }
 
-// Returns the size of the reader's current request; nothing if only its end will tell.
-std::optional<std::size_t> sizeOfRequest(const MessageReader<RequestHead> &reader)
-{
-    const std::optional<std::uint64_t> bodyLength = reader.message().bodyLength();
-    if (reader.message().isDone())
-        return reader.consumedBytes();
-    return bodyLength ? std::optional<std::size_t>(reader.consumedBytes() + *bodyLength)
-                      : std::nullopt;
-}
-
 } // namespace
 
 ServerConnection::~ServerConnection() noexcept
@@ -51,7 +38,7 @@
 {
     auto event = kj::newPromiseAndFulfiller<void>();
     wakeUp_ = kj::mv(event.fulfiller);
-    if (isDisconnected_ && !exchanges_.empty()) {
+    if (isCutOff_ || (isDisconnected_ && !exchanges_.empty())) {
         cancelRequests();
         return kj::READY_NOW;
     }
@@ -94,6 +81,7 @@
             queue_.closeAfter(first.exchange->number());
         exchanges_.pop_front();
         queue_.finishFirst();
+        isWriting_ = false;
     }
     while (queue_.removeCancelled()) {
         if (counters_ != nullptr && exchanges_.back().isStarted)
@@ -120,7 +108,7 @@
 
 void ServerConnection::add(RequestHead head)
 {
-    const Number number = queue_.add(handler_.isConcurrent(head), sizeOfRequest(reader_));
+    const Number number = queue_.add(handler_.isConcurrent(head), reader_.messageBytes());
     exchanges_.emplace_back();
     ResponseOrder &order = *this;
     exchanges_.back().exchange = kj::heap<ServerExchange>(std::move(head), reader_, stream_, order,
@@ -136,18 +124,16 @@
         counters_->requests.add();
     PipelinedExchange &started = exchanges_.back();
     started.isStarted = true;
-    started.running = kj::evalNow([&]() { return handler_.handle(*started.exchange); })
-                              .then(
-                                      [this, &started]() {
-                                          started.isFinished = true;
-                                          wake();
-                                      },
-                                      [this, &started](kj::Exception &&exception) {
-                                          started.isFinished = true;
-                                          started.failure.emplace(kj::mv(exception));
-                                          queue_.closeAfter(started.exchange->number());
-                                          wake();
-                                      })
+    const auto handle = [this, &started]() { return handler_.handle(*started.exchange); };
+    started.running = kj::evalNow(handle)
+                              .catch_([this, &started](kj::Exception &&exception) {
+                                  started.failure.emplace(kj::mv(exception));
+                                  queue_.closeAfter(started.exchange->number());
+                              })
+                              .then([this, &started]() {
+                                  started.isFinished = true;
+                                  wake();
+                              })
                               .eagerlyEvaluate(nullptr);
 }
 
@@ -195,6 +181,36 @@
     return kj::NEVER_DONE;
 }
 
+void ServerConnection::beginFirstResponse()
+{
+    queue_.beginFirstResponse();
+    isWriting_ = true;
+    lastProgress_ = std::chrono::steady_clock::now();
+}
+
+std::unique_ptr<HeldResponse> ServerConnection::hold(std::size_t bytes)
+{
+    SlowReader &reader = *this;
+    return std::make_unique<HeldResponse>(memory_, reader, bytes);
+}
+
+void ServerConnection::handleProgress()
+{
+    lastProgress_ = std::chrono::steady_clock::now();
+}
+
+// While no response is written, what is held waits for an upstream.
+core::timing::MonotonicTime ServerConnection::lastProgress() const
+{
+    return isWriting_ ? lastProgress_ : std::chrono::steady_clock::now();
+}
+
+void ServerConnection::cutOff()
+{
+    isCutOff_ = true;
+    wake();
+}
+
 void ServerConnection::closeAfter(Number number)
 {
     queue_.closeAfter(number);
@@ -287,20 +303,7 @@
 kj::Promise<void> ServerConnection::close()
 {
     cancelRequests();
-    if (stream_.isEnded())
-        return kj::READY_NOW;
-    stream_.shutdownWrite();
-    return discardInput(maximumDiscardedBytes).exclusiveJoin(timer_.afterDelay(discardTime));
-}
-
-kj::Promise<void> ServerConnection::discardInput(std::size_t limit)
-{
-    const std::size_t buffered = stream_.bytes().size();
-    stream_.consume(buffered);
-    if (stream_.isEnded() || buffered >= limit)
-        return kj::READY_NOW;
-    return stream_.readMore().then(
-            [this, limit, buffered]() { return discardInput(limit - buffered); });
+    return LingeringClose(stream_, timer_).run();
 }
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -13,22 +13,24 @@
 
 /** Reads requests and passes them to the handler, as the PipelineQueue decides. If the client
     disconnects while requests are being handled, the connection drops the handler's promises. */
-class ServerConnection : private ResponseOrder
+class ServerConnection : private ResponseOrder, private SlowReader
 {
 public:
     /** @param handler, @param timer and @param budget outlive the connection
         @param partialRequests counts this connection while the head of a request has arrived in
         part; outlives the connection
-        @param counters outlives the connection; null to count nothing */
+        @param counters outlives the connection; null to count nothing
+        @param memory outlives the connection; null for no limit on its responses */
     ServerConnection(kj::Own<kj::AsyncIoStream> stream, ExchangeHandler &handler, kj::Timer &timer,
                      BufferBudget &budget, std::size_t &partialRequests,
-                     const PipelineCounters *counters = nullptr)
+                     const PipelineCounters *counters = nullptr, MemoryBudget *memory = nullptr)
         : stream_(kj::mv(stream))
         , reader_(stream_, {}, &budget)
         , handler_(handler)
         , timer_(timer)
         , partialRequests_(partialRequests)
         , counters_(counters)
+        , memory_(memory)
     {}
 
     ~ServerConnection() noexcept override;
@@ -45,10 +47,14 @@
     void handleRequestRead(Number number, bool mayContinue) override;
     bool isFirst(Number number) const override { return queue_.isFirst(number); }
     kj::Promise<void> whenFirst(Number number, std::size_t bytes) override;
-    void beginFirstResponse() override { queue_.beginFirstResponse(); }
+    void beginFirstResponse() override;
+    std::unique_ptr<HeldResponse> hold(std::size_t bytes) override;
+    void handleProgress() override;
     void closeAfter(Number number) override;
     void closeAfterStarted() override;
     bool closesAfter(Number number) const override { return queue_.closesAfter(number); }
+    core::timing::MonotonicTime lastProgress() const override;
+    void cutOff() override;
 
     kj::Promise<void> proceed();
     void wake();
@@ -64,7 +70,6 @@
     void limitIdleTime();
     kj::Promise<void> refuse(const MessageFault &fault);
     kj::Promise<void> close();
-    kj::Promise<void> discardInput(std::size_t limit);
 
     ReadAheadStream stream_;
     Reader reader_;
@@ -72,6 +77,7 @@
     kj::Timer &timer_;
     std::size_t &partialRequests_;
     const PipelineCounters *counters_;
+    MemoryBudget *memory_;
     PipelineQueue queue_;
     // Invariant: one element for each request of queue_, in the same order.
     std::deque<PipelinedExchange> exchanges_;
@@ -92,6 +98,10 @@
     // Whether input was consumed since the end of the connection is watched for.
     bool isWatchOutdated_ = true;
     bool isDisconnected_ = false;
+    bool isCutOff_ = false;
+    // Whether the first response is being written, and when the client last took a part of it.
+    bool isWriting_ = false;
+    core::timing::MonotonicTime lastProgress_;
     // Whether input is no longer handled.
     bool isClosing_ = false;
     // Why the connection fails.
--- a/packages/transport/http/ServerExchange.cpp
+++ b/packages/transport/http/ServerExchange.cpp
@@ -5,10 +5,16 @@
 
 #include "transport/http/MessageWriter.h"
 
+#include <algorithm>
+
 namespace boragetrack::transport::http {
 
 namespace {
 
+// The size of the parts in which a response is written. Whether a client reads shows only when a
+// part is complete.
+constexpr std::size_t partBytes = std::size_t{16} * 1024;
+
 std::size_t sizeOf(const ResponseHead &head, const std::string &body)
 {
     std::size_t size = body.size();
@@ -63,9 +69,12 @@
 kj::Promise<void> ServerExchange::respond(const ResponseHead &head, const std::string &body)
 {
     endReading();
+    bodyShare_ = nullptr;
     if (order_.isFirst(number_))
         return writeWhole(head, body);
-    return awaitTurn(sizeOf(head, body)).then([this, head, body]() {
+    auto held = order_.hold(sizeOf(head, body));
+    return awaitTurn(sizeOf(head, body)).then([this, head, body, held = std::move(held)]() mutable {
+        held = nullptr;
         return writeWhole(head, body);
     });
 }
@@ -118,8 +127,20 @@
     if (text.empty())
         return kj::READY_NOW;
     auto buffer = kj::heap<std::string>(std::move(text));
-    auto written = stream_.write(kj::arrayPtr(buffer->data(), buffer->size()));
-    return written.attach(kj::mv(buffer));
+    auto held = order_.hold(buffer->size());
+    auto written = writeFrom(*buffer, 0);
+    return written.attach(kj::mv(buffer), std::move(held));
+}
+
+kj::Promise<void> ServerExchange::writeFrom(const std::string &text, std::size_t begin)
+{
+    const std::size_t size = std::min(partBytes, text.size() - begin);
+    const std::size_t end = begin + size;
+    auto written = stream_.write(kj::arrayPtr(text.data() + begin, size));
+    return written.then([this, &text, end]() -> kj::Promise<void> {
+        order_.handleProgress();
+        return end == text.size() ? kj::Promise<void>(kj::READY_NOW) : writeFrom(text, end);
+    });
 }
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -55,7 +55,7 @@
     void closeAfterStarted() { order_.closeAfterStarted(); }
 
     //==============================================================================
-    /** Writes a whole response. */
+    /** Writes a whole response. The request's body no longer counts as buffered from now on. */
     kj::Promise<void> respond(const ResponseHead &head, const std::string &body);
 
     /** Begins a response whose body follows in pieces.
@@ -81,6 +81,7 @@
     kj::Promise<void> awaitTurn(std::size_t bytes);
     kj::Promise<void> writeWhole(const ResponseHead &head, const std::string &body);
     kj::Promise<void> writeText(std::string text);
+    kj::Promise<void> writeFrom(const std::string &text, std::size_t begin);
     kj::Promise<BodyPiece> noteEnd(kj::Promise<BodyPiece> reading);
     void endReading();
 
--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -61,7 +61,7 @@
 void ServerListener::serve(kj::Own<kj::AsyncIoStream> stream)
 {
     auto connection = kj::heap<ServerConnection>(kj::mv(stream), handler_, timer_, budget_,
-                                                 partialRequests_, counters_);
+                                                 partialRequests_, counters_, memory_);
     auto running = connection->run();
     auto count = kj::heap<core::counters::ScopedCount>(connections_);
     tasks_.add(running.catch_([](kj::Exception &&exception) {
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -19,13 +19,16 @@
     static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
 
     /** @param network, @param timer and @param handler outlive the listener
-        @param counters outlives the listener; null to count nothing */
+        @param counters outlives the listener; null to count nothing
+        @param memory outlives the listener; null for no limit on what responses take */
     ServerListener(kj::Network &network, kj::Timer &timer, ExchangeHandler &handler,
-                   const PipelineCounters *counters = nullptr)
+                   const PipelineCounters *counters = nullptr, MemoryBudget *memory = nullptr)
         : network_(network)
         , timer_(timer)
         , handler_(handler)
         , counters_(counters)
+        , memory_(memory)
+        , budget_(maximumBufferedBytes, memory)
         , tasks_(*this)
     {}
 
@@ -51,8 +54,9 @@
     kj::Timer &timer_;
     ExchangeHandler &handler_;
     const PipelineCounters *counters_;
+    MemoryBudget *memory_;
     kj::Own<kj::ConnectionReceiver> receiver_;
-    BufferBudget budget_{maximumBufferedBytes};
+    BufferBudget budget_;
     std::size_t connections_ = 0;
     std::size_t partialRequests_ = 0;
     kj::TaskSet tasks_;
--- a/packages/transport/links/LinkListener.cpp
+++ b/packages/transport/links/LinkListener.cpp
@@ -4,6 +4,7 @@
 #include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 #include "transport/links/LinkEncoding.h"
+#include "transport/links/OutputStream.h"
 
 #include <capnp/rpc-twoparty.h>
 
@@ -117,14 +118,20 @@
 
 kj::Promise<void> LinkListener::serveRpc(kj::Own<kj::AsyncIoStream> stream)
 {
-    auto network = kj::heap<capnp::TwoPartyVatNetwork>(*stream, capnp::rpc::twoparty::Side::SERVER,
+    auto output = std::make_shared<LinkOutput>(memory_);
+    auto counted = kj::heap<OutputStream>(kj::mv(stream), *output);
+    auto network = kj::heap<capnp::TwoPartyVatNetwork>(*counted, capnp::rpc::twoparty::Side::SERVER,
                                                        readerOptions());
-    auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
-            capnp::makeRpcServer(*network, server_));
+    auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(capnp::makeRpcServer(
+            *network,
+            wire::schema::Peer::Client(kj::heap<PeerServer>(control_, calls_, closing_, output))));
     auto closed = network->onDisconnect();
     // The RPC system must be destroyed first and the stream last. The objects are attached one
     // by one, since of several attachments in one call, the last is destroyed first.
-    return closed.attach(kj::mv(system)).attach(kj::mv(network)).attach(kj::mv(stream));
+    return closed.attach(kj::mv(system))
+            .attach(kj::mv(network))
+            .attach(kj::mv(counted))
+            .attach(std::move(output));
 }
 
 void LinkListener::taskFailed(kj::Exception &&exception)
--- a/packages/transport/links/LinkListener.h
+++ b/packages/transport/links/LinkListener.h
@@ -23,13 +23,16 @@
     /** Delay before links are accepted again after a failure. */
     static constexpr std::chrono::milliseconds acceptRetryDelay{20};
 
-    /** @param network, @param timer, @param control and @param calls outlive the listener */
+    /** @param network, @param timer, @param control and @param calls outlive the listener
+        @param memory the budget of the process; null for none; outlives the listener */
     LinkListener(kj::Network &network, kj::Timer &timer, PeerRequestHandler &control,
-                 CallServer &calls, LinkCounters counters)
+                 CallServer &calls, LinkCounters counters, http::MemoryBudget *memory = nullptr)
         : network_(network)
         , timer_(timer)
         , counters_(counters)
-        , server_(kj::heap<PeerServer>(control, calls, closing_))
+        , control_(control)
+        , calls_(calls)
+        , memory_(memory)
         , tasks_(*this)
     {}
 
@@ -58,8 +61,10 @@
     kj::Network &network_;
     kj::Timer &timer_;
     LinkCounters counters_;
+    PeerRequestHandler &control_;
+    CallServer &calls_;
+    http::MemoryBudget *memory_;
     ClosingNotice closing_;
-    wire::schema::Peer::Client server_;
     kj::Own<kj::ConnectionReceiver> receiver_;
     // Accepted links that are not closed yet.
     std::size_t openLinks_ = 0;
--- a/packages/transport/links/PeerServer.cpp
+++ b/packages/transport/links/PeerServer.cpp
@@ -40,7 +40,9 @@
     auto request = wire::decode(context.getParams().getRequest());
     context.releaseParams();
     return calls_.serve(std::move(request))
-            .then([context](traffic::calls::CallResponse &&response) mutable {
+            .then([context, output = output_](traffic::calls::CallResponse &&response) mutable {
+                if (output)
+                    output->handleResponse(response.body.size());
                 wire::encode(response,
                              context.getResults(wire::sizeHint(response.body.size())).initAnswer());
             });
--- a/packages/transport/links/PeerServer.h
+++ b/packages/transport/links/PeerServer.h
@@ -3,22 +3,28 @@
 
 #include "transport/links/CallServer.h"
 #include "transport/links/ClosingNotice.h"
+#include "transport/links/LinkOutput.h"
 #include "transport/links/PeerRequestHandler.h"
 #include "transport/wire/TextCompressor.h"
 #include "transport/wire/peer.capnp.h"
 
+#include <memory>
+
 namespace boragetrack::transport::links {
 
 /** Implements the Peer interface of the schema: decodes requests, passes them to their handlers and
-    encodes the responses. One object serves all links. */
+    encodes the responses. */
 class PeerServer final : public wire::schema::Peer::Server
 {
 public:
-    /** @param control, @param calls and @param closing outlive the server */
-    PeerServer(PeerRequestHandler &control, CallServer &calls, ClosingNotice &closing)
+    /** @param control, @param calls and @param closing outlive the server
+        @param output of the link that the object serves; null to count nothing */
+    PeerServer(PeerRequestHandler &control, CallServer &calls, ClosingNotice &closing,
+               std::shared_ptr<LinkOutput> output = nullptr)
         : control_(control)
         , calls_(calls)
         , closing_(closing)
+        , output_(std::move(output))
     {}
 
     kj::Promise<void> call(CallContext context) override;
@@ -34,6 +40,7 @@
     PeerRequestHandler &control_;
     CallServer &calls_;
     ClosingNotice &closing_;
+    std::shared_ptr<LinkOutput> output_;
     wire::TextCompressor compressor_;
 };
 
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -17,6 +17,7 @@
 #include "transport/serving/InboundProxy.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::transport::links {
@@ -43,6 +44,8 @@
     std::vector<LoopComponent *> loopComponents;
     serving::InboundProxy::EvidenceSink evidenceSink;
     core::counters::CounterRegistry &counters;
+    /** The memory of the VM in bytes; empty for no limit on what calls take. */
+    std::optional<std::size_t> memoryBytes{};
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -24,6 +24,9 @@
     , monitor_(dependencies.counters, std::chrono::steady_clock::now())
     , counters_(dependencies.counters)
     , routing_(dependencies.routing)
+    , memory_(dependencies.memoryBytes ? http::MemoryBudget::maximumFor(*dependencies.memoryBytes)
+                                       : http::MemoryBudget::unlimited,
+              dependencies.counters)
     , links_(
               io.provider->getNetwork(), timer_,
               [this](const NetworkAddress &address) { return encodingFor(address); }, counters_,
@@ -33,15 +36,15 @@
     , inbound_(serving::InboundProxy::Dependencies{
               dependencies.self, dependencies.processId, links_, io.provider->getNetwork(), timer_,
               dependencies.dialect, dependencies.routing, std::move(dependencies.admission),
-              dependencies.evidenceSink, monitor_.pauses(), dependencies.counters})
+              dependencies.evidenceSink, monitor_.pauses(), dependencies.counters, &memory_})
     , callers_(callers::CallerServer::Dependencies{
               dependencies.routing, dependencies.dialect, *this, dependencies.routingPolicy,
               dependencies.retryPolicy, inbound_.runningCalls(), dependencies.service,
               monitor_.pauses(), dependencies.counters})
     , pipelineCounters_(dependencies.counters)
-    , callerListener_(io.provider->getNetwork(), timer_, callers_, &pipelineCounters_)
+    , callerListener_(io.provider->getNetwork(), timer_, callers_, &pipelineCounters_, &memory_)
     , linkListener_(io.provider->getNetwork(), timer_, dependencies.requestHandler, inbound_,
-                    counters_)
+                    counters_, &memory_)
     , self_(dependencies.self)
     , components_(dependencies.loopComponents)
     , tasks_(*this)
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -75,6 +75,7 @@
     LoopMonitor monitor_;
     LinkCounters counters_;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
+    http::MemoryBudget memory_;
     PeerLinks links_;
     serving::InboundProxy inbound_;
     callers::CallerServer callers_;
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -37,7 +37,8 @@
 InboundProxy::InboundProxy(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , upstreamClient_(dependencies_.network, dependencies_.timer, dependencies_.dialect,
-                      dependencies_.counters.counter("upstream_connections_opened"), *this)
+                      dependencies_.counters.counter("upstream_connections_opened"), *this,
+                      dependencies_.memory)
     , claimClient_(dependencies_.links, *this, dependencies_.self)
     , admission_(std::move(dependencies_.admission), dependencies_.timer)
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -53,6 +53,8 @@
         EvidenceSink evidence;
         const core::timing::PauseDetector &pauses;
         core::counters::CounterRegistry &counters;
+        /** The memory that bodies may take; null for no limit. */
+        http::MemoryBudget *memory = nullptr;
     };
 
     explicit InboundProxy(Dependencies dependencies);
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -150,8 +150,10 @@
 
     kj::Promise<CallResponse> readBody(http::ResponseHead head, ResponseKind kind)
     {
+        // The upstream has run the request, so its response waits for room rather than fail.
         return connection_->reader()
-                .readBodyUpTo(maximumResponseBytes)
+                .takeRoom(maximumResponseBytes)
+                .then([this]() { return connection_->reader().readBodyUpTo(maximumResponseBytes); })
                 .then(
                         [this, kind, head = std::move(head)](
                                 http::BodyPiece &&body) -> kj::Promise<CallResponse> {
@@ -221,10 +223,12 @@
 
 UpstreamClient::UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
                                const dialect::CallDialect &dialect,
-                               core::counters::Counter &connectionsOpened, Listener &listener)
+                               core::counters::Counter &connectionsOpened, Listener &listener,
+                               http::MemoryBudget *memory)
     : network_(network)
     , timer_(timer)
     , dialect_(dialect)
+    , budget_(maximumBufferedBytes, memory)
     , connectionsOpened_(connectionsOpened)
     , listener_(listener)
 {}
--- a/packages/transport/serving/UpstreamClient.h
+++ b/packages/transport/serving/UpstreamClient.h
@@ -48,10 +48,11 @@
     /** How long an idle connection may be reused when the upstream states no timeout. */
     static constexpr std::chrono::milliseconds defaultIdleTimeout{4000};
 
-    /** @param network, @param timer, @param dialect and @param listener outlive the client */
+    /** @param network, @param timer, @param dialect and @param listener outlive the client
+        @param memory the budget of the process; null for none; outlives the client */
     UpstreamClient(kj::Network &network, timing::PreciseTimer &timer,
                    const dialect::CallDialect &dialect, core::counters::Counter &connectionsOpened,
-                   Listener &listener);
+                   Listener &listener, http::MemoryBudget *memory = nullptr);
 
     /** Sets the address that the upstream listens at; a new address drops idle connections. */
     void setAddress(const core::identity::NetworkAddress &address);
@@ -82,7 +83,7 @@
     timing::PreciseTimer &timer_;
     const dialect::CallDialect &dialect_;
     core::identity::NetworkAddress address_;
-    http::BufferBudget budget_{maximumBufferedBytes};
+    http::BufferBudget budget_;
     std::vector<Connection> idleConnections_;
     traffic::inbound::RefusedCalls refusedCalls_;
     // Invariant: the number of calls that have started and not ended.
--- a/tests/platform/slow_reader_case.py
+++ b/tests/platform/slow_reader_case.py
@@ -31,8 +31,8 @@
 CROWD_S = 8.0
 # The receive buffer of a client that reads slowly, so that the system does not read for it.
 RECEIVE_BUFFER = 4096
-# Settings of the nodes: those of a VM of VM_BYTES, once the product has a setting for its memory.
-SETTINGS = {}
+# Settings of the nodes.
+SETTINGS = {"memoryMegabytes": VM_BYTES // MEGABYTE}
 
 
 class SlowReaderCase(unittest.TestCase):
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -113,6 +113,29 @@
     EXPECT_TRUE(refusalReason(build()));
 }
 
+// Guards against a memory budget that comes from a wrong number, and against a node that does not
+// start where the platform does not tell the memory.
+TEST(SettingsReader, readsTheMemoryOfTheVm)
+{
+    const auto read = [](const std::string &memory) {
+        const std::string text = R"({"interface": "platform", "node": "n1", "dataCentre": "ikeja",
+            "service": "payments", "callers": "127.0.0.1:1001", "announcements": "127.0.0.1:1002",
+            "readiness": "127.0.0.1:1003", "peers": "127.0.0.1:1004", "operators": "127.0.0.1:1005",
+            "platform": "127.0.0.1:1006", "dataCentres": ["ikeja"], "seeds": [],
+            "memoryMegabytes": )" + memory
+                                 + "}";
+        core::findings::FindingList findings("settings");
+        const auto settings = daemon::settings::readSettings(text, findings);
+        EXPECT_EQ(settings.has_value(), findings.isEmpty()) << findings.toString();
+        return settings ? settings->memoryBytes : std::optional<std::size_t>(0);
+    };
+    EXPECT_EQ(read("160"), 160'000'000);
+    EXPECT_EQ(read(R"("160")"), 160'000'000);
+    EXPECT_EQ(read(R"("")"), std::nullopt);
+    for (const char *bad : {"0", "63", "-1", R"("much")", R"("nan")", "1e12", "null"})
+        EXPECT_EQ(read(bad), 0) << bad;
+}
+
 // An older platform fills in nothing where the template names the grace period.
 TEST(SettingsReader, takesTheDefaultForAnEmptyGracePeriod)
 {
