--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -194,35 +194,12 @@
     return std::make_unique<HeldResponse>(memory_, reader, bytes);
 }
 
-void ServerConnection::handleProgress()
-{
-    lastProgress_ = std::chrono::steady_clock::now();
-}
-
 // While no response is written, what is held waits for an upstream.
 core::timing::MonotonicTime ServerConnection::lastProgress() const
 {
     return isWriting_ ? lastProgress_ : std::chrono::steady_clock::now();
 }
 
-void ServerConnection::cutOff()
-{
-    isCutOff_ = true;
-    wake();
-}
-
-void ServerConnection::closeAfter(Number number)
-{
-    queue_.closeAfter(number);
-    wake();
-}
-
-void ServerConnection::closeAfterStarted()
-{
-    queue_.closeAfterStarted();
-    wake();
-}
-
 //==============================================================================
 void ServerConnection::continueReading()
 {
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -49,12 +49,24 @@
     kj::Promise<void> whenFirst(Number number, std::size_t bytes) override;
     void beginFirstResponse() override;
     std::unique_ptr<HeldResponse> hold(std::size_t bytes) override;
-    void handleProgress() override;
-    void closeAfter(Number number) override;
-    void closeAfterStarted() override;
+    void handleProgress() override { lastProgress_ = std::chrono::steady_clock::now(); }
+    void closeAfter(Number number) override
+    {
+        queue_.closeAfter(number);
+        wake();
+    }
+    void closeAfterStarted() override
+    {
+        queue_.closeAfterStarted();
+        wake();
+    }
     bool closesAfter(Number number) const override { return queue_.closesAfter(number); }
     core::timing::MonotonicTime lastProgress() const override;
-    void cutOff() override;
+    void cutOff() override
+    {
+        isCutOff_ = true;
+        wake();
+    }
 
     kj::Promise<void> proceed();
     void wake();
