--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -56,6 +56,8 @@
     DataCentreAnswered = 521,
     AccessRefused = 530,
     KeysOutOfDate = 531,
+    SlowReaderClosed = 540,
+    MemoryBudgetExhausted = 541,
     UsageDutyGained = 600,
     UsageDutyLost = 601,
     UsageReportAccepted = 602,
--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -77,20 +77,30 @@
                 storeContact_, counters_, environment_->usage()})
     , peerMessages_(control_)
     , trafficThread_(
-              {settings_.node, control::membership::processIdOf(self_), settings_.peers,
-               settings_.callers, settings_.service, environment_->dialect(), peerMessages_,
-               peerMessages_, routing_, traffic::access::KeyFreshness(settings_.keyFreshness),
+              {settings_.node,
+               control::membership::processIdOf(self_),
+               settings_.peers,
+               settings_.callers,
+               settings_.service,
+               environment_->dialect(),
+               peerMessages_,
+               peerMessages_,
+               routing_,
+               traffic::access::KeyFreshness(settings_.keyFreshness),
                storeContact_,
                makeAdmissionPolicy(settings_.usesBaselinePolicies
                                    || settings_.interface == settings::NodeInterface::Platform),
-               *routingPolicy_, *retryPolicy_, environment_->loopComponents(),
+               *routingPolicy_,
+               *retryPolicy_,
+               environment_->loopComponents(),
                [this](const control::moves::CallEvidence &evidence) {
                    control_.callEnded(evidence);
                },
                counters_,
                environment_->usage() != nullptr ? &environment_->usage()->sampler().meter()
                                                 : nullptr,
-               makeQueueOrder(settings_.isUrgencyFirst)})
+               makeQueueOrder(settings_.isUrgencyFirst),
+               settings_.memoryBytes})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -189,6 +189,8 @@
 kj::Promise<void> CallerServer::Call::respond(const CallResponse &response)
 {
     logOutcome(eventOf(response), "call ended", response);
+    // The request is not needed any longer, while the caller may take its time to read.
+    plan_.reset();
     const dialect::CallDialect &dialect = server_.dependencies_.dialect;
     if (server_.isStopping_)
         exchange_.closeAfterStarted();
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -19,6 +19,7 @@
 #include "transport/serving/InboundProxy.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::transport::links {
@@ -52,6 +53,8 @@
     traffic::usage::UsageMeter *usageMeter = nullptr;
     std::unique_ptr<traffic::admission::QueueOrder> queueOrder
             = std::make_unique<traffic::admission::ObjectiveOrder>();
+    /** The memory of the VM in bytes; empty for no limit on what calls take. */
+    std::optional<std::size_t> memoryBytes{};
 };
 
 } // namespace boragetrack::transport::links
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -58,6 +58,8 @@
         traffic::usage::UsageMeter *usageMeter = nullptr;
         std::unique_ptr<traffic::admission::QueueOrder> queueOrder
                 = std::make_unique<traffic::admission::ObjectiveOrder>();
+        /** The memory that bodies may take; null for no limit. */
+        http::MemoryBudget *memory = nullptr;
     };
 
     explicit InboundProxy(Dependencies dependencies);
--- a/tests/unit/UrgencyOrderTest.cpp
+++ b/tests/unit/UrgencyOrderTest.cpp
@@ -149,7 +149,7 @@
 {
     boragetrack::traffic::calls::RunningCalls calls;
     {
-        const boragetrack::traffic::calls::RunningCalls::ScopedCall call(calls, "a", 1, 3);
+        const boragetrack::traffic::calls::RunningCalls::ScopedCall call(calls, "a", 1, {}, 3);
         EXPECT_EQ(calls.priorityOf("a"), 3);
         EXPECT_FALSE(calls.priorityOf("b"));
         EXPECT_FALSE(calls.priorityOf(""));
