Count nothing for an empty response in the memory budget

A response without a body and headers that waited for its turn made a holding of no bytes. The end of another response of the connection removed it, and its own release then used what was gone. Found by reading; the new test covers the order. Passed: the 57 unit tests of connections, readers and budgets, test_pipelining.py (5).

--- a/packages/transport/http/MemoryBudget.cpp
+++ b/packages/transport/http/MemoryBudget.cpp
@@ -38,8 +38,11 @@
         released_.release();
 }
 
+// A reader that holds no bytes has no holding, so that an empty response must not make one.
 void MemoryBudget::hold(SlowReader &reader, std::size_t bytes)
 {
+    if (bytes == 0)
+        return;
     Holding &holding = holdings_[&reader];
     holding.bytes += bytes;
     used_ += bytes;
@@ -50,6 +53,8 @@
 
 void MemoryBudget::release(SlowReader &reader, std::size_t bytes)
 {
+    if (bytes == 0)
+        return;
     const auto found = holdings_.find(&reader);
     found->second.bytes -= bytes;
     used_ -= bytes;
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -89,6 +89,16 @@
     EXPECT_FALSE(fast_.isCutOff);
 }
 
+// Guards against a crash: an empty response waits for its turn while another one is taken.
+TEST_F(MemoryBudgetTest, countsNothingForAnEmptyResponse)
+{
+    budget_.hold(slow_, 0);
+    budget_.hold(slow_, 100);
+    budget_.release(slow_, 100);
+    budget_.release(slow_, 0);
+    EXPECT_EQ(budget_.used(), 0);
+}
+
 // Guards against a limit where the settings have none.
 TEST_F(MemoryBudgetTest, hasNoLimitWithoutAMaximum)
 {
