Mend what the review of keys, queues and the memory budget found

A request with a key is a caller's own although its identifier names a running request: it was counted and queued as a nested call. A new request displaced a nested call of the organisation with the most requests. Readers were closed for a body that was refused all the same, and requests without a body needed room. Each has a test; that of nested calls failed on a build without the change.

--- a/packages/traffic/admission/QueueSelection.cpp
+++ b/packages/traffic/admission/QueueSelection.cpp
@@ -92,6 +92,9 @@
 bool QueueSelection::displacesByShare(const WaitingRequest &arriving, const WaitingRequest &waiting,
                                       const State &state) const
 {
+    // What its parent has done already would be wasted.
+    if (waiting.arrival.isNested() && !arriving.arrival.isNested())
+        return false;
     const OrganisationLoad &organisations = state.organisations;
     const auto &own = arriving.arrival.organisation;
     const auto &other = waiting.arrival.organisation;
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -76,6 +76,9 @@
     , possibleDelay_(server.dependencies_.pauses.possibleDelay(arrivedAt_))
 {
     ++server_.activeCalls_;
+    // Upstreams have no keys: a request with one is a caller's own, whatever its identifier.
+    if (snapshot_->access->usesKeys() && http::findHeader(exchange_.head().headers, keyHeader))
+        description_.parentId.clear();
 }
 
 CallerServer::Call::~Call()
--- a/packages/transport/http/MemoryBudget.cpp
+++ b/packages/transport/http/MemoryBudget.cpp
@@ -11,7 +11,7 @@
 
 bool MemoryBudget::add(std::size_t bytes)
 {
-    if (!makeRoom(bytes))
+    if (!canMakeRoom(bytes) || !makeRoom(bytes))
         return false;
     used_ += bytes;
     return true;
@@ -65,6 +65,15 @@
     released_.release();
 }
 
+// Clients must not lose responses for a body that is refused all the same.
+bool MemoryBudget::canMakeRoom(std::size_t bytes) const
+{
+    std::size_t releasable = leaving_;
+    for (const auto &[reader, holding] : holdings_)
+        releasable += holding.isCutOff ? 0 : holding.bytes;
+    return bytes <= maximum_ && used_ - releasable <= maximum_ - bytes;
+}
+
 // What the connections that are cut off hold counts as released: they end before the next input is
 // read.
 bool MemoryBudget::makeRoom(std::size_t bytes)
--- a/packages/transport/http/MemoryBudget.h
+++ b/packages/transport/http/MemoryBudget.h
@@ -83,6 +83,7 @@
     // and a response of 4 MiB.
     static constexpr std::size_t largestCallBytes = std::size_t{20} * 1024 * 1024;
 
+    bool canMakeRoom(std::size_t bytes) const;
     bool makeRoom(std::size_t bytes);
     bool cutOffSlowest();
 
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -73,7 +73,8 @@
         return readBody().then([this, limit, received = std::move(received)](
                                        BodyPiece &&piece) mutable -> kj::Promise<BodyPiece> {
             append(received, piece.bytes);
-            if (!reserve(received.capacity())) {
+            // An empty string has a capacity, too; a request without a body needs no room.
+            if (!received.empty() && !reserve(received.capacity())) {
                 budget_->recordRefusal(received.capacity());
                 return KJ_EXCEPTION(OVERLOADED, "too many bytes of bodies are buffered");
             }
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -204,6 +204,18 @@
             time.sleep(0.02)
         raise AssertionError(f"not within {timeout} s: {what}; logs in {self.folder}")
 
+    def wait_for_line(self, text):
+        """Waits until a node has logged a line with a text. Returns the line."""
+        lines = []
+
+        def is_logged():
+            lines.extend(line for node in self.nodes for line in node.log_text().splitlines()
+                         if text in line)
+            return bool(lines)
+
+        self.wait_until(is_logged, f"a line with {text}")
+        return lines[0]
+
     def wait_until_served(self, path="/items/1"):
         for node in self.nodes:
             self.wait_until(lambda n=node: n.call(path=path).status == 200,
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -308,23 +308,26 @@
 
     # ---------------------------------------------------------------- nested calls
 
-    def call_back_from(self, node, suffix, results):
-        """Makes a node's upstream call an item through its node before it responds."""
+    def call_back_from(self, node, suffix, results, fields=""):
+        """Makes a node's upstream call an item through its node before it responds.
+
+        Parameter fields is further header lines, each with its line end.
+        """
         original = node.upstream.handle
 
         async def call_and_handle(request):
             if request.path.startswith("/orders/nested"):
                 attempt = request.header(ATTEMPT) + suffix
-                results.append((attempt, await self.call_without_key(node, attempt)))
+                results.append((attempt, await self.call_with(node, attempt, fields)))
             return await original(request)
 
         node.upstream.handle = call_and_handle
 
     @staticmethod
-    async def call_without_key(node, attempt):
+    async def call_with(node, attempt, fields):
         reader, writer = await asyncio.open_connection("127.0.0.1", node.caller_port)
         writer.write(f"GET /items/1 HTTP/1.1\r\nHost: shop.example\r\n{ATTEMPT}: {attempt}\r\n"
-                     f"{TENANT}: forged\r\nX-Boragetrack-Time-Budget-Ms: 1000\r\n"
+                     f"{TENANT}: forged\r\nX-Boragetrack-Time-Budget-Ms: 1000\r\n{fields}"
                      f"Connection: close\r\n\r\n".encode())
         line = await reader.readline()
         writer.close()
@@ -346,6 +349,23 @@
             self.assertEqual(status, 200)
             self.assertEqual(self.request_of(attempt).header(TENANT), "kabo51")
 
+    # A caller that writes a suffix to the identifier of a running request must not go before other
+    # callers, nor escape the usage counts: a request with a key is a caller's own.
+    def test_takes_no_request_with_a_key_for_a_nested_call(self):
+        self.start_keyed_fleet()
+        results = []
+        for node in self.fleet.nodes:
+            if node.service == "orders":
+                self.call_back_from(node, ".1", results,
+                                    f"Authorization: Bearer {KEYS['kabo51']}\r\n")
+        self.assertEqual(status_of(self.fleet.nodes[0], bearer(KEYS["pulo780"]),
+                                   path="/orders/nested", method="POST"), 200)
+        attempt, status = results[0]
+        self.assertEqual(status, 200)
+        self.assertEqual(self.request_of(attempt).header(TENANT), "kabo51")
+        line = self.fleet.wait_for_line(f"E510 call served request={attempt} ")
+        self.assertNotIn("rank=0 ", line)
+
     # The identifier alone must not let anybody in, and a node that was restarted can't know what
     # its upstream is still running: neither may be refused for good.
     def test_refuses_for_the_time_being_nested_calls_whose_parent_does_not_run(self):
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -68,6 +68,18 @@
     EXPECT_EQ(counters_.counter("slow_readers_closed").value(), 1);
 }
 
+// Guards against clients that lose their responses for a body that is refused all the same.
+TEST_F(MemoryBudgetTest, closesNoReaderForWhatFindsNoRoomEvenThen)
+{
+    ASSERT_TRUE(budget_.add(700));
+    budget_.hold(slow_, 100);
+    budget_.hold(fast_, 100);
+    EXPECT_FALSE(budget_.add(400));
+    EXPECT_FALSE(slow_.isCutOff);
+    EXPECT_TRUE(budget_.add(300));
+    EXPECT_TRUE(slow_.isCutOff && fast_.isCutOff);
+}
+
 // Guards against more connections that are closed than the room needs.
 TEST_F(MemoryBudgetTest, countsWhatLeavesAsReleased)
 {
--- a/tests/unit/OrganisationSharesTest.cpp
+++ b/tests/unit/OrganisationSharesTest.cpp
@@ -67,6 +67,14 @@
 
 } // namespace
 
+// What the parent of a nested call has done already would be wasted.
+TEST_F(OrganisationSharesTest, aNewRequestOfAnotherOrganisationDisplacesNoNestedCall)
+{
+    flood(0);
+    EXPECT_EQ(arrive(101, small), AdmissionDecision::Refuse);
+    EXPECT_TRUE(queue_.takeRefused(now_).empty());
+}
+
 TEST_F(OrganisationSharesTest, aFullQueueRefusesTheOrganisationWithTheMostRequests)
 {
     flood();
