--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -67,7 +67,7 @@
     , membership_(dependencies.self, std::move(dependencies.neighbours), *this)
     , peers_(membership_, std::move(dependencies.seeds), random_)
     , introducer_(random_)
-    , followerRole_(membership_)
+    , store_(membership_, timers)
     , departures_(dependencies.self.id, dependencies.self.version.generation)
     , propagator_(
               transport, *this, [this] { return peers_.neighbourContacts(); },
@@ -113,10 +113,10 @@
 void ControlPlane::storeUpdateReceived(OfferResult result)
 {
     propagator_.recordDurableUpdate(result, timers_.now());
-    recordHeldRevision();
+    recordHeldRevision({});
     if (result != OfferResult::Accepted && result != OfferResult::PartlyAccepted)
         return;
-    for (const NodeId &node : followerRole_.updateReceivers(timers_.now())) {
+    for (const NodeId &node : store_.role().updateReceivers(timers_.now())) {
         if (const auto contact = peers_.contactOf(node))
             sendExchangeTo(*contact, 0);
     }
@@ -124,8 +124,7 @@
 
 void ControlPlane::storeFollowingChanged(bool isFollowed)
 {
-    hasDurableStore_ = true;
-    isFollower_ = isFollowed;
+    store_.setFollowing(isFollowed);
     propagator_.setStoreReachable(isFollowed);
 }
 
@@ -186,7 +185,7 @@
     if (contact.address.port == 0)
         contact = peers_.contactOf(request.sender).value_or(contact);
     if (request.requestsUpdates)
-        followerRole_.recordPoll(request.sender, timers_.now());
+        store_.role().recordPoll(request.sender, timers_.now());
     introducer_.recordContact(contact.address);
     mergeExchange(contact, request);
     propagator_.raiseMinimumRevision(std::max(request.receiverMinimumRevision, request.revision),
@@ -202,14 +201,7 @@
 void ControlPlane::exchangeResponseReceived(const PeerContact &peer, const Exchange &response)
 {
     const PeerContact contact{response.sender, peer.address};
-    const bool covers
-            = response.isFollower && response.revision <= propagator_.replica().revision();
-    const bool isBehind = response.isFollower && !covers;
-    if (isBehind)
-        followerRole_.recordResponseAhead(response.sender, response.revision, timers_.now());
-    else
-        followerRole_.recordResponse(response.sender, covers, timers_.now());
-    recordContactOf(response);
+    store_.recordResponse(response);
     introducer_.recordContact(contact.address);
     mergeExchange(contact, response);
     propagator_.raiseMinimumRevision(std::max(response.receiverMinimumRevision, response.revision),
@@ -222,7 +214,7 @@
     const NodeId id = peer.id.isEmpty() ? peers_.idAt(peer.address) : peer.id;
     if (id.isEmpty())
         return;
-    followerRole_.recordFailure(id, timers_.now());
+    store_.role().recordFailure(id, timers_.now());
     const MemberRecord *member = membership_.table().find(id);
     // Only the first failure: the introducer's own contacts fail until the node responds.
     if (member != nullptr && member->state == MemberState::Alive)
@@ -241,7 +233,7 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     propagator_.offerFromPeer(source, transfer, timers_.now());
-    recordHeldRevision();
+    recordHeldRevision(peer.id);
     return propagator_.replica().revision();
 }
 
@@ -363,9 +355,9 @@
 
 void ControlPlane::pollTick(MonotonicTime now)
 {
-    if (!hasDurableStore_)
+    if (!store_.hasStore())
         return;
-    const auto follower = followerRole_.nextFollowerToPoll(now);
+    const auto follower = store_.role().nextFollowerToPoll(now);
     const auto contact = follower ? peers_.contactOf(*follower) : std::nullopt;
     if (!contact)
         return;
@@ -449,6 +441,7 @@
     const MonotonicTime now = timers_.now();
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
+    store_.recordReport(exchange.revision);
     membership_.recordContact(exchange.sender, now);
     peerDigests_[exchange.sender] = exchange.memberDigest;
     departures_.recordPeer(exchange.sender, exchange.receiverDeparture,
@@ -493,27 +486,9 @@
     return timers_.now() - lastDecisionAt_ > maximumDecisionGap;
 }
 
-void ControlPlane::recordHeldRevision()
-{
-    const Revision held = propagator_.replica().revision();
-    followerRole_.recordRevision(held);
-    storeContact_.recordRevision(held);
-}
-
-// Only responses count: how long a request was on its way is not known.
-void ControlPlane::recordContactOf(const Exchange &response)
-{
-    if (response.storeContactAge)
-        storeContact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge,
-                                 propagator_.replica().revision());
-}
-
-std::optional<std::chrono::milliseconds> ControlPlane::storeContactAge() const
+void ControlPlane::recordHeldRevision(const NodeId &source)
 {
-    const auto last = storeContact_.last();
-    if (!last)
-        return std::nullopt;
-    return std::chrono::ceil<std::chrono::milliseconds>(timers_.now() - *last);
+    store_.recordHeld(propagator_.replica().revision(), source);
 }
 
 Exchange ControlPlane::makeExchange(const NodeId &receiver, std::size_t maximumGossip)
@@ -529,8 +504,8 @@
     if (const MemberRecord *known = membership_.table().find(receiver))
         exchange.receiverKnownSince = departures_.knownSince(receiver, known->version.generation);
     exchange.memberDigest = membership_.table().digest();
-    exchange.isFollower = isFollower_ && !wasPaused();
-    exchange.storeContactAge = storeContactAge();
+    exchange.isFollower = store_.isFollowing() && !wasPaused();
+    exchange.storeContactAge = store_.contactAge();
     // If both tables had equal digests at the last exchange and this node's table has not changed
     // since, the peer needs no gossip.
     const auto known = peerDigests_.find(receiver);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -4,12 +4,11 @@
 #include "control/distribution/ByteRateLimiter.h"
 #include "control/distribution/DepartureMemory.h"
 #include "control/distribution/EvaluatorGroup.h"
-#include "control/distribution/FollowerRole.h"
 #include "control/distribution/IntentPropagator.h"
 #include "control/distribution/PeerIntroducer.h"
 #include "control/distribution/PeerSelector.h"
 #include "control/distribution/PeerTransport.h"
-#include "control/distribution/StoreContact.h"
+#include "control/distribution/StoreAwareness.h"
 #include "control/intent/IntentSnapshot.h"
 #include "control/membership/MembershipEngine.h"
 #include "control/moves/MoveCoordinator.h"
@@ -112,21 +111,24 @@
 
     /** Handles that the durable store responded to this node. @param askedAt when the call was sent
      */
-    void storeContacted(core::timing::MonotonicTime askedAt) { storeContact_.recordStore(askedAt); }
+    void storeContacted(core::timing::MonotonicTime askedAt) { store_.recordStore(askedAt); }
 
     /** Returns when the durable store last confirmed what this node holds, as far as this node or a
         peer that told it was in touch with the store; nothing if there was no contact. */
     std::optional<core::timing::MonotonicTime> lastStoreContact() const
     {
-        return storeContact_.last();
+        return store_.lastContact();
     }
 
     /** Returns whether this node should currently follow the durable store. */
-    bool mustFollowStore() const { return followerRole_.mustFollow(timers_.now()); }
+    bool mustFollowStore() const { return store_.role().mustFollow(timers_.now()); }
 
     /** Returns whether this node is a selected follower, whose address other nodes look up in the
         store. */
-    bool isSelectedFollower() const { return followerRole_.isSelected(); }
+    bool isSelectedFollower() const { return store_.role().isSelected(); }
+
+    /** Returns what this node knows of the durable store, for logs and operators. */
+    StoreKnowledge storeKnowledge() const { return store_.knowledge(); }
 
     /** Contacts nodes in the store's records that are unknown to this node.
         @param registered the addresses of nodes with a record
@@ -263,9 +265,7 @@
     void fetchMembersFromUnknown(const PeerContact &peer);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     bool wasPaused() const;
-    void recordHeldRevision();
-    void recordContactOf(const Exchange &response);
-    std::optional<std::chrono::milliseconds> storeContactAge() const;
+    void recordHeldRevision(const core::identity::NodeId &source);
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumGossip);
 
     PeerTransport &transport_;
@@ -276,8 +276,7 @@
     membership::MembershipEngine membership_;
     PeerSelector peers_;
     PeerIntroducer introducer_;
-    FollowerRole followerRole_;
-    StoreContact storeContact_;
+    StoreAwareness store_;
     DepartureMemory departures_;
     IntentPropagator propagator_;
     moves::MoveCoordinator moves_;
@@ -296,10 +295,6 @@
     core::timing::MonotonicTime lastUnknownMemberFetch_{};
     core::timing::MonotonicTime lastDecisionAt_{};
     ByteRateLimiter exchangeRateLimiter_;
-    // Whether there is a durable store for nodes to follow, and whether this node currently follows
-    // it.
-    bool hasDurableStore_ = false;
-    bool isFollower_ = false;
     // Whether a change is waiting to be sent before the next periodic exchange.
     bool isUrgentExchangeDue_ = false;
     bool isLeaving_ = false;
--- a/packages/control/distribution/FollowerRole.h
+++ b/packages/control/distribution/FollowerRole.h
@@ -62,6 +62,13 @@
         members that it knows. */
     bool isSelected() const;
 
+    /** Returns the follower whose response covered this node last; empty before the first one. */
+    const core::identity::NodeId &coveredBy() const { return coveredBy_; }
+
+    /** Returns when that response arrived; nothing before the first one or since that follower
+        failed. */
+    std::optional<core::timing::MonotonicTime> lastCoverage() const { return lastCoverage_; }
+
     /** Returns the follower to poll next, or nothing if this node is one or knows none. */
     std::optional<core::identity::NodeId> nextFollowerToPoll(core::timing::MonotonicTime now);
 
--- /dev/null
+++ b/packages/control/distribution/StoreAwareness.h
@@ -0,0 +1,70 @@
+/** What a node knows of the durable store, through its own follower and through its peers. */
+#pragma once
+
+#include "control/distribution/Exchange.h"
+#include "control/distribution/FollowerRole.h"
+#include "control/distribution/StoreContact.h"
+#include "control/distribution/StoreKnowledge.h"
+#include "core/timing/TimerService.h"
+
+namespace boragetrack::control::distribution {
+
+/** Combines the node's role, its last contact with the store and what other nodes have reported. */
+class StoreAwareness
+{
+public:
+    /** @param members and @param timers must outlive this object */
+    StoreAwareness(const membership::MembershipEngine &members, core::timing::TimerService &timers)
+        : timers_(timers)
+        , role_(members)
+    {}
+
+    /** Returns the node's role; it decides who follows the store. */
+    FollowerRole &role() { return role_; }
+    const FollowerRole &role() const { return role_; }
+
+    /** Returns whether there is a durable store for nodes to follow. */
+    bool hasStore() const { return hasStore_; }
+
+    /** Returns whether this node follows the store and can reach it. */
+    bool isFollowing() const { return isFollowing_; }
+
+    /** Records whether this node follows the store and can reach it. */
+    void setFollowing(bool isFollowing);
+
+    /** Records that the store responded to this node. @param askedAt when the call was sent */
+    void recordStore(core::timing::MonotonicTime askedAt) { contact_.recordStore(askedAt); }
+
+    /** Records the revision that this node holds.
+        @param source the node that sent its changes; empty for the store */
+    void recordHeld(core::identity::Revision held, const core::identity::NodeId &source);
+
+    /** Records a response to an exchange that this node sent. */
+    void recordResponse(const Exchange &response);
+
+    /** Records the revision that another node has reported. */
+    void recordReport(core::identity::Revision revision);
+
+    /** Returns when the store last confirmed what this node holds; nothing without any contact. */
+    std::optional<core::timing::MonotonicTime> lastContact() const { return contact_.last(); }
+
+    /** Returns the time since lastContact(), rounded up. */
+    std::optional<std::chrono::milliseconds> contactAge() const;
+
+    /** Returns a summary for logs and operators. */
+    StoreKnowledge knowledge() const;
+
+private:
+    core::timing::TimerService &timers_;
+    FollowerRole role_;
+    StoreContact contact_;
+    bool hasStore_ = false;
+    // Invariant: false unless hasStore_.
+    bool isFollowing_ = false;
+    // Invariant: neither decreases.
+    core::identity::Revision held_;
+    core::identity::Revision reported_;
+    core::identity::NodeId updatedBy_;
+};
+
+} // namespace boragetrack::control::distribution
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -23,6 +23,7 @@
     StoreRecovered = 211,
     StoreListed = 212,
     StoreRoleChanged = 213,
+    StoreKnowledge = 215,
     MemberAlive = 300,
     MemberSuspect = 301,
     MemberDead = 302,
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -6,6 +6,7 @@
 #include "control/moves/StandardMovePolicies.h"
 #include "core/events/EventLog.h"
 #include "daemon/service/StatusReport.h"
+#include "daemon/service/StoreKnowledgeLog.h"
 
 namespace boragetrack::daemon::service {
 
@@ -171,8 +172,11 @@
 void ControlService::intentInForce()
 {
     const Revision revision = plane_->snapshot()->revision();
+    const auto knowledge = plane_->storeKnowledge();
     core::events::logEvent(EventCode::IntentApplied, "intent in force",
-                           {{"revision", std::to_string(revision.number())}});
+                           {{"revision", std::to_string(revision.number())},
+                            {"from", knowledge.updatedBy.value()},
+                            {"contactMs", ageText(knowledge.contactAge)}});
     dependencies_.counters.counter("intents_applied").add();
     routingPublisher_.intentInForce(*plane_, dependencies_.thread.now());
     dependencies_.revisions.publish(revision);
@@ -246,6 +250,7 @@
     nextCountersAt_ = now + counterLogPeriod;
     core::events::logEvent(EventCode::Counters, "counters " + dependencies_.counters.toLine());
     core::events::logSuppressedLines();
+    logStoreKnowledge(plane_->storeKnowledge());
 }
 
 void ControlService::logMissingIntent(MonotonicTime now)
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -5,6 +5,7 @@
 #include "control/records/DepartureRecord.h"
 #include "control/records/NodeRecord.h"
 #include "core/events/EventLog.h"
+#include "daemon/service/StoreKnowledgeLog.h"
 
 #include <algorithm>
 
@@ -98,7 +99,8 @@
     core::events::logEvent(EventCode::StoreRoleChanged, "store role changed",
                            {{"follows", follows ? "yes" : "no"},
                             {"chosen", plane_->isSelectedFollower() ? "yes" : "no"},
-                            {"revision", std::to_string(replica_->table().revision().number())}});
+                            {"revision", std::to_string(replica_->table().revision().number())},
+                            {"coveredBy", plane_->storeKnowledge().coveredBy.value()}});
 }
 
 // Each node record costs store calls, by this node and by the nodes that watch. A new node finds
@@ -187,8 +189,12 @@
 void RecordSource::storeUnavailable(const absl::Status &error)
 {
     plane_->storeFollowingChanged(false);
+    const auto knowledge = plane_->storeKnowledge();
     core::events::logEvent(EventCode::StoreUnavailable, "platform unavailable",
-                           {{"error", std::string(error.message())}});
+                           {{"error", std::string(error.message())},
+                            {"held", std::to_string(knowledge.held.number())},
+                            {"reported", std::to_string(knowledge.reported.number())},
+                            {"contactMs", ageText(knowledge.contactAge)}});
 }
 
 void RecordSource::storeRecovered()
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -66,6 +66,19 @@
                 {"upstream", nameOf(record.upstream.state)}};
 }
 
+json describe(const control::distribution::StoreKnowledge &knowledge)
+{
+    json report{
+            {"follows", knowledge.isFollowing},         {"selected", knowledge.isSelected},
+            {"held", knowledge.held.number()},          {"reported", knowledge.reported.number()},
+            {"coveredBy", knowledge.coveredBy.value()}, {"updatedBy", knowledge.updatedBy.value()}};
+    if (knowledge.contactAge)
+        report["contactMs"] = knowledge.contactAge->count();
+    if (knowledge.coverageAge)
+        report["coverageMs"] = knowledge.coverageAge->count();
+    return report;
+}
+
 json describe(const control::distribution::IntentWait &wait)
 {
     return json{{"reason", control::distribution::describe(wait.reason)},
@@ -98,6 +111,7 @@
     report["endpoints"] = endpointCount(routing);
     report["neighbours"] = plane.membership().neighbours().size();
     report["exchangesWithoutAddress"] = plane.exchangesWithoutAddress();
+    report["store"] = describe(plane.storeKnowledge());
     if (const auto wait = plane.intentWait())
         report["intentWait"] = describe(*wait);
     if (plane.replica().refusedRevision() > plane.replica().revision()) {
