Show that a change stays unknown behind lost watches while cheap reads are old

The store's page allows reads with staleOk to be seconds old, and the probes of a pending watch are such reads. The stand-in answers them as of a time in the past. The test fails: entry 23 of KNOWN-RED.txt.

--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import itertools
 import json
+import time
 from urllib.parse import unquote
 
 from asyncserver import Response, AsyncServer
@@ -17,6 +18,7 @@
         self.revision = 1
         self.items = {}
         self.history = []
+        self._written_at = []  # when each entry of the history was written (monotonic)
         self.compacted_revision = 0
         self.leases = {}  # the lifetime of each lease after a renewal, in seconds
         self._lease_numbers = itertools.count(1000)
@@ -28,6 +30,7 @@
         self.fault = None
         self._lost_calls = 0  # the calls up to this number get no response
         self.delay = 0.0  # before each response, in seconds
+        self.staleness = 0.0  # the age of what reads with "staleOk" return, in seconds
         # Returns the response to send in place of the given one.
         self.replace_response = lambda request, response: response
 
@@ -90,19 +93,32 @@
     def json_response(status, body):
         return Response(status, json.dumps(body).encode(), {"Content-Type": "application/json"})
 
+    def copy_of(self, age):
+        """Returns the items and the revision as they were, the age in seconds."""
+        until = time.monotonic() - age
+        past = [e for e, at in zip(self.history, self._written_at) if at <= until]
+        items = {}
+        for event in past:
+            items[event["key"]] = event
+        return ({k: e for k, e in items.items() if not e.get("deleted")},
+                past[-1]["revision"] if past else 1)
+
     def range(self, request):
         prefix = unquote(request.query.get("prefix", ""))
         after = unquote(request.query.get("after", ""))
-        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        is_stale = request.query.get("staleOk") == "1" and self.staleness > 0
+        items, revision = (self.copy_of(self.staleness) if is_stale
+                           else (self.items, self.revision))
+        keys = sorted(k for k in items if k.startswith(prefix) and k > after)
         page = []
         size = 0
         for key in keys[:50]:
-            size += len(self.items[key]["value"])
+            size += len(items[key]["value"])
             if page and size > 1_000_000:
                 break
-            page.append(self.items[key])
+            page.append(items[key])
         return self.json_response(
-            200, {"items": page, "truncated": len(page) < len(keys), "currentRev": self.revision}
+            200, {"items": page, "truncated": len(page) < len(keys), "currentRev": revision}
         )
 
     async def watch(self, request):
@@ -167,16 +183,20 @@
                 "key": key, "value": encoded, "revision": self.revision, "created": created,
                 "lease": lease,
             }
-            self.history.append(dict(self.items[key]))
+            self._record(dict(self.items[key]))
             self.changed.notify_all()
             return self.revision
 
+    def _record(self, event):
+        self.history.append(event)
+        self._written_at.append(time.monotonic())
+
     async def _remove_all(self, keys):
         async with self.changed:
             for key in keys:
                 if self.items.pop(key, None) is not None:
                     self.revision += 1
-                    self.history.append({"key": key, "revision": self.revision, "deleted": True})
+                    self._record({"key": key, "revision": self.revision, "deleted": True})
             self.changed.notify_all()
             return self.revision
 
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from known_red import known_red
 from platform_case import RULES, SERVICES, PlatformCase
 from platform_fleet import configuration, rule
 
@@ -56,6 +57,14 @@
         self.store.put("op/config", configuration(9, MOVED, SERVICES))
         self.expect_change_in_force(time.monotonic())
 
+    # Guards against a lost watch that is believed in for as long as stale reads show no change.
+    def test_applies_a_change_behind_lost_watches_while_cheap_reads_are_stale(self):
+        self.store.staleness = 12.0
+        self.store.lose_calls_in_progress()
+        self.store.put("op/config", configuration(9, MOVED, SERVICES))
+        with known_red(self, 23):
+            self.expect_change_in_force(time.monotonic())
+
 
 if __name__ == "__main__":
     unittest.main()
