--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,6 +35,8 @@
 # a node regards its connections as working within SETTLE_SECONDS.
 IN_FORCE_SECONDS = 2.0
 SETTLE_SECONDS = 4.0
+# The age of reads with "staleOk"; the platform allows some seconds.
+STALENESS_SECONDS = 3.0
 # Attempts for a final call, as one upstream may still be regarded as unavailable.
 FINAL_CALL_ATTEMPTS = 3
 # Time for a planned stop, in s; a node that is frozen or throttled meanwhile may need longer and is
@@ -81,6 +83,7 @@
         """Injects faults for some seconds, ends them, and returns the violations of guarantees."""
         try:
             self._write_configuration()
+            self.fleet.store.staleness = STALENESS_SECONDS
             self.fleet.start()
             self.upstreams = [node.upstream for node in self.fleet.nodes]
             for upstream in self.upstreams:
@@ -282,7 +285,9 @@
         time.sleep(SETTLE_SECONDS)
 
     def _check_recovered(self):
-        """Checks that a change is in force on all nodes in time and that calls are served."""
+        """Checks that a change is in force on all nodes in time, also behind lost watches, and that
+        calls are served."""
+        self.fleet.store.lose_calls_in_progress()
         self._write_configuration()
         changed_at = time.monotonic()
         marker = f"/marker-{self.version}/"
