Let a follower use another one's contact with the store up to the moment of its own read

Change: a proof is passed on when it arrives, and a follower asks for the last contact when its own read is due. The node that probes waits a second, so that a change behind lost watches is in force about 1.3 s after its acknowledgement there and 0.4 s later at the others. A watch that follows a response counts from that response, not from its own start.

--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -94,14 +94,6 @@
     watch(ReadConsistency::Linearizable);
 }
 
-void StoreFollower::recordKnowledge(const std::optional<core::timing::MonotonicTime> &contactAt,
-                                    Revision reported)
-{
-    if (contactAt)
-        monitor_.recordContact(*contactAt);
-    monitor_.recordRevision(reported);
-}
-
 void StoreFollower::resumeAfterPause()
 {
     if (!isListed_ || isIdle_)
@@ -179,6 +171,7 @@
     failures_ = 0;
     isUnconfirmed_ = false;
     servedAt_ = sentAt_;
+    monitor_.recordContact(timers_.now());
     if (wasUnavailable)
         listener_.storeRecovered();
 }
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -41,6 +41,16 @@
 
         /** Handles that calls to the store succeed again. */
         virtual void storeRecovered() = 0;
+
+        /** Handles a later lastContact() that came with no update. */
+        virtual void storeContacted() {}
+
+        /** Returns a time before which no change is unknown to this node, as far as it or another
+            node was in touch with the store; nothing without such a contact. */
+        virtual std::optional<core::timing::MonotonicTime> sharedContact() const
+        {
+            return std::nullopt;
+        }
     };
 
     /** How long one watch waits at the store; each watch is a charged call. */
@@ -82,11 +92,8 @@
     /** Sets the time between a proof that no change is missing and the next probe. */
     void setProbePeriod(std::chrono::milliseconds period) { monitor_.setPeriod(period); }
 
-    /** Records what this node has learnt of the store otherwise.
-        @param contactAt a time before which no change is unknown here, if there is one
-        @param reported the highest revision that another node has reported */
-    void recordKnowledge(const std::optional<core::timing::MonotonicTime> &contactAt,
-                         core::identity::Revision reported);
+    /** Records a revision that another node holds. */
+    void recordRevision(core::identity::Revision reported) { monitor_.recordRevision(reported); }
 
     /** Abandons the current watch after the process was paused, and starts another one. Until the
         store has responded, changes may have been missed. */
@@ -108,6 +115,11 @@
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
     void watchLost(const absl::Status &reason) override;
+    void watchProven() override { listener_.storeContacted(); }
+    std::optional<core::timing::MonotonicTime> sharedContact() const override
+    {
+        return listener_.sharedContact();
+    }
     void listFrom(const std::string &after);
     void handleListResponse(const absl::StatusOr<RecordPage> &response);
     void watch(ReadConsistency firstProbe = ReadConsistency::MayBeStale);
--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -30,7 +30,6 @@
     stop();
     isRunning_ = true;
     watched_ = watched;
-    contactAt_ = timers_.now();
     sendProbe(consistency);
 }
 
@@ -127,11 +126,13 @@
     isUnproven_ = isUnproven_ && !isProof;
     if (response.ok() && response.value() > watched_)
         expectDelivery();
-    else if (isProof)
-        provenAt_ = sentAt;
     if (isProof || isRefused_)
         contactAt_ = std::max(contactAt_, sentAt);
     scheduleTimer();
+    if (isProof && response.value() <= watched_) {
+        provenAt_ = sentAt;
+        listener_.watchProven();
+    }
 }
 
 void WatchMonitor::reportLost(const absl::Status &reason)
@@ -164,6 +165,8 @@
         reportLost(absl::UnknownError("the watch did not deliver a change"));
         return;
     }
+    if (const auto contact = listener_.sharedContact())
+        contactAt_ = std::max(contactAt_, *contact);
     if (!isProbePending_ && now >= nextProbeAt())
         sendProbe(isRefused_ ? ReadConsistency::MayBeStale : ReadConsistency::Linearizable);
     else
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -34,13 +34,20 @@
         /** Handles that the watch will not deliver all changes. The monitor has stopped.
             @param reason why the watch is taken for lost */
         virtual void watchLost(const absl::Status &reason) = 0;
+
+        /** Handles that a probe proved that no change is missing. */
+        virtual void watchProven() = 0;
+
+        /** Returns a time before which no change is unknown here, as far as this node or another
+           one that told it was in touch with the store; nothing without such a contact. */
+        virtual std::optional<core::timing::MonotonicTime> sharedContact() const = 0;
     };
 
     /** The usual time between a proof that no change is missing and the next probe. Together with
         deliveryTime, the follower's delay between two watches and the time in which the other
         followers learn of a change, it stays below the two seconds in which a change must be in
         force. */
-    static constexpr std::chrono::milliseconds probePeriod{800};
+    static constexpr std::chrono::milliseconds probePeriod{1000};
     /** How long a known change may take to arrive by the watch. */
     static constexpr std::chrono::milliseconds deliveryTime{200};
     /** How long the store may take to respond to a probe. */
@@ -71,8 +78,7 @@
     /** Sets the time between a proof and the next probe. */
     void setPeriod(std::chrono::milliseconds period);
 
-    /** Records that this node, or another one that told it, was in touch with the store at a time,
-        and that no change before it is unknown here. */
+    /** Records that no change before a time is unknown here. */
     void recordContact(core::timing::MonotonicTime at);
 
     /** Records a revision that another node holds. */
@@ -107,7 +113,7 @@
     core::identity::Revision watched_;
     std::optional<core::timing::MonotonicTime> provenAt_;
     bool isRunning_ = false;
-    // The start of the watch, or a later contact of any node or response to a probe.
+    // The last contact of any node, or the last probe that the store refused.
     core::timing::MonotonicTime contactAt_{};
     // Since when a change is known that the watch has not delivered; nothing unless isRunning_.
     std::optional<core::timing::MonotonicTime> missingSince_;
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -86,12 +86,17 @@
     isFollowRequired_ = mustFollow;
     follower_->setActive(mustFollow, replica_->table().revision());
     follower_->setProbePeriod(probePeriod());
-    follower_->recordKnowledge(plane_->lastStoreContact(), plane_->storeKnowledge().reported);
+    follower_->recordRevision(plane_->storeKnowledge().reported);
     plane_->storeFollowingChanged(follower_->isFollowing());
     leasedRecord_->setActive(needsNodeRecord());
     reportContact();
 }
 
+std::optional<core::timing::MonotonicTime> RecordSource::sharedContact() const
+{
+    return dependencies_.areProbesShared ? plane_->lastStoreContact() : std::nullopt;
+}
+
 std::chrono::milliseconds RecordSource::probePeriod() const
 {
     if (!dependencies_.areProbesShared || plane_->isProber())
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -59,6 +59,8 @@
     void recordsChanged(const control::records::RecordChanges &changes) override;
     void storeUnavailable(const absl::Status &error) override;
     void storeRecovered() override;
+    void storeContacted() override { reportContact(); }
+    std::optional<core::timing::MonotonicTime> sharedContact() const override;
     std::string text() const override;
     bool isCurrent(const std::string &stored) const override;
     void logStoreRole(bool follows) const;
--- a/tests/unit/StoreContactTest.cpp
+++ b/tests/unit/StoreContactTest.cpp
@@ -100,14 +100,16 @@
 {
     EXPECT_EQ(follower_.lastContact(), listedAt_);
     respond(store_.probes, absl::StatusOr<Revision>(Revision(7)));
-    timers_.advance(milliseconds(500));
-    ASSERT_EQ(store_.probes.size(), 1U) << "the next probe follows after the period given";
+    timers_.advance(milliseconds(1));
+    ASSERT_EQ(store_.probes.size(), 1U) << "the listing is older than the period given";
     const MonotonicTime probedAt = timers_.now();
     timers_.advance(milliseconds(300));
     respond(store_.probes, absl::StatusOr<Revision>(Revision(7)));
     EXPECT_EQ(follower_.lastContact(), probedAt);
-    timers_.advance(milliseconds(500));
-    EXPECT_EQ(store_.probes.size(), 1U);
+    timers_.advance(milliseconds(199));
+    EXPECT_EQ(store_.probes.size(), 0U);
+    timers_.advance(milliseconds(1));
+    EXPECT_EQ(store_.probes.size(), 1U) << "the next probe follows after the period given";
 }
 
 // Guards against keys that count as current because an old copy of the store lacks their removal.
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -38,12 +38,17 @@
     }
     void storeUnavailable(const absl::Status & /*error*/) override { ++outages_; }
     void storeRecovered() override { ++recoveries_; }
+    std::optional<core::timing::MonotonicTime> sharedContact() const override
+    {
+        return sharedContact_;
+    }
 
     PendingStore store_;
     core::timing::ManualTimerService timers_;
     std::size_t listed_ = 0;
     std::size_t changed_ = 0;
     Revision revision_;
+    std::optional<core::timing::MonotonicTime> sharedContact_;
     int outages_ = 0;
     int recoveries_ = 0;
     StoreFollower follower_{store_, timers_, *this, 1};
@@ -263,11 +268,11 @@
 // Guards against a follower that relies on its watch although its peers hold a later change.
 TEST_F(WatchLossTest, abandonsAWatchThatMissesWhatAnotherNodeHolds)
 {
-    follower_.recordKnowledge(std::nullopt, Revision(7));
+    follower_.recordRevision(Revision(7));
     timers_.advance(WatchMonitor::deliveryTime);
     EXPECT_TRUE(follower_.isFollowing());
-    follower_.recordKnowledge(std::nullopt, Revision(8));
-    follower_.recordKnowledge(std::nullopt, Revision(9));
+    follower_.recordRevision(Revision(8));
+    follower_.recordRevision(Revision(9));
     timers_.advance(WatchMonitor::deliveryTime);
     EXPECT_FALSE(follower_.isFollowing());
     EXPECT_EQ(store_.watches.size(), 2U);
@@ -277,11 +282,12 @@
 TEST_F(WatchLossTest, sendsNoProbeWhileAnotherNodeIsInTouchWithTheStore)
 {
     for (int step = 0; step < 20; ++step) {
-        follower_.recordKnowledge(timers_.now(), Revision(7));
+        sharedContact_ = timers_.now();
         timers_.advance(WatchMonitor::probePeriod / 2);
     }
     EXPECT_TRUE(store_.probes.empty());
-    timers_.advance(WatchMonitor::probePeriod / 2);
+    sharedContact_.reset();
+    timers_.advance(WatchMonitor::probePeriod);
     EXPECT_EQ(store_.probes.size(), 1U);
 }
 
