Cover no other node before the store has proven the watch that a node begins

Reports of other nodes reach the monitor when they arrive instead of at the next update, and test_watches gives one deadline to all nodes instead of one to each.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -456,6 +456,8 @@
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
     store_.recordReport(exchange.revision);
+    if (exchange.revision > propagator_.replica().revision())
+        listener_.laterRevisionReported();
     membership_.recordContact(exchange.sender, now);
     peerDigests_[exchange.sender] = exchange.memberDigest;
     departures_.recordPeer(exchange.sender, exchange.receiverDeparture,
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -42,6 +42,9 @@
         /** Handles that a newer intent is in force on this node. */
         virtual void intentInForce() = 0;
 
+        /** Handles that another node holds a later revision than this one. */
+        virtual void laterRevisionReported() {}
+
         /** Handles the refusal of an intent; the previous one stays in force. */
         virtual void intentRefused() = 0;
 
--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -30,6 +30,8 @@
     stop();
     isRunning_ = true;
     watched_ = watched;
+    isUnproven_ = consistency == ReadConsistency::Linearizable;
+    isFirstProbePending_ = true;
     sendProbe(consistency);
 }
 
@@ -41,6 +43,7 @@
     isUnproven_ = false;
     isRefused_ = false;
     isProbePending_ = false;
+    isFirstProbePending_ = false;
     missingSince_.reset();
     timers_.removeListener(*this);
 }
@@ -113,23 +116,29 @@
                                   ReadConsistency consistency, MonotonicTime sentAt)
 {
     isProbePending_ = false;
+    // A slow store may take as long to respond to a watch that has just begun.
+    if (std::exchange(isFirstProbePending_, false) && missingSince_)
+        missingSince_ = timers_.now();
     if (absl::IsUnknown(response.status())) {
         reportLost(response.status());
         return;
     }
-    const bool wasRefused = std::exchange(isRefused_, !response.ok());
+    // The limit of calls concerns all nodes together and ends no watch.
+    const bool isLimited = absl::IsResourceExhausted(response.status());
+    const bool wasRefused = std::exchange(isRefused_, !response.ok() && !isLimited);
     if (wasRefused && response.ok()) {
         reportLost(absl::UnknownError("the store refused calls while the watch was pending"));
         return;
     }
-    const bool isProof = response.ok() && consistency == ReadConsistency::Linearizable;
+    const bool isCurrent = response.ok() && response.value() <= watched_;
+    const bool isProof = isCurrent && consistency == ReadConsistency::Linearizable;
     isUnproven_ = isUnproven_ && !isProof;
-    if (response.ok() && response.value() > watched_)
+    if (response.ok() && !isCurrent)
         expectDelivery();
-    if (isProof || isRefused_)
+    if (isProof || !response.ok())
         contactAt_ = std::max(contactAt_, sentAt);
     scheduleTimer();
-    if (isProof && response.value() <= watched_) {
+    if (isProof) {
         provenAt_ = sentAt;
         listener_.watchProven();
     }
@@ -149,10 +158,10 @@
 void WatchMonitor::scheduleTimer()
 {
     timers_.removeListener(*this);
-    if (!isRunning_ || isPaused_ || (isProbePending_ && !missingSince_))
+    if (!isRunning_ || isPaused_ || (isProbePending_ && !missingSince_) || isFirstProbePending_)
         return;
     MonotonicTime due = isProbePending_ ? MonotonicTime::max() : nextProbeAt();
-    if (missingSince_)
+    if (missingSince_ && !isFirstProbePending_)
         due = std::min(due, *missingSince_ + deliveryTime);
     const auto delay = std::chrono::ceil<milliseconds>(due - timers_.now());
     timers_.addListener(*this, std::max(delay, milliseconds(1)));
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -121,7 +121,10 @@
     bool isProbePending_ = false;
     // Invariant: false unless isRunning_.
     bool isPaused_ = false;
-    // Whether no linearizable probe was served since pause(). Invariant: false unless isRunning_.
+    // Whether the watch's first probe has no response yet. Invariant: false unless isRunning_.
+    bool isFirstProbePending_ = false;
+    // Whether no linearizable probe has proven the watch since it was resumed, or begun for other
+    // nodes. Invariant: false unless isRunning_.
     bool isUnproven_ = false;
     // Whether the store refused the last probe. Invariant: false unless isRunning_.
     bool isRefused_ = false;
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -182,6 +182,11 @@
     dependencies_.revisions.publish(revision);
 }
 
+void ControlService::laterRevisionReported()
+{
+    dependencies_.source.laterRevisionReported();
+}
+
 void ControlService::intentRefused()
 {
     const auto &replica = plane_->replica();
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -98,6 +98,7 @@
 private:
     void viewChanged() override { routingPublisher_.viewChanged(); }
     void intentInForce() override;
+    void laterRevisionReported() override;
     void intentRefused() override;
     void memberChanged(const control::membership::MemberRecord *previous,
                        const control::membership::MemberRecord &record) override;
--- a/packages/daemon/service/IntentSource.h
+++ b/packages/daemon/service/IntentSource.h
@@ -27,6 +27,9 @@
         second. */
     virtual void update() = 0;
 
+    /** Handles that another node holds a later revision than this one. */
+    virtual void laterRevisionReported() {}
+
     /** Returns the keeper of departures of this node's upstreams. */
     virtual control::membership::DepartureKeeper &departureKeeper() = 0;
 
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -86,12 +86,17 @@
     isFollowRequired_ = mustFollow;
     follower_->setActive(mustFollow, replica_->table().revision());
     follower_->setProbePeriod(probePeriod());
-    follower_->recordRevision(plane_->storeKnowledge().reported);
     plane_->storeFollowingChanged(follower_->isFollowing());
     leasedRecord_->setActive(needsNodeRecord());
     reportContact();
 }
 
+void RecordSource::laterRevisionReported()
+{
+    if (follower_)
+        follower_->recordRevision(plane_->storeKnowledge().reported);
+}
+
 std::optional<core::timing::MonotonicTime> RecordSource::sharedContact() const
 {
     return dependencies_.areProbesShared ? plane_->lastStoreContact() : std::nullopt;
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -50,6 +50,7 @@
     void attach(control::distribution::ControlPlane &plane) override;
     void detach() override;
     void update() override;
+    void laterRevisionReported() override;
     control::membership::DepartureKeeper &departureKeeper() override { return departures_; }
     void recordMove(const control::moves::MoveRecord &record) override;
 
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -36,8 +36,8 @@
         return any(attempt in upstream.attempts() for upstream in self.upstreams("orders"))
 
     def expect_change_in_force(self, since):
-        remaining = since + self.stable_window + self.apply_time - time.monotonic()
         for node in self.fleet.nodes:
+            remaining = since + self.stable_window + self.apply_time - time.monotonic()
             self.fleet.wait_until(lambda n=node: self.is_moved(n),
                                   f"the change is in force on {node.name}", max(0.1, remaining))
 
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -157,6 +157,8 @@
     EXPECT_FALSE(follower_.isFollowing());
     follower_.setActive(true, Revision(12));
     EXPECT_EQ(store_.watches.front().first, Revision(12));
+    EXPECT_FALSE(follower_.isFollowing()) << "the store has not confirmed what is held";
+    respond(store_.probes, absl::StatusOr<Revision>(Revision(12)));
     EXPECT_TRUE(follower_.isFollowing());
 }
 
@@ -286,9 +288,10 @@
         timers_.advance(WatchMonitor::probePeriod / 2);
     }
     EXPECT_TRUE(store_.probes.empty());
-    sharedContact_.reset();
-    timers_.advance(WatchMonitor::probePeriod);
-    EXPECT_EQ(store_.probes.size(), 1U);
+    timers_.advance(WatchMonitor::probePeriod / 2 - milliseconds(1));
+    EXPECT_TRUE(store_.probes.empty());
+    timers_.advance(milliseconds(1));
+    EXPECT_EQ(store_.probes.size(), 1U) << "a period after the last contact";
 }
 
 // Guards against a node that covers others by a watch of which nothing is known.
@@ -302,6 +305,49 @@
     EXPECT_EQ(store_.consistencies.back(), ReadConsistency::Linearizable);
 }
 
+// Guards against coverage by a node that has just read of a change that it lacks.
+TEST_F(WatchLossTest, isNotFollowingWhenTheReadAfterAPauseShowsAMissingChange)
+{
+    follower_.setActive(false, Revision(7));
+    follower_.setActive(true, Revision(7));
+    respondToProbe(Revision(9));
+    EXPECT_FALSE(follower_.isFollowing());
+}
+
+// Guards against a store that is slow and gets a further watch for each change.
+TEST_F(StoreFollowerTest, keepsAWatchOfASlowStoreUntilItsFirstReadHasResponded)
+{
+    respond(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchDelay);
+    follower_.recordRevision(Revision(8));
+    timers_.advance(milliseconds(250));
+    respond(store_.probes, absl::StatusOr<Revision>(Revision(7)));
+    timers_.advance(WatchMonitor::deliveryTime - milliseconds(1));
+    EXPECT_EQ(store_.watches.size(), 1U);
+    timers_.advance(milliseconds(1));
+    EXPECT_EQ(store_.watches.size(), 2U);
+}
+
+// Guards against more calls, and less coverage, because the limit of calls was exceeded.
+TEST_F(WatchLossTest, keepsItsWatchWhenAReadExceedsTheRateLimit)
+{
+    respondToNextProbe(absl::ResourceExhaustedError("too many calls"));
+    respondToNextProbe(Revision(7));
+    EXPECT_TRUE(follower_.isFollowing());
+    EXPECT_EQ(store_.watches.size(), 1U);
+}
+
+// Guards against a store that is probed again and again while it refuses calls.
+TEST_F(WatchLossTest, waitsAPeriodAfterARefusedProbe)
+{
+    timers_.advance(WatchMonitor::probePeriod - StoreFollower::firstWatchDelay);
+    respondToProbe(absl::UnavailableError("out of service"));
+    timers_.advance(WatchMonitor::probePeriod - milliseconds(1));
+    EXPECT_TRUE(store_.probes.empty());
+    timers_.advance(milliseconds(1));
+    EXPECT_EQ(store_.probes.size(), 1U);
+}
+
 // Guards against an outage in which each refused read costs a whole call.
 TEST_F(WatchLossTest, probesARefusingStoreByCheapReads)
 {
