Send removals to peers that hold records which the sender never knew

A node that listed the store after a removal has no record of the removed key. Its transfers to nodes with an earlier revision left the removal out, and these nodes then claimed the sender's revision: they held the removed record, such as an evacuation that is over, until their next listing.

A table now knows since which revision it has every removal. A node that holds less receives all records, marked as a whole, and removes the others.

--- a/packages/control/distribution/RecordReplica.cpp
+++ b/packages/control/distribution/RecordReplica.cpp
@@ -48,15 +48,20 @@
     return record;
 }
 
+// Returns whether a transfer contains all records that existed at its revision.
+bool isWhole(const JsonDocument &transfer)
+{
+    return transfer.HasMember("whole") && transfer["whole"].IsBool() && transfer["whole"].GetBool();
+}
+
 } // namespace
 
 OfferResult RecordReplica::applyListing(const std::vector<StoreRecord> &listed, Revision revision)
 {
     const Revision before = this->revision();
     std::vector<StoreRecord> kept;
-    std::copy_if(listed.begin(), listed.end(), std::back_inserter(kept), [&](const auto &record) {
-        return reader_->isIntentKey(record.key) || reader_->isSharedKey(record.key);
-    });
+    std::copy_if(listed.begin(), listed.end(), std::back_inserter(kept),
+                 [&](const auto &record) { return isKept(record); });
     const bool hasChanges = table_.mergeListing({}, kept, revision);
     return update(hasChanges ? Change::Intent : Change::None, before);
 }
@@ -83,20 +88,29 @@
         auto record = readRecord(entry);
         if (!record)
             return OfferResult::Refused;
-        changes.push_back(std::move(*record));
+        if (isKept(*record))
+            changes.push_back(std::move(*record));
     }
-    const Change change = merge(changes);
-    table_.completeThrough(Revision(root["through"].GetUint64()));
+    const Revision through(root["through"].GetUint64());
+    Change change = merge(changes);
+    if (isWhole(root) && table_.mergeListing({}, changes, through))
+        change = Change::Intent;
+    table_.completeThrough(through);
     return update(change, before);
 }
 
+bool RecordReplica::isKept(const StoreRecord &record) const
+{
+    return reader_->isIntentKey(record.key) || reader_->isSharedKey(record.key);
+}
+
 RecordReplica::Change RecordReplica::merge(const std::vector<StoreRecord> &changes)
 {
     Change change = Change::None;
     for (const StoreRecord &record : changes) {
-        const bool isIntent = reader_->isIntentKey(record.key);
-        if (!(isIntent || reader_->isSharedKey(record.key)) || !table_.merge(record))
+        if (!isKept(record) || !table_.merge(record))
             continue;
+        const bool isIntent = reader_->isIntentKey(record.key);
         change = std::max(change, isIntent ? Change::Intent : Change::SharedOnly);
     }
     return change;
@@ -138,23 +152,28 @@
     return last;
 }
 
+// A node whose revision precedes the known removals may hold records that this node has never
+// known; it receives all records and removes the others.
 IntentTransfer RecordReplica::transferSince(Revision have) const
 {
+    const Revision base = have < table_.removalsKnownSince() ? Revision{} : have;
     if (!cachedTransfer_.payload.empty() && cachedTransfer_.target == revision()
-        && cachedTransfer_.base == have)
+        && cachedTransfer_.base == base)
         return cachedTransfer_;
     rapidjson::StringBuffer text;
     rapidjson::Writer<rapidjson::StringBuffer> writer(text);
     writer.StartObject();
     writer.Key("through");
     writer.Uint64(table_.revision().number());
+    writer.Key("whole");
+    writer.Bool(base == Revision{});
     writer.Key("records");
     writer.StartArray();
-    for (const StoreRecord &record : table_.changesSince(have))
+    for (const StoreRecord &record : table_.changesSince(base))
         writeRecord(record, writer);
     writer.EndArray();
     writer.EndObject();
-    IntentTransfer transfer{revision(), have, 0, std::string(text.GetString(), text.GetSize())};
+    IntentTransfer transfer{revision(), base, 0, std::string(text.GetString(), text.GetSize())};
     transfer.textHash = core::hashing::stableHash(transfer.payload);
     cachedTransfer_ = transfer;
     return transfer;
--- a/packages/control/distribution/RecordReplica.h
+++ b/packages/control/distribution/RecordReplica.h
@@ -46,6 +46,7 @@
     // What a merge changed in the table.
     enum class Change { None, SharedOnly, Intent };
 
+    bool isKept(const records::StoreRecord &record) const;
     Change merge(const std::vector<records::StoreRecord> &changes);
     OfferResult update(Change change, core::identity::Revision before);
 
--- a/packages/control/records/RecordTable.cpp
+++ b/packages/control/records/RecordTable.cpp
@@ -31,7 +31,8 @@
     std::set<std::string> present;
     bool hasChanges = false;
     for (const StoreRecord &record : listed) {
-        present.insert(record.key);
+        if (!record.isRemoved)
+            present.insert(record.key);
         hasChanges = merge(record) || hasChanges;
     }
     for (auto &[key, record] : records_) {
@@ -43,6 +44,9 @@
         record = StoreRecord{key, revision, {}, true};
         hasChanges = true;
     }
+    // Keys that were created and removed since the last known revision left no trace.
+    if (revision > revision_)
+        removalsKnownSince_ = revision;
     completeThrough(revision);
     return hasChanges;
 }
--- a/packages/control/records/RecordTable.h
+++ b/packages/control/records/RecordTable.h
@@ -21,7 +21,8 @@
     /** Marks that every change up to a revision has been merged. */
     void completeThrough(core::identity::Revision revision);
 
-    /** Merges a complete listing; known keys that it lacks were removed by then.
+    /** Merges a complete listing; known keys that it lacks, or lists as removed, were removed by
+       then.
         @param prefix the prefix that was listed
         @returns whether the table changed */
     bool mergeListing(const std::string &prefix, const std::vector<StoreRecord> &listed,
@@ -30,6 +31,10 @@
     /** Returns the revision up to which every change is known. */
     core::identity::Revision revision() const { return revision_; }
 
+    /** Returns the revision after which every removal has a record here. Of the keys that were
+        removed before it, some may be unknown: a listing does not contain them. */
+    core::identity::Revision removalsKnownSince() const { return removalsKnownSince_; }
+
     /** Returns a key's record, or null if it is removed or unknown. */
     const StoreRecord *find(const std::string &key) const;
 
@@ -43,6 +48,8 @@
     Records records_;
     // Invariant: never decreases.
     core::identity::Revision revision_;
+    // Invariant: at most revision_; never decreases.
+    core::identity::Revision removalsKnownSince_;
 };
 
 } // namespace boragetrack::control::records
--- a/tests/unit/PlatformIntentTest.cpp
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -132,6 +132,22 @@
     EXPECT_EQ(peer.revision(), Revision(20));
 }
 
+// A node that listed the store after a removal has no record of it. Guards against transfers that
+// leave it out: the receiver would hold the removed record until its next listing.
+TEST_F(PlatformIntentTest, transfersRemovalsThatTheSenderNeverSaw)
+{
+    apply(10, {record("op/config", 10, configuration)});
+    apply(20, {record("op/evacuate/ikeja", 20, "{}")});
+    RecordReplica restarted(std::make_unique<platform::PlatformIntentReader>(
+            std::vector{DataCentreId("ikeja"), DataCentreId("lekki")}));
+    restarted.applyListing({record("op/config", 10, configuration)}, Revision(30));
+    const auto transfer = restarted.transferSince(intent_.revision());
+    ASSERT_TRUE(intent_.unpack(transfer));
+    EXPECT_EQ(intent_.offer(*intent_.unpack(transfer)), OfferResult::Accepted);
+    EXPECT_EQ(intent_.revision(), Revision(30));
+    EXPECT_FALSE(intent_.document().dataCentres.at(0).isOut);
+}
+
 // Another client of the store may write arbitrary bytes under an order's key. That entry counts as
 // invalid and must not prevent the transfer of the others.
 TEST_F(PlatformIntentTest, transfersEntriesWithArbitraryBytesAndTheOthers)
