Take no record again that was removed by the table's revision

A listing or a watch's response that was written earlier and arrives after a peer's transfer may contain a record that was removed in between. A table that has no record of the removal took it for a new one and kept it until the next listing. It now ignores changes up to its revision, except those in a listing of a later one, which shows what exists.

--- a/packages/control/records/RecordTable.cpp
+++ b/packages/control/records/RecordTable.cpp
@@ -10,6 +10,14 @@
 using core::identity::Revision;
 
 bool RecordTable::merge(const StoreRecord &record)
+{
+    // The change is known or outdated; the table may lack a record of its key's later removal.
+    if (record.revision <= revision_)
+        return false;
+    return mergeNewer(record);
+}
+
+bool RecordTable::mergeNewer(const StoreRecord &record)
 {
     const auto [it, isNew] = records_.try_emplace(record.key, record);
     if (isNew)
@@ -28,12 +36,13 @@
 bool RecordTable::mergeListing(const std::string &prefix, const std::vector<StoreRecord> &listed,
                                Revision revision)
 {
+    const bool isNewer = revision > revision_;
     std::set<std::string> present;
     bool hasChanges = false;
     for (const StoreRecord &record : listed) {
         if (!record.isRemoved)
             present.insert(record.key);
-        hasChanges = merge(record) || hasChanges;
+        hasChanges = (isNewer ? mergeNewer(record) : merge(record)) || hasChanges;
     }
     for (auto &[key, record] : records_) {
         const bool isMissing = key.starts_with(prefix) && !present.contains(key);
@@ -45,7 +54,7 @@
         hasChanges = true;
     }
     // Keys that were created and removed since the last known revision left no trace.
-    if (revision > revision_)
+    if (isNewer)
         removalsKnownSince_ = revision;
     completeThrough(revision);
     return hasChanges;
--- a/packages/control/records/RecordTable.h
+++ b/packages/control/records/RecordTable.h
@@ -15,7 +15,8 @@
 public:
     using Records = std::map<std::string, StoreRecord>;
 
-    /** Merges one change. @returns whether it is newer than the known one of its key */
+    /** Merges one change; ignores one that the table's revision covers.
+        @returns whether it is newer than the known one of its key */
     bool merge(const StoreRecord &record);
 
     /** Marks that every change up to a revision has been merged. */
@@ -45,6 +46,8 @@
     const Records &records() const { return records_; }
 
 private:
+    bool mergeNewer(const StoreRecord &record);
+
     Records records_;
     // Invariant: never decreases.
     core::identity::Revision revision_;
--- a/tests/unit/PlatformIntentTest.cpp
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -148,6 +148,23 @@
     EXPECT_FALSE(intent_.document().dataCentres.at(0).isOut);
 }
 
+// A process that starts may receive its peers' records before the store's response, which was
+// written earlier. Guards against records that were removed in between and are in force again.
+TEST_F(PlatformIntentTest, takesNoRemovedRecordFromAListingThatArrivesLate)
+{
+    RecordReplica peer(std::make_unique<platform::PlatformIntentReader>(
+            std::vector{DataCentreId("ikeja"), DataCentreId("lekki")}));
+    peer.applyListing({record("op/config", 10, configuration)}, Revision(30));
+    const auto transfer = peer.transferSince(intent_.revision());
+    ASSERT_TRUE(intent_.unpack(transfer));
+    EXPECT_EQ(intent_.offer(*intent_.unpack(transfer)), OfferResult::Accepted);
+    const auto result = intent_.applyListing(
+            {record("op/config", 10, configuration), record("op/evacuate/ikeja", 20, "{}")},
+            Revision(25));
+    EXPECT_EQ(result, OfferResult::NotNewer);
+    EXPECT_FALSE(intent_.document().dataCentres.at(0).isOut);
+}
+
 // Another client of the store may write arbitrary bytes under an order's key. That entry counts as
 // invalid and must not prevent the transfer of the others.
 TEST_F(PlatformIntentTest, transfersEntriesWithArbitraryBytesAndTheOthers)
