Bound the memory of a node without the setting memoryMegabytes

Cause: the memory budget for calls existed only if the optional setting memoryMegabytes was there. Without it, clients that leave responses unread took a node to its limit.

Change: UsableMemory selects the smallest of the setting and of the limits of the control group, RLIMIT_AS, RLIMIT_DATA and the machine's memory; without a setting it is at most 5,000 MB, so that a process on a large machine has a bound too. A setting may exceed that default, but no limit. E100 tells the memory, what decided and which limits were not read.

Not measured: a node whose budget of 1,250 MB, which the default gives on a large machine, is used up.

--- a/packages/daemon/Node.cpp
+++ b/packages/daemon/Node.cpp
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds linkCloseTimeout{1000};
 // Maximum time for peers to acknowledge the final usage counts during a planned stop.
 constexpr std::chrono::milliseconds finalCountsTimeout{600};
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
 
 std::shared_ptr<const RoutingSnapshot> makeEmptySnapshot()
 {
@@ -65,8 +66,9 @@
 
 } // namespace
 
-Node::Node(settings::NodeSettings settings)
+Node::Node(settings::NodeSettings settings, environment::UsableMemory memory)
     : settings_(std::move(settings))
+    , memory_(std::move(memory))
     , self_(selfRecord(settings_))
     , routing_(makeEmptySnapshot())
     , storeContact_(std::make_shared<const traffic::access::StoreContactTime>())
@@ -100,7 +102,7 @@
                environment_->usage() != nullptr ? &environment_->usage()->sampler().meter()
                                                 : nullptr,
                makeQueueOrder(settings_.isUrgencyFirst),
-               settings_.memoryBytes})
+               memory_.bytes})
     , operatorHandler_({settings_, control_, revisions_, routing_, counters_})
     , operatorServer_(settings_.operators, operatorHandler_)
 {}
@@ -141,7 +143,10 @@
                             {"dataCentre", settings_.dataCentre.value()},
                             {"callers", settings_.callers.toString()},
                             {"peers", settings_.peers.toString()},
-                            {"operators", settings_.operators.toString()}});
+                            {"operators", settings_.operators.toString()},
+                            {"memoryMegabytes", std::to_string(memory_.bytes / bytesPerMegabyte)},
+                            {"memoryFrom", memory_.source},
+                            {"memoryUnread", memory_.unreadSources}});
     return absl::OkStatus();
 }
 
--- a/packages/daemon/Node.h
+++ b/packages/daemon/Node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/environment/NodeEnvironment.h"
+#include "daemon/environment/UsableMemory.h"
 #include "daemon/frontends/OperatorHandler.h"
 #include "daemon/service/ControlService.h"
 #include "daemon/service/PeerMessages.h"
@@ -15,7 +16,8 @@
 class Node
 {
 public:
-    explicit Node(settings::NodeSettings settings);
+    /** @param memory what the budget for calls is derived from */
+    Node(settings::NodeSettings settings, environment::UsableMemory memory);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
@@ -37,6 +39,7 @@
     std::unique_ptr<environment::NodeEnvironment> makeEnvironment();
 
     settings::NodeSettings settings_;
+    environment::UsableMemory memory_;
     control::membership::MemberRecord self_;
     core::counters::CounterRegistry counters_;
     core::concurrency::Published<traffic::routing::RoutingSnapshot> routing_;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "core/events/EventLog.h"
 #include "core/findings/TextFile.h"
 #include "daemon/Node.h"
+#include "daemon/environment/SystemMemory.h"
 #include "daemon/settings/SettingsFile.h"
 #include "daemon/settings/SettingsReader.h"
 
@@ -36,7 +37,10 @@
     const sigset_t signals = core::concurrency::blockControlSignals();
     daemon::settings::SettingsFile file(settingsPath,
                                         core::findings::readTextFile(settingsPath).value_or(""));
-    auto node = std::make_unique<daemon::Node>(*settings);
+    auto node = std::make_unique<daemon::Node>(
+            *settings,
+            daemon::environment::UsableMemory::select(
+                    settings->memoryBytes, daemon::environment::readSystemMemoryLimits()));
     if (const absl::Status status = node->start(); !status.ok()) {
         std::cerr << status.message() << std::endl;
         std::_Exit(startFailureStatus);
--- a/packages/daemon/settings/NodeSettings.h
+++ b/packages/daemon/settings/NodeSettings.h
@@ -52,7 +52,8 @@
     std::chrono::milliseconds stopGracePeriod{6000};
     /** Nothing if no usage reports are asked for; only with the platform's interface. */
     std::optional<UsageReportSettings> usageReports;
-    /** The memory of the VM in bytes, which bounds what calls take; empty for no bound. */
+    /** The memory of the VM in bytes, which bounds what calls take; if empty, what the process may
+        use bounds it. */
     std::optional<std::size_t> memoryBytes;
     /** Peers to contact first. May include this node, which is then skipped. */
     std::vector<core::identity::NetworkAddress> seeds;
--- a/packages/transport/links/TrafficDependencies.h
+++ b/packages/transport/links/TrafficDependencies.h
@@ -53,7 +53,7 @@
     traffic::usage::UsageMeter *usageMeter = nullptr;
     std::unique_ptr<traffic::admission::QueueOrder> queueOrder
             = std::make_unique<traffic::admission::ObjectiveOrder>();
-    /** The memory of the VM in bytes; empty for no limit on what calls take. */
+    /** The memory that the process may use, in bytes; empty for no limit on what calls take. */
     std::optional<std::size_t> memoryBytes{};
 };
 
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -98,6 +98,8 @@
         self.upstream = None
         self.extra_settings = {}
         self.upstream_options = {}
+        # Arguments before those of the node; a command that replaces itself by the node.
+        self.launcher = []
 
     def write_settings(self, **changes):
         address = lambda port: f"127.0.0.1:{port}"
@@ -120,8 +122,8 @@
         """Starts the node, or restarts it after it has ended."""
         if self.process is None:
             log = self.fleet.folder / f"{self.name}.log"
-            self.process = Process([BUILD / "boragetrackd", "--settings", self.write_settings()],
-                                   log)
+            self.process = Process([*self.launcher, BUILD / "boragetrackd", "--settings",
+                                    self.write_settings()], log)
         else:
             self.process.start()
 
--- a/tests/platform/slow_reader_case.py
+++ b/tests/platform/slow_reader_case.py
@@ -40,6 +40,10 @@
 
     # Each test class sets its own range of ports.
     first_port = 0
+    settings = SETTINGS
+    memory_bound = MEMORY_BOUND
+    # The command that starts a node, if it is not started directly.
+    launcher = ()
 
     def setUp(self):
         type(self).first_port += 40
@@ -48,7 +52,8 @@
         self.near = self.fleet.add_node("near", "ikeja", "items")
         self.far = self.fleet.add_node("far", "ikeja", "orders")
         for node in self.fleet.nodes:
-            node.extra_settings = SETTINGS
+            node.extra_settings = self.settings
+            node.launcher = self.launcher
         rules = [rule("items", "/items/", service="items"),
                  rule("orders", "/orders/", kind="unsafe", service="orders")]
         self.fleet.store.put("op/config", configuration(5, rules, ["items", "orders"]))
@@ -117,7 +122,7 @@
         self.fleet.wait_until_served("/items/1")
         for node in self.fleet.nodes:
             self.assertTrue(node.process.is_running(), node.name)
-            self.assertLess(peaks[node.name], MEMORY_BOUND, node.name)
+            self.assertLess(peaks[node.name], self.memory_bound, node.name)
             # A request of the caller's needs one connection to the upstream.
             self.assertLess(most_descriptors[node.name], 2 * connections + OTHER_DESCRIPTORS,
                             node.name)
