Count a follower's coverage from the poll instead of the arrival of its response

Cause: a response may be held up for as long as a control message may take, 1 s, and covered the node for 1.1 s from its arrival, so that a change could be missed for 2.3 s.

Change: the receiver of a response notes the time since its request, and coverage is dated back by it, as the contact with the store is already.

--- a/packages/control/distribution/StoreAwareness.cpp
+++ b/packages/control/distribution/StoreAwareness.cpp
@@ -26,11 +26,12 @@
 // Only responses count as contacts: how long a request was on its way is not known.
 void StoreAwareness::recordResponse(const Exchange &response)
 {
+    const core::timing::MonotonicTime askedAt = timers_.now() - response.roundTrip;
     const bool isAhead = response.revision > held_;
     if (response.isFollower && isAhead)
-        role_.recordResponseAhead(response.sender, response.revision, timers_.now());
+        role_.recordResponseAhead(response.sender, response.revision, askedAt);
     else
-        role_.recordResponse(response.sender, response.isFollower, timers_.now());
+        role_.recordResponse(response.sender, response.isFollower, askedAt);
     if (response.storeContactAge)
         contact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge, held_);
 }
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -18,13 +18,14 @@
 
 namespace {
 
-// Dates the peer's contact with the store back to the time of the request: the response, or this
-// process, may have been held up for any part of the time since then.
+// Dates what the peer knew back to the time of the request: the response, or this process, may have
+// been held up for any part of the time since then.
 void addAge(Exchange &response, core::timing::MonotonicTime sentAt)
 {
+    response.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - sentAt);
     if (response.storeContactAge)
-        *response.storeContactAge += std::chrono::ceil<std::chrono::milliseconds>(
-                std::chrono::steady_clock::now() - sentAt);
+        *response.storeContactAge += response.roundTrip;
 }
 
 } // namespace
--- a/tests/unit/StoreContactTest.cpp
+++ b/tests/unit/StoreContactTest.cpp
@@ -140,6 +140,20 @@
     EXPECT_EQ(follower_.lastContact(), listedAt_);
 }
 
+// Guards against a node that relies for longer on a follower whose response was held up.
+TEST_F(ControlPlaneContactTest, countsTheCoverageOfALateResponseFromItsRequest)
+{
+    plane_.storeFollowingChanged(false);
+    auto response = responseOf("peer", 0, milliseconds(0));
+    response.isFollower = true;
+    response.roundTrip = milliseconds(950);
+    plane_.exchangeResponseReceived({NodeId("peer"), {"10.0.0.2", 7000}}, response);
+    EXPECT_EQ(plane_.storeKnowledge().coverageAge, milliseconds(950));
+    response.roundTrip = milliseconds(20);
+    plane_.exchangeResponseReceived({NodeId("peer"), {"10.0.0.2", 7000}}, response);
+    EXPECT_EQ(plane_.storeKnowledge().coverageAge, milliseconds(20));
+}
+
 // Ages add up from node to node: a contact does not become younger on its way.
 TEST_F(ControlPlaneContactTest, tellsPeersTheAgeOfTheLastContact)
 {
