Destroy running keyed calls before the members that they use

A node that ended while a keyed request ran could crash: "double free detected". Keyed calls run on without their callers, so they were still there when the proxy was destroyed, and hold a registration in runningCalls_, which was destroyed first.

Evidence: a keyed call whose upstream never responds aborted the test process with the old order of the members ("free(): double free detected in tcache 2"). As the last member, KeyedCalls is destroyed first and ends its calls while all that they use exists.

--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -43,14 +43,14 @@
     , claimClient_(dependencies_.links, *this, dependencies_.self)
     , admission_(std::move(dependencies_.admission), dependencies_.timer,
                  std::move(dependencies_.queueOrder))
+    , callsRun_(dependencies_.counters.counter("upstream_calls_run"))
+    , callsRefused_(dependencies_.counters.counter("upstream_calls_refused"))
+    , latencies_(dependencies_.counters, "upstream")
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
                    [this](CallRequest &request, kj::Own<AdmissionController::ScopedPermit> permit) {
                        return send(request, kj::mv(permit));
                    },
                    dependencies_.timer, dependencies_.routing})
-    , callsRun_(dependencies_.counters.counter("upstream_calls_run"))
-    , callsRefused_(dependencies_.counters.counter("upstream_calls_refused"))
-    , latencies_(dependencies_.counters, "upstream")
 {}
 
 InboundProxy::~InboundProxy() noexcept = default;
--- a/packages/transport/serving/InboundProxy.h
+++ b/packages/transport/serving/InboundProxy.h
@@ -107,7 +107,6 @@
     UpstreamClient upstreamClient_;
     ClaimClient claimClient_;
     AdmissionController admission_;
-    KeyedCalls keyedCalls_;
     traffic::deduplication::ClaimRegister claimRegister_;
     std::optional<UpstreamStatus> status_;
     traffic::calls::RunningCalls runningCalls_;
@@ -122,6 +121,8 @@
     core::counters::Counter &callsRun_;
     core::counters::Counter &callsRefused_;
     core::counters::LatencyCounters latencies_;
+    // Invariant: destroyed first, since its running calls use the other members.
+    KeyedCalls keyedCalls_;
 };
 
 } // namespace boragetrack::transport::serving
--- a/tests/unit/InboundProxyTest.cpp
+++ b/tests/unit/InboundProxyTest.cpp
@@ -91,6 +91,29 @@
         routing_.publish(snapshot);
     }
 
+    // Makes the node the only one that stores claims.
+    void beKnownAsRegistrar()
+    {
+        auto snapshot = std::make_shared<traffic::routing::RoutingSnapshot>(*routing_.current());
+        auto members = std::make_shared<traffic::routing::RoutableMembers>();
+        traffic::routing::Registrar registrar;
+        registrar.node = NodeId("self");
+        members->registrars.push_back(registrar);
+        snapshot->members = members;
+        routing_.publish(snapshot);
+    }
+
+    CallRequest keyedRequest(const std::string &body) const
+    {
+        CallRequest request = request_;
+        request.requestId = "r-1";
+        request.method = "POST";
+        request.key = core::identity::IdempotencyKey("k");
+        request.body = body;
+        request.budget = request.objective = milliseconds(500);
+        return request;
+    }
+
     // Sends calls one after the other. Returns how many the upstream ran.
     int callFor(milliseconds time)
     {
@@ -122,6 +145,7 @@
     core::timing::PauseDetector pauses_{std::chrono::steady_clock::now()};
     std::vector<control::moves::CallEvidence> evidence_;
     traffic::usage::UsageMeter meter_{milliseconds(1000), core::timing::currentWallTime()};
+    transport::http::MemoryBudget memory_{std::size_t{1} << 20, counters_};
     kj::Own<ScriptedUpstream> upstream_ = kj::heap<ScriptedUpstream>(io_, script());
     InboundProxy proxy_{{NodeId("self"), NodeId("self@1"), links_, io_.provider->getNetwork(),
                          timer_, dialect_, routing_,
@@ -130,7 +154,8 @@
                          [this](const control::moves::CallEvidence &evidence) {
                              evidence_.push_back(evidence);
                          },
-                         pauses_, counters_, &meter_}};
+                         pauses_, counters_, &meter_,
+                         std::make_unique<traffic::admission::ObjectiveOrder>(), &memory_}};
     CallRequest request_;
 };
 
@@ -251,6 +276,17 @@
     EXPECT_EQ(counted(), last) << "refused requests";
 }
 
+// Guards against a process that crashes at its end because a keyed request still runs.
+TEST_F(InboundProxyTest, endsWhileAKeyedRequestRuns)
+{
+    beKnownAsRegistrar();
+    announce(milliseconds(0));
+    auto response = proxy_.serve(keyedRequest("x")).eagerlyEvaluate(nullptr);
+    io_.provider->getTimer().afterDelay(20 * kj::MILLISECONDS).wait(io_.waitScope);
+    EXPECT_TRUE(proxy_.runningCalls().attemptOf("r-1"));
+    response = nullptr;
+}
+
 //==============================================================================
 TEST(ColdRate, isTheLowestKnownOneAndFollowsTheIntent)
 {
