Count the body of a keyed request until it has run

A caller that sent keyed requests and left did not count for the bodies that its node kept, so a crowd of them could take more than the memory budget. The share in the budget belonged to the response's promise, which ends with the caller, while the request runs on.

The share is now attached to the request itself, which is destroyed when it has run or was refused. Evidence: without this, the budget shows 0 bytes instead of the body's size as soon as the response's promise is dropped.

--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -95,14 +95,15 @@
     auto share = kj::heap<http::BufferBudget::Share>(upstreamClient_.bufferBudget());
     if (!share->resize(request.body.size()))
         return refuse(request, "too many bytes of bodies are buffered");
-    auto call = kj::heap<CallRequest>(std::move(request));
+    // A keyed request runs on, with its body, when its caller leaves.
+    auto call = kj::heap<CallRequest>(std::move(request)).attach(kj::mv(share));
     auto running = isKeyed ? keyedCalls_.serve(kj::mv(call)) : admitAndSend(kj::mv(call));
     return running
             .then([this](CallResponse &&response) {
                 response.load = admission_.load();
                 return kj::mv(response);
             })
-            .attach(kj::mv(share), kj::heap<core::counters::ScopedCount>(activeCalls_));
+            .attach(kj::heap<core::counters::ScopedCount>(activeCalls_));
 }
 
 NodeId InboundProxy::claim(const IdempotencyKey &key, const NodeId &claimant)
--- a/tests/unit/InboundProxyTest.cpp
+++ b/tests/unit/InboundProxyTest.cpp
@@ -276,6 +276,23 @@
     EXPECT_EQ(counted(), last) << "refused requests";
 }
 
+// Guards against bodies of keyed requests that are no longer counted once their callers have left,
+// although the requests run on.
+TEST_F(InboundProxyTest, countsTheBodyOfAKeyedRequestUntilItHasRun)
+{
+    beKnownAsRegistrar();
+    upstream_ = kj::heap<ScriptedUpstream>(io_, ScriptedUpstream::Script{{lateFailure}});
+    announce(milliseconds(0));
+    // The scripted upstream responds once what it has read ends like a head.
+    const std::string body = std::string(1000, 'x') + "\r\n\r\n";
+    auto response = proxy_.serve(keyedRequest(body)).eagerlyEvaluate(nullptr);
+    EXPECT_EQ(memory_.used(), body.size());
+    response = nullptr;
+    EXPECT_EQ(memory_.used(), body.size());
+    io_.provider->getTimer().afterDelay(1000 * kj::MILLISECONDS).wait(io_.waitScope);
+    EXPECT_EQ(memory_.used(), 0);
+}
+
 // Guards against a process that crashes at its end because a keyed request still runs.
 TEST_F(InboundProxyTest, endsWhileAKeyedRequestRuns)
 {
