Limit the time that a request's body may take without progress

An upload that stopped midway kept its room in the budget of bodies until its connection ended, and others were refused with 503 meanwhile. Heads and idle connections had a time limit, bodies had none.

Otherwise the request is refused with 408, as it has not run, and its connection is closed. A client inside the limits of the configuration is not concerned: it may stay idle between requests for that long, and sends its bodies steadily.

--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -25,6 +25,7 @@
 constexpr int noRouteStatus = 404;
 constexpr int unauthorizedStatus = 401;
 constexpr int malformedStatus = 400;
+constexpr int overdueStatus = 408;
 constexpr int tooLargeStatus = 413;
 // When a caller may return whose body found no room in memory; those of others are sent on within
 // about this time.
@@ -247,7 +248,9 @@
     if (exchange_.bodyFault() && exchange_.bodyFault()->status == tooLargeStatus)
         return respondTooLarge();
     logOutcome(EventCode::CallNotRun, "call ended", refusal);
-    return exchange_.respond(http::ResponseHead{malformedStatus, {}}, refusal.reason + "\n");
+    const bool isOverdue = exchange_.bodyFault() && exchange_.bodyFault()->status == overdueStatus;
+    return exchange_.respond(http::ResponseHead{isOverdue ? overdueStatus : malformedStatus, {}},
+                             refusal.reason + "\n");
 }
 
 //==============================================================================
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -112,6 +112,9 @@
         return bodyLength ? std::optional<std::size_t>(consumedBytes_ + *bodyLength) : std::nullopt;
     }
 
+    /** Returns the bytes of the current message that have been read. */
+    std::size_t consumedBytes() const { return consumedBytes_; }
+
     /** Returns the parser of the current message. */
     const MessageParser<Head> &message() const { return *parser_; }
 
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -124,6 +124,7 @@
         counters_->requests.add();
     PipelinedExchange &started = exchanges_.back();
     started.isStarted = true;
+    started.exchange->limitBodyTime(timer_, handler_.limits().idleTimeout);
     const auto handle = [this, &started]() { return handler_.handle(*started.exchange); };
     started.running = kj::evalNow(handle)
                               .catch_([this, &started](kj::Exception &&exception) {
--- a/packages/transport/http/ServerExchange.cpp
+++ b/packages/transport/http/ServerExchange.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int requestTimeout = 408;
 // The size of the parts in which a response is written. Whether a client reads shows only when a
 // part is complete.
 constexpr std::size_t partBytes = std::size_t{16} * 1024;
@@ -25,18 +26,23 @@
 
 } // namespace
 
+void ServerExchange::limitBodyTime(kj::Timer &timer, std::chrono::milliseconds period)
+{
+    pace_.emplace(timer, period, [this]() { return reader_.consumedBytes(); });
+}
+
 kj::Promise<BodyPiece> ServerExchange::readBody()
 {
     if (isRequestRead_)
         return BodyPiece{{}, true};
-    return noteEnd(reader_.readBody());
+    return noteEnd(withinPace(reader_.readBody()));
 }
 
 kj::Promise<BodyPiece> ServerExchange::readBodyUpTo(std::size_t limit)
 {
     if (isRequestRead_)
         return BodyPiece{{}, true};
-    return noteEnd(reader_.readBodyUpTo(limit));
+    return noteEnd(withinPace(reader_.readBodyUpTo(limit)));
 }
 
 kj::Promise<void> ServerExchange::discardBody()
@@ -46,6 +52,16 @@
     });
 }
 
+kj::Promise<BodyPiece> ServerExchange::withinPace(kj::Promise<BodyPiece> reading)
+{
+    if (!pace_ || reader_.message().isDone())
+        return reading;
+    return reading.exclusiveJoin(pace_->whenTooSlow().then([this]() -> kj::Promise<BodyPiece> {
+        bodyFault_ = MessageFault{requestTimeout, "timeout while reading the body of the request"};
+        return KJ_EXCEPTION(DISCONNECTED, "timeout while reading the body of the request");
+    }));
+}
+
 kj::Promise<BodyPiece> ServerExchange::noteEnd(kj::Promise<BodyPiece> reading)
 {
     return reading.then(
@@ -67,7 +83,8 @@
     isReadingOver_ = true;
     isRequestRead_ = reader_.message().isDone();
     keepsAlive_ = reader_.message().keepsConnection();
-    bodyFault_ = reader_.message().fault();
+    if (!bodyFault_)
+        bodyFault_ = reader_.message().fault();
     bodyShare_ = reader_.takeBodyShare();
     // The unread part of a request's body would be parsed as the next request.
     order_.handleRequestRead(number_, isRequestRead_ && keepsAlive_);
--- a/packages/transport/http/ServerExchange.h
+++ b/packages/transport/http/ServerExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/timing/MonotonicTime.h"
+#include "transport/http/BodyPace.h"
 #include "transport/http/MessageReader.h"
 #include "transport/http/ResponseOrder.h"
 
@@ -36,6 +37,11 @@
     /** Returns when the request's head was read. */
     core::timing::MonotonicTime arrivedAt() const { return arrivedAt_; }
 
+    /** Limits the time for the request's body, which is read within it or fails as overdue.
+        @param timer outlives the exchange
+        @param period in which a part of the body has to arrive. @see BodyPace */
+    void limitBodyTime(kj::Timer &timer, std::chrono::milliseconds period);
+
     /** Returns the next piece of the request's body. @see MessageReader::readBody */
     kj::Promise<BodyPiece> readBody();
 
@@ -46,7 +52,7 @@
         another request. Fails like readBody(). */
     kj::Promise<void> discardBody();
 
-    /** Returns why reading the body failed, if the body was malformed or too large. */
+    /** Returns why reading the body failed, if the body was malformed, too large or overdue. */
     const std::optional<MessageFault> &bodyFault() const { return bodyFault_; }
 
     /** Returns whether the request's body was read completely. */
@@ -86,6 +92,7 @@
     kj::Promise<void> writeWhole(const ResponseHead &head, const std::string &body);
     kj::Promise<void> writeText(std::string text);
     kj::Promise<void> writeFrom(const std::string &text, std::size_t begin);
+    kj::Promise<BodyPiece> withinPace(kj::Promise<BodyPiece> reading);
     kj::Promise<BodyPiece> noteEnd(kj::Promise<BodyPiece> reading);
     void endReading();
 
@@ -100,6 +107,7 @@
     bool isRequestRead_ = false;
     bool keepsAlive_ = false;
     std::optional<MessageFault> bodyFault_;
+    std::optional<BodyPace> pace_;
     // The part of the buffer budget that the body uses.
     std::unique_ptr<BufferBudget::Share> bodyShare_;
     bool hasResponseBegun_ = false;
--- a/packages/transport/http/ServerLimits.h
+++ b/packages/transport/http/ServerLimits.h
@@ -13,7 +13,7 @@
     MessageLimits message;
     /** From a request's first byte to the end of its head. */
     std::chrono::milliseconds headerTimeout{3000};
-    /** From the end of a response to the next request's first byte. */
+    /** From the end of a response to the next request's first byte, and for each part of a body. */
     std::chrono::milliseconds idleTimeout{15'000};
 };
 
