Close active readers only when nothing else frees room

A caller that read at full speed could be closed in the middle of its response while one that takes nothing stayed: the connection without progress for the longest time was closed, however short that was, and a response that has just begun looks more recent than one that is being taken.

A reader is idle once its client has taken nothing for 250 ms. Idle readers give way to everything. Active ones give way to a response that has waited for 500 ms, by which time a client that takes nothing is idle, to one that can't wait, and to small bodies; a larger body is refused as not run. Responses that wait look again every 50 ms, since readers become idle without a notification.

Evidence: closesNoActiveReaderForABody failed before: the reader that took something 20 ms ago was closed (E540, idleMs=20).

SlowReaderTest.closesTheConnectionForWhatOthersNeed expected a reader to be closed that had taken nothing for 20 ms, which is the fault. It now waits for the minimum idle time first and checks the same.

--- a/packages/transport/http/BufferBudget.h
+++ b/packages/transport/http/BufferBudget.h
@@ -37,6 +37,16 @@
                                   : released.exclusiveJoin(memory_->whenReleased());
     }
 
+    /** The largest body that closes any reader rather than be refused, in bytes. Ordinary requests
+        are served while active readers hold all of the budget. */
+    static constexpr std::size_t smallBodyBytes = std::size_t{16} * 1024;
+
+    /** Returns what room for the body of a request is used for. */
+    static RoomUse useOfBody(std::size_t bytes)
+    {
+        return bytes <= smallBodyBytes ? RoomUse::SmallBody : RoomUse::LargeBody;
+    }
+
     /** Records that a body was given up for lack of room in the budget that this one is a part of.
      */
     void recordRefusal(std::size_t bytes)
@@ -57,14 +67,18 @@
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
 
+        /** Changes the size of the share of the body of a request. @returns false, without a
+            change, if the budget does not allow it */
+        bool resize(std::size_t bytes) { return resize(bytes, useOfBody(bytes)); }
+
         /** Changes the size of the share. @returns false, without a change, if the budget does not
             allow it */
-        bool resize(std::size_t bytes)
+        bool resize(std::size_t bytes, RoomUse use)
         {
             const std::size_t others = budget_->used_ - bytes_;
             if (bytes > bytes_ && others + bytes > budget_->maximum_)
                 return false;
-            if (budget_->memory_ != nullptr && !resizeInMemory(*budget_->memory_, bytes))
+            if (budget_->memory_ != nullptr && !resizeInMemory(*budget_->memory_, bytes, use))
                 return false;
             const bool isRelease = bytes < bytes_;
             budget_->used_ = others + bytes;
@@ -75,10 +89,10 @@
         }
 
     private:
-        bool resizeInMemory(MemoryBudget &memory, std::size_t bytes) const
+        bool resizeInMemory(MemoryBudget &memory, std::size_t bytes, RoomUse use) const
         {
             if (bytes > bytes_)
-                return memory.add(bytes - bytes_);
+                return memory.add(bytes - bytes_, use);
             memory.remove(bytes_ - bytes);
             return true;
         }
--- a/packages/transport/http/MemoryBudget.cpp
+++ b/packages/transport/http/MemoryBudget.cpp
@@ -9,9 +9,19 @@
 
 using core::events::EventCode;
 
-bool MemoryBudget::add(std::size_t bytes)
+namespace {
+
+bool isIdle(const SlowReader &reader, core::timing::MonotonicTime now)
 {
-    if (!canMakeRoom(bytes) || !makeRoom(bytes))
+    return now - reader.lastProgress() >= MemoryBudget::minimumIdleTime;
+}
+
+} // namespace
+
+bool MemoryBudget::add(std::size_t bytes, RoomUse use)
+{
+    const bool closesActive = use == RoomUse::SmallBody || use == RoomUse::LateResponse;
+    if (!canMakeRoom(bytes, closesActive) || !makeRoom(bytes, closesActive))
         return false;
     used_ += bytes;
     return true;
@@ -27,7 +37,7 @@
 void MemoryBudget::addPresent(std::size_t bytes)
 {
     used_ += bytes;
-    makeRoom(0);
+    makeRoom(0, true);
 }
 
 void MemoryBudget::remove(std::size_t bytes)
@@ -48,7 +58,7 @@
     used_ += bytes;
     if (holding.isCutOff)
         leaving_ += bytes;
-    makeRoom(0);
+    makeRoom(0, true);
 }
 
 void MemoryBudget::release(SlowReader &reader, std::size_t bytes)
@@ -66,28 +76,31 @@
 }
 
 // Clients must not lose responses for a body that is refused all the same.
-bool MemoryBudget::canMakeRoom(std::size_t bytes) const
+bool MemoryBudget::canMakeRoom(std::size_t bytes, bool closesActive) const
 {
+    const auto now = std::chrono::steady_clock::now();
     std::size_t releasable = leaving_;
-    for (const auto &[reader, holding] : holdings_)
-        releasable += holding.isCutOff ? 0 : holding.bytes;
+    for (const auto &[reader, holding] : holdings_) {
+        if (!holding.isCutOff && (closesActive || isIdle(*reader, now)))
+            releasable += holding.bytes;
+    }
     return bytes <= maximum_ && used_ - releasable <= maximum_ - bytes;
 }
 
 // What the connections that are cut off hold counts as released: they end before the next input is
 // read.
-bool MemoryBudget::makeRoom(std::size_t bytes)
+bool MemoryBudget::makeRoom(std::size_t bytes, bool closesActive)
 {
     if (bytes > maximum_)
         return false;
     while (used_ - leaving_ > maximum_ - bytes) {
-        if (!cutOffSlowest())
+        if (!cutOffSlowest(closesActive))
             return false;
     }
     return true;
 }
 
-bool MemoryBudget::cutOffSlowest()
+bool MemoryBudget::cutOffSlowest(bool closesActive)
 {
     SlowReader *slowest = nullptr;
     for (const auto &[reader, holding] : holdings_) {
@@ -95,13 +108,14 @@
             && (slowest == nullptr || reader->lastProgress() < slowest->lastProgress()))
             slowest = reader;
     }
-    if (slowest == nullptr)
+    const auto now = std::chrono::steady_clock::now();
+    if (slowest == nullptr || (!closesActive && !isIdle(*slowest, now)))
         return false;
     Holding &holding = holdings_.at(slowest);
     holding.isCutOff = true;
     leaving_ += holding.bytes;
     closedReaders_.add();
-    const auto idle = std::chrono::steady_clock::now() - slowest->lastProgress();
+    const auto idle = now - slowest->lastProgress();
     core::events::logCall(
             EventCode::SlowReaderClosed, "slow reader closed", false,
             {{"bytes", std::to_string(holding.bytes)},
--- a/packages/transport/http/MemoryBudget.h
+++ b/packages/transport/http/MemoryBudget.h
@@ -3,9 +3,11 @@
 
 #include "core/counters/CounterRegistry.h"
 #include "transport/http/RoomSignal.h"
+#include "transport/http/RoomUse.h"
 #include "transport/http/SlowReader.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <limits>
 #include <map>
@@ -17,7 +19,8 @@
     limits their sum.
 
     Where room is lacking, the connections whose clients have taken nothing for the longest time are
-    closed. Used on one thread.
+    closed. Those whose clients still take their responses are closed last, and only for what can
+    neither wait nor be refused at little cost. Used on one thread.
 */
 class MemoryBudget
 {
@@ -41,13 +44,17 @@
         return std::max(vmBytes / vmFraction, largestCallBytes);
     }
 
+    /** How long the client of an idle reader has taken nothing. A client that reads at full speed
+        takes a part within milliseconds; a lost packet is sent again after 200 ms. */
+    static constexpr std::chrono::milliseconds minimumIdleTime{250};
+
     /** Returns the bytes in use. */
     std::size_t used() const { return used_; }
 
     //==============================================================================
     /** Adds bytes of a body that is being read.
         @returns false, without a change, if there is no room for them */
-    bool add(std::size_t bytes);
+    bool add(std::size_t bytes, RoomUse use = RoomUse::LargeBody);
 
     /** Records that a body was given up because there was no room for it. */
     void recordRefusal(std::size_t bytes);
@@ -83,9 +90,9 @@
     // and a response of 4 MiB.
     static constexpr std::size_t largestCallBytes = std::size_t{20} * 1024 * 1024;
 
-    bool canMakeRoom(std::size_t bytes) const;
-    bool makeRoom(std::size_t bytes);
-    bool cutOffSlowest();
+    bool canMakeRoom(std::size_t bytes, bool closesActive) const;
+    bool makeRoom(std::size_t bytes, bool closesActive);
+    bool cutOffSlowest(bool closesActive);
 
     const std::size_t maximum_;
     core::counters::Counter &closedReaders_;
--- a/packages/transport/http/MessageReader.h
+++ b/packages/transport/http/MessageReader.h
@@ -74,8 +74,9 @@
                                        BodyPiece &&piece) mutable -> kj::Promise<BodyPiece> {
             append(received, piece.bytes);
             // An empty string has a capacity, too; a request without a body needs no room.
-            if (!received.empty() && !reserve(received.capacity())) {
-                budget_->recordRefusal(received.capacity());
+            const std::size_t size = received.capacity();
+            if (!received.empty() && !reserve(size, useFor(size))) {
+                budget_->recordRefusal(size);
                 return KJ_EXCEPTION(OVERLOADED, "too many bytes of bodies are buffered");
             }
             if (piece.isLast || received.size() >= limit)
@@ -84,14 +85,12 @@
         });
     }
 
-    /** Waits until the budget has room for the whole body of the current message, and takes it. Has
-       no effect on a body of unknown length or beyond the limit. */
-    kj::Promise<void> takeRoom(std::size_t limit)
+    /** Takes room in the budget for the whole body of the current message. Has no effect on a body
+        of unknown length or beyond the limit. @returns false if there is no room */
+    bool takeRoom(std::size_t limit, RoomUse use)
     {
         const std::optional<std::uint64_t> length = parser_->bodyLength();
-        if (budget_ == nullptr || !length || *length > limit || reserve(*length))
-            return kj::READY_NOW;
-        return budget_->whenReleased().then([this, limit]() { return takeRoom(limit); });
+        return budget_ == nullptr || !length || *length > limit || reserve(*length, use);
     }
 
     /** Returns the bytes of a body that was read whole to the budget. To be called when the body is
@@ -181,8 +180,16 @@
         received += bytes;
     }
 
+    // The call of a response has run, and the part that was read can not wait.
+    static RoomUse useFor(std::size_t bytes)
+    {
+        if constexpr (std::is_same_v<Head, ResponseHead>)
+            return RoomUse::LateResponse;
+        return BufferBudget::useOfBody(bytes);
+    }
+
     // Makes the share of the current body at least as large.
-    bool reserve(std::size_t bytes)
+    bool reserve(std::size_t bytes, RoomUse use)
     {
         if (budget_ == nullptr)
             return true;
@@ -192,7 +199,7 @@
         }
         if (bytes <= reservedBytes_)
             return true;
-        if (share_->resize(bytes)) {
+        if (share_->resize(bytes, use)) {
             reservedBytes_ = bytes;
             return true;
         }
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -29,6 +29,11 @@
 constexpr std::chrono::hours maximumIdleTimeout{1};
 // The largest body that is copied in order to write it together with the head.
 constexpr std::size_t maximumJoinedBytes = std::size_t{64} * 1024;
+// How long a response waits for room before callers are closed that still take theirs. Callers that
+// take nothing count as idle by then.
+constexpr std::chrono::milliseconds roomWait{500};
+// Callers become idle without a notification, so those that wait for room look again.
+constexpr std::chrono::milliseconds roomRetryInterval{50};
 
 MonotonicTime currentTime()
 {
@@ -151,8 +156,7 @@
     kj::Promise<CallResponse> readBody(http::ResponseHead head, ResponseKind kind)
     {
         // The upstream has run the request, so its response waits for room rather than fail.
-        return connection_->reader()
-                .takeRoom(maximumResponseBytes)
+        return takeRoom()
                 .then([this]() { return connection_->reader().readBodyUpTo(maximumResponseBytes); })
                 .then(
                         [this, kind, head = std::move(head)](
@@ -166,6 +170,26 @@
                         });
     }
 
+    kj::Promise<void> takeRoom()
+    {
+        if (connection_->reader().takeRoom(maximumResponseBytes, http::RoomUse::Response))
+            return kj::READY_NOW;
+        return awaitRoom(client_.timer_.now() + toKj(roomWait));
+    }
+
+    kj::Promise<void> awaitRoom(kj::TimePoint lateFrom)
+    {
+        return client_.budget_.whenReleased()
+                .exclusiveJoin(client_.timer_.afterDelay(toKj(roomRetryInterval)))
+                .then([this, lateFrom]() -> kj::Promise<void> {
+                    const bool isLate = client_.timer_.now() >= lateFrom;
+                    const auto use = isLate ? http::RoomUse::LateResponse : http::RoomUse::Response;
+                    if (connection_->reader().takeRoom(maximumResponseBytes, use))
+                        return kj::READY_NOW;
+                    return awaitRoom(lateFrom);
+                });
+    }
+
     kj::Promise<CallResponse> interpret(const http::ResponseHead &head, ResponseKind kind,
                                         std::string body)
     {
--- a/tests/unit/MemoryBudgetTest.cpp
+++ b/tests/unit/MemoryBudgetTest.cpp
@@ -32,6 +32,26 @@
     const int progress_;
 };
 
+/** A reader that has taken something a given time ago. */
+class TimedReader final : public SlowReader
+{
+public:
+    explicit TimedReader(std::chrono::milliseconds idle)
+        : idle_(idle)
+    {}
+
+    core::timing::MonotonicTime lastProgress() const override
+    {
+        return std::chrono::steady_clock::now() - idle_;
+    }
+    void cutOff() override { isCutOff = true; }
+
+    bool isCutOff = false;
+
+private:
+    const std::chrono::milliseconds idle_;
+};
+
 /** A budget with two readers. */
 class MemoryBudgetTest : public testing::Test
 {
@@ -145,3 +165,19 @@
     budget_.remove(1);
     EXPECT_TRUE(released.poll(scope));
 }
+
+// Guards against a caller that reads at full speed and is closed while one that takes nothing
+// stays: a response that has just begun looks more recent than one that is being taken.
+TEST_F(MemoryBudgetTest, closesNoActiveReaderForABody)
+{
+    TimedReader active(std::chrono::milliseconds(20));
+    TimedReader begun(std::chrono::milliseconds(0));
+    budget_.hold(active, 400);
+    budget_.hold(begun, 400);
+    EXPECT_FALSE(budget_.add(300));
+    EXPECT_FALSE(active.isCutOff || begun.isCutOff);
+    budget_.hold(slow_, 100);
+    EXPECT_TRUE(budget_.add(200));
+    EXPECT_TRUE(slow_.isCutOff);
+    EXPECT_FALSE(active.isCutOff || begun.isCutOff);
+}
--- a/tests/unit/SlowReaderTest.cpp
+++ b/tests/unit/SlowReaderTest.cpp
@@ -53,6 +53,7 @@
     reading_ = nullptr;
     sendGets("a");
     release("/a");
+    settle(MemoryBudget::minimumIdleTime);
     EXPECT_TRUE(memory_.add(memoryBytes - largeBytes));
     EXPECT_EQ(closedReaders(), 1);
     settle();
