Keep freed room for responses that wait from large request bodies

A call that had run could end as unknown at its deadline although room became free again and again: the response of its upstream waited for room, and bodies of new requests, which were read at the time, took each part that was freed.

Responses that wait now register the room that they need (AwaitedRoom). A body of more than 16 KB leaves that room free and is otherwise refused as not run. Smaller bodies take little and are let in, so that ordinary requests are served while responses wait.

--- a/packages/transport/http/BufferBudget.h
+++ b/packages/transport/http/BufferBudget.h
@@ -37,8 +37,8 @@
                                   : released.exclusiveJoin(memory_->whenReleased());
     }
 
-    /** The largest body that closes any reader rather than be refused, in bytes. Ordinary requests
-        are served while active readers hold all of the budget. */
+    /** The largest body that does not leave the room that responses wait for, in bytes. Ordinary
+        requests are served while many responses wait. */
     static constexpr std::size_t smallBodyBytes = std::size_t{16} * 1024;
 
     /** Returns what room for the body of a request is used for. */
@@ -47,6 +47,22 @@
         return bytes <= smallBodyBytes ? RoomUse::SmallBody : RoomUse::LargeBody;
     }
 
+    /** Handles that a response begins to wait for room. @see AwaitedRoom */
+    void beginWait(std::size_t bytes)
+    {
+        awaited_ += bytes;
+        if (memory_ != nullptr)
+            memory_->beginWait(bytes);
+    }
+
+    /** Handles that a response no longer waits for room. */
+    void endWait(std::size_t bytes)
+    {
+        awaited_ -= bytes;
+        if (memory_ != nullptr)
+            memory_->endWait(bytes);
+    }
+
     /** Records that a body was given up for lack of room in the budget that this one is a part of.
      */
     void recordRefusal(std::size_t bytes)
@@ -76,7 +92,8 @@
         bool resize(std::size_t bytes, RoomUse use)
         {
             const std::size_t others = budget_->used_ - bytes_;
-            if (bytes > bytes_ && others + bytes > budget_->maximum_)
+            const std::size_t kept = use == RoomUse::LargeBody ? budget_->awaited_ : 0;
+            if (bytes > bytes_ && others + kept + bytes > budget_->maximum_)
                 return false;
             if (budget_->memory_ != nullptr && !resizeInMemory(*budget_->memory_, bytes, use))
                 return false;
@@ -107,6 +124,8 @@
     RoomSignal released_;
     // Invariant: the sum of the sizes of all shares, at most maximum_.
     std::size_t used_ = 0;
+    // The bytes that responses wait for.
+    std::size_t awaited_ = 0;
 };
 
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/MemoryBudget.cpp
+++ b/packages/transport/http/MemoryBudget.cpp
@@ -21,7 +21,8 @@
 bool MemoryBudget::add(std::size_t bytes, RoomUse use)
 {
     const bool closesActive = use == RoomUse::SmallBody || use == RoomUse::LateResponse;
-    if (!canMakeRoom(bytes, closesActive) || !makeRoom(bytes, closesActive))
+    const std::size_t needed = bytes + (use == RoomUse::LargeBody ? awaited_ : 0);
+    if (!canMakeRoom(needed, closesActive) || !makeRoom(needed, closesActive))
         return false;
     used_ += bytes;
     return true;
--- a/packages/transport/http/MemoryBudget.h
+++ b/packages/transport/http/MemoryBudget.h
@@ -56,6 +56,12 @@
         @returns false, without a change, if there is no room for them */
     bool add(std::size_t bytes, RoomUse use = RoomUse::LargeBody);
 
+    /** Handles that a response begins to wait for room. */
+    void beginWait(std::size_t bytes) { awaited_ += bytes; }
+
+    /** Handles that a response no longer waits for room. */
+    void endWait(std::size_t bytes) { awaited_ -= bytes; }
+
     /** Records that a body was given up because there was no room for it. */
     void recordRefusal(std::size_t bytes);
 
@@ -101,6 +107,8 @@
     std::size_t used_ = 0;
     // The part of used_ that is released as soon as the connections that were cut off end.
     std::size_t leaving_ = 0;
+    // The bytes that responses wait for.
+    std::size_t awaited_ = 0;
     RoomSignal released_;
 };
 
--- a/packages/transport/http/RoomUse.h
+++ b/packages/transport/http/RoomUse.h
@@ -7,7 +7,7 @@
 enum class RoomUse {
     /** The body of a request that takes little: closes any reader if idle ones do not suffice. */
     SmallBody,
-    /** The body of a request: closes idle readers. */
+    /** The body of a request: leaves the room that responses wait for, and closes idle readers. */
     LargeBody,
     /** A response of a call that ran and can wait: closes idle readers. */
     Response,
--- a/packages/transport/serving/UpstreamClient.cpp
+++ b/packages/transport/serving/UpstreamClient.cpp
@@ -5,6 +5,7 @@
 
 #include "core/counters/ScopedCount.h"
 #include "traffic/inbound/RefusalRules.h"
+#include "transport/http/AwaitedRoom.h"
 #include "transport/http/KeepAlive.h"
 #include "transport/http/MessageWriter.h"
 #include "transport/timing/Deadline.h"
@@ -174,7 +175,9 @@
     {
         if (connection_->reader().takeRoom(maximumResponseBytes, http::RoomUse::Response))
             return kj::READY_NOW;
-        return awaitRoom(client_.timer_.now() + toKj(roomWait));
+        const std::size_t bytes = connection_->reader().message().bodyLength().value_or(0);
+        return awaitRoom(client_.timer_.now() + toKj(roomWait))
+                .attach(kj::heap<http::AwaitedRoom>(client_.budget_, bytes));
     }
 
     kj::Promise<void> awaitRoom(kj::TimePoint lateFrom)
--- a/tests/unit/ResponseRoomTest.cpp
+++ b/tests/unit/ResponseRoomTest.cpp
@@ -80,6 +80,32 @@
 
 } // namespace
 
+// Guards against calls that ran and end as unknown because new requests take the room that their
+// responses wait for.
+TEST_F(ResponseRoomTest, givesFreedRoomToAResponseThatWaitsBeforeALargeBody)
+{
+    ASSERT_TRUE(memory_.add(maximum));
+    auto response = send();
+    settle(milliseconds(50));
+    BufferBudget::Share body(bodies_);
+    memory_.remove(500'000);
+    EXPECT_FALSE(body.resize(500'000));
+    memory_.remove(200'000);
+    EXPECT_EQ(response.wait(io_.waitScope).outcome, CallOutcome::Completed);
+    EXPECT_TRUE(body.resize(500'000)) << "no response waits any longer";
+}
+
+// Guards against ordinary requests that are refused for as long as some response waits.
+TEST_F(ResponseRoomTest, letsASmallBodyInWhileAResponseWaits)
+{
+    ASSERT_TRUE(memory_.add(maximum));
+    auto response = send();
+    settle(milliseconds(50));
+    memory_.remove(500'000);
+    BufferBudget::Share body(bodies_);
+    EXPECT_TRUE(body.resize(1000));
+}
+
 // Guards against a client that is closed although it takes its response, and against calls that
 // end as unknown because such clients hold all of the memory.
 TEST_F(ResponseRoomTest, closesAnActiveReaderOnlyForAResponseThatHasWaited)
