--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -43,14 +43,14 @@
     , claimClient_(dependencies_.links, *this, dependencies_.self)
     , admission_(std::move(dependencies_.admission), dependencies_.timer,
                  std::move(dependencies_.queueOrder))
+    , callsRun_(dependencies_.counters.counter("upstream_calls_run"))
+    , callsRefused_(dependencies_.counters.counter("upstream_calls_refused"))
+    , latencies_(dependencies_.counters, "upstream")
     , keyedCalls_({dependencies_.process, claimClient_, admission_,
                    [this](CallRequest &request, kj::Own<AdmissionController::ScopedPermit> permit) {
                        return send(request, kj::mv(permit));
                    },
                    dependencies_.timer, dependencies_.routing})
-    , callsRun_(dependencies_.counters.counter("upstream_calls_run"))
-    , callsRefused_(dependencies_.counters.counter("upstream_calls_refused"))
-    , latencies_(dependencies_.counters, "upstream")
 {}
 
 InboundProxy::~InboundProxy() noexcept = default;
@@ -95,14 +95,15 @@
     auto share = kj::heap<http::BufferBudget::Share>(upstreamClient_.bufferBudget());
     if (!share->resize(request.body.size()))
         return refuse(request, "too many bytes of bodies are buffered");
-    auto call = kj::heap<CallRequest>(std::move(request));
+    // A keyed request runs on, with its body, when its caller leaves.
+    auto call = kj::heap<CallRequest>(std::move(request)).attach(kj::mv(share));
     auto running = isKeyed ? keyedCalls_.serve(kj::mv(call)) : admitAndSend(kj::mv(call));
     return running
             .then([this](CallResponse &&response) {
                 response.load = admission_.load();
                 return kj::mv(response);
             })
-            .attach(kj::mv(share), kj::heap<core::counters::ScopedCount>(activeCalls_));
+            .attach(kj::heap<core::counters::ScopedCount>(activeCalls_));
 }
 
 NodeId InboundProxy::claim(const IdempotencyKey &key, const NodeId &claimant)
