Return large blocks to the system when they are freed

Callers saw nothing; a node that had passed responses of 3.5 MB on to callers that read slowly kept 11.2 to 11.4 MB more than before, 5 s after the last of them had left. The bound is 10.5 MB, a quarter of what the crowd may take.

Cause: glibc raises its limit for mapped blocks to the size of the largest mapped block that was freed. After the first large body further ones come from the heap, which returns memory only from its end. The limits are fixed now, so that blocks from 256 KiB are mapped and return when they are freed.

The processor time of large bodies was not measured.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -22,6 +22,12 @@
 // threads rarely allocate at the same time, and separate arenas would each keep the peak memory of
 // a change of the intent.
 constexpr int mallocArenas = 1;
+// Larger blocks return to the system when they are freed. Without a fixed value the limit rises to
+// the size of the largest body that was freed, and bodies and messages of links stay in the heap.
+constexpr int mappedBlockBytes = 256 * 1024;
+// The heap keeps this much at its end. It is the default value of glibc, which else rises with the
+// limit above.
+constexpr int heapSpareBytes = 128 * 1024;
 
 int run(const std::string &settingsPath)
 {
@@ -76,6 +82,8 @@
         return usageErrorStatus;
     }
     mallopt(M_ARENA_MAX, mallocArenas);
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, heapSpareBytes);
     boragetrack::core::events::startLogging(argv[0]);
     return run(values["settings"].as<std::string>());
 }
