Leave half of the descriptors to calls

An ordinary request through a node at its limit of descriptors was not answered within 15 s, as long as idle clients took each descriptor again that became free.

Cause: a listener accepts up to 1,500 connections whatever the process's limit is. The listener now takes at most half of the limit, which it reads when it accepts. The limit of 1,500 applies unchanged from 3,000 descriptors on.

--- a/packages/transport/http/ServerListener.cpp
+++ b/packages/transport/http/ServerListener.cpp
@@ -50,7 +50,7 @@
 
 kj::Promise<void> ServerListener::acceptNext()
 {
-    if (connections_ >= maximumConnections)
+    if (connections_ >= limit_.current())
         return timer_.afterDelay(acceptRetryDelay).then([this]() { return acceptNext(); });
     return receiver_->accept().then([this](kj::Own<kj::AsyncIoStream> &&stream) {
         serve(kj::mv(stream));
--- a/packages/transport/http/ServerListener.h
+++ b/packages/transport/http/ServerListener.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/identity/NetworkAddress.h"
+#include "transport/http/ConnectionLimit.h"
 #include "transport/http/ServerConnection.h"
 
 #include <absl/status/status.h>
@@ -13,7 +14,8 @@
 class ServerListener final : private kj::TaskSet::ErrorHandler
 {
 public:
-    /** Maximum number of concurrent connections; further ones wait to be accepted. */
+    /** Maximum number of concurrent connections, fewer if the process has less than twice as many
+        descriptors; further ones wait to be accepted. */
     static constexpr std::size_t maximumConnections = 1500;
     /** Maximum size of all request bodies that are buffered at a time, in bytes. */
     static constexpr std::size_t maximumBufferedBytes = std::size_t{32} * 1024 * 1024;
@@ -57,6 +59,7 @@
     MemoryBudget *memory_;
     kj::Own<kj::ConnectionReceiver> receiver_;
     BufferBudget budget_;
+    const ConnectionLimit limit_{maximumConnections};
     std::size_t connections_ = 0;
     std::size_t partialRequests_ = 0;
     kj::TaskSet tasks_;
