Close clients that stop in the middle of a request or response

Uploads that stopped midway on 60 connections kept an ordinary POST of 300 KB refused for as long as they stayed, and clients that left responses unread kept their descriptors, so that no other caller was accepted.

Cause: idleTimeoutS was applied between requests only. A body that is being read and a response that is being written had no limit while the memory budget had room. Each connection now compares, once in an idle timeout, what it waits for with what it waited for before (ClientWait), and closes if the client has done nothing. Weighed: a timer for each request, which each call would pay for.

--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -59,6 +59,7 @@
     KeysOutOfDate = 531,
     SlowReaderClosed = 540,
     MemoryBudgetExhausted = 541,
+    StalledClientClosed = 542,
     UsageDutyGained = 600,
     UsageDutyLost = 601,
     UsageReportAccepted = 602,
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -1,6 +1,7 @@
 /** Buffered input of a connection. */
 #pragma once
 
+#include <cstdint>
 #include <kj/async-io.h>
 #include <string>
 #include <string_view>
@@ -45,6 +46,12 @@
         the peer. What was received is then incomplete unless it tells where it ends. */
     bool isReset() const { return isReset_; }
 
+    /** Returns the number of bytes that have been read so far. */
+    std::uint64_t receivedBytes() const { return receivedBytes_; }
+
+    /** Returns whether bytes wait to be written, or failed to be. */
+    bool isWriting() const { return unsuccessfulWrites_ > 0; }
+
     /** Writes all bytes; rejects if the connection fails. The stream must outlive the promise. */
     kj::Promise<void> write(kj::ArrayPtr<const char> bytes);
 
@@ -61,6 +68,7 @@
     std::string buffer_;
     // Invariant: the bytes of buffer_ before this position have been consumed.
     std::size_t begin_ = 0;
+    std::uint64_t receivedBytes_ = 0;
     bool isReading_ = false;
     bool isEnded_ = false;
     // Invariant: decided when the input ends; a write that fails later doesn't change it.
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -31,6 +31,7 @@
 
 kj::Promise<void> ServerConnection::run()
 {
+    stalling_ = limitStallTime({}).eagerlyEvaluate(nullptr);
     return proceed();
 }
 
@@ -269,6 +270,35 @@
                       .eagerlyEvaluate(nullptr);
 }
 
+// Compares what the connection waits for once in each idle timeout, so that a request needs no
+// timer of its own. A client that does nothing is closed after one to two idle timeouts.
+kj::Promise<void> ServerConnection::limitStallTime(ClientWait earlier)
+{
+    return timing::whenPassed(timer_, timer_.now() + toKj(handler_.limits().idleTimeout))
+            .then([this, earlier]() -> kj::Promise<void> {
+                const ClientWait current = currentWait();
+                if (current.kind == ClientWait::Kind::Nothing || current != earlier)
+                    return limitStallTime(current);
+                core::events::logCall(
+                        core::events::EventCode::StalledClientClosed, "stalled client closed",
+                        false,
+                        {{"awaited",
+                          current.kind == ClientWait::Kind::Body ? "request" : "reading"}});
+                cutOff();
+                return kj::READY_NOW;
+            });
+}
+
+// A body behind other requests may wait until these are answered.
+ClientWait ServerConnection::currentWait() const
+{
+    if (isWriting_ && stream_.isWriting())
+        return {ClientWait::Kind::Reading, writtenParts_};
+    if (exchanges_.size() == 1 && queue_.isAwaitingBody() && stream_.bytes().empty())
+        return {ClientWait::Kind::Body, stream_.receivedBytes()};
+    return {};
+}
+
 //==============================================================================
 kj::Promise<void> ServerConnection::refuse(const MessageFault &fault)
 {
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/counters/ScopedCount.h"
+#include "transport/http/ClientWait.h"
 #include "transport/http/ExchangeHandler.h"
 #include "transport/http/PipelineCounters.h"
 #include "transport/http/PipelinedExchange.h"
@@ -49,7 +50,11 @@
     kj::Promise<void> whenFirst(Number number, std::size_t bytes) override;
     void beginFirstResponse() override;
     std::unique_ptr<HeldResponse> hold(std::size_t bytes) override;
-    void handleProgress() override { lastProgress_ = std::chrono::steady_clock::now(); }
+    void handleProgress() override
+    {
+        lastProgress_ = std::chrono::steady_clock::now();
+        ++writtenParts_;
+    }
     void closeAfter(Number number) override
     {
         queue_.closeAfter(number);
@@ -80,6 +85,8 @@
     kj::Promise<Reader::HeadResult> readHead();
     void watchForEnd();
     void limitIdleTime();
+    kj::Promise<void> limitStallTime(ClientWait earlier);
+    ClientWait currentWait() const;
     kj::Promise<void> refuse(const MessageFault &fault);
     kj::Promise<void> close();
 
@@ -114,6 +121,7 @@
     // Whether the first response is being written, and when the client last took a part of it.
     bool isWriting_ = false;
     core::timing::MonotonicTime lastProgress_;
+    std::uint64_t writtenParts_ = 0;
     // Whether input is no longer handled.
     bool isClosing_ = false;
     // Why the connection fails.
@@ -121,6 +129,7 @@
     kj::Promise<void> reading_ = nullptr;
     kj::Promise<void> idling_ = nullptr;
     kj::Promise<void> watching_ = nullptr;
+    kj::Promise<void> stalling_ = nullptr;
 };
 
 } // namespace boragetrack::transport::http
--- a/tests/unit/ServerConnectionTest.cpp
+++ b/tests/unit/ServerConnectionTest.cpp
@@ -54,8 +54,85 @@
     }
 };
 
+/** Reads the body of each request and never responds. */
+class BodyHandler : public ExchangeHandler
+{
+public:
+    kj::Promise<void> handle(ServerExchange &exchange) override
+    {
+        return exchange.readBodyUpTo(std::size_t{1024} * 1024).then([](BodyPiece && /*body*/) {
+            return kj::Promise<void>(kj::NEVER_DONE);
+        });
+    }
+    ServerLimits limits() const override
+    {
+        ServerLimits limits;
+        limits.idleTimeout = std::chrono::seconds(1);
+        return limits;
+    }
+};
+
+/** A connection in the middle of the body of its first request, with a clock of its own. */
+class UnfinishedBody
+{
+public:
+    UnfinishedBody() { send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n12"); }
+
+    void send(const std::string &text)
+    {
+        pipe_.ends[1]->write(text.data(), text.size()).wait(io_.waitScope);
+    }
+
+    /** Lets the clock advance by one idle timeout. @returns whether the connection has ended */
+    bool endsAfterIdleTimeout()
+    {
+        time_ += 1 * kj::SECONDS;
+        for (int i = 0; i < pollsOfADeadline; ++i) {
+            timer_.advanceTo(time_);
+            if (running_.poll(io_.waitScope))
+                return true;
+        }
+        return false;
+    }
+
+private:
+    // More than whenPassed() takes.
+    static constexpr int pollsOfADeadline = 20;
+
+    kj::AsyncIoContext io_ = kj::setupAsyncIo();
+    kj::TimePoint time_ = kj::origin<kj::TimePoint>();
+    kj::TimerImpl timer_{time_};
+    kj::TwoWayPipe pipe_ = kj::newTwoWayPipe();
+    BodyHandler handler_;
+    BufferBudget budget_{std::size_t{1024} * 1024};
+    std::size_t partialRequests_ = 0;
+    ServerConnection connection_{kj::mv(pipe_.ends[0]), handler_, timer_, budget_,
+                                 partialRequests_};
+    kj::Promise<void> running_ = connection_.run();
+};
+
 } // namespace
 
+// Guards against bodies that hold their room for as long as their clients stay.
+TEST(ServerConnection, endsWhenTheClientSendsNoMoreOfABody)
+{
+    UnfinishedBody body;
+    EXPECT_FALSE(body.endsAfterIdleTimeout());
+    EXPECT_TRUE(body.endsAfterIdleTimeout());
+}
+
+// Guards against closing a client that sends slowly, or that waits for its response.
+TEST(ServerConnection, staysOpenWhileABodyArrivesAndWhileItsRequestRuns)
+{
+    UnfinishedBody body;
+    for (int i = 0; i < 7; ++i) {
+        EXPECT_FALSE(body.endsAfterIdleTimeout());
+        body.send("x");
+    }
+    for (int i = 0; i < 3; ++i)
+        EXPECT_FALSE(body.endsAfterIdleTimeout());
+}
+
 TEST(ServerConnection, endsWithoutAnErrorWhenThePeerResetsItAfterTheResponse)
 {
     kj::AsyncIoContext io = kj::setupAsyncIo();
