--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -40,8 +40,8 @@
     /** The time since the sender's last contact with the durable store, itself or through peers;
         nothing if it has had none. The receiver of a response adds the time since its request. */
     std::optional<std::chrono::milliseconds> storeContactAge;
-    /** In a response: the time since its request, in which it may have been held up anywhere. Set by
-        the receiver; not transmitted. */
+    /** In a response: the time since its request, in which it may have been held up anywhere. Set
+       by the receiver; not transmitted. */
     std::chrono::milliseconds roundTrip{0};
     /** Whether the sender depends on the receiver for updates of the store. */
     bool requestsUpdates = false;
