Give a watch 500 ms to deliver a change, and read the store every 800 ms

Cause: in a storm of changes nodes with a tenth of a core took longer than 200 ms for the response of a sound watch.

Change: half a second for the delivery; the time between reads gives part of it back. A change behind lost watches is noticed at most 1.3 s after its acknowledgement by the node that reads for all, and half a second later by the others.

--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -47,9 +47,9 @@
         deliveryTime, the follower's delay between two watches and the time in which the other
         followers learn of a change, it stays below the two seconds in which a change must be in
         force. */
-    static constexpr std::chrono::milliseconds probePeriod{1000};
+    static constexpr std::chrono::milliseconds probePeriod{800};
     /** How long a known change may take to arrive by the watch. */
-    static constexpr std::chrono::milliseconds deliveryTime{200};
+    static constexpr std::chrono::milliseconds deliveryTime{500};
     /** How long the store may take to respond to a probe. */
     static constexpr std::chrono::milliseconds probeTimeout{1000};
 
