Send no further reads while a watch is to deliver a known change

Cause: a linearizable read that shows a missing change is no proof of the watch, and so the next one was due at once: reads followed each other for up to half a second, each a charged call.

Change: any linearizable read delays the next one by a period. The test failed before (sendsNoFurtherProbeWhileItWaitsForAKnownChange: a read was pending again).

--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -135,7 +135,7 @@
     isUnproven_ = isUnproven_ && !isProof;
     if (response.ok() && !isCurrent)
         expectDelivery();
-    if (isProof || !response.ok())
+    if (consistency == ReadConsistency::Linearizable || !response.ok())
         contactAt_ = std::max(contactAt_, sentAt);
     scheduleTimer();
     if (isProof) {
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -113,7 +113,7 @@
     core::identity::Revision watched_;
     std::optional<core::timing::MonotonicTime> provenAt_;
     bool isRunning_ = false;
-    // The last contact of any node, or the last probe that the store refused.
+    // The last contact of any node, or the last probe that was linearizable or refused.
     core::timing::MonotonicTime contactAt_{};
     // Since when a change is known that the watch has not delivered; nothing unless isRunning_.
     std::optional<core::timing::MonotonicTime> missingSince_;
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -29,7 +29,8 @@
 constexpr std::chrono::milliseconds registrationSpread{1200};
 // Updates come every 200 ms; a gap of this length means that the process was paused.
 constexpr std::chrono::milliseconds maximumUpdateGap{1000};
-// A follower that relies on another one's probes hears of them half a second later.
+// A follower that relies on another one's probes hears of them up to half a second later, by its
+// next poll, and a round trip.
 constexpr std::chrono::milliseconds sharedProbeDelay{600};
 
 const char *nameOf(control::intent::MoveState state)
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -254,6 +254,16 @@
     EXPECT_EQ(store_.waits.back(), StoreFollower::recoveryWatchDuration);
 }
 
+// Guards against charged reads, one after the other, until the watch has delivered a known change.
+TEST_F(WatchLossTest, sendsNoFurtherProbeWhileItWaitsForAKnownChange)
+{
+    while (store_.probes.empty())
+        timers_.advance(milliseconds(1));
+    respondToProbe(Revision(9));
+    timers_.advance(WatchMonitor::deliveryTime - milliseconds(1));
+    EXPECT_TRUE(store_.probes.empty());
+}
+
 TEST_F(WatchLossTest, noticesALostWatchInTimeAlthoughStaleReadsShowNoChange)
 {
     const auto changedAt = timers_.now();
