Send no first probe with a watch that follows a recent response

Change: the cheap first probe of a watch is left out while the last contact is younger than the time between reads, as it could show nothing new.

--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -31,6 +31,10 @@
     isRunning_ = true;
     watched_ = watched;
     isUnproven_ = consistency == ReadConsistency::Linearizable;
+    if (!isUnproven_ && timers_.now() < nextProbeAt()) {
+        scheduleTimer();
+        return;
+    }
     isFirstProbePending_ = true;
     sendProbe(consistency);
 }
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -61,7 +61,8 @@
     WatchMonitor(const WatchMonitor &) = delete;
     WatchMonitor &operator=(const WatchMonitor &) = delete;
 
-    /** Starts to monitor a watch that has just been sent, and sends the first probe.
+    /** Starts to monitor a watch that has just been sent. Sends the first probe, unless it may be
+        stale and the last contact is recent: what it could show is known.
         @param watched the revision after which the watch delivers changes
         @param consistency of the first probe */
     void start(core::identity::Revision watched, ReadConsistency consistency);
