--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -290,13 +290,11 @@
             });
 }
 
-// A body behind other requests may wait until these are answered.
+// Bodies have a pace of their own, which ends them with a refusal as not run. @see BodyPace
 ClientWait ServerConnection::currentWait() const
 {
     if (isWriting_ && stream_.isWriting())
         return {ClientWait::Kind::Reading, writtenParts_};
-    if (exchanges_.size() == 1 && queue_.isAwaitingBody() && stream_.bytes().empty())
-        return {ClientWait::Kind::Body, stream_.receivedBytes()};
     return {};
 }
 
