--- a/packages/transport/http/PipelineQueue.cpp
+++ b/packages/transport/http/PipelineQueue.cpp
@@ -23,11 +23,6 @@
     return numberOfLast();
 }
 
-bool PipelineQueue::isAwaitingBody() const
-{
-    return isBodyPending_ && !last_ && !requests_.empty() && requests_.back().isStarted;
-}
-
 bool PipelineQueue::startNext()
 {
     if (requests_.empty() || requests_.back().isStarted)
--- a/packages/transport/http/PipelineQueue.h
+++ b/packages/transport/http/PipelineQueue.h
@@ -43,9 +43,6 @@
     /** Handles the end of the body of the request that was added last. */
     void handleRequestRead() { isBodyPending_ = false; }
 
-    /** Returns whether the rest of a request's body is awaited, which runs. */
-    bool isAwaitingBody() const;
-
     /** Starts the request that was added last, if it has not started and may.
         @returns whether it has started now */
     bool startNext();
--- a/packages/transport/http/ReadAheadStream.cpp
+++ b/packages/transport/http/ReadAheadStream.cpp
@@ -67,7 +67,6 @@
                                [this](std::size_t length) {
                                    isReading_ = false;
                                    buffer_.append(chunk_.begin(), length);
-                                   receivedBytes_ += length;
                                    if (length == 0)
                                        handleEnd();
                                },
--- a/packages/transport/http/ReadAheadStream.h
+++ b/packages/transport/http/ReadAheadStream.h
@@ -1,7 +1,6 @@
 /** Buffered input of a connection. */
 #pragma once
 
-#include <cstdint>
 #include <kj/async-io.h>
 #include <string>
 #include <string_view>
@@ -46,9 +45,6 @@
         the peer. What was received is then incomplete unless it tells where it ends. */
     bool isReset() const { return isReset_; }
 
-    /** Returns the number of bytes that have been read so far. */
-    std::uint64_t receivedBytes() const { return receivedBytes_; }
-
     /** Returns whether bytes wait to be written, or failed to be. */
     bool isWriting() const { return unsuccessfulWrites_ > 0; }
 
@@ -68,7 +64,6 @@
     std::string buffer_;
     // Invariant: the bytes of buffer_ before this position have been consumed.
     std::size_t begin_ = 0;
-    std::uint64_t receivedBytes_ = 0;
     bool isReading_ = false;
     bool isEnded_ = false;
     // Invariant: decided when the input ends; a write that fails later doesn't change it.
--- a/packages/transport/http/ServerConnection.cpp
+++ b/packages/transport/http/ServerConnection.cpp
@@ -271,31 +271,29 @@
                       .eagerlyEvaluate(nullptr);
 }
 
-// Compares what the connection waits for once in each idle timeout, so that a request needs no
-// timer of its own. A client that does nothing is closed after one to two idle timeouts.
-kj::Promise<void> ServerConnection::limitStallTime(ClientWait earlier)
+// Looks once in each idle timeout, so that a response needs no timer of its own. A client that
+// takes nothing is closed after one to two idle timeouts. A request's body has limits of its own,
+// which end it with a refusal as not run. @see BodyPace
+kj::Promise<void> ServerConnection::limitStallTime(std::optional<std::uint64_t> earlier)
 {
     return timing::whenPassed(timer_, timer_.now() + toKj(handler_.limits().idleTimeout))
             .then([this, earlier]() -> kj::Promise<void> {
-                const ClientWait current = currentWait();
-                if (current.kind == ClientWait::Kind::Nothing || current != earlier)
+                const std::optional<std::uint64_t> current = awaitedPart();
+                if (!current || current != earlier)
                     return limitStallTime(current);
-                core::events::logCall(
-                        core::events::EventCode::StalledClientClosed, "stalled client closed",
-                        false,
-                        {{"awaited",
-                          current.kind == ClientWait::Kind::Body ? "request" : "reading"}});
+                core::events::logCall(core::events::EventCode::StalledClientClosed,
+                                      "stalled client closed", false,
+                                      {{"parts", std::to_string(*current)}});
                 cutOff();
                 return kj::READY_NOW;
             });
 }
 
-// Bodies have a pace of their own, which ends them with a refusal as not run. @see BodyPace
-ClientWait ServerConnection::currentWait() const
+std::optional<std::uint64_t> ServerConnection::awaitedPart() const
 {
     if (isWriting_ && stream_.isWriting())
-        return {ClientWait::Kind::Reading, writtenParts_};
-    return {};
+        return writtenParts_;
+    return std::nullopt;
 }
 
 //==============================================================================
--- a/packages/transport/http/ServerConnection.h
+++ b/packages/transport/http/ServerConnection.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "core/counters/ScopedCount.h"
-#include "transport/http/ClientWait.h"
 #include "transport/http/ExchangeHandler.h"
 #include "transport/http/PipelineCounters.h"
 #include "transport/http/PipelinedExchange.h"
@@ -85,8 +84,10 @@
     kj::Promise<Reader::HeadResult> readHead();
     void watchForEnd();
     void limitIdleTime();
-    kj::Promise<void> limitStallTime(ClientWait earlier);
-    ClientWait currentWait() const;
+    // Ends the connection if its client still has to take the same part as earlier.
+    kj::Promise<void> limitStallTime(std::optional<std::uint64_t> earlier);
+    // Returns the number of the part that the client has to take; nothing if it has to take none.
+    std::optional<std::uint64_t> awaitedPart() const;
     kj::Promise<void> refuse(const MessageFault &fault);
     kj::Promise<void> close();
 
@@ -121,6 +122,7 @@
     // Whether the first response is being written, and when the client last took a part of it.
     bool isWriting_ = false;
     core::timing::MonotonicTime lastProgress_;
+    // How many parts of responses the client has taken.
     std::uint64_t writtenParts_ = 0;
     // Whether input is no longer handled.
     bool isClosing_ = false;
