--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -185,6 +185,7 @@
 {
     if (failures_++ == 0)
         listener_.storeUnavailable(error);
+    listener_.proofMissing(error);
     timers_.addListener(*this, nextBackoff());
 }
 
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -45,6 +45,11 @@
         /** Handles a later lastContact() that came with no update. */
         virtual void storeContacted() {}
 
+        /** Handles that the store did not serve a call which would have shown that no change is
+            missing. Called for each such call.
+            @param reason the error */
+        virtual void proofMissing(const absl::Status & /*reason*/) {}
+
         /** Returns a time before which no change is unknown to this node, as far as it or another
             node was in touch with the store; nothing without such a contact. */
         virtual std::optional<core::timing::MonotonicTime> sharedContact() const
@@ -116,6 +121,7 @@
     void timerElapsed(core::timing::MonotonicTime now) override;
     void watchLost(const absl::Status &reason) override;
     void watchProven() override { listener_.storeContacted(); }
+    void proofMissing(const absl::Status &reason) override { listener_.proofMissing(reason); }
     std::optional<core::timing::MonotonicTime> sharedContact() const override
     {
         return listener_.sharedContact();
--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -127,6 +127,8 @@
         reportLost(response.status());
         return;
     }
+    if (!response.ok())
+        listener_.proofMissing(response.status());
     // The limit of calls concerns all nodes together and ends no watch.
     const bool isLimited = absl::IsResourceExhausted(response.status());
     const bool wasRefused = std::exchange(isRefused_, !response.ok() && !isLimited);
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -38,6 +38,10 @@
         /** Handles that a probe proved that no change is missing. */
         virtual void watchProven() = 0;
 
+        /** Handles that the store refused a probe, or may not respond to it.
+            @param reason the error */
+        virtual void proofMissing(const absl::Status &reason) = 0;
+
         /** Returns a time before which no change is unknown here, as far as this node or another
            one that told it was in touch with the store; nothing without such a contact. */
         virtual std::optional<core::timing::MonotonicTime> sharedContact() const = 0;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -24,6 +24,8 @@
     StoreListed = 212,
     StoreRoleChanged = 213,
     StoreKnowledge = 215,
+    StoreProofMissing = 216,
+    StoreProofRegained = 217,
     MemberAlive = 300,
     MemberSuspect = 301,
     MemberDead = 302,
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -90,6 +90,7 @@
     plane_->storeFollowingChanged(follower_->isFollowing());
     leasedRecord_->setActive(needsNodeRecord());
     reportContact();
+    logProofRegained();
 }
 
 void RecordSource::laterRevisionReported()
@@ -219,6 +220,34 @@
                             {"contactMs", ageText(knowledge.contactAge)}});
 }
 
+void RecordSource::proofMissing(const absl::Status &reason)
+{
+    if (proofMissingSince_)
+        return;
+    proofMissingSince_ = dependencies_.timers.now();
+    const auto knowledge = plane_->storeKnowledge();
+    core::events::logEvent(EventCode::StoreProofMissing, "no proof from the store",
+                           {{"error", std::string(reason.message())},
+                            {"follows", follower_->isFollowing() ? "yes" : "no"},
+                            {"held", std::to_string(knowledge.held.number())},
+                            {"reported", std::to_string(knowledge.reported.number())},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+}
+
+void RecordSource::logProofRegained()
+{
+    const auto contact = plane_->lastStoreContact();
+    if (!proofMissingSince_ || !contact || *contact <= *proofMissingSince_)
+        return;
+    const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+            *contact - *proofMissingSince_);
+    proofMissingSince_.reset();
+    core::events::logEvent(
+            EventCode::StoreProofRegained, "proof from the store again",
+            {{"ms", std::to_string(duration.count())},
+             {"held", std::to_string(replica_->table().revision().number())}});
+}
+
 void RecordSource::storeRecovered()
 {
     plane_->storeFollowingChanged(true);
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -61,10 +61,12 @@
     void storeUnavailable(const absl::Status &error) override;
     void storeRecovered() override;
     void storeContacted() override { reportContact(); }
+    void proofMissing(const absl::Status &reason) override;
     std::optional<core::timing::MonotonicTime> sharedContact() const override;
     std::string text() const override;
     bool isCurrent(const std::string &stored) const override;
     void logStoreRole(bool follows) const;
+    void logProofRegained();
     bool needsNodeRecord() const;
     void resumeIfPaused();
     std::chrono::milliseconds probePeriod() const;
@@ -81,6 +83,9 @@
     std::optional<control::records::StoreFollower> follower_;
     std::optional<control::records::LeasedRecord> leasedRecord_;
     bool isRecording_ = false;
+    // Since when the store has served no call that proves the held revision, neither this node's nor
+    // one of a node that told; nothing while it does.
+    std::optional<core::timing::MonotonicTime> proofMissingSince_;
     // Whether this node had to follow the store at the last update; initially all nodes do.
     bool isFollowRequired_ = true;
     std::mt19937_64 random_;
