--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -231,8 +231,11 @@
     PeerContact source = peer;
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
+    const Revision before = propagator_.replica().revision();
     propagator_.offerFromPeer(source, transfer, timers_.now());
     recordHeldRevision(peer.id);
+    if (propagator_.replica().revision() > before)
+        storeExchanges_.relayUpdate();
     return propagator_.replica().revision();
 }
 
