--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -126,6 +126,13 @@
     propagator_.setStoreReachable(isFollowed && !storeExchanges_.isProofMissing());
 }
 
+void ControlPlane::storeProofMissing()
+{
+    storeExchanges_.proofMissing();
+    propagator_.setStoreReachable(false);
+    propagator_.tick(timers_.now());
+}
+
 void ControlPlane::peersDiscovered(const std::vector<NetworkAddress> &registered,
                                    const std::vector<NetworkAddress> &known)
 {
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -126,7 +126,7 @@
 
     /** Handles that the durable store did not serve a call which would have shown that no change is
         missing. */
-    void storeProofMissing() { storeExchanges_.proofMissing(); }
+    void storeProofMissing();
 
     /** Returns when the durable store last confirmed what this node holds, as far as this node or a
         peer that told it was in touch with the store; nothing if there was no contact. */
--- a/packages/control/distribution/IntentPropagator.h
+++ b/packages/control/distribution/IntentPropagator.h
@@ -48,7 +48,7 @@
 
     /** How long a node that follows the store tolerates a peer that is ahead; its own update from
         the store may arrive slightly later. */
-    static constexpr std::chrono::milliseconds toleratedLag{300};
+    static constexpr std::chrono::milliseconds toleratedLag{700};
 
     /** The time after which a fetch of the same revision may be retried. */
     static constexpr std::chrono::milliseconds fetchTimeout{400};
--- a/packages/control/records/WatchMonitor.cpp
+++ b/packages/control/records/WatchMonitor.cpp
@@ -49,6 +49,7 @@
     isProbePending_ = false;
     isFirstProbePending_ = false;
     deliveryDueAt_.reset();
+    promptDeliveryDueAt_.reset();
     overdueAt_.reset();
     timers_.removeListener(*this);
 }
@@ -61,6 +62,7 @@
     isPaused_ = true;
     isProbePending_ = false;
     deliveryDueAt_.reset();
+    promptDeliveryDueAt_.reset();
     overdueAt_.reset();
     timers_.removeListener(*this);
 }
@@ -100,6 +102,8 @@
 void WatchMonitor::expectDelivery(milliseconds delay)
 {
     const MonotonicTime dueAt = timers_.now() + delay;
+    if (!deliveryDueAt_)
+        promptDeliveryDueAt_ = timers_.now() + promptDeliveryTime;
     deliveryDueAt_ = std::min(deliveryDueAt_.value_or(dueAt), dueAt);
     scheduleTimer();
 }
@@ -124,8 +128,10 @@
     isProbePending_ = false;
     overdueAt_.reset();
     // A slow store may take as long to respond to a watch that has just begun.
-    if (std::exchange(isFirstProbePending_, false) && deliveryDueAt_)
+    if (std::exchange(isFirstProbePending_, false) && deliveryDueAt_) {
         deliveryDueAt_ = timers_.now() + deliveryTime;
+        promptDeliveryDueAt_ = timers_.now() + promptDeliveryTime;
+    }
     if (absl::IsUnknown(response.status())) {
         reportLost(response.status());
         return;
@@ -174,7 +180,7 @@
     if (overdueAt_)
         due = std::min(due, *overdueAt_);
     if (deliveryDueAt_ && !isFirstProbePending_)
-        due = std::min(due, *deliveryDueAt_);
+        due = std::min({due, *deliveryDueAt_, promptDeliveryDueAt_.value_or(due)});
     if (due == MonotonicTime::max())
         return;
     const auto delay = std::chrono::ceil<milliseconds>(due - timers_.now());
@@ -188,6 +194,10 @@
         reportLost(absl::UnknownError("the watch did not deliver a change"));
         return;
     }
+    if (promptDeliveryDueAt_ && !isFirstProbePending_ && now >= *promptDeliveryDueAt_) {
+        promptDeliveryDueAt_.reset();
+        listener_.proofMissing(absl::UnknownError("the watch has not delivered a change yet"));
+    }
     if (overdueAt_ && now >= *overdueAt_) {
         overdueAt_.reset();
         listener_.proofMissing(absl::UnknownError("no response yet"));
--- a/packages/control/records/WatchMonitor.h
+++ b/packages/control/records/WatchMonitor.h
@@ -38,7 +38,7 @@
         /** Handles that a probe proved that no change is missing. */
         virtual void watchProven() = 0;
 
-        /** Handles that the store refused a probe, or may not respond to it.
+        /** Handles that the store refused a probe, or may not respond to it or to the watch.
             @param reason the error */
         virtual void proofMissing(const absl::Status &reason) = 0;
 
@@ -55,6 +55,9 @@
     /** How long a change that another node holds may take to arrive by the watch. Nodes differ in
        how soon they handle what the store sent to all. */
     static constexpr std::chrono::milliseconds deliveryTime{500};
+    /** The time after which a change that another node holds counts as a missing proof, so that it
+       is fetched from there. Longer than the watches of a sound store differ at most nodes. */
+    static constexpr std::chrono::milliseconds promptDeliveryTime{300};
     /** How long a change that a probe has shown may take to arrive by the watch, which the store
         serves before. */
     static constexpr std::chrono::milliseconds probedDeliveryTime{200};
@@ -126,8 +129,10 @@
     bool isRunning_ = false;
     // The last contact of any node, or the last probe that was linearizable or refused.
     core::timing::MonotonicTime contactAt_{};
-    // When a known change has to be delivered; nothing unless isRunning_.
+    // When a known change has to be delivered, and when its absence counts as a missing proof; the
+    // latter is nothing once it does. Invariant: both nothing unless isRunning_.
     std::optional<core::timing::MonotonicTime> deliveryDueAt_;
+    std::optional<core::timing::MonotonicTime> promptDeliveryDueAt_;
     // Invariant: false unless isRunning_.
     bool isProbePending_ = false;
     // When the pending probe counts as a missing proof; nothing if it does, or none is pending.
