--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,8 @@
 from platform_fleet import PlatformFleet, configuration, rule  # noqa: E402
 from promises import GuaranteeChecker  # noqa: E402
 from proxy import MODES, Proxy  # noqa: E402
+from rejections import Rejections  # noqa: E402
+from store_entrance import StoreEntrance  # noqa: E402
 
 # Seeds that failed before, each with its cause, and others that cover further kinds of faults.
 REGRESSION_SEEDS = {
@@ -62,16 +64,21 @@
         self.version = 0
         self.incarnations = {}
         self.upstreams = []
+        self.entrances = []
         self.store_proxies = {}
         self.link_proxies = {}
         for number in range(nodes):
             self._add_node(number)
         self.late_loops = LateLoops(seed, self.fleet.nodes, self._stop_and_restart)
+        self.rejections = Rejections(seed, self.entrances)
 
     def _add_node(self, number):
         node = self.fleet.add_node(f"n{number}", ZONES[number % 2], SERVICES[number // 2 % 2])
         take = self.fleet.ports.take
-        store = Proxy(self.fleet.event_loop, take(), self.fleet.store.port)
+        entrance = StoreEntrance(self.fleet.event_loop, take(), self.fleet.store)
+        entrance.start()
+        self.entrances.append(entrance)
+        store = Proxy(self.fleet.event_loop, take(), entrance.port)
         links = Proxy(self.fleet.event_loop, take(), node.peer_port)
         self.store_proxies[node.name] = store
         self.link_proxies[node.name] = links
@@ -94,6 +101,7 @@
             prober = threading.Thread(target=self._probe_versions)
             prober.start()
             self.late_loops.start()
+            self.rejections.start()
             self._inject(time.monotonic() + seconds)
             self._end_all_faults()
             self._check_recovered()
@@ -108,9 +116,11 @@
         finally:
             self.finished.set()
             self.late_loops.end()
+            self.rejections.end()
             self._join_fault_threads()
-            for proxy in (*self.store_proxies.values(), *self.link_proxies.values()):
-                proxy.stop()
+            for server in (*self.store_proxies.values(), *self.link_proxies.values(),
+                           *self.entrances):
+                server.stop()
             self.fleet.stop()
         return self.guarantees.violations
 
@@ -274,6 +284,7 @@
 
     def _end_all_faults(self):
         self.late_loops.end()
+        self.rejections.end()
         self.fleet.store.fault = None
         # Faults that are still active end in this time.
         time.sleep(SETTLE_SECONDS)
@@ -285,8 +296,9 @@
         time.sleep(SETTLE_SECONDS)
 
     def _check_recovered(self):
-        """Checks that a change is in force on all nodes in time, also behind lost watches, and that
-        calls are served."""
+        """Checks that a change is in force on all nodes in time, also behind lost watches and while
+        the store rejects the nodes that follow it, and that calls are served."""
+        self.rejections.reject_readers()
         self.fleet.store.lose_calls_in_progress()
         self._write_configuration()
         changed_at = time.monotonic()
