--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -14,6 +14,12 @@
 constexpr const char *allKeysPrefix = "";
 constexpr int maximumDoublings = 6;
 
+// The same watch would get the same response, so the records are listed page by page instead.
+bool mustListAfter(const absl::Status &watchStatus)
+{
+    return absl::IsOutOfRange(watchStatus) || absl::IsDataLoss(watchStatus);
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(RecordStore &store, core::timing::TimerService &timers,
@@ -140,12 +146,16 @@
             });
 }
 
-// A follower's own watch or listing copes with history that is gone, and so does the next one of an
-// idle node.
 void StoreFollower::handleReadResponse(const absl::StatusOr<RecordChanges> &response,
                                        core::timing::MonotonicTime sentAt)
 {
     isReadPending_ = false;
+    // A pending watch copes with that itself.
+    if (isIdle_ && mustListAfter(response.status())) {
+        isIdle_ = false;
+        isListed_ = false;
+        listFrom({});
+    }
     if (!response.ok())
         return;
     readAt_ = sentAt;
@@ -174,8 +184,7 @@
 {
     ++watchNumber_;
     monitor_.stop();
-    // The same watch would get the same response, so the records are listed page by page instead.
-    if (absl::IsOutOfRange(response.status()) || absl::IsDataLoss(response.status())) {
+    if (mustListAfter(response.status())) {
         isListed_ = false;
         listFrom({});
         return;
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -344,6 +344,21 @@
     EXPECT_TRUE(store_.watches.empty());
 }
 
+// Guards against an idle node that can read for nobody once the store has compacted its revision.
+TEST_F(StoreFollowerTest, listsForOthersWhenTheHistoryIsCompacted)
+{
+    follower_.setActive(false, Revision(0));
+    respond(store_.lists, absl::StatusOr<RecordPage>(RecordPage{{}, Revision(7), false}));
+    timers_.advance(StoreFollower::firstWatchDelay);
+    follower_.readChanges();
+    respond(store_.watches, absl::StatusOr<RecordChanges>(absl::OutOfRangeError("compacted")));
+    respond(store_.lists,
+            absl::StatusOr<RecordPage>(RecordPage{{record("a", 20)}, Revision(20), false}));
+    EXPECT_EQ(listed_, 1U);
+    timers_.advance(std::chrono::seconds(5));
+    EXPECT_TRUE(store_.watches.empty());
+}
+
 // Guards against a charged read of each follower for what one of them knows already.
 TEST_F(WatchLossTest, sendsNoProbeWhileAnotherNodeIsInTouchWithTheStore)
 {
