--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -108,13 +108,16 @@
 //==============================================================================
 void ControlPlane::storeValueReceived(const std::string &text)
 {
+    updateSource_ = ChangeSource{records::ChangeOrigin::Watch, {}};
     propagator_.offerFromStore(text, timers_.now());
+    recordHeldRevision();
 }
 
-void ControlPlane::storeUpdateReceived(OfferResult result)
+void ControlPlane::storeUpdateReceived(OfferResult result, records::ChangeOrigin origin)
 {
+    updateSource_ = ChangeSource{origin, {}};
     propagator_.recordDurableUpdate(result, timers_.now());
-    recordHeldRevision({});
+    recordHeldRevision();
     if (result != OfferResult::Accepted && result != OfferResult::PartlyAccepted)
         return;
     storeExchanges_.announceUpdate();
@@ -239,8 +242,9 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     const Revision before = propagator_.replica().revision();
+    updateSource_ = ChangeSource{records::ChangeOrigin::Peer, source.id};
     propagator_.offerFromPeer(source, transfer, timers_.now());
-    recordHeldRevision(peer.id);
+    recordHeldRevision();
     if (propagator_.replica().revision() > before)
         storeExchanges_.relayUpdate();
     return propagator_.replica().revision();
@@ -282,6 +286,7 @@
 //==============================================================================
 void ControlPlane::intentInForce()
 {
+    recordHeldRevision();
     resolveSnapshot(propagator_.replica().contentRevision(), propagator_.replica().document());
     listener_.intentInForce();
     listener_.viewChanged();
@@ -449,7 +454,7 @@
     const MonotonicTime now = timers_.now();
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
-    store_.recordReport(exchange.revision);
+    store_.recordReport(exchange);
     if (exchange.revision > propagator_.replica().revision())
         listener_.laterRevisionReported();
     membership_.recordContact(exchange.sender, now);
@@ -496,9 +501,9 @@
     return timers_.now() - lastDecisionAt_ > maximumDecisionGap;
 }
 
-void ControlPlane::recordHeldRevision(const NodeId &source)
+void ControlPlane::recordHeldRevision()
 {
-    store_.recordHeld(propagator_.replica().revision(), source);
+    store_.recordHeld(propagator_.replica().revision(), updateSource_);
 }
 
 Exchange ControlPlane::makeExchange(const NodeId &receiver, std::size_t maximumGossip)
@@ -507,6 +512,7 @@
     exchange.sender = membership_.self().id;
     exchange.senderAddress = membership_.self().peerAddress;
     exchange.revision = propagator_.replica().revision();
+    exchange.revisionAge = store_.changes().age(timers_.now());
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -111,8 +111,9 @@
     void storeValueReceived(const std::string &text);
 
     /** Handles an update that the replica received from the durable store.
-        @param result the result of merging the update into the replica */
-    void storeUpdateReceived(OfferResult result);
+        @param result the result of merging the update into the replica
+        @param origin the kind of call that returned the update */
+    void storeUpdateReceived(OfferResult result, records::ChangeOrigin origin);
 
     /** Sets whether this node is following the durable store and can reach it. */
     void storeFollowingChanged(bool isFollowed);
@@ -152,6 +153,9 @@
     /** Returns what this node knows of the durable store, for logs and operators. */
     StoreKnowledge storeKnowledge() const { return store_.knowledge(); }
 
+    /** Returns when changes were known elsewhere and came here. */
+    const ChangeHistory &changes() const { return store_.changes(); }
+
     /** Contacts nodes in the store's records that are unknown to this node.
         @param registered the addresses of nodes with a record
         @param known the addresses of other nodes in these records; they are contacted by and by */
@@ -288,7 +292,7 @@
     void fetchMembersFromUnknown(const PeerContact &peer);
     void fetchMembersIfDiffering(const PeerContact &peer, std::uint64_t digest);
     bool wasPaused() const;
-    void recordHeldRevision(const core::identity::NodeId &source);
+    void recordHeldRevision();
     Exchange makeExchange(const core::identity::NodeId &receiver, std::size_t maximumGossip);
 
     PeerTransport &transport_;
@@ -313,6 +317,8 @@
     // The highest revision reported by each node. A restarted node gets its own number back from
     // its peers and serves no older revision.
     std::map<core::identity::NodeId, core::identity::Revision> servedRevisions_;
+    // Where the update that is being handled, or the last one, came from.
+    ChangeSource updateSource_;
     // The digest of each peer's member table at the last exchange with that peer.
     std::map<core::identity::NodeId, std::uint64_t> peerDigests_;
     core::timing::MonotonicTime lastMemberFetch_{};
--- a/packages/control/distribution/StoreAwareness.cpp
+++ b/packages/control/distribution/StoreAwareness.cpp
@@ -14,10 +14,9 @@
     isFollowing_ = isFollowing;
 }
 
-void StoreAwareness::recordHeld(Revision held, const core::identity::NodeId &source)
+void StoreAwareness::recordHeld(Revision held, const ChangeSource &source)
 {
-    if (held > held_)
-        updatedBy_ = source;
+    changes_.recordHeld(held, source, timers_.now());
     held_ = std::max(held_, held);
     role_.recordRevision(held);
     contact_.recordRevision(held);
@@ -36,9 +35,10 @@
         contact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge, held_);
 }
 
-void StoreAwareness::recordReport(Revision revision)
+void StoreAwareness::recordReport(const Exchange &exchange)
 {
-    reported_ = std::max(reported_, revision);
+    changes_.recordReport(exchange.sender, exchange.revision, exchange.revisionAge, timers_.now());
+    reported_ = std::max(reported_, exchange.revision);
 }
 
 std::optional<milliseconds> StoreAwareness::contactAge() const
@@ -60,7 +60,7 @@
     if (const auto coverage = role_.lastCoverage())
         knowledge.coverageAge = std::chrono::ceil<milliseconds>(timers_.now() - *coverage);
     knowledge.contactAge = contactAge();
-    knowledge.updatedBy = updatedBy_;
+    knowledge.updatedBy = changes_.arrival().source;
     return knowledge;
 }
 
--- a/packages/control/distribution/StoreAwareness.h
+++ b/packages/control/distribution/StoreAwareness.h
@@ -1,6 +1,7 @@
 /** What a node knows of the durable store, through its own follower and through its peers. */
 #pragma once
 
+#include "control/distribution/ChangeHistory.h"
 #include "control/distribution/Exchange.h"
 #include "control/distribution/FollowerRole.h"
 #include "control/distribution/StoreContact.h"
@@ -36,14 +37,17 @@
     void recordStore(core::timing::MonotonicTime askedAt) { contact_.recordStore(askedAt); }
 
     /** Records the revision that this node holds.
-        @param source the node that sent its changes; empty for the store */
-    void recordHeld(core::identity::Revision held, const core::identity::NodeId &source);
+        @param source where its changes came from */
+    void recordHeld(core::identity::Revision held, const ChangeSource &source);
 
     /** Records a response to an exchange that this node sent. */
     void recordResponse(const Exchange &response);
 
-    /** Records the revision that another node has reported. */
-    void recordReport(core::identity::Revision revision);
+    /** Records the revision that another node has reported in an exchange. */
+    void recordReport(const Exchange &exchange);
+
+    /** Returns when changes were known elsewhere and came here. */
+    const ChangeHistory &changes() const { return changes_; }
 
     /** Returns when the store last confirmed what this node holds; nothing without any contact. */
     std::optional<core::timing::MonotonicTime> lastContact() const { return contact_.last(); }
@@ -61,10 +65,10 @@
     bool hasStore_ = false;
     // Invariant: false unless hasStore_.
     bool isFollowing_ = false;
+    ChangeHistory changes_;
     // Invariant: neither decreases.
     core::identity::Revision held_;
     core::identity::Revision reported_;
-    core::identity::NodeId updatedBy_;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/StoreKnowledge.h
+++ b/packages/control/distribution/StoreKnowledge.h
@@ -1,7 +1,7 @@
 /** What a node knows of the durable store, for logs and operators. */
 #pragma once
 
-#include "core/identity/NodeId.h"
+#include "control/distribution/ChangeSource.h"
 #include "core/identity/Revision.h"
 
 #include <chrono>
@@ -25,8 +25,8 @@
     std::optional<std::chrono::milliseconds> coverageAge;
     /** The time since the last contact with the store that left no change unknown. */
     std::optional<std::chrono::milliseconds> contactAge;
-    /** The node that the last held changes came from; empty for the store itself. */
-    core::identity::NodeId updatedBy;
+    /** Where the last held changes came from. */
+    ChangeSource updatedBy;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/control/records/RecordChanges.h
+++ b/packages/control/records/RecordChanges.h
@@ -1,6 +1,7 @@
-/** The result of a watch of the store. */
+/** The result of a watch or a read of the store's changes. */
 #pragma once
 
+#include "control/records/ChangeOrigin.h"
 #include "control/records/StoreRecord.h"
 
 #include <vector>
@@ -13,6 +14,8 @@
     std::vector<StoreRecord> changes;
     /** The revision up to which the changes are complete. */
     core::identity::Revision revision;
+    /** The kind of call that returned them. */
+    ChangeOrigin origin = ChangeOrigin::Watch;
 };
 
 } // namespace boragetrack::control::records
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -165,7 +165,8 @@
         return;
     }
     monitor_.recordRevision(response->revision);
-    listener_.recordsChanged(*response);
+    listener_.recordsChanged(
+            RecordChanges{response->changes, response->revision, ChangeOrigin::Read});
 }
 
 void StoreFollower::watchLost(const absl::Status &reason)
--- /dev/null
+++ b/packages/daemon/service/ChangeLog.cpp
@@ -0,0 +1,65 @@
+/** A change is reported once while it is missing, and once more when it came. */
+#include "daemon/service/ChangeLog.h"
+
+#include "core/events/EventLog.h"
+#include "daemon/service/StoreKnowledgeLog.h"
+
+namespace boragetrack::daemon::service {
+
+using control::distribution::ControlPlane;
+using core::events::EventCode;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string millisecondsOf(core::timing::MonotonicTime::duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+} // namespace
+
+void ChangeLog::intentInForce(const ControlPlane &plane)
+{
+    const auto knowledge = plane.storeKnowledge();
+    const auto &arrival = plane.changes().arrival();
+    const std::string revision = std::to_string(plane.snapshot()->revision().number());
+    const std::string from = arrival.source.toString();
+    const std::string delay = millisecondsOf(arrival.delay());
+    core::events::logEvent(EventCode::IntentApplied, "intent in force",
+                           {{"revision", revision},
+                            {"from", from},
+                            {"lateMs", delay},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+    delays_.add(arrival.delay());
+    if (arrival.delay() < reportedDelay)
+        return;
+    core::events::logEvent(EventCode::IntentLate, "intent late",
+                           {{"error", "another node held it " + delay + " ms before"},
+                            {"revision", revision},
+                            {"from", from},
+                            {"follows", knowledge.isFollowing ? "yes" : "no"},
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+}
+
+void ChangeLog::update(const ControlPlane &plane, core::timing::MonotonicTime now)
+{
+    const auto &missing = plane.changes().missing();
+    if (!missing || missing->revision <= reportedMissing_
+        || now - missing->knownSince < reportedDelay)
+        return;
+    reportedMissing_ = missing->revision;
+    const auto knowledge = plane.storeKnowledge();
+    core::events::logEvent(EventCode::ChangeMissing, "change missing",
+                           {{"error", "another node has held it for "
+                                              + millisecondsOf(now - missing->knownSince) + " ms"},
+                            {"revision", std::to_string(missing->revision.number())},
+                            {"held", std::to_string(knowledge.held.number())},
+                            {"reportedBy", missing->reportedBy.value()},
+                            {"follows", knowledge.isFollowing ? "yes" : "no"},
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+}
+
+} // namespace boragetrack::daemon::service
--- /dev/null
+++ b/packages/daemon/service/ChangeLog.h
@@ -0,0 +1,34 @@
+/** Log lines and counters that tell when changes came to this node. */
+#pragma once
+
+#include "control/distribution/ControlPlane.h"
+#include "core/counters/LatencyCounters.h"
+
+namespace boragetrack::daemon::service {
+
+/** Logs each intent that comes into force, and warns of changes that came late or are missing. Used
+    on the control thread only. */
+class ChangeLog
+{
+public:
+    /** A change that another node has held for longer than this is reported. */
+    static constexpr std::chrono::milliseconds reportedDelay{1000};
+
+    /** @param counters owns the histogram "change_late" and outlives this object */
+    explicit ChangeLog(core::counters::CounterRegistry &counters)
+        : delays_(counters, "change_late")
+    {}
+
+    /** Handles that a newer intent is in force. */
+    void intentInForce(const control::distribution::ControlPlane &plane);
+
+    /** Warns of a change that this node still lacks; called several times per second. */
+    void update(const control::distribution::ControlPlane &plane, core::timing::MonotonicTime now);
+
+private:
+    core::counters::LatencyCounters delays_;
+    // The missing revision that was reported last.
+    core::identity::Revision reportedMissing_;
+};
+
+} // namespace boragetrack::daemon::service
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -57,6 +57,8 @@
 ControlService::ControlService(Dependencies dependencies)
     : dependencies_(std::move(dependencies))
     , routingPublisher_(dependencies_.routing)
+    , changeLog_(dependencies_.counters)
+    , monitor_(dependencies_.counters, updatePeriod)
     , keyMonitor_(traffic::access::KeyFreshness(dependencies_.settings.keyFreshness),
                   dependencies_.storeContact)
     , announcements_(dependencies_.thread, core::timing::currentWallTime(),
@@ -171,15 +173,10 @@
 //==============================================================================
 void ControlService::intentInForce()
 {
-    const Revision revision = plane_->snapshot()->revision();
-    const auto knowledge = plane_->storeKnowledge();
-    core::events::logEvent(EventCode::IntentApplied, "intent in force",
-                           {{"revision", std::to_string(revision.number())},
-                            {"from", knowledge.updatedBy.value()},
-                            {"contactMs", ageText(knowledge.contactAge)}});
     dependencies_.counters.counter("intents_applied").add();
     routingPublisher_.intentInForce(*plane_, dependencies_.thread.now());
-    dependencies_.revisions.publish(revision);
+    changeLog_.intentInForce(*plane_);
+    dependencies_.revisions.publish(plane_->snapshot()->revision());
 }
 
 void ControlService::laterRevisionReported()
@@ -230,11 +227,13 @@
 
 void ControlService::timerElapsed(MonotonicTime now)
 {
+    monitor_.recordTick(now);
     announcements_.update();
     recordMoves(now);
     logCounters(now);
     logMissingIntent(now);
     dependencies_.source.update();
+    changeLog_.update(*plane_, now);
     keyMonitor_.update(*plane_, now);
     if (dependencies_.usage != nullptr)
         dependencies_.usage->update();
--- a/packages/daemon/service/ControlService.h
+++ b/packages/daemon/service/ControlService.h
@@ -5,6 +5,8 @@
 #include "core/concurrency/Published.h"
 #include "core/counters/CounterRegistry.h"
 #include "daemon/service/AnnouncementProcessor.h"
+#include "daemon/service/ChangeLog.h"
+#include "daemon/service/ControlMonitor.h"
 #include "daemon/service/ControlThread.h"
 #include "daemon/service/IntentSource.h"
 #include "daemon/service/KeyMonitor.h"
@@ -115,6 +117,8 @@
     // The following members are used on the control thread only.
     std::unique_ptr<control::distribution::ControlPlane> plane_;
     RoutingPublisher routingPublisher_;
+    ChangeLog changeLog_;
+    ControlMonitor monitor_;
     KeyMonitor keyMonitor_;
     AnnouncementProcessor announcements_;
     core::timing::MonotonicTime nextRecordAt_{};
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -158,7 +158,8 @@
     plane_->storedDeparturesReceived(control::records::departuresAt(dependencies_.node, records));
     plane_->storeFollowingChanged(true);
     reportContact();
-    plane_->storeUpdateReceived(replica_->applyListing(records, revision));
+    plane_->storeUpdateReceived(replica_->applyListing(records, revision),
+                                control::records::ChangeOrigin::Listing);
     const std::string localKey = control::records::nodeRecordKey(dependencies_.node);
     isOnlyListedNode_
             = std::none_of(records.begin(), records.end(), [&](const StoreRecord &record) {
@@ -177,7 +178,7 @@
 void RecordSource::recordsChanged(const control::records::RecordChanges &changes)
 {
     reportContact();
-    plane_->storeUpdateReceived(replica_->applyChanges(changes));
+    plane_->storeUpdateReceived(replica_->applyChanges(changes), changes.origin);
     for (const StoreRecord &record : changes.changes)
         leasedRecord_->recordChanged(record);
     reportPeers(changes.changes);
--- a/packages/daemon/service/RoutingPublisher.cpp
+++ b/packages/daemon/service/RoutingPublisher.cpp
@@ -33,6 +33,8 @@
     rampUp_.update(plane.snapshot()->document(), now);
     members_.reset();
     access_ = traffic::routing::buildAccessPolicy(plane.snapshot()->document());
+    origin_ = std::make_shared<const traffic::routing::IntentOrigin>(
+            traffic::routing::IntentOrigin{plane.changes().arrival().source.toString(), now});
     publish(plane, now);
 }
 
@@ -57,8 +59,8 @@
                                   const core::identity::ServiceName &service) {
         return plane.shareOf(route, service);
     };
-    routing_.publish(traffic::routing::buildRoutingSnapshot(plane.snapshot(), members_, access_,
-                                                            self, shareOf, plane.followsMoves()));
+    routing_.publish(traffic::routing::buildRoutingSnapshot(
+            plane.snapshot(), members_, access_, self, shareOf, plane.followsMoves(), origin_));
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/RoutingPublisher.h
+++ b/packages/daemon/service/RoutingPublisher.h
@@ -56,6 +56,8 @@
     // The access policy of the intent in force. Invariant: never null.
     std::shared_ptr<const traffic::access::AccessPolicy> access_
             = std::make_shared<traffic::access::OpenAccess>();
+    // Where the intent in force came from; null before the first one.
+    std::shared_ptr<const traffic::routing::IntentOrigin> origin_;
     core::timing::MonotonicTime publishedAt_{};
     bool isStale_ = false;
 };
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -68,10 +68,12 @@
 
 json describe(const control::distribution::StoreKnowledge &knowledge)
 {
-    json report{
-            {"follows", knowledge.isFollowing},         {"selected", knowledge.isSelected},
-            {"held", knowledge.held.number()},          {"reported", knowledge.reported.number()},
-            {"coveredBy", knowledge.coveredBy.value()}, {"updatedBy", knowledge.updatedBy.value()}};
+    json report{{"follows", knowledge.isFollowing},
+                {"selected", knowledge.isSelected},
+                {"held", knowledge.held.number()},
+                {"reported", knowledge.reported.number()},
+                {"coveredBy", knowledge.coveredBy.value()},
+                {"updatedBy", knowledge.updatedBy.toString()}};
     if (knowledge.contactAge)
         report["contactMs"] = knowledge.contactAge->count();
     if (knowledge.coverageAge)
--- a/packages/daemon/service/StoreKnowledgeLog.cpp
+++ b/packages/daemon/service/StoreKnowledgeLog.cpp
@@ -20,7 +20,7 @@
                             {"contactMs", ageText(knowledge.contactAge)},
                             {"coveredBy", knowledge.coveredBy.value()},
                             {"coverageMs", ageText(knowledge.coverageAge)},
-                            {"updatedBy", knowledge.updatedBy.value()}});
+                            {"updatedBy", knowledge.updatedBy.toString()}});
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -4,6 +4,7 @@
 #include "control/intent/IntentSnapshot.h"
 #include "core/identity/DataCentreId.h"
 #include "traffic/access/OpenAccess.h"
+#include "traffic/routing/IntentOrigin.h"
 #include "traffic/routing/RoutableMembers.h"
 #include "traffic/routing/RouteTarget.h"
 
@@ -17,6 +18,8 @@
 struct RoutingSnapshot
 {
     std::shared_ptr<const control::intent::IntentSnapshot> intent;
+    /** Where the intent came from. Never null. */
+    std::shared_ptr<const IntentOrigin> origin = std::make_shared<IntentOrigin>();
     core::identity::NodeId self;
     core::identity::DataCentreId dataCentre;
     /** Whether the node can route calls; false before the first intent. */
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -79,12 +79,15 @@
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      std::shared_ptr<const RoutableMembers> members,
                      std::shared_ptr<const access::AccessPolicy> access, const MemberRecord &self,
-                     const ShareQuery &shareOf, bool needsEvidence)
+                     const ShareQuery &shareOf, bool needsEvidence,
+                     std::shared_ptr<const IntentOrigin> origin)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
     snapshot->members = std::move(members);
     snapshot->access = std::move(access);
+    if (origin)
+        snapshot->origin = std::move(origin);
     snapshot->self = self.id;
     snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -284,6 +284,9 @@
               std::to_string(
                       description_.timeLeft.value_or(std::chrono::milliseconds::zero()).count())},
              {"intent", std::to_string(snapshot_->intent->revision().number())},
+             {"intentFrom", snapshot_->origin->from},
+             {"intentMs",
+              snapshot_->isServing ? millisecondsSince(snapshot_->origin->inForceSince) : ""},
              {"path", path_},
              {"reason", response.reason}});
 }
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -28,6 +28,13 @@
 // An older contact is as good as none; sums of times can not overflow.
 constexpr std::chrono::milliseconds maximumAge = std::chrono::hours(24);
 
+std::optional<std::chrono::milliseconds> decodeAge(std::int64_t millis)
+{
+    if (millis < 0 || millis > maximumAge.count())
+        return std::nullopt;
+    return std::chrono::milliseconds(millis);
+}
+
 template <typename Enum>
 Enum enumFrom(std::uint8_t number, Enum last)
 {
@@ -162,6 +169,8 @@
 {
     message.setSender(exchange.sender.value());
     message.setRevision(exchange.revision.number());
+    if (exchange.revisionAge)
+        message.setRevisionMillis(exchange.revisionAge->count());
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
     if (exchange.receiverDeparture)
         encodeAnnouncement(*exchange.receiverDeparture, message.initReceiverDeparture());
@@ -198,8 +207,8 @@
     exchange.isFollower = message.getFollower();
     exchange.requestsUpdates = message.getAsksForNews();
     exchange.requestsStoreRead = message.getRequestsStoreRead();
-    if (const auto age = message.getStoreContactMillis(); age >= 0 && age <= maximumAge.count())
-        exchange.storeContactAge = std::chrono::milliseconds(age);
+    exchange.revisionAge = decodeAge(message.getRevisionMillis());
+    exchange.storeContactAge = decodeAge(message.getStoreContactMillis());
     exchange.members = decode(message.getMembers());
     for (const auto entry : message.getSuspicions()) {
         exchange.suspicions.push_back(
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -122,6 +122,8 @@
   # The time since the sender's last contact with the durable store; negative if it has had none.
   storeContactMillis @13 :Int64 = -1;
   requestsStoreRead @14 :Bool;
+  # The time since the sender has held its revision; negative if it does not tell.
+  revisionMillis @15 :Int64 = -1;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -204,7 +204,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 6, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 7, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1796,6 +1796,8 @@
 
   inline bool getRequestsStoreRead() const;
 
+  inline  ::int64_t getRevisionMillis() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1897,6 +1899,9 @@
   inline bool getRequestsStoreRead();
   inline void setRequestsStoreRead(bool value);
 
+  inline  ::int64_t getRevisionMillis();
+  inline void setRevisionMillis( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5924,6 +5929,20 @@
       ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Exchange::Reader::getRevisionMillis() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Exchange::Builder::getRevisionMillis() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Exchange::Builder::setRevisionMillis( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
