--- a/packages/control/distribution/ChangeHistory.h
+++ b/packages/control/distribution/ChangeHistory.h
@@ -14,7 +14,7 @@
     that a change came late or is missing.
 
     The times are those of this node's clock: a report carries the age of the reported revision. The
-    way of a request is not counted, so that an arrival may have been later than it seems, but never
+    way of a message is not counted, so that a change may have come later than it seems, but never
     earlier.
 */
 class ChangeHistory
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -255,6 +255,15 @@
     propagator_.recordPushResponse(peerRevision, timers_.now());
 }
 
+void ControlPlane::laterIntentSeen(const PeerContact &peer, Revision revision)
+{
+    if (revision <= propagator_.replica().revision())
+        return;
+    store_.recordReport(peer.id, revision, std::nullopt);
+    listener_.laterRevisionReported();
+    propagator_.compareRevisions(peer, revision, timers_.now());
+}
+
 void ControlPlane::membersReceived(const std::vector<MemberRecord> &records)
 {
     departures_.rememberFrom(records, timers_.now());
@@ -454,7 +463,7 @@
     const MonotonicTime now = timers_.now();
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
-    store_.recordReport(exchange);
+    store_.recordReport(exchange.sender, exchange.revision, exchange.revisionAge);
     if (exchange.revision > propagator_.replica().revision())
         listener_.laterRevisionReported();
     membership_.recordContact(exchange.sender, now);
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -217,6 +217,10 @@
     /** Handles a peer's response to a push. @param peerRevision the revision that the peer holds */
     void pushResponseReceived(core::identity::Revision peerRevision);
 
+    /** Handles that a peer has a later intent in force than this node, as a response to a call has
+        shown. @param revision the revision of that intent, which the peer holds */
+    void laterIntentSeen(const PeerContact &peer, core::identity::Revision revision);
+
     /** Handles the members that a peer sent on request. */
     void membersReceived(const std::vector<membership::MemberRecord> &records);
 
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -23,8 +23,7 @@
     core::identity::NetworkAddress senderAddress;
     /** The revision that the sender holds. */
     core::identity::Revision revision;
-    /** The time since the sender has held that revision; nothing if it did not tell. The receiver
-       of a response adds the time since its request. */
+    /** The time for which the sender has held that revision; nothing if it did not tell. */
     std::optional<std::chrono::milliseconds> revisionAge;
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
         sender. After a restart the receiver waits until it holds that revision again. */
--- a/packages/control/distribution/StoreAwareness.cpp
+++ b/packages/control/distribution/StoreAwareness.cpp
@@ -35,10 +35,11 @@
         contact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge, held_);
 }
 
-void StoreAwareness::recordReport(const Exchange &exchange)
+void StoreAwareness::recordReport(const core::identity::NodeId &node, Revision revision,
+                                  std::optional<milliseconds> age)
 {
-    changes_.recordReport(exchange.sender, exchange.revision, exchange.revisionAge, timers_.now());
-    reported_ = std::max(reported_, exchange.revision);
+    changes_.recordReport(node, revision, age, timers_.now());
+    reported_ = std::max(reported_, revision);
 }
 
 std::optional<milliseconds> StoreAwareness::contactAge() const
--- a/packages/control/distribution/StoreAwareness.h
+++ b/packages/control/distribution/StoreAwareness.h
@@ -43,8 +43,10 @@
     /** Records a response to an exchange that this node sent. */
     void recordResponse(const Exchange &response);
 
-    /** Records the revision that another node has reported in an exchange. */
-    void recordReport(const Exchange &exchange);
+    /** Records the revision that another node has reported.
+        @param age how long that node has held it; nothing if it did not tell */
+    void recordReport(const core::identity::NodeId &node, core::identity::Revision revision,
+                      std::optional<std::chrono::milliseconds> age);
 
     /** Returns when changes were known elsewhere and came here. */
     const ChangeHistory &changes() const { return changes_; }
--- a/packages/daemon/service/PeerMessages.cpp
+++ b/packages/daemon/service/PeerMessages.cpp
@@ -84,6 +84,11 @@
             [peerRevision](ControlPlane &plane) { plane.pushResponseReceived(peerRevision); });
 }
 
+void PeerMessages::laterIntentSeen(PeerContact peer, Revision revision)
+{
+    control_.post([peer, revision](ControlPlane &plane) { plane.laterIntentSeen(peer, revision); });
+}
+
 void PeerMessages::membersFetched(std::vector<MemberRecord> records)
 {
     control_.post([records = std::move(records)](ControlPlane &plane) {
--- a/packages/daemon/service/PeerMessages.h
+++ b/packages/daemon/service/PeerMessages.h
@@ -36,6 +36,8 @@
     void intentFetched(control::distribution::PeerContact peer,
                        control::distribution::IntentTransfer transfer) override;
     void pushResponseReceived(core::identity::Revision peerRevision) override;
+    void laterIntentSeen(control::distribution::PeerContact peer,
+                         core::identity::Revision revision) override;
     void membersFetched(std::vector<control::membership::MemberRecord> records) override;
     void usageResponseReceived(control::usage::UsageTransport::Callback callback,
                                control::usage::UsageWindow reportedThrough) override;
--- a/packages/daemon/service/RoutingPublisher.cpp
+++ b/packages/daemon/service/RoutingPublisher.cpp
@@ -35,6 +35,8 @@
     access_ = traffic::routing::buildAccessPolicy(plane.snapshot()->document());
     origin_ = std::make_shared<const traffic::routing::IntentOrigin>(
             traffic::routing::IntentOrigin{plane.changes().arrival().source.toString(), now});
+    history_ = std::make_shared<const traffic::routing::IntentHistory>(
+            history_->with(plane.snapshot(), now));
     publish(plane, now);
 }
 
@@ -59,8 +61,9 @@
                                   const core::identity::ServiceName &service) {
         return plane.shareOf(route, service);
     };
-    routing_.publish(traffic::routing::buildRoutingSnapshot(
-            plane.snapshot(), members_, access_, self, shareOf, plane.followsMoves(), origin_));
+    routing_.publish(traffic::routing::buildRoutingSnapshot(plane.snapshot(), members_, access_,
+                                                            self, shareOf, plane.followsMoves(),
+                                                            origin_, history_));
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/RoutingPublisher.h
+++ b/packages/daemon/service/RoutingPublisher.h
@@ -58,6 +58,9 @@
             = std::make_shared<traffic::access::OpenAccess>();
     // Where the intent in force came from; null before the first one.
     std::shared_ptr<const traffic::routing::IntentOrigin> origin_;
+    // Invariant: never null.
+    std::shared_ptr<const traffic::routing::IntentHistory> history_
+            = std::make_shared<traffic::routing::IntentHistory>();
     core::timing::MonotonicTime publishedAt_{};
     bool isStale_ = false;
 };
--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -3,6 +3,7 @@
 
 #include "core/identity/IdempotencyKey.h"
 #include "core/identity/OrganisationName.h"
+#include "core/identity/Revision.h"
 #include "core/identity/RouteName.h"
 #include "core/identity/ServiceName.h"
 #include "core/identity/VersionName.h"
@@ -28,6 +29,9 @@
     std::string body;
     core::identity::RouteName route;
     core::identity::ServiceName service;
+    /** The revision of the intent by which the sender chose the service; zero if it did not tell.
+     */
+    core::identity::Revision intentRevision;
     /** The version that routing chose. */
     core::identity::VersionName version;
     /** The service on whose VM the call started. */
--- a/packages/traffic/calls/CallResponse.h
+++ b/packages/traffic/calls/CallResponse.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/identity/NodeId.h"
+#include "core/identity/Revision.h"
 #include "core/identity/VersionName.h"
 #include "traffic/calls/CallOutcome.h"
 #include "traffic/calls/HeaderField.h"
@@ -35,6 +36,10 @@
     /** The version that ran the call. */
     core::identity::VersionName version;
     LoadReport load;
+    /** The revision of the intent in force on the upstream's node; zero if it did not tell. */
+    core::identity::Revision intentRevision;
+    /** Whether the call was refused because its sender routed it by an outdated intent. */
+    bool isOutdated = false;
 
     /** Returns whether the upstream ran the call and failed. */
     bool isFailure() const { return outcome == CallOutcome::Completed && status >= 500; }
--- /dev/null
+++ b/packages/traffic/routing/IntentHistory.h
@@ -0,0 +1,40 @@
+/** The intents that were in force on a node until a moment ago. */
+#pragma once
+
+#include "control/intent/IntentSnapshot.h"
+#include "core/timing/MonotonicTime.h"
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+namespace boragetrack::traffic::routing {
+
+/** Remembers since when the latest intents are in force, as far as it takes to tell which one all
+    nodes must have by now. Immutable once published. */
+class IntentHistory
+{
+public:
+    /** The time after which an intent counts as settled: a node that lacks it then is late. Nodes
+        usually differ for less, and a change must be in force everywhere after two seconds. */
+    static constexpr std::chrono::milliseconds settleTime{1500};
+
+    /** Returns this history with an intent that is in force from now on. */
+    IntentHistory with(std::shared_ptr<const control::intent::IntentSnapshot> intent,
+                       core::timing::MonotonicTime now) const;
+
+    /** Returns the latest intent that has settled, or null if there is none. */
+    const control::intent::IntentSnapshot *settledAt(core::timing::MonotonicTime now) const;
+
+private:
+    struct Entry
+    {
+        std::shared_ptr<const control::intent::IntentSnapshot> intent;
+        core::timing::MonotonicTime since;
+    };
+
+    // Invariant: in the order of the times; of those that have settled, the last one only.
+    std::vector<Entry> entries_;
+};
+
+} // namespace boragetrack::traffic::routing
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -4,6 +4,7 @@
 #include "control/intent/IntentSnapshot.h"
 #include "core/identity/DataCentreId.h"
 #include "traffic/access/OpenAccess.h"
+#include "traffic/routing/IntentHistory.h"
 #include "traffic/routing/IntentOrigin.h"
 #include "traffic/routing/RoutableMembers.h"
 #include "traffic/routing/RouteTarget.h"
@@ -20,6 +21,8 @@
     std::shared_ptr<const control::intent::IntentSnapshot> intent;
     /** Where the intent came from. Never null. */
     std::shared_ptr<const IntentOrigin> origin = std::make_shared<IntentOrigin>();
+    /** The intents until a moment ago. Never null. */
+    std::shared_ptr<const IntentHistory> history = std::make_shared<IntentHistory>();
     core::identity::NodeId self;
     core::identity::DataCentreId dataCentre;
     /** Whether the node can route calls; false before the first intent. */
--- a/packages/traffic/routing/RoutingSnapshotBuilder.cpp
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.cpp
@@ -80,7 +80,8 @@
                      std::shared_ptr<const RoutableMembers> members,
                      std::shared_ptr<const access::AccessPolicy> access, const MemberRecord &self,
                      const ShareQuery &shareOf, bool needsEvidence,
-                     std::shared_ptr<const IntentOrigin> origin)
+                     std::shared_ptr<const IntentOrigin> origin,
+                     std::shared_ptr<const IntentHistory> history)
 {
     auto snapshot = std::make_shared<RoutingSnapshot>();
     snapshot->intent = intent;
@@ -88,6 +89,8 @@
     snapshot->access = std::move(access);
     if (origin)
         snapshot->origin = std::move(origin);
+    if (history)
+        snapshot->history = std::move(history);
     snapshot->self = self.id;
     snapshot->needsEvidence = needsEvidence;
     snapshot->dataCentre = self.dataCentre;
--- a/packages/traffic/routing/RoutingSnapshotBuilder.h
+++ b/packages/traffic/routing/RoutingSnapshotBuilder.h
@@ -31,12 +31,14 @@
     @param access the access policy of the intent
     @param self the record of this node
     @param needsEvidence whether a move is evaluated
-    @param origin where the intent came from; null if unknown */
+    @param origin where the intent came from; null if unknown
+    @param history the intents until a moment ago; null if unknown */
 std::shared_ptr<const RoutingSnapshot>
 buildRoutingSnapshot(const std::shared_ptr<const control::intent::IntentSnapshot> &intent,
                      std::shared_ptr<const RoutableMembers> members,
                      std::shared_ptr<const access::AccessPolicy> access,
                      const control::membership::MemberRecord &self, const ShareQuery &shareOf,
-                     bool needsEvidence, std::shared_ptr<const IntentOrigin> origin = nullptr);
+                     bool needsEvidence, std::shared_ptr<const IntentOrigin> origin = nullptr,
+                     std::shared_ptr<const IntentHistory> history = nullptr);
 
 } // namespace boragetrack::traffic::routing
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -177,6 +177,7 @@
     call.body = std::move(body);
     call.service = pickService(route, server_.random_);
     call.callerService = server_.dependencies_.service;
+    call.intentRevision = snapshot_->intent->revision();
     if (const auto attempt = server_.dependencies_.runningCalls.attemptOf(description_.parentId)) {
         call.isNested = true;
         call.attempt = std::max(call.attempt, *attempt);
--- a/packages/transport/links/PeerEventSink.h
+++ b/packages/transport/links/PeerEventSink.h
@@ -36,6 +36,12 @@
     /** Handles the response to a pushed intent. @param peerRevision the peer's revision after it */
     virtual void pushResponseReceived(core::identity::Revision peerRevision) = 0;
 
+    /** Handles that a peer has routed calls by a later intent than this node. @param revision the
+        revision of that intent */
+    virtual void laterIntentSeen(control::distribution::PeerContact peer,
+                                 core::identity::Revision revision)
+            = 0;
+
     /** Handles the member records that a peer sent on request. */
     virtual void membersFetched(std::vector<control::membership::MemberRecord> records) = 0;
 
--- a/packages/transport/links/TrafficLoop.cpp
+++ b/packages/transport/links/TrafficLoop.cpp
@@ -23,6 +23,7 @@
     : timer_(io.provider->getTimer())
     , monitor_(dependencies.counters, std::chrono::steady_clock::now())
     , counters_(dependencies.counters)
+    , eventSink_(dependencies.eventSink)
     , routing_(dependencies.routing)
     , memory_(dependencies.memoryBytes ? http::MemoryBudget::maximumFor(*dependencies.memoryBytes)
                                        : http::MemoryBudget::unlimited,
@@ -136,9 +137,25 @@
                                             const CallRequest &request)
 {
     auto response = node == self_ ? inbound_.serve(request) : links_.call(address, request);
-    return response.catch_([](kj::Exception &&exception) {
-        return CallResponse::unknown(exception.getDescription().cStr());
-    });
+    return response
+            .catch_([](kj::Exception &&exception) {
+                return CallResponse::unknown(exception.getDescription().cStr());
+            })
+            .then([this, node, address](CallResponse &&received) {
+                compareIntents(node, address, received);
+                return kj::mv(received);
+            });
+}
+
+// Responses to calls come at any time, also while nothing else tells this node of a change.
+void TrafficLoop::compareIntents(const NodeId &node, const NetworkAddress &address,
+                                 const CallResponse &response)
+{
+    if (response.intentRevision <= seenIntent_)
+        return;
+    seenIntent_ = response.intentRevision;
+    if (seenIntent_ > routing_.current()->intent->revision())
+        eventSink_.laterIntentSeen(control::distribution::PeerContact{node, address}, seenIntent_);
 }
 
 kj::Promise<void> TrafficLoop::recordTicks()
--- a/packages/transport/links/TrafficLoop.h
+++ b/packages/transport/links/TrafficLoop.h
@@ -66,6 +66,9 @@
     kj::Promise<traffic::calls::CallResponse>
     send(const core::identity::NodeId &node, const core::identity::NetworkAddress &address,
          const traffic::calls::CallRequest &request) override;
+    void compareIntents(const core::identity::NodeId &node,
+                        const core::identity::NetworkAddress &address,
+                        const traffic::calls::CallResponse &response);
     kj::Promise<bool> whenLastRequestsAnswered(kj::TimePoint limit);
     kj::Promise<void> recordTicks();
     LinkEncoding encodingFor(const core::identity::NetworkAddress &address) const;
@@ -74,7 +77,10 @@
     timing::PreciseTimer timer_;
     LoopMonitor monitor_;
     LinkCounters counters_;
+    PeerEventSink &eventSink_;
     const core::concurrency::Published<traffic::routing::RoutingSnapshot> &routing_;
+    // The latest intent of a peer that was reported to the control thread.
+    core::identity::Revision seenIntent_;
     http::MemoryBudget memory_;
     PeerLinks links_;
     serving::InboundProxy inbound_;
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -26,8 +26,6 @@
             std::chrono::steady_clock::now() - sentAt);
     if (response.storeContactAge)
         *response.storeContactAge += response.roundTrip;
-    if (response.revisionAge)
-        *response.revisionAge += response.roundTrip;
 }
 
 } // namespace
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -4,6 +4,7 @@
 #include "core/counters/ScopedCount.h"
 #include "core/events/EventLog.h"
 #include "traffic/inbound/InboundRules.h"
+#include "traffic/inbound/OutdatedCalls.h"
 #include "traffic/usage/CountedRequest.h"
 
 namespace boragetrack::transport::serving {
@@ -101,6 +102,7 @@
     return running
             .then([this](CallResponse &&response) {
                 response.load = admission_.load();
+                response.intentRevision = dependencies_.routing.current()->intent->revision();
                 return kj::mv(response);
             })
             .attach(kj::heap<core::counters::ScopedCount>(activeCalls_));
@@ -132,7 +134,10 @@
     if (currentTime() < coldUntil_ && !coldRate_.rate())
         return "the rate that the cold upstream can take is not known yet";
     const auto record = status_ ? std::optional(status_->record) : std::nullopt;
-    return traffic::inbound::refusalReason(request, record, *dependencies_.routing.current());
+    const auto snapshot = dependencies_.routing.current();
+    if (traffic::inbound::isOutdated(request, *snapshot, currentTime()))
+        return "the sender's intent is out of date";
+    return traffic::inbound::refusalReason(request, record, *snapshot);
 }
 
 kj::Promise<CallResponse> InboundProxy::admitAndSend(kj::Own<CallRequest> request)
@@ -195,6 +200,9 @@
                            {"reason", reason}});
     CallResponse response = CallResponse::notRun(reason);
     response.load = load;
+    const auto snapshot = dependencies_.routing.current();
+    response.intentRevision = snapshot->intent->revision();
+    response.isOutdated = traffic::inbound::isOutdated(request, *snapshot, currentTime());
     return response;
 }
 
--- a/packages/transport/wire/CallCodec.cpp
+++ b/packages/transport/wire/CallCodec.cpp
@@ -86,6 +86,7 @@
     message.setPriority(static_cast<std::uint16_t>(request.priority));
     message.setObjectiveMicros(request.objective.count());
     message.setNested(request.isNested);
+    message.setIntent(request.intentRevision.number());
     if (request.coldRate)
         message.setColdRate(*request.coldRate);
 }
@@ -111,6 +112,7 @@
     request.priority = message.getPriority();
     request.objective = std::chrono::microseconds(message.getObjectiveMicros());
     request.isNested = message.getNested();
+    request.intentRevision = core::identity::Revision(message.getIntent());
     if (message.getColdRate() >= 0.0)
         request.coldRate = message.getColdRate();
     return request;
@@ -132,6 +134,8 @@
     if (response.retryAfter)
         message.setRetryAfterMillis(static_cast<std::int32_t>(response.retryAfter->count()));
     message.setReachedUpstream(response.reachedUpstream);
+    message.setIntent(response.intentRevision.number());
+    message.setOutdated(response.isOutdated);
     message.setServedMicros(static_cast<std::uint32_t>(response.serviceTime.count()));
     auto waits = message.initWaitMicros(LoadReport::rankCount);
     for (unsigned int rank = 0; rank < LoadReport::rankCount; ++rank)
@@ -159,6 +163,8 @@
     if (message.getRetryAfterMillis() >= 0)
         response.retryAfter = std::chrono::milliseconds(message.getRetryAfterMillis());
     response.reachedUpstream = message.getReachedUpstream();
+    response.intentRevision = core::identity::Revision(message.getIntent());
+    response.isOutdated = message.getOutdated();
     dropInvalidResponse(response);
     return response;
 }
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -31,6 +31,8 @@
   coldRate @17 :Float64 = -1;
   # The organisation that the request belongs to; empty if there is none.
   organisation @18 :Text;
+  # The revision of the intent by which the sender chose the service; zero if it does not tell.
+  intent @19 :UInt64;
 }
 
 struct CallAnswer {
@@ -50,6 +52,9 @@
   servedMicros @12 :UInt32;
   # Estimated wait of a call of each priority rank.
   waitMicros @13 :List(UInt32);
+  # The revision of the intent in force on the upstream's node; zero if it does not tell.
+  intent @14 :UInt64;
+  outdated @15 :Bool;
 }
 
 struct Address {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 4, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(cde8750d37c98560, 5, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -99,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(effadd7d71af8138, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(effadd7d71af8138, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -735,6 +735,8 @@
   inline bool hasOrganisation() const;
   inline  ::capnp::Text::Reader getOrganisation() const;
 
+  inline  ::uint64_t getIntent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -864,6 +866,9 @@
   inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
 
+  inline  ::uint64_t getIntent();
+  inline void setIntent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -941,6 +946,10 @@
   inline bool hasWaitMicros() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaitMicros() const;
 
+  inline  ::uint64_t getIntent() const;
+
+  inline bool getOutdated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1036,6 +1045,12 @@
   inline void adoptWaitMicros(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWaitMicros();
 
+  inline  ::uint64_t getIntent();
+  inline void setIntent( ::uint64_t value);
+
+  inline bool getOutdated();
+  inline void setOutdated(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4422,6 +4437,20 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CallRequest::Reader::getIntent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallRequest::Builder::getIntent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CallRequest::Builder::setIntent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t CallAnswer::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4742,6 +4771,34 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CallAnswer::Reader::getIntent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallAnswer::Builder::getIntent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CallAnswer::Builder::setIntent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CallAnswer::Reader::getOutdated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallAnswer::Builder::getOutdated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void CallAnswer::Builder::setOutdated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Address::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/CallPlanTest.cpp
+++ b/tests/unit/CallPlanTest.cpp
@@ -131,6 +131,19 @@
     EXPECT_EQ(second.request.attempt, 2);
 }
 
+// Guards against offering a call to each upstream of a service that its route has left.
+TEST_F(CallPlanTest, endsAsNotRunWhenTheSendersIntentIsOutdated)
+{
+    CallPlan call = plan(true);
+    ASSERT_TRUE(std::holds_alternative<SendAttempt>(call.start(now_)));
+    CallResponse outdated = CallResponse::notRun("the sender's intent is out of date");
+    outdated.isOutdated = true;
+    const auto step = call.handleResponse(outdated, now_);
+    ASSERT_TRUE(std::holds_alternative<CallResponse>(step));
+    EXPECT_EQ(std::get<CallResponse>(step).outcome, CallOutcome::NotRun);
+    EXPECT_TRUE(std::get<CallResponse>(step).retryAfter);
+}
+
 TEST_F(CallPlanTest, goesToTheHolderOfAClaimAndReturnsItsResponse)
 {
     CallPlan call = plan(false);
