--- a/packages/core/events/StandardOutput.h
+++ b/packages/core/events/StandardOutput.h
@@ -3,12 +3,14 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 namespace boragetrack::core::events {
 
 /** Writes whole lines to standard output without blocking: a line for which a pipe has no room is
-    dropped and counted. Thread-safe. */
+    dropped and counted. Thread-safe. Other processes must not write to the same pipe: they could
+    take the room between the check and the write. */
 class StandardOutput
 {
 public:
@@ -26,6 +28,8 @@
     std::uint64_t dropped() const { return dropped_.load(std::memory_order_relaxed); }
 
 private:
+    // Held from the check for room until the line is written.
+    std::mutex mutex_;
     std::atomic<std::uint64_t> dropped_{0};
 };
 
