--- a/packages/transport/callers/CallerServer.cpp
+++ b/packages/transport/callers/CallerServer.cpp
@@ -44,7 +44,8 @@
 
 http::ServerLimits CallerServer::limits() const
 {
-    const auto &limits = dependencies_.routing.current()->intent->document().callerLimits;
+    const auto snapshot = dependencies_.routing.current();
+    const auto &limits = snapshot->intent->document().callerLimits;
     return http::ServerLimits{
             {limits.headerBytes, limits.bodyBytes}, limits.headerTimeout, limits.idleTimeout};
 }
