--- a/tests/unit/LinkFailureTest.cpp
+++ b/tests/unit/LinkFailureTest.cpp
@@ -49,6 +49,20 @@
         return links_.call(address_, request).wait(io_.waitScope);
     }
 
+    /** Returns whether the peer responds to a control request; it never does. */
+    bool fetch()
+    {
+        return links_.fetchIntent(address_, core::identity::Revision(1))
+                .then(
+                        [](const control::distribution::IntentTransfer & /*transfer*/) {
+                            return true;
+                        },
+                        [](kj::Exception && /*exception*/) { return false; })
+                .wait(io_.waitScope);
+    }
+
+    std::uint64_t opened() { return counters_.counter("links_opened").value(); }
+
     void handleEventsFor(milliseconds time)
     {
         timer_.afterDelay(time.count() * kj::MILLISECONDS).wait(io_.waitScope);
@@ -111,3 +125,24 @@
     const CallResponse response = retried.wait(io_.waitScope);
     EXPECT_EQ(response.outcome, CallOutcome::NotRun) << response.reason;
 }
+
+// Without calls, a link that went silent for good failed all fetches and polls of its peer.
+TEST_F(LinkFailure, aLinkThatFailsAControlRequestWithoutAnyResponseIsReplaced)
+{
+    const std::uint64_t before = opened();
+    EXPECT_FALSE(fetch());
+    EXPECT_EQ(call(milliseconds(0)).outcome, CallOutcome::Completed);
+    EXPECT_EQ(opened(), before + 1);
+}
+
+// A peer whose control thread is late responds to calls all the same.
+TEST_F(LinkFailure, aLinkThatRespondsToCallsOutlivesAFailedControlRequest)
+{
+    const std::uint64_t before = opened();
+    auto running = links_.call(address_, callTaking(milliseconds(200), milliseconds(1000)))
+                           .eagerlyEvaluate(nullptr);
+    EXPECT_FALSE(fetch());
+    EXPECT_EQ(running.wait(io_.waitScope).outcome, CallOutcome::Completed);
+    EXPECT_EQ(call(milliseconds(0)).outcome, CallOutcome::Completed);
+    EXPECT_EQ(opened(), before);
+}
--- a/tests/unit/PeerThread.h
+++ b/tests/unit/PeerThread.h
@@ -3,7 +3,7 @@
 
 #include "core/counters/CounterRegistry.h"
 #include "core/identity/NetworkAddress.h"
-#include "tests/unit/NoControl.h"
+#include "tests/unit/HeldControl.h"
 #include "transport/links/CallServer.h"
 #include "transport/links/LinkListener.h"
 
@@ -97,7 +97,7 @@
         stop_ = kj::mv(stop.fulfiller);
         executor_ = kj::getCurrentThreadExecutor().addRef();
         Calls calls(io.provider->getTimer());
-        boragetrack::tests::NoControl control;
+        boragetrack::tests::HeldControl control;
         LinkListener listener(io.provider->getNetwork(), io.provider->getTimer(), control, calls,
                               boragetrack::transport::links::LinkCounters(registry_));
         timer_ = &io.provider->getTimer();
