--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -34,12 +34,16 @@
 
     bool isReusable() const { return !stream_.isEnded() && stream_.bytes().empty(); }
 
+    void recordResponse(kj::TimePoint now) { lastResponse_ = now; }
+    kj::TimePoint lastResponse() const { return lastResponse_; }
+
     // Reads ahead, so that isReusable() notices when the server closes the idle connection.
     void watchForClose() { closeWatch_ = stream_.readMore().eagerlyEvaluate(nullptr); }
 
 private:
     ReadAheadStream stream_;
     MessageReader<ResponseHead> reader_;
+    kj::TimePoint lastResponse_ = kj::origin<kj::TimePoint>();
     kj::Promise<void> closeWatch_ = nullptr;
 };
 
@@ -103,6 +107,7 @@
                         return Result(absl::OutOfRangeError(tooLargeText));
                     response_.body = std::move(body.bytes);
                     if (isRequestWritten_ && connection_->reader().message().keepsConnection()) {
+                        connection_->recordResponse(client_.timer_.now());
                         connection_->watchForClose();
                         client_.idleConnections_.push_back(kj::mv(connection_));
                     }
@@ -129,6 +134,7 @@
 kj::Promise<absl::StatusOr<HttpResponse>>
 AsyncClient::send(HttpRequest request, std::chrono::milliseconds timeout, BeginFunction begin)
 {
+    const kj::TimePoint startedAt = timer_.now();
     auto response = acquire().then(
             [this, request = std::move(request), begin = std::move(begin)](
                     kj::Own<Connection> &&connection) mutable -> kj::Promise<Result> {
@@ -143,7 +149,8 @@
                 return Result(absl::UnavailableError(exception.getDescription().cStr()));
             });
     return timing::resultWithin(timer_, toKj(timeout), kj::mv(response))
-            .catch_([](kj::Exception && /*exception*/) {
+            .catch_([this, startedAt](kj::Exception && /*exception*/) {
+                dropIdleSince(startedAt);
                 return Result(absl::UnknownError("no response in time"));
             });
 }
@@ -168,4 +175,11 @@
     return timing::resultWithin(timer_, toKj(connectTimeout), kj::mv(connecting));
 }
 
+void AsyncClient::dropIdleSince(kj::TimePoint time)
+{
+    std::erase_if(idleConnections_, [&](const kj::Own<Connection> &connection) {
+        return connection->lastResponse() <= time;
+    });
+}
+
 } // namespace boragetrack::transport::http
--- a/packages/transport/http/AsyncClient.h
+++ b/packages/transport/http/AsyncClient.h
@@ -35,7 +35,8 @@
     AsyncClient(const AsyncClient &) = delete;
     AsyncClient &operator=(const AsyncClient &) = delete;
 
-    /** Sends a request and returns its response; never rejects.
+    /** Sends a request and returns its response; never rejects. After a timeout, idle connections
+        that have had no response meanwhile are not used any more.
         @param timeout for the whole exchange, including the time to connect
         @param begin called once connected, immediately before the request is written; if it returns
         nothing, nothing is sent. The lock that it returns is held while the request is written, as
@@ -51,6 +52,9 @@
     using Result = absl::StatusOr<HttpResponse>;
 
     kj::Promise<kj::Own<Connection>> acquire();
+    /** Closes the idle connections without a response since a time, at which an exchange began that
+        got none. All may have gone silent together, and each would cost a timeout. */
+    void dropIdleSince(kj::TimePoint time);
 
     kj::Network &network_;
     kj::Timer &timer_;
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -117,21 +117,33 @@
 template <typename Results, typename Request, typename Read>
 auto PeerLinks::sendControl(const NetworkAddress &peer, Request makeRequest, Read read)
 {
-    auto exchange = connect(peer).then([this, makeRequest, read](kj::Own<PeerLink> &&link) mutable {
-        wire::schema::Peer::Client client = link->peer();
-        auto request = makeRequest(client);
-        counters_.controlMessagesSent.add();
-        counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
-                                       * sizeof(capnp::word));
-        return request.send()
-                .then([this, read](auto &&response) mutable {
+    const kj::TimePoint startedAt = timer_.now();
+    const kj::TimePoint deadline = startedAt + toKj(controlTimeout);
+    return timing::resultBefore(timer_, deadline, connect(peer))
+            .then([this, peer, makeRequest, read, startedAt,
+                   deadline](kj::Own<PeerLink> &&link) mutable {
+                PeerLink &used = *link;
+                wire::schema::Peer::Client client = used.peer();
+                auto request = makeRequest(client);
+                counters_.controlMessagesSent.add();
+                counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
+                                               * sizeof(capnp::word));
+                auto answer = request.send().then([this, read, &used](auto &&response) mutable {
+                    used.recordResponse(timer_.now());
                     counters_.controlBytesReceived.add(response.totalSize().wordCount
                                                        * sizeof(capnp::word));
                     return read(response);
-                })
-                .attach(kj::mv(link));
-    });
-    return timing::resultWithin(timer_, toKj(controlTimeout), kj::mv(exchange));
+                });
+                using Answer = decltype(answer);
+                return timing::resultBefore(timer_, deadline, kj::mv(answer))
+                        .catch_([this, peer, startedAt,
+                                 &used](kj::Exception &&exception) -> Answer {
+                            if (exception.getType() == kj::Exception::Type::OVERLOADED)
+                                giveUpIfSilent(peer, used, startedAt);
+                            return kj::mv(exception);
+                        })
+                        .attach(kj::mv(link));
+            });
 }
 
 kj::Promise<Exchange> PeerLinks::exchange(const NetworkAddress &peer, const Exchange &request)
@@ -237,15 +249,20 @@
     return timing::resultWithin(timer_, toKj(connectTimeout), kj::mv(connecting));
 }
 
-// A link may stop responding without failing while a new one to the same peer would work. Calls in
-// progress on the link keep it alive until they end.
 void PeerLinks::handleFailedCall(const NetworkAddress &peer, const PeerLink &link,
                                  kj::TimePoint since, const kj::Exception &exception)
 {
-    if (exception.getType() == kj::Exception::Type::DISCONNECTED) {
+    if (exception.getType() == kj::Exception::Type::DISCONNECTED)
         endLink(peer, &link, link.isOpen());
-        return;
-    }
+    else
+        giveUpIfSilent(peer, link, since);
+}
+
+// A link may stop responding without failing while a new one to the same peer would work. Requests
+// in progress on the link keep it alive until they end.
+void PeerLinks::giveUpIfSilent(const NetworkAddress &peer, const PeerLink &link,
+                               kj::TimePoint since)
+{
     if (link.lastResponse() >= since || !dropLink(peer.toString(), &link))
         return;
     counters_.linksGivenUp.add();
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -102,6 +102,10 @@
     bool dropLink(const std::string &address, const PeerLink *link);
     void handleFailedCall(const core::identity::NetworkAddress &peer, const PeerLink &link,
                           kj::TimePoint since, const kj::Exception &exception);
+    /** Drops a link on which the peer has not responded since a time, at which a request began that
+        has failed. */
+    void giveUpIfSilent(const core::identity::NetworkAddress &peer, const PeerLink &link,
+                        kj::TimePoint since);
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
 
