--- a/packages/emulator/restarts/RestartFaultKind.h
+++ b/packages/emulator/restarts/RestartFaultKind.h
@@ -20,6 +20,9 @@
     /** The store refuses the calls of the nodes that are its selected followers at that moment, and
         their pending watches get no response. */
     RejectedFollowers,
+    /** The store's responses to waiting watches of the nodes that are its selected followers at
+       that moment name the last change without carrying it. */
+    EarlyForFollowers,
     /** Nodes reach each other only; neither other nodes nor the store. */
     Cut,
     /** Operators store a new intent. */
--- a/packages/emulator/restarts/RestartPlan.cpp
+++ b/packages/emulator/restarts/RestartPlan.cpp
@@ -22,6 +22,8 @@
         return "store silent for followers";
     case RestartFaultKind::RejectedFollowers:
         return "store rejects followers";
+    case RestartFaultKind::EarlyForFollowers:
+        return "store names changes early to followers";
     case RestartFaultKind::Cut:
         return "cut";
     case RestartFaultKind::Change:
--- a/packages/emulator/restarts/RestartSimulation.cpp
+++ b/packages/emulator/restarts/RestartSimulation.cpp
@@ -92,6 +92,9 @@
     case RestartFaultKind::RejectedFollowers:
         setStoreAccess(selectedFollowers(), fault.duration, StoreAccess::Rejected);
         break;
+    case RestartFaultKind::EarlyForFollowers:
+        setStoreAccess(selectedFollowers(), fault.duration, StoreAccess::Early);
+        break;
     case RestartFaultKind::Cut:
         network_.setCutOff(fault.nodes);
         setStoreAccess(fault.nodes, fault.duration, StoreAccess::Silent);
--- a/packages/emulator/restarts/StoreClient.cpp
+++ b/packages/emulator/restarts/StoreClient.cpp
@@ -92,20 +92,23 @@
                                  const Responder<RecordChanges> &responder)
 {
     const auto hasEnded = std::make_shared<bool>(false);
-    const auto offer = [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
+    const auto offer = [this, alive = std::weak_ptr(self_), hasEnded, prefix, after,
+                        responder](bool hasWaited) {
         if (alive.expired() || *hasEnded)
             return true;
-        const RecordChanges changes = store_.changesSince(prefix, after);
+        RecordChanges changes = store_.changesSince(prefix, after);
         if (changes.changes.empty())
             return false;
         *hasEnded = true;
+        if (hasWaited && store_.accessOf(node_) == StoreAccess::Early)
+            changes.changes.pop_back();
         if (store_.accessOf(node_) != StoreAccess::Rejected)
             respond<RecordChanges>(responder, changes);
         return true;
     };
-    if (offer())
+    if (offer(false))
         return;
-    store_.addWatch(offer);
+    store_.addWatch([offer]() { return offer(true); });
     clock_.schedule(until - clock_.now(),
                     [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
                         if (alive.expired() || std::exchange(*hasEnded, true)
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -40,6 +40,11 @@
         """Writes a value (bytes, or an object as JSON) without conditions. Returns its revision."""
         return self.event_loop.run(self._put(key, value))
 
+    def put_all(self, values):
+        """Writes the values of several keys before any watch is served. Returns the last
+        revision."""
+        return self.event_loop.run(self._put_all(values))
+
     def remove(self, key):
         return self.event_loop.run(self._remove_all([key]))
 
@@ -175,6 +180,11 @@
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
         return await self._set(key, base64.b64encode(text).decode(), 0)
 
+    async def _put_all(self, values):
+        for key, value in values.items():
+            revision = await self._put(key, value)
+        return revision
+
     async def _set(self, key, encoded, lease):
         async with self.changed:
             self.revision += 1
--- a/tests/unit/ChangeInForceTest.cpp
+++ b/tests/unit/ChangeInForceTest.cpp
@@ -1,5 +1,5 @@
-/** Plays changes while the store rejects the nodes that follow it, at many moments of their rhythm.
- */
+/** Plays changes while the store rejects the nodes that follow it or names changes to them early,
+   at many moments of their rhythm. */
 #include "emulator/restarts/RestartRules.h"
 #include "emulator/restarts/RestartSimulation.h"
 
@@ -15,7 +15,7 @@
 constexpr milliseconds phases{1800};
 constexpr milliseconds phaseStep{20};
 
-/** Returns a fleet whose followers are rejected, with changes right after and later on. */
+/** Returns a fleet whose followers are disturbed, with changes right after and later on. */
 RestartPlan planOf(RestartFaultKind kind, milliseconds phase)
 {
     RestartPlan plan;
@@ -53,3 +53,8 @@
 {
     expectChangesInForce(RestartFaultKind::RejectedFollowers);
 }
+
+TEST(ChangeInForce, isInTimeWhileTheStoreNamesChangesThatItsResponsesLeaveOut)
+{
+    expectChangesInForce(RestartFaultKind::EarlyForFollowers);
+}
--- a/tests/unit/StoreFollowerTest.cpp
+++ b/tests/unit/StoreFollowerTest.cpp
@@ -35,6 +35,7 @@
     void recordsChanged(const RecordChanges &changes) override
     {
         changed_ += changes.changes.size();
+        revision_ = changes.revision;
     }
     void storeUnavailable(const absl::Status & /*error*/) override { ++outages_; }
     void storeRecovered() override { ++recoveries_; }
@@ -470,6 +471,104 @@
     EXPECT_EQ(store_.watches.size(), 1U);
 }
 
+// Guards against two listings at once, whose mixed pages look like one that lacks records.
+TEST_F(WatchLossTest, listsOnceWhenAReadAndAnAbandonedWatchFindNoHistory)
+{
+    follower_.setActive(false, Revision(7));
+    follower_.resumeAfterPause();
+    follower_.readChanges();
+    ASSERT_EQ(store_.watches.size(), 2U);
+    const auto read = store_.watches.back().second;
+    read(absl::OutOfRangeError("compacted"));
+    EXPECT_EQ(store_.lists.size(), 1U);
+    respond(store_.watches, absl::StatusOr<RecordChanges>(absl::OutOfRangeError("compacted")));
+    EXPECT_EQ(store_.lists.size(), 1U);
+}
+
+// Guards against a change that is skipped because a response named its revision without carrying
+// it.
+TEST_F(WatchLossTest, requestsAtOnceWhatAResponseNamedAndLeftOut)
+{
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(9)}));
+    EXPECT_EQ(revision_, Revision(8)) << "the copy would be marked complete through the change";
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.watches.front().first, Revision(8));
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("b", 9)}, Revision(9)}));
+    EXPECT_EQ(revision_, Revision(9));
+    EXPECT_EQ(changed_, 2U);
+    timers_.advance(StoreFollower::changeBatchDelay);
+    EXPECT_EQ(store_.watches.front().first, Revision(9));
+}
+
+TEST_F(WatchLossTest, requestsAtOnceWhatAnEmptyResponseNamed)
+{
+    respond(store_.watches, absl::StatusOr<RecordChanges>(RecordChanges{{}, Revision(8)}));
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.watches.front().first, Revision(7));
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(8)}));
+    EXPECT_EQ(changed_, 1U);
+    EXPECT_EQ(revision_, Revision(8));
+}
+
+// Guards against a probe that confirms a revision whose change the node never got.
+TEST_F(WatchLossTest, isNotProvenByAProbeOfARevisionThatAResponseOnlyNamed)
+{
+    respond(store_.watches,
+            absl::StatusOr<RecordChanges>(RecordChanges{{record("a", 8)}, Revision(9)}));
+    timers_.advance(StoreFollower::changeBatchDelay);
+    const auto contact = follower_.lastContact();
+    timers_.advance(WatchMonitor::probePeriod);
+    respondToProbe(Revision(9));
+    EXPECT_EQ(follower_.lastContact(), contact);
+    timers_.advance(WatchMonitor::probedDeliveryTime);
+    EXPECT_EQ(store_.watches.back().first, Revision(8));
+}
+
+TEST_F(WatchLossTest, readsAgainWhatAReadNamedAndLeftOut)
+{
+    follower_.readChanges();
+    const auto read = store_.watches.back().second;
+    read(RecordChanges{{record("a", 8)}, Revision(9)});
+    EXPECT_EQ(revision_, Revision(8));
+    follower_.readChanges();
+    EXPECT_EQ(store_.watches.back().first, Revision(8));
+    const auto emptyRead = store_.watches.back().second;
+    emptyRead(RecordChanges{{}, Revision(9)});
+    follower_.readChanges();
+    EXPECT_EQ(store_.watches.back().first, Revision(8));
+}
+
+// Guards against calls one after the other to a store that counts changes no watch shows.
+TEST_F(WatchLossTest, checksOnceForARevisionThatNoWatchShows)
+{
+    respond(store_.watches, absl::StatusOr<RecordChanges>(RecordChanges{{}, Revision(9)}));
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::recoveryWatchDuration);
+    respond(store_.watches, absl::StatusOr<RecordChanges>(RecordChanges{{}, Revision(10)}));
+    ASSERT_EQ(store_.watches.size(), 1U);
+    EXPECT_EQ(store_.watches.front().first, Revision(9)) << "known before the call, so complete";
+    EXPECT_EQ(store_.waits.back(), StoreFollower::watchDuration);
+    EXPECT_TRUE(store_.lists.empty());
+    EXPECT_EQ(outages_, 0);
+}
+
+// Guards against a further charged call after each change.
+TEST_F(WatchLossTest, sendsNoFurtherCallForAResponseThatCarriesWhatItNames)
+{
+    const std::size_t watches = store_.waits.size();
+    respond(store_.watches, absl::StatusOr<RecordChanges>(
+                                    RecordChanges{{record("a", 8), record("b", 9)}, Revision(9)}));
+    timers_.advance(StoreFollower::changeBatchDelay - milliseconds(1));
+    EXPECT_EQ(store_.waits.size(), watches);
+    timers_.advance(milliseconds(1));
+    EXPECT_EQ(store_.waits.size(), watches + 1);
+    EXPECT_EQ(store_.waits.back(), StoreFollower::watchDuration);
+    EXPECT_EQ(store_.watches.front().first, Revision(9));
+}
+
 TEST_F(WatchLossTest, sendsNoProbeOnceTheWatchHasEnded)
 {
     respond(store_.watches,
