--- a/packages/control/records/RecordChanges.h
+++ b/packages/control/records/RecordChanges.h
@@ -12,7 +12,8 @@
 struct RecordChanges
 {
     std::vector<StoreRecord> changes;
-    /** The revision up to which the changes are complete. */
+    /** The revision up to which the changes are complete. In a response of RecordStore, the
+       revision that the store named. */
     core::identity::Revision revision;
     /** The kind of call that returned them. */
     ChangeOrigin origin = ChangeOrigin::Watch;
--- a/packages/control/records/RecordStore.h
+++ b/packages/control/records/RecordStore.h
@@ -36,7 +36,8 @@
                       std::chrono::milliseconds timeout, Callback<RecordPage> callback)
             = 0;
 
-    /** Waits for changes after a revision.
+    /** Waits for changes after a revision. The response has the revision that the store named,
+       which may be that of a later change than the response carries.
         @param wait the maximum time for which the store holds the call open */
     virtual void watch(const std::string &prefix, core::identity::Revision after,
                        std::chrono::milliseconds wait, std::chrono::milliseconds timeout,
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -14,6 +14,16 @@
 constexpr const char *allKeysPrefix = "";
 constexpr int maximumDoublings = 6;
 
+// Returns the last change in a response, or zero without one. Changes up to it are complete, as
+// events come in order; the revision that the store names may be that of a change after them.
+Revision lastChangeIn(const RecordChanges &response)
+{
+    Revision last;
+    for (const StoreRecord &change : response.changes)
+        last = std::max(last, change.revision);
+    return std::min(last, response.revision);
+}
+
 // The same watch would get the same response, so the records are listed page by page instead.
 bool mustListAfter(const absl::Status &watchStatus)
 {
@@ -123,7 +133,9 @@
 void StoreFollower::watch(ReadConsistency firstProbe)
 {
     const bool isProven = failures_ == 0 && !isUnconfirmed_;
-    const auto wait = isProven ? watchDuration : recoveryWatchDuration;
+    namedBeforeWatch_ = namedRevision_;
+    isChecking_ = std::exchange(isCheckDue_, false) && namedRevision_ > revision_;
+    const auto wait = isProven && !isChecking_ ? watchDuration : recoveryWatchDuration;
     const std::uint64_t number = ++watchNumber_;
     sentAt_ = timers_.now();
     store_.watch(allKeysPrefix, revision_, wait, wait + responseTimeout,
@@ -159,14 +171,14 @@
     if (!response.ok())
         return;
     readAt_ = sentAt;
-    revision_ = std::max(revision_, response->revision);
     if (response->changes.empty()) {
         listener_.storeContacted();
         return;
     }
+    const Revision reached = lastChangeIn(*response);
+    revision_ = std::max(revision_, reached);
     monitor_.recordRevision(response->revision);
-    listener_.recordsChanged(
-            RecordChanges{response->changes, response->revision, ChangeOrigin::Read});
+    listener_.recordsChanged(RecordChanges{response->changes, reached, ChangeOrigin::Read});
 }
 
 void StoreFollower::watchLost(const absl::Status &reason)
@@ -195,13 +207,19 @@
         return;
     }
     handleSuccess();
-    revision_ = std::max(revision_, response->revision);
-    if (response->changes.empty()) {
+    // The store collected the events after the call was sent, so they include each change that was
+    // known by then.
+    const Revision reached
+            = std::max(lastChangeIn(*response), std::min(response->revision, namedBeforeWatch_));
+    revision_ = std::max(revision_, reached);
+    namedRevision_ = std::max(namedRevision_, response->revision);
+    isCheckDue_ = !isChecking_ && namedRevision_ > revision_;
+    if (!response->changes.empty())
+        listener_.recordsChanged(RecordChanges{response->changes, reached, response->origin});
+    if (response->changes.empty() || isCheckDue_)
         resume();
-        return;
-    }
-    listener_.recordsChanged(*response);
-    timers_.addListener(*this, changeBatchDelay);
+    else
+        timers_.addListener(*this, changeBatchDelay);
 }
 
 //==============================================================================
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -14,9 +14,14 @@
     Reads all records once and then watches for changes.
 
     States: listing, watching, waiting for a retry after a failure, and idle while the owner needs
-    no updates from the store. A watch continues from the revision of the last response, so that no
+    no updates from the store. A watch continues from the last change that was delivered, so that no
     change is missed or delivered twice; if the store has compacted that revision, all records are
     listed again.
+
+    The revision that a response names proves nothing by itself: the store may have collected the
+    events before a change and read its revision after it. It counts as far as it was known when the
+    call was sent, as the events are collected later. If a response names a revision that it does
+    not reach, the next watch follows at once and waits for a short time only.
 */
 class StoreFollower : private core::timing::TimerService::Listener, private WatchMonitor::Listener
 {
@@ -61,7 +66,9 @@
     /** How long one watch waits at the store; each watch is a charged call. */
     static constexpr std::chrono::milliseconds watchDuration{25'000};
     /** How long the first watch after a failure waits. A failing store may accept a call and
-        never respond, so a long watch is only sent to a store that has just responded. */
+        never respond, so a long watch is only sent to a store that has just responded. Also the
+        wait of a watch for what the last response named and did not carry: it comes at once, or the
+        store counts a change that no watch shows. */
     static constexpr std::chrono::milliseconds recoveryWatchDuration{500};
     /** How long the store holds a read of the changes open, which is to respond at once. */
     static constexpr std::chrono::milliseconds readDuration{1};
@@ -158,7 +165,16 @@
     std::vector<StoreRecord> listed_;
     core::identity::Revision listingRevision_;
     bool isListed_ = false;
+    // Every change up to this one was delivered, or is known from other sources.
     core::identity::Revision revision_;
+    // The last revision that a response to a watch named, and what it was when the pending watch
+    // was sent.
+    core::identity::Revision namedRevision_;
+    core::identity::Revision namedBeforeWatch_;
+    // Whether the next watch, or the pending one, requests what the last response did not carry.
+    // Only one such watch follows a response, as a store may count changes that no watch shows.
+    bool isCheckDue_ = false;
+    bool isChecking_ = false;
     int failures_ = 0;
     // When the current listing or watch was sent, and the last one that was served.
     core::timing::MonotonicTime sentAt_{};
