--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -53,25 +53,20 @@
     listFrom({});
 }
 
-template <typename Response>
-RecordStore::Callback<Response>
-StoreFollower::guardedCallback(void (StoreFollower::*handle)(const absl::StatusOr<Response> &))
-{
-    return [self = self_, handle](const absl::StatusOr<Response> &response) {
-        if (*self != nullptr)
-            ((*self)->*handle)(response);
-    };
-}
-
 //==============================================================================
 void StoreFollower::listFrom(const std::string &after)
 {
     if (after.empty()) {
+        ++listingNumber_;
         listed_.clear();
         sentAt_ = timers_.now();
     }
-    store_.list(allKeysPrefix, after, responseTimeout,
-                guardedCallback(&StoreFollower::handleListResponse));
+    store_.list(
+            allKeysPrefix, after, responseTimeout,
+            [self = self_, number = listingNumber_](const absl::StatusOr<RecordPage> &response) {
+                if (*self != nullptr && (*self)->listingNumber_ == number)
+                    (*self)->handleListResponse(response);
+            });
 }
 
 void StoreFollower::handleListResponse(const absl::StatusOr<RecordPage> &response)
@@ -116,9 +111,17 @@
         return;
     isUnconfirmed_ = true;
     timers_.removeListener(*this);
+    endWatch();
     resume();
 }
 
+// Ignores later responses to the watch: they would begin calls beside those that follow it.
+void StoreFollower::endWatch()
+{
+    ++watchNumber_;
+    monitor_.stop();
+}
+
 void StoreFollower::resume()
 {
     isIdle_ = isListed_ && !isActive_;
@@ -195,8 +198,7 @@
 
 void StoreFollower::handleWatchResponse(const absl::StatusOr<RecordChanges> &response)
 {
-    ++watchNumber_;
-    monitor_.stop();
+    endWatch();
     if (mustListAfter(response.status())) {
         isListed_ = false;
         listFrom({});
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -142,6 +142,7 @@
     void listFrom(const std::string &after);
     void handleListResponse(const absl::StatusOr<RecordPage> &response);
     void watch(ReadConsistency firstProbe = ReadConsistency::MayBeStale);
+    void endWatch();
     void resume();
     void handleReadResponse(const absl::StatusOr<RecordChanges> &response,
                             core::timing::MonotonicTime sentAt);
@@ -150,11 +151,6 @@
     void handleFailure(const absl::Status &error);
     std::chrono::milliseconds nextBackoff();
 
-    // Wraps a member function in a callback that does nothing once this object is destroyed.
-    template <typename Response>
-    RecordStore::Callback<Response>
-    guardedCallback(void (StoreFollower::*handle)(const absl::StatusOr<Response> &));
-
     RecordStore &store_;
     core::timing::TimerService &timers_;
     Listener &listener_;
@@ -164,6 +160,9 @@
     // may or may not be in later pages.
     std::vector<StoreRecord> listed_;
     core::identity::Revision listingRevision_;
+    // Counts the listings; pages that belong to an earlier one are ignored. A listing without its
+    // first page would remove the records of that page.
+    std::uint64_t listingNumber_ = 0;
     bool isListed_ = false;
     // Every change up to this one was delivered, or is known from other sources.
     core::identity::Revision revision_;
