--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -14,9 +14,14 @@
     Reads all records once and then watches for changes.
 
     States: listing, watching, waiting for a retry after a failure, and idle while the owner needs
-    no updates from the store. A watch continues from the revision of the last response, so that no
+    no updates from the store. A watch continues from the last change that was delivered, so that no
     change is missed or delivered twice; if the store has compacted that revision, all records are
     listed again.
+
+    The revision that a response names proves nothing by itself: the store may have collected the
+    events before a change and read its revision after it. It counts as far as it was known when the
+    call was sent, as the events are collected later. If a response names a revision that it does
+    not reach, the next watch follows at once and waits for a short time only.
 */
 class StoreFollower : private core::timing::TimerService::Listener, private WatchMonitor::Listener
 {
@@ -61,7 +66,9 @@
     /** How long one watch waits at the store; each watch is a charged call. */
     static constexpr std::chrono::milliseconds watchDuration{25'000};
     /** How long the first watch after a failure waits. A failing store may accept a call and
-        never respond, so a long watch is only sent to a store that has just responded. */
+        never respond, so a long watch is only sent to a store that has just responded. Also the
+        wait of a watch for what the last response named and did not carry: it comes at once, or the
+        store counts a change that no watch shows. */
     static constexpr std::chrono::milliseconds recoveryWatchDuration{500};
     /** How long the store holds a read of the changes open, which is to respond at once. */
     static constexpr std::chrono::milliseconds readDuration{1};
@@ -135,6 +142,7 @@
     void listFrom(const std::string &after);
     void handleListResponse(const absl::StatusOr<RecordPage> &response);
     void watch(ReadConsistency firstProbe = ReadConsistency::MayBeStale);
+    void endWatch();
     void resume();
     void handleReadResponse(const absl::StatusOr<RecordChanges> &response,
                             core::timing::MonotonicTime sentAt);
@@ -143,11 +151,6 @@
     void handleFailure(const absl::Status &error);
     std::chrono::milliseconds nextBackoff();
 
-    // Wraps a member function in a callback that does nothing once this object is destroyed.
-    template <typename Response>
-    RecordStore::Callback<Response>
-    guardedCallback(void (StoreFollower::*handle)(const absl::StatusOr<Response> &));
-
     RecordStore &store_;
     core::timing::TimerService &timers_;
     Listener &listener_;
@@ -157,8 +160,20 @@
     // may or may not be in later pages.
     std::vector<StoreRecord> listed_;
     core::identity::Revision listingRevision_;
+    // Counts the listings; pages that belong to an earlier one are ignored. A listing without its
+    // first page would remove the records of that page.
+    std::uint64_t listingNumber_ = 0;
     bool isListed_ = false;
+    // Every change up to this one was delivered, or is known from other sources.
     core::identity::Revision revision_;
+    // The last revision that a response to a watch named, and what it was when the pending watch
+    // was sent.
+    core::identity::Revision namedRevision_;
+    core::identity::Revision namedBeforeWatch_;
+    // Whether the next watch, or the pending one, requests what the last response did not carry.
+    // Only one such watch follows a response, as a store may count changes that no watch shows.
+    bool isCheckDue_ = false;
+    bool isChecking_ = false;
     int failures_ = 0;
     // When the current listing or watch was sent, and the last one that was served.
     core::timing::MonotonicTime sentAt_{};
