--- a/bench/restarts/main.cpp
+++ b/bench/restarts/main.cpp
@@ -1,4 +1,5 @@
 /** bench-restarts: plays random restart plans and prints what they break as JSON. */
+#include "emulator/restarts/ConnectionPlanGenerator.h"
 #include "emulator/restarts/PlanGenerator.h"
 #include "emulator/restarts/PlanShrinker.h"
 #include "emulator/restarts/RestartSimulation.h"
@@ -25,6 +26,7 @@
 {
     std::mutex mutex;
     int runs = 0;
+    std::uint64_t storeCalls = 0;
     std::vector<milliseconds> waits;
     // The run with the longest wait for an intent.
     std::uint64_t slowestSeed = 0;
@@ -35,13 +37,25 @@
     std::map<std::string, std::vector<std::uint64_t>> seedsByRule;
 };
 
-void runSeeds(std::atomic<std::uint64_t> &next, std::uint64_t end, Summary &summary)
+RestartPlan drawPlan(std::uint64_t seed, bool hasConnectionFaults)
+{
+    std::unique_ptr<PlanSource> source;
+    if (hasConnectionFaults)
+        source = std::make_unique<ConnectionPlanGenerator>(seed);
+    else
+        source = std::make_unique<PlanGenerator>(seed);
+    return source->draw();
+}
+
+void runSeeds(std::atomic<std::uint64_t> &next, std::uint64_t end, bool hasConnectionFaults,
+              Summary &summary)
 {
     for (std::uint64_t seed = next++; seed < end; seed = next++) {
-        const RestartPlan plan = PlanGenerator(seed).draw();
+        const RestartPlan plan = drawPlan(seed, hasConnectionFaults);
         const RestartResult result = RestartSimulation(plan, false).run();
         const std::lock_guard lock(summary.mutex);
         ++summary.runs;
+        summary.storeCalls += static_cast<std::uint64_t>(result.storeCalls);
         if (result.longestChangeDelay > summary.longestChangeDelay) {
             summary.longestChangeDelay = result.longestChangeDelay;
             summary.slowestChangeSeed = seed;
@@ -66,6 +80,7 @@
     const auto late = std::count_if(summary.waits.begin(), summary.waits.end(),
                                     [](milliseconds wait) { return wait > milliseconds(1000); });
     json result{{"runs", summary.runs},
+                {"store_calls", summary.storeCalls},
                 {"restarts", summary.waits.size()},
                 {"restarts_over_1_s", late},
                 {"longest_wait_ms", summary.longestWait.count()},
@@ -114,9 +129,8 @@
     std::cout << output.dump() << "\n";
 }
 
-void printRun(std::uint64_t seed, const std::string &shrunkRule)
+void printRun(RestartPlan plan, const std::string &shrunkRule)
 {
-    RestartPlan plan = PlanGenerator(seed).draw();
     if (!shrunkRule.empty())
         plan = shrink(plan,
                       [&](const RestartPlan &smaller) { return breaksRule(smaller, shrunkRule); });
@@ -143,6 +157,7 @@
             "play one kill of this share of a fleet in an outage of the store, and print the load")(
             "nodes", options::value<std::size_t>()->default_value(300), "with --herd")(
             "data-centres", options::value<std::size_t>()->default_value(6), "with --herd")(
+            "connections", "play plans in which connections and links fail, instead of restarts")(
             "threads", options::value<unsigned int>()->default_value(1),
             "number of threads")("log", "play the first seed only, and print what its nodes log")(
             "shrink", options::value<std::string>()->default_value(""),
@@ -155,8 +170,9 @@
         return usageStatus;
     }
     const auto seed = arguments["seed"].as<std::uint64_t>();
+    const bool hasConnectionFaults = arguments.count("connections") > 0;
     if (arguments.count("log") > 0) {
-        printRun(seed, arguments["shrink"].as<std::string>());
+        printRun(drawPlan(seed, hasConnectionFaults), arguments["shrink"].as<std::string>());
         return 0;
     }
     if (arguments.count("herd") > 0) {
@@ -170,7 +186,7 @@
     Summary summary;
     std::vector<std::thread> threads;
     for (unsigned int i = 0; i < arguments["threads"].as<unsigned int>(); ++i)
-        threads.emplace_back([&]() { runSeeds(next, end, summary); });
+        threads.emplace_back([&]() { runSeeds(next, end, hasConnectionFaults, summary); });
     for (std::thread &thread : threads)
         thread.join();
     std::cout << toJson(summary).dump() << "\n";
--- a/packages/emulator/restarts/NodeProcess.cpp
+++ b/packages/emulator/restarts/NodeProcess.cpp
@@ -260,7 +260,7 @@
 //==============================================================================
 NodeId NodeProcess::id() const
 {
-    return NodeId("n" + std::to_string(dependencies_.node));
+    return dependencies_.id;
 }
 
 core::timing::WallTime NodeProcess::wallTime() const
--- a/packages/emulator/restarts/NodeProcess.h
+++ b/packages/emulator/restarts/NodeProcess.h
@@ -28,6 +28,7 @@
         RestartLog &log;
         std::vector<Violation> &violations;
         std::size_t node = 0;
+        core::identity::NodeId id;
         core::identity::DataCentreId dataCentre;
         /** The number of this start of the node. */
         std::uint64_t generation = 0;
@@ -55,6 +56,9 @@
     /** Handles that the link to a node has ended. */
     void disconnect(const core::identity::NetworkAddress &address);
 
+    /** Makes the connections to the store silent that are open now. */
+    void silenceStoreConnections() { store_.silenceConnections(); }
+
     /** Runs a task as one of this process. */
     void run(const std::function<void()> &task);
 
--- a/packages/emulator/restarts/PlanGenerator.h
+++ b/packages/emulator/restarts/PlanGenerator.h
@@ -1,7 +1,7 @@
 /** Random restart plans. */
 #pragma once
 
-#include "emulator/restarts/RestartPlan.h"
+#include "emulator/restarts/PlanSource.h"
 
 #include <random>
 
@@ -9,7 +9,7 @@
 
 /** Draws restart plans: kills and planned stops of few to all nodes, mostly around an outage of the
     store, beside cuts, changes, moves and departures. The same seed gives the same plan. */
-class PlanGenerator
+class PlanGenerator : public PlanSource
 {
 public:
     explicit PlanGenerator(std::uint64_t seed)
@@ -17,8 +17,7 @@
         , random_(seed)
     {}
 
-    /** Returns the plan of the seed. May be called once. */
-    RestartPlan draw();
+    RestartPlan draw() override;
 
 private:
     std::chrono::milliseconds drawTime(std::chrono::milliseconds from,
--- a/packages/emulator/restarts/RestartFaultKind.h
+++ b/packages/emulator/restarts/RestartFaultKind.h
@@ -20,8 +20,23 @@
     /** The store refuses the calls of the nodes that are its selected followers at that moment, and
         their pending watches get no response. */
     RejectedFollowers,
+    /** Nodes' open connections to the store become silent; new ones are in order. */
+    SilentConnections,
+    /** The same for the nodes that are the store's selected followers at that moment. */
+    SilentConnectionsOfFollowers,
+    /** Changes arrive by the duration later at the pending watches of one of the selected
+       followers, from now on; reads are current. */
+    LateWatch,
     /** Nodes reach each other only; neither other nodes nor the store. */
     Cut,
+    /** Nodes of different data centres do not reach each other; the store reaches all. */
+    DataCentresApart,
+    /** Nodes reach no other node, but the store. */
+    NodesApart,
+    /** Open links from and to nodes carry nothing until they are replaced after the duration. */
+    SilentLinks,
+    /** The same, but only what these nodes send is lost. */
+    SilentLinksOneWay,
     /** Operators store a new intent. */
     Change,
     /** Operators order a move to a version that fails. */
--- a/packages/emulator/restarts/RestartPlan.cpp
+++ b/packages/emulator/restarts/RestartPlan.cpp
@@ -22,6 +22,20 @@
         return "store silent for followers";
     case RestartFaultKind::RejectedFollowers:
         return "store rejects followers";
+    case RestartFaultKind::SilentConnections:
+        return "connections to the store silent";
+    case RestartFaultKind::SilentConnectionsOfFollowers:
+        return "connections of followers silent";
+    case RestartFaultKind::LateWatch:
+        return "late watch of a follower";
+    case RestartFaultKind::DataCentresApart:
+        return "data centres apart";
+    case RestartFaultKind::NodesApart:
+        return "nodes apart";
+    case RestartFaultKind::SilentLinks:
+        return "links silent";
+    case RestartFaultKind::SilentLinksOneWay:
+        return "links silent one way";
     case RestartFaultKind::Cut:
         return "cut";
     case RestartFaultKind::Change:
--- a/packages/emulator/restarts/RestartPlan.h
+++ b/packages/emulator/restarts/RestartPlan.h
@@ -17,6 +17,9 @@
     std::uint64_t seed = 0;
     std::size_t nodeCount = 0;
     std::size_t dataCentreCount = 1;
+    /** The nodes' ids, which decide who follows the store and who are neighbours; n0, n1 and so on
+        if empty. */
+    std::vector<std::string> names;
     std::chrono::milliseconds length{0};
     std::vector<RestartFault> faults;
 };
--- a/packages/emulator/restarts/RestartRules.h
+++ b/packages/emulator/restarts/RestartRules.h
@@ -16,7 +16,9 @@
 inline constexpr const char *changeRule = "change in force";
 inline constexpr std::chrono::milliseconds changeLimit{2000};
 /** How long a node has to have run, with its links and the store in order, to count as in touch. A
-    store that serves some nodes only is in order. */
+    store that serves some nodes only is in order; a node that it does not serve, and that reaches
+    none of those, is not in touch. Connections and links that become silent are a disturbance of
+    the nodes at their ends at that moment; cuts between nodes are none. */
 inline constexpr std::chrono::milliseconds stableWindow{3000};
 
 /** An upstream whose departure was acknowledged isn't used again. */
--- a/packages/emulator/restarts/RestartSimulation.cpp
+++ b/packages/emulator/restarts/RestartSimulation.cpp
@@ -3,7 +3,9 @@
 #include "emulator/restarts/RestartSimulation.h"
 
 #include "core/events/ScopedEventSink.h"
+#include "emulator/restarts/DataCentreCut.h"
 #include "emulator/restarts/IntentRecords.h"
+#include "emulator/restarts/NodeCut.h"
 #include "emulator/restarts/RestartRules.h"
 
 #include <algorithm>
@@ -97,6 +99,27 @@
         setStoreAccess(fault.nodes, fault.duration, StoreAccess::Silent);
         clock_.schedule(fault.duration, [this]() { network_.setCutOff({}); });
         break;
+    case RestartFaultKind::SilentConnections:
+        silenceConnections(fault.nodes);
+        break;
+    case RestartFaultKind::SilentConnectionsOfFollowers:
+        silenceConnections(selectedFollowers());
+        break;
+    case RestartFaultKind::LateWatch:
+        delayWatch(fault);
+        break;
+    case RestartFaultKind::DataCentresApart:
+        network_.addCut(std::make_shared<DataCentreCut>(fault.nodes, plan_.dataCentreCount),
+                        fault.duration);
+        break;
+    case RestartFaultKind::NodesApart:
+        network_.addCut(std::make_shared<NodeCut>(fault.nodes), fault.duration);
+        break;
+    case RestartFaultKind::SilentLinks:
+    case RestartFaultKind::SilentLinksOneWay:
+        recordDisturbance(network_.silenceLinks(
+                fault.nodes, fault.kind == RestartFaultKind::SilentLinksOneWay, fault.duration));
+        break;
     case RestartFaultKind::Change:
         changes_.push_back({store_.put(intentKey, std::to_string(++intentCount_)), clock_.now()});
         break;
@@ -123,6 +146,31 @@
     });
 }
 
+void RestartSimulation::silenceConnections(const std::set<std::size_t> &nodes)
+{
+    for (const std::size_t node : nodes) {
+        if (nodes_[node].process)
+            nodes_[node].process->silenceStoreConnections();
+    }
+    recordDisturbance(nodes);
+}
+
+void RestartSimulation::delayWatch(const RestartFault &fault)
+{
+    const std::set<std::size_t> followers = selectedFollowers();
+    if (followers.empty() || fault.nodes.empty())
+        return;
+    const std::size_t chosen = *fault.nodes.begin() % followers.size();
+    store_.setWatchDelay(*std::next(followers.begin(), static_cast<std::ptrdiff_t>(chosen)),
+                         fault.duration);
+}
+
+void RestartSimulation::recordDisturbance(const std::set<std::size_t> &nodes)
+{
+    for (const std::size_t node : nodes)
+        nodes_[node].disturbedAt = clock_.now();
+}
+
 std::set<std::size_t> RestartSimulation::selectedFollowers() const
 {
     std::set<std::size_t> followers;
@@ -144,6 +192,8 @@
     node.isWaitRecorded = node.generation == 1;
     node.process = std::make_shared<NodeProcess>(NodeProcess::Dependencies{
             clock_, store_, network_, log_, result_.violations, index,
+            core::identity::NodeId(plan_.names.empty() ? "n" + std::to_string(index)
+                                                       : plan_.names[index]),
             core::identity::DataCentreId("dc" + std::to_string(index % plan_.dataCentreCount)),
             node.generation, random_()});
     log_.setNode(index);
@@ -259,11 +309,20 @@
         storeDisturbedAt_ = clock_.now();
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
         const bool isReached = network_.isConnectedToAll(i, nodes_.size());
-        if (!isReached || store_.accessOf(i) == StoreAccess::Lossy)
+        if (!isReached || store_.accessOf(i) == StoreAccess::Lossy || !hasPathToStore(nodes_[i]))
             nodes_[i].disturbedAt = clock_.now();
     }
 }
 
+// A silent link is no cut: a new one to the same node would work.
+bool RestartSimulation::hasPathToStore(const Node &node) const
+{
+    const auto isServed = [this](const NodeProcess &process) {
+        return store_.accessOf(process.node()) == StoreAccess::Served;
+    };
+    return !node.process || isServed(*node.process) || reachesProcess(node, isServed);
+}
+
 bool RestartSimulation::isInTouch(const Node &node) const
 {
     const auto isRecent = [&](const std::optional<MonotonicTime> &time) {
--- a/packages/emulator/restarts/RestartSimulation.h
+++ b/packages/emulator/restarts/RestartSimulation.h
@@ -43,7 +43,8 @@
         // that it is bad.
         std::chrono::milliseconds verdictWait{0};
         bool isWaitRecorded = false;
-        // When the node was last cut off from others, or lost responses of the store.
+        // When the node was last cut off from others and the store, lost responses of the store, or
+        // had connections or links that became silent.
         std::optional<core::timing::MonotonicTime> disturbedAt;
     };
 
@@ -58,6 +59,10 @@
     void begin(const RestartFault &fault);
     void setStoreAccess(const std::set<std::size_t> &nodes, std::chrono::milliseconds duration,
                         StoreAccess access);
+    void silenceConnections(const std::set<std::size_t> &nodes);
+    void delayWatch(const RestartFault &fault);
+    // Records a disturbance at this moment.
+    void recordDisturbance(const std::set<std::size_t> &nodes);
     std::set<std::size_t> selectedFollowers() const;
     void startNode(std::size_t index);
     void endProcess(std::size_t index);
@@ -68,6 +73,8 @@
     void checkRegularly();
     void checkIntent(Node &node);
     void recordDisturbances();
+    // Returns whether the store serves the node or another one that it reaches.
+    bool hasPathToStore(const Node &node) const;
     bool isInTouch(const Node &node) const;
     void checkChanges(Node &node);
     void checkDeparture(Node &node);
--- a/packages/emulator/restarts/SimulatedNetwork.cpp
+++ b/packages/emulator/restarts/SimulatedNetwork.cpp
@@ -1,4 +1,4 @@
-/** Cuts are checked when a message is sent and when it arrives. */
+/** Cuts and silent links are checked when a message is sent and when it arrives. */
 #include "emulator/restarts/SimulatedNetwork.h"
 
 #include "emulator/restarts/NodeProcess.h"
@@ -45,6 +45,7 @@
         });
     }
     links_.erase(node);
+    silentLinks_.removeAllOf(node);
 }
 
 void SimulatedNetwork::addLink(std::size_t to, const std::weak_ptr<NodeProcess> &from)
@@ -57,6 +58,41 @@
         links.push_back(from);
 }
 
+void SimulatedNetwork::addCut(const std::shared_ptr<const NetworkCut> &cut, milliseconds duration)
+{
+    cuts_.push_back(cut);
+    clock_.schedule(duration, [this, cut]() { std::erase(cuts_, cut); });
+}
+
+std::set<std::size_t> SimulatedNetwork::silenceLinks(const std::set<std::size_t> &nodes,
+                                                     bool isOneWay, milliseconds duration)
+{
+    std::set<std::size_t> ends;
+    for (const auto &[to, openers] : links_) {
+        for (const auto &opener : openers) {
+            const auto process = opener.lock();
+            if (!process || (!nodes.contains(process->node()) && !nodes.contains(to)))
+                continue;
+            const SilentLinks::Link link{process->node(), to};
+            silentLinks_.add(link, {!isOneWay || nodes.contains(link.first),
+                                    !isOneWay || nodes.contains(link.second)});
+            ends.insert({link.first, link.second});
+            clock_.schedule(duration, [this, link, opener, other = processes_[to]]() {
+                if (!opener.expired() && !other.expired())
+                    replaceLink(link);
+            });
+        }
+    }
+    return ends;
+}
+
+void SimulatedNetwork::replaceLink(const SilentLinks::Link &link)
+{
+    const auto opener = processAt(addressOf(link.first));
+    if (silentLinks_.remove(link) && opener)
+        opener->disconnect(addressOf(link.second));
+}
+
 milliseconds SimulatedNetwork::drawDelay()
 {
     return milliseconds(std::uniform_int_distribution(minimumDelayMs, maximumDelayMs)(random_));
@@ -83,7 +119,7 @@
     };
     clock_.schedule(drawDelay(), [this, from, to, receiver, handle, link = sender.weak_from_this(),
                                   runAtSender, failAfter]() {
-        if (!isConnected(from, to)) {
+        if (!isConnected(from, to) || silentLinks_.of({from, to}).losesRequests) {
             failAfter(requestTimeout);
             return;
         }
@@ -96,7 +132,7 @@
         Action onResponse;
         process->run([&]() { onResponse = handle(*process); });
         clock_.schedule(drawDelay(), [this, from, to, runAtSender, failAfter, onResponse]() {
-            if (isConnected(from, to))
+            if (isConnected(from, to) && !silentLinks_.of({from, to}).losesResponses)
                 runAtSender(onResponse);
             else
                 failAfter(requestTimeout);
--- a/packages/emulator/restarts/SimulatedNetwork.h
+++ b/packages/emulator/restarts/SimulatedNetwork.h
@@ -3,7 +3,10 @@
 
 #include "core/identity/NetworkAddress.h"
 #include "emulator/clock/EventClock.h"
+#include "emulator/restarts/NetworkCut.h"
+#include "emulator/restarts/SilentLinks.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
@@ -14,7 +17,7 @@
 class NodeProcess;
 
 /** Carries requests and responses between processes. A request to a node without a process is
-    refused; one across a cut fails after a timeout. */
+    refused; one across a cut or on a silent link fails after a timeout. */
 class SimulatedNetwork
 {
 public:
@@ -42,10 +45,23 @@
     /** Returns whether two nodes reach each other. */
     bool isConnected(std::size_t a, std::size_t b) const
     {
-        return cutOff_.contains(a) == cutOff_.contains(b);
+        return cutOff_.contains(a) == cutOff_.contains(b)
+               && std::none_of(cuts_.begin(), cuts_.end(),
+                               [&](const auto &cut) { return cut->separates(a, b); });
     }
 
-    /** Returns whether a node reaches all others. @param nodeCount the number of nodes */
+    /** Adds a cut for a time. */
+    void addCut(const std::shared_ptr<const NetworkCut> &cut, std::chrono::milliseconds duration);
+
+    /** Makes the links from and to nodes silent that are open now, until they are replaced.
+        @param isOneWay whether only what these nodes send is lost
+        @param duration the time until the links are replaced
+        @returns the nodes at the ends of these links */
+    std::set<std::size_t> silenceLinks(const std::set<std::size_t> &nodes, bool isOneWay,
+                                       std::chrono::milliseconds duration);
+
+    /** Returns whether a node is on the side of setCutOff() that reaches all others. @param
+     * nodeCount the number of nodes */
     bool isConnectedToAll(std::size_t node, std::size_t nodeCount) const
     {
         return cutOff_.empty() || cutOff_.size() == nodeCount || !cutOff_.contains(node);
@@ -66,6 +82,7 @@
 
     void addLink(std::size_t to, const std::weak_ptr<NodeProcess> &from);
 
+    void replaceLink(const SilentLinks::Link &link);
     std::chrono::milliseconds drawDelay();
     void send(NodeProcess &sender, const core::identity::NetworkAddress &receiver,
               const std::function<Action(NodeProcess &)> &handle, const Action &onFailure);
@@ -74,6 +91,8 @@
     std::mt19937_64 random_;
     std::map<std::size_t, std::weak_ptr<NodeProcess>> processes_;
     std::set<std::size_t> cutOff_;
+    std::vector<std::shared_ptr<const NetworkCut>> cuts_;
+    SilentLinks silentLinks_;
     // The processes that have sent requests to a node's current process.
     std::map<std::size_t, std::vector<std::weak_ptr<NodeProcess>>> links_;
 };
--- a/packages/emulator/restarts/SimulatedStore.h
+++ b/packages/emulator/restarts/SimulatedStore.h
@@ -55,6 +55,19 @@
         return found == access_.end() ? StoreAccess::Served : found->second;
     }
 
+    /** Sets by how much changes are late at the pending watches of a node from now on. */
+    void setWatchDelay(std::size_t node, std::chrono::milliseconds delay)
+    {
+        watchDelays_[node] = delay;
+    }
+
+    /** Returns by how much changes are late at the pending watches of a node. */
+    std::chrono::milliseconds watchDelayOf(std::size_t node) const
+    {
+        const auto found = watchDelays_.find(node);
+        return found == watchDelays_.end() ? std::chrono::milliseconds(0) : found->second;
+    }
+
 private:
     void write(const std::string &key, const std::string &text);
     void reportChange();
@@ -66,6 +79,7 @@
     std::uint64_t lastLease_ = 0;
     std::vector<Watch> watches_;
     std::map<std::size_t, StoreAccess> access_;
+    std::map<std::size_t, std::chrono::milliseconds> watchDelays_;
 };
 
 } // namespace boragetrack::emulator::restarts
--- a/packages/emulator/restarts/StoreClient.cpp
+++ b/packages/emulator/restarts/StoreClient.cpp
@@ -15,18 +15,21 @@
 } // namespace
 
 template <typename Response>
-StoreClient::Responder<Response> StoreClient::makeResponder(milliseconds timeout,
+StoreClient::Responder<Response> StoreClient::makeResponder(const Connection &connection,
+                                                            milliseconds timeout,
                                                             Callback<Response> callback)
 {
     const auto isOpen = std::make_shared<bool>(true);
-    Responder<Response> responder
-            = [isOpen, callback = std::move(callback), self = std::weak_ptr(self_)](auto response) {
-                  const auto client = self.lock();
-                  if (!client || !std::exchange(*isOpen, false))
-                      return;
-                  (*client)->beforeResponse_();
-                  callback(std::move(response));
-              };
+    Responder<Response> responder = [isOpen, connection, callback = std::move(callback),
+                                     self = std::weak_ptr(self_)](auto response) {
+        const auto client = self.lock();
+        if (!client || !std::exchange(*isOpen, false))
+            return;
+        if (!absl::IsUnknown(response.status()))
+            (*client)->connections_.release(connection);
+        (*client)->beforeResponse_();
+        callback(std::move(response));
+    };
     clock_.schedule(timeout, [responder]() { responder(absl::UnknownError("no response")); });
     return responder;
 }
@@ -35,31 +38,35 @@
 void StoreClient::call(milliseconds timeout, Callback<Response> callback,
                        std::function<absl::StatusOr<Response>()> execute)
 {
-    const auto responder = makeResponder(timeout, std::move(callback));
-    clock_.schedule(
-            delay, [this, alive = std::weak_ptr(self_), responder, execute = std::move(execute)]() {
-                if (alive.expired())
-                    return;
-                ++callCount_;
-                const StoreAccess access = store_.accessOf(node_);
-                if (access == StoreAccess::Busy)
-                    respond<Response>(responder, absl::ResourceExhaustedError("busy"));
-                else if (access == StoreAccess::Rejected)
-                    respond<Response>(responder, absl::UnavailableError("rejected"));
-                else if (access != StoreAccess::Silent)
-                    respond<Response>(responder, execute());
-            });
+    const Connection connection = connections_.acquire();
+    const auto responder = makeResponder(connection, timeout, std::move(callback));
+    clock_.schedule(delay, [this, alive = std::weak_ptr(self_), connection, responder,
+                            execute = std::move(execute)]() {
+        if (alive.expired() || connection->isSilent)
+            return;
+        ++callCount_;
+        const StoreAccess access = store_.accessOf(node_);
+        if (access == StoreAccess::Busy)
+            respond<Response>(connection, responder, absl::ResourceExhaustedError("busy"));
+        else if (access == StoreAccess::Rejected)
+            respond<Response>(connection, responder, absl::UnavailableError("rejected"));
+        else if (access != StoreAccess::Silent)
+            respond<Response>(connection, responder, execute());
+    });
 }
 
 template <typename Response>
-void StoreClient::respond(const Responder<Response> &responder,
-                          const absl::StatusOr<Response> &response)
+void StoreClient::respond(const Connection &connection, const Responder<Response> &responder,
+                          const absl::StatusOr<Response> &response, milliseconds lateness)
 {
     const StoreAccess access = store_.accessOf(node_);
     const bool isLost
             = access == StoreAccess::Silent || (access == StoreAccess::Lossy && random_() % 2 == 0);
     if (!isLost)
-        clock_.schedule(delay, [responder, response]() { responder(response); });
+        clock_.schedule(delay + lateness, [connection, responder, response]() {
+            if (!connection->isSilent)
+                responder(response);
+        });
 }
 
 void StoreClient::list(const std::string &prefix, const std::string & /*after*/,
@@ -72,27 +79,30 @@
 void StoreClient::watch(const std::string &prefix, Revision after, milliseconds wait,
                         milliseconds timeout, Callback<RecordChanges> callback)
 {
-    const auto responder = makeResponder(timeout, std::move(callback));
-    clock_.schedule(delay, [this, alive = std::weak_ptr(self_), responder, prefix, after, wait]() {
-        if (alive.expired())
+    const Connection connection = connections_.acquire();
+    const auto responder = makeResponder(connection, timeout, std::move(callback));
+    clock_.schedule(delay, [this, alive = std::weak_ptr(self_), connection, responder, prefix,
+                            after, wait]() {
+        if (alive.expired() || connection->isSilent)
             return;
         ++callCount_;
         const StoreAccess access = store_.accessOf(node_);
         if (access == StoreAccess::Busy)
-            respond<RecordChanges>(responder, absl::ResourceExhaustedError("busy"));
+            respond<RecordChanges>(connection, responder, absl::ResourceExhaustedError("busy"));
         else if (access == StoreAccess::Rejected)
-            respond<RecordChanges>(responder, absl::UnavailableError("rejected"));
+            respond<RecordChanges>(connection, responder, absl::UnavailableError("rejected"));
         else if (access != StoreAccess::Silent)
-            waitForChanges(prefix, after, clock_.now() + wait, responder);
+            waitForChanges(prefix, after, clock_.now() + wait, connection, responder);
     });
 }
 
 void StoreClient::waitForChanges(const std::string &prefix, Revision after,
-                                 core::timing::MonotonicTime until,
+                                 core::timing::MonotonicTime until, const Connection &connection,
                                  const Responder<RecordChanges> &responder)
 {
     const auto hasEnded = std::make_shared<bool>(false);
-    const auto offer = [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
+    const auto offer = [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, connection,
+                        responder](milliseconds lateness) {
         if (alive.expired() || *hasEnded)
             return true;
         const RecordChanges changes = store_.changesSince(prefix, after);
@@ -100,19 +110,21 @@
             return false;
         *hasEnded = true;
         if (store_.accessOf(node_) != StoreAccess::Rejected)
-            respond<RecordChanges>(responder, changes);
+            respond<RecordChanges>(connection, responder, changes, lateness);
         return true;
     };
-    if (offer())
+    if (offer(milliseconds(0)))
         return;
-    store_.addWatch(offer);
-    clock_.schedule(until - clock_.now(),
-                    [this, alive = std::weak_ptr(self_), hasEnded, prefix, after, responder]() {
-                        if (alive.expired() || std::exchange(*hasEnded, true)
-                            || store_.accessOf(node_) == StoreAccess::Rejected)
-                            return;
-                        respond<RecordChanges>(responder, store_.changesSince(prefix, after));
-                    });
+    store_.addWatch([this, alive = std::weak_ptr(self_), offer]() {
+        return alive.expired() || offer(store_.watchDelayOf(node_));
+    });
+    clock_.schedule(until - clock_.now(), [this, alive = std::weak_ptr(self_), hasEnded, prefix,
+                                           after, connection, responder]() {
+        if (alive.expired() || std::exchange(*hasEnded, true)
+            || store_.accessOf(node_) == StoreAccess::Rejected)
+            return;
+        respond<RecordChanges>(connection, responder, store_.changesSince(prefix, after));
+    });
 }
 
 void StoreClient::probe(control::records::ReadConsistency /*consistency*/, milliseconds timeout,
--- a/packages/emulator/restarts/StoreClient.h
+++ b/packages/emulator/restarts/StoreClient.h
@@ -2,14 +2,15 @@
 #pragma once
 
 #include "emulator/restarts/SimulatedStore.h"
+#include "emulator/restarts/StoreConnections.h"
 
 #include <memory>
 #include <random>
 
 namespace boragetrack::emulator::restarts {
 
-/** Delays the calls of one process, and fails them as the node's access to the store demands.
-    Responses end with this object. */
+/** Delays the calls of one process, and fails them as the node's access to the store demands. Calls
+    on silent connections get no response. Responses end with this object. */
 class StoreClient : public control::records::RecordStore
 {
 public:
@@ -46,21 +47,29 @@
     /** Returns the number of calls that reached the store. */
     int callCount() const { return callCount_; }
 
+    /** Makes the connections silent that are open now; later calls may use new ones. */
+    void silenceConnections() { connections_.silence(); }
+
 private:
+    using Connection = std::shared_ptr<StoreConnection>;
+
     // Takes the response of a call; the first one counts.
     template <typename Response>
     using Responder = std::function<void(absl::StatusOr<Response>)>;
 
     template <typename Response>
-    Responder<Response> makeResponder(std::chrono::milliseconds timeout,
+    Responder<Response> makeResponder(const Connection &connection,
+                                      std::chrono::milliseconds timeout,
                                       Callback<Response> callback);
     template <typename Response>
     void call(std::chrono::milliseconds timeout, Callback<Response> callback,
               std::function<absl::StatusOr<Response>()> execute);
     template <typename Response>
-    void respond(const Responder<Response> &responder, const absl::StatusOr<Response> &response);
+    void respond(const Connection &connection, const Responder<Response> &responder,
+                 const absl::StatusOr<Response> &response,
+                 std::chrono::milliseconds lateness = std::chrono::milliseconds(0));
     void waitForChanges(const std::string &prefix, core::identity::Revision after,
-                        core::timing::MonotonicTime until,
+                        core::timing::MonotonicTime until, const Connection &connection,
                         const Responder<control::records::RecordChanges> &responder);
 
     SimulatedStore &store_;
@@ -69,6 +78,7 @@
     std::mt19937_64 random_;
     ResponseObserver beforeResponse_;
     int callCount_ = 0;
+    StoreConnections connections_;
     std::shared_ptr<StoreClient *> self_ = std::make_shared<StoreClient *>(this);
 };
 
--- /dev/null
+++ b/packages/emulator/restarts/StoreConnection.h
@@ -0,0 +1,13 @@
+/** One connection of a simulated node to the store. */
+#pragma once
+
+namespace boragetrack::emulator::restarts {
+
+/** Describes a connection that carries one call at a time. */
+struct StoreConnection
+{
+    /** Whether nothing arrives on it any more, in either direction, while it stays open. */
+    bool isSilent = false;
+};
+
+} // namespace boragetrack::emulator::restarts
