--- a/packages/emulator/restarts/SimulatedNetwork.cpp
+++ b/packages/emulator/restarts/SimulatedNetwork.cpp
@@ -117,10 +117,14 @@
     const auto failAfter = [this, runAtSender, onFailure](milliseconds delay) {
         clock_.schedule(delay, [runAtSender, onFailure]() { runAtSender(onFailure); });
     };
+    const auto timeOut = [this, failAfter, link = SilentLinks::Link{from, to}]() {
+        failAfter(requestTimeout);
+        clock_.schedule(requestTimeout, [this, link]() { silentLinks_.remove(link); });
+    };
     clock_.schedule(drawDelay(), [this, from, to, receiver, handle, link = sender.weak_from_this(),
-                                  runAtSender, failAfter]() {
+                                  runAtSender, failAfter, timeOut]() {
         if (!isConnected(from, to) || silentLinks_.of({from, to}).losesRequests) {
-            failAfter(requestTimeout);
+            timeOut();
             return;
         }
         const auto process = processAt(receiver);
@@ -131,11 +135,11 @@
         addLink(to, link);
         Action onResponse;
         process->run([&]() { onResponse = handle(*process); });
-        clock_.schedule(drawDelay(), [this, from, to, runAtSender, failAfter, onResponse]() {
+        clock_.schedule(drawDelay(), [this, from, to, runAtSender, timeOut, onResponse]() {
             if (isConnected(from, to) && !silentLinks_.of({from, to}).losesResponses)
                 runAtSender(onResponse);
             else
-                failAfter(requestTimeout);
+                timeOut();
         });
     });
 }
--- a/packages/emulator/restarts/SimulatedNetwork.h
+++ b/packages/emulator/restarts/SimulatedNetwork.h
@@ -53,9 +53,10 @@
     /** Adds a cut for a time. */
     void addCut(const std::shared_ptr<const NetworkCut> &cut, std::chrono::milliseconds duration);
 
-    /** Makes the links from and to nodes silent that are open now, until they are replaced.
+    /** Makes the links from and to nodes silent that are open now, until they are replaced: after
+        the first request on them that gets no response, as by transport::links::PeerLinks.
         @param isOneWay whether only what these nodes send is lost
-        @param duration the time until the links are replaced
+        @param duration the time after which the kernel ends the links
         @returns the nodes at the ends of these links */
     std::set<std::size_t> silenceLinks(const std::set<std::size_t> &nodes, bool isOneWay,
                                        std::chrono::milliseconds duration);
--- a/packages/emulator/restarts/StoreClient.cpp
+++ b/packages/emulator/restarts/StoreClient.cpp
@@ -26,7 +26,7 @@
         if (!client || !std::exchange(*isOpen, false))
             return;
         if (!absl::IsUnknown(response.status()))
-            (*client)->connections_.release(connection);
+            (*client)->connections_.release(connection, (*client)->clock_.now());
         (*client)->beforeResponse_();
         callback(std::move(response));
     };
@@ -38,7 +38,7 @@
 void StoreClient::call(milliseconds timeout, Callback<Response> callback,
                        std::function<absl::StatusOr<Response>()> execute)
 {
-    const Connection connection = connections_.acquire();
+    const Connection connection = connections_.acquire(clock_.now());
     const auto responder = makeResponder(connection, timeout, std::move(callback));
     clock_.schedule(delay, [this, alive = std::weak_ptr(self_), connection, responder,
                             execute = std::move(execute)]() {
@@ -79,7 +79,7 @@
 void StoreClient::watch(const std::string &prefix, Revision after, milliseconds wait,
                         milliseconds timeout, Callback<RecordChanges> callback)
 {
-    const Connection connection = connections_.acquire();
+    const Connection connection = connections_.acquire(clock_.now());
     const auto responder = makeResponder(connection, timeout, std::move(callback));
     clock_.schedule(delay, [this, alive = std::weak_ptr(self_), connection, responder, prefix,
                             after, wait]() {
--- a/packages/emulator/restarts/StoreConnections.h
+++ b/packages/emulator/restarts/StoreConnections.h
@@ -13,14 +13,12 @@
 class StoreConnections
 {
 public:
-    /** Returns an idle connection, or a new one if there is none. */
-    std::shared_ptr<StoreConnection> acquire();
+    /** Returns an idle connection that had a response lately, or a new one if there is none. */
+    std::shared_ptr<StoreConnection> acquire(core::timing::MonotonicTime now);
 
     /** Keeps the connection of a call that got its response. That of a failed call is dropped. */
-    void release(const std::shared_ptr<StoreConnection> &connection)
-    {
-        idle_.push_back(connection);
-    }
+    void release(const std::shared_ptr<StoreConnection> &connection,
+                 core::timing::MonotonicTime now);
 
     /** Makes all connections silent that are open now, also those with a call. */
     void silence();
--- a/packages/transport/http/AsyncClient.cpp
+++ b/packages/transport/http/AsyncClient.cpp
@@ -32,14 +32,23 @@
     ReadAheadStream &stream() { return stream_; }
     MessageReader<ResponseHead> &reader() { return reader_; }
 
-    bool isReusable() const { return !stream_.isEnded() && stream_.bytes().empty(); }
+    bool isReusable(kj::TimePoint now) const
+    {
+        return !stream_.isEnded() && stream_.bytes().empty()
+               && now - respondedAt_ <= toKj(maximumIdleTime);
+    }
 
     // Reads ahead, so that isReusable() notices when the server closes the idle connection.
-    void watchForClose() { closeWatch_ = stream_.readMore().eagerlyEvaluate(nullptr); }
+    void watchForClose(kj::TimePoint now)
+    {
+        respondedAt_ = now;
+        closeWatch_ = stream_.readMore().eagerlyEvaluate(nullptr);
+    }
 
 private:
     ReadAheadStream stream_;
     MessageReader<ResponseHead> reader_;
+    kj::TimePoint respondedAt_ = kj::origin<kj::TimePoint>();
     kj::Promise<void> closeWatch_ = nullptr;
 };
 
@@ -103,7 +112,7 @@
                         return Result(absl::OutOfRangeError(tooLargeText));
                     response_.body = std::move(body.bytes);
                     if (isRequestWritten_ && connection_->reader().message().keepsConnection()) {
-                        connection_->watchForClose();
+                        connection_->watchForClose(client_.timer_.now());
                         client_.idleConnections_.push_back(kj::mv(connection_));
                     }
                     return Result(std::move(response_));
@@ -153,7 +162,7 @@
     while (!idleConnections_.empty()) {
         kj::Own<Connection> connection = kj::mv(idleConnections_.back());
         idleConnections_.pop_back();
-        if (connection->isReusable())
+        if (connection->isReusable(timer_.now()))
             return kj::mv(connection);
     }
     auto connecting = network_.parseAddress(server_.toString())
--- a/packages/transport/http/AsyncClient.h
+++ b/packages/transport/http/AsyncClient.h
@@ -25,6 +25,9 @@
     static constexpr std::size_t maximumResponseBytes = std::size_t{8} * 1024 * 1024;
     /** Maximum time to connect; beyond it the server counts as unreachable. */
     static constexpr std::chrono::milliseconds connectTimeout{1000};
+    /** Time after its last response for which an idle connection is used again. One that became
+        silent meanwhile costs its next request the whole time-out; a new one costs a round trip. */
+    static constexpr std::chrono::milliseconds maximumIdleTime{1000};
 
     /** Decides whether a request may be sent now. @returns nothing if it may not */
     using BeginFunction = std::function<std::optional<std::unique_lock<std::mutex>>()>;
--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -117,21 +117,32 @@
 template <typename Results, typename Request, typename Read>
 auto PeerLinks::sendControl(const NetworkAddress &peer, Request makeRequest, Read read)
 {
-    auto exchange = connect(peer).then([this, makeRequest, read](kj::Own<PeerLink> &&link) mutable {
-        wire::schema::Peer::Client client = link->peer();
-        auto request = makeRequest(client);
-        counters_.controlMessagesSent.add();
-        counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
-                                       * sizeof(capnp::word));
-        return request.send()
-                .then([this, read](auto &&response) mutable {
-                    counters_.controlBytesReceived.add(response.totalSize().wordCount
-                                                       * sizeof(capnp::word));
-                    return read(response);
-                })
-                .attach(kj::mv(link));
-    });
-    return timing::resultWithin(timer_, toKj(controlTimeout), kj::mv(exchange));
+    const kj::TimePoint startedAt = timer_.now();
+    const kj::TimePoint deadline = startedAt + toKj(controlTimeout);
+    return timing::resultBefore(timer_, deadline, connect(peer))
+            .then([=, this](kj::Own<PeerLink> &&link) mutable {
+                PeerLink &used = *link;
+                wire::schema::Peer::Client client = used.peer();
+                auto request = makeRequest(client);
+                counters_.controlMessagesSent.add();
+                counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
+                                               * sizeof(capnp::word));
+                kj::Promise<Results> result
+                        = request.send().then([this, &used, read](auto &&response) mutable {
+                              used.recordResponse(timer_.now());
+                              counters_.controlBytesReceived.add(response.totalSize().wordCount
+                                                                 * sizeof(capnp::word));
+                              return read(response);
+                          });
+                return timing::resultBefore(timer_, deadline, kj::mv(result))
+                        .catch_([=, this, &used](kj::Exception &&exception) -> Results {
+                            // Only a time-out: a peer may refuse a request that it doesn't know.
+                            if (timer_.now() >= deadline)
+                                handleFailedCall(peer, used, startedAt, exception);
+                            kj::throwFatalException(kj::mv(exception));
+                        })
+                        .attach(kj::mv(link));
+            });
 }
 
 kj::Promise<Exchange> PeerLinks::exchange(const NetworkAddress &peer, const Exchange &request)
--- a/tests/unit/PeerLinksTest.cpp
+++ b/tests/unit/PeerLinksTest.cpp
@@ -68,6 +68,41 @@
     {}
 };
 
+/** Accepts exchanges and never responds to them. */
+class SilentControl : public NoControl
+{
+public:
+    void handleExchange(control::distribution::Exchange /*request*/,
+                        Callback<control::distribution::Exchange> callback) override
+    {
+        pending_.push_back(std::move(callback));
+    }
+
+private:
+    std::vector<Callback<control::distribution::Exchange>> pending_;
+};
+
+/** Serves the first link that a listener accepts. */
+kj::Promise<void> acceptOne(kj::ConnectionReceiver &listener, const LinkCounters &counters,
+                            transport::wire::schema::Peer::Client server)
+{
+    return listener.accept()
+            .then([&counters](kj::Own<kj::AsyncIoStream> &&stream) {
+                return negotiateAccepted(kj::mv(stream), counters);
+            })
+            .then([server
+                   = kj::mv(server)](kj::Maybe<kj::Own<kj::AsyncIoStream>> &&negotiated) mutable {
+                auto stream = kj::mv(KJ_ASSERT_NONNULL(negotiated));
+                auto vat = kj::heap<capnp::TwoPartyVatNetwork>(*stream,
+                                                               capnp::rpc::twoparty::Side::SERVER);
+                auto system = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
+                        capnp::makeRpcServer(*vat, server));
+                auto closed = vat->onDisconnect();
+                return closed.attach(kj::mv(system)).attach(kj::mv(vat)).attach(kj::mv(stream));
+            })
+            .eagerlyEvaluate(nullptr);
+}
+
 CallRequest callTaking(milliseconds serviceTime, milliseconds budget)
 {
     CallRequest request;
@@ -94,23 +129,7 @@
     auto listener = network.parseAddress("127.0.0.1:0").wait(io.waitScope)->listen();
     const core::identity::NetworkAddress address{"127.0.0.1",
                                                  static_cast<std::uint16_t>(listener->getPort())};
-    auto accepted = listener->accept()
-                            .then([&](kj::Own<kj::AsyncIoStream> &&stream) {
-                                return negotiateAccepted(kj::mv(stream), linkCounters);
-                            })
-                            .then([&](kj::Maybe<kj::Own<kj::AsyncIoStream>> &&negotiated) {
-                                auto stream = kj::mv(KJ_ASSERT_NONNULL(negotiated));
-                                auto vat = kj::heap<capnp::TwoPartyVatNetwork>(
-                                        *stream, capnp::rpc::twoparty::Side::SERVER);
-                                auto system
-                                        = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(
-                                                capnp::makeRpcServer(*vat, server));
-                                auto closed = vat->onDisconnect();
-                                return closed.attach(kj::mv(system))
-                                        .attach(kj::mv(vat))
-                                        .attach(kj::mv(stream));
-                            })
-                            .eagerlyEvaluate(nullptr);
+    auto accepted = acceptOne(*listener, linkCounters, server);
     PeerLinks links(
             network, timer, [](const auto & /*address*/) { return LinkEncoding::Plain; },
             linkCounters);
@@ -122,3 +141,28 @@
     const CallResponse response = slowCall.wait(io.waitScope);
     EXPECT_EQ(response.outcome, CallOutcome::Completed) << response.reason;
 }
+
+// A link that carries control messages only would stay in use for as long as its peer's kernel
+// acknowledges what it gets, and each exchange on it would fail.
+TEST(PeerLinks, givesUpALinkOnWhichAControlRequestGotNoResponse)
+{
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    kj::Network &network = io.provider->getNetwork();
+    transport::timing::PreciseTimer timer(io.provider->getTimer());
+    core::counters::CounterRegistry counters;
+    const LinkCounters linkCounters(counters);
+    SilentControl control;
+    ClosingNotice closing;
+    DelayingCalls calls(timer);
+    transport::wire::schema::Peer::Client server = kj::heap<PeerServer>(control, calls, closing);
+    auto listener = network.parseAddress("127.0.0.1:0").wait(io.waitScope)->listen();
+    const core::identity::NetworkAddress address{"127.0.0.1",
+                                                 static_cast<std::uint16_t>(listener->getPort())};
+    auto accepted = acceptOne(*listener, linkCounters, server);
+    PeerLinks links(
+            network, timer, [](const auto & /*address*/) { return LinkEncoding::Plain; },
+            linkCounters);
+    EXPECT_ANY_THROW(links.exchange(address, {}).wait(io.waitScope));
+    EXPECT_EQ(counters.counter("links_opened").value(), 1U);
+    EXPECT_EQ(counters.counter("links_given_up").value(), 1U);
+}
--- a/tests/unit/SilentConnectionsTest.cpp
+++ b/tests/unit/SilentConnectionsTest.cpp
@@ -1,4 +1,5 @@
 /** The model of connections that become silent, in the simulation of restarts. */
+#include "emulator/clock/EventClock.h"
 #include "emulator/restarts/DataCentreCut.h"
 #include "emulator/restarts/NodeCut.h"
 #include "emulator/restarts/SilentLinks.h"
@@ -7,27 +8,38 @@
 #include <gtest/gtest.h>
 
 using namespace boragetrack::emulator::restarts;
+using boragetrack::emulator::clock::EventClock;
 
 // A model that replaced all connections at once would not show what the calls after a fault cost.
 TEST(StoreConnections, areUsedWhileIdleAlsoWhenTheyAreSilent)
 {
     StoreConnections connections;
-    const auto first = connections.acquire();
-    const auto second = connections.acquire();
-    connections.release(first);
-    connections.release(second);
+    const auto now = EventClock::start;
+    const auto first = connections.acquire(now);
+    const auto second = connections.acquire(now);
+    connections.release(first, now);
+    connections.release(second, now);
     connections.silence();
-    EXPECT_EQ(connections.acquire(), second);
-    EXPECT_EQ(connections.acquire(), first);
+    EXPECT_EQ(connections.acquire(now), second);
+    EXPECT_EQ(connections.acquire(now), first);
     EXPECT_TRUE(first->isSilent && second->isSilent);
-    EXPECT_FALSE(connections.acquire()->isSilent);
+    EXPECT_FALSE(connections.acquire(now)->isSilent);
+}
+
+// A silent connection costs its next call the whole time-out.
+TEST(StoreConnections, areDroppedWhenTheyWereIdleForLong)
+{
+    StoreConnections connections;
+    const auto idle = connections.acquire(EventClock::start);
+    connections.release(idle, EventClock::start);
+    EXPECT_NE(connections.acquire(EventClock::start + std::chrono::milliseconds(1001)), idle);
 }
 
 // A pending watch has no response to be kept by.
 TEST(StoreConnections, becomeSilentWithTheirCalls)
 {
     StoreConnections connections;
-    const auto watch = connections.acquire();
+    const auto watch = connections.acquire(EventClock::start);
     connections.silence();
     EXPECT_TRUE(watch->isSilent);
 }
