--- a/packages/traffic/calls/CallRequest.h
+++ b/packages/traffic/calls/CallRequest.h
@@ -29,8 +29,8 @@
     std::string body;
     core::identity::RouteName route;
     core::identity::ServiceName service;
-    /** The revision of the intent by which the sender chose the service; zero if it did not tell.
-     */
+    /** The revision of the intent in force on the sender when it sent the call; zero if it did not
+        tell. */
     core::identity::Revision intentRevision;
     /** The version that routing chose. */
     core::identity::VersionName version;
--- a/packages/traffic/inbound/OutdatedCalls.h
+++ b/packages/traffic/inbound/OutdatedCalls.h
@@ -7,10 +7,10 @@
 
 namespace boragetrack::traffic::inbound {
 
-/** Returns whether a call's sender chose the service by an intent that has been replaced for so
-   long that every node should have the later one, which does not send the route's calls there.
-   Whatever keeps the sender from learning of changes, its calls then don't run by the old intent.
- */
+/** Returns whether a call's sender lacks an intent that has been in force here for so long that
+   every node should have it, and which does not send the calls of the route, as it is named, to the
+    service. Calls that a route with a longer prefix covers since are not noticed.
+    @param request at its arrival: one that has waited may run as its sender chose */
 bool isOutdated(const calls::CallRequest &request, const routing::RoutingSnapshot &snapshot,
                 core::timing::MonotonicTime now);
 
--- a/packages/traffic/retry/CallPlan.cpp
+++ b/packages/traffic/retry/CallPlan.cpp
@@ -67,8 +67,7 @@
     // holder may have run.
     if (triedHolder_)
         return finish(response);
-    // The other upstreams of the service are wrong as well; the caller returns when this node has
-    // fetched the change.
+    // Other upstreams of the service would refuse as well. This node fetches the change meanwhile.
     if (response.isOutdated && response.outcome == CallOutcome::NotRun)
         return refuse(response, std::chrono::milliseconds::zero(), now);
     if (isRefusedBeforeUpstream(response)) {
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -154,6 +154,9 @@
     if (attempt == nullptr)
         return respond(std::get<CallResponse>(std::move(step)));
     server_.attempts_.add();
+    // A call that was routed before a change may run as the earlier intent says; only a node that
+    // still lacks the change is refused.
+    attempt->request.intentRevision = server_.dependencies_.routing.current()->intent->revision();
     const bool isCrossDataCentre = attempt->endpoint.dataCentre != snapshot_->dataCentre;
     const std::size_t requestBytes = traffic::calls::sizeOf(attempt->request);
     return server_.dependencies_.sender
@@ -177,7 +180,6 @@
     call.body = std::move(body);
     call.service = pickService(route, server_.random_);
     call.callerService = server_.dependencies_.service;
-    call.intentRevision = snapshot_->intent->revision();
     if (const auto attempt = server_.dependencies_.runningCalls.attemptOf(description_.parentId)) {
         call.isNested = true;
         call.attempt = std::max(call.attempt, *attempt);
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -88,11 +88,17 @@
     // The sender may have given the call up while this process was paused.
     request.possibleDelay = std::chrono::duration_cast<std::chrono::microseconds>(
             dependencies_.pauses.possibleDelay(request.receivedAt));
-    const std::optional<std::string> reason = refusalReason(request);
+    const bool isOutdated = traffic::inbound::isOutdated(request, *dependencies_.routing.current(),
+                                                         request.receivedAt);
+    const std::optional<std::string> reason
+            = isOutdated ? "the sender's intent is out of date" : refusalReason(request);
     const bool isKeyed = !request.key.isEmpty() && !request.isIdempotent;
     // A duplicate receives the stored response even when the upstream has changed since.
-    if (reason && !(isKeyed && keyedCalls_.hasResponse(request.key)))
-        return refuse(request, *reason);
+    if (reason && !(isKeyed && keyedCalls_.hasResponse(request.key))) {
+        CallResponse refusal = refuse(request, *reason);
+        refusal.isOutdated = isOutdated;
+        return refusal;
+    }
     auto share = kj::heap<http::BufferBudget::Share>(upstreamClient_.bufferBudget());
     if (!share->resize(request.body.size()))
         return refuse(request, "too many bytes of bodies are buffered");
@@ -134,10 +140,7 @@
     if (currentTime() < coldUntil_ && !coldRate_.rate())
         return "the rate that the cold upstream can take is not known yet";
     const auto record = status_ ? std::optional(status_->record) : std::nullopt;
-    const auto snapshot = dependencies_.routing.current();
-    if (traffic::inbound::isOutdated(request, *snapshot, currentTime()))
-        return "the sender's intent is out of date";
-    return traffic::inbound::refusalReason(request, record, *snapshot);
+    return traffic::inbound::refusalReason(request, record, *dependencies_.routing.current());
 }
 
 kj::Promise<CallResponse> InboundProxy::admitAndSend(kj::Own<CallRequest> request)
@@ -200,9 +203,7 @@
                            {"reason", reason}});
     CallResponse response = CallResponse::notRun(reason);
     response.load = load;
-    const auto snapshot = dependencies_.routing.current();
-    response.intentRevision = snapshot->intent->revision();
-    response.isOutdated = traffic::inbound::isOutdated(request, *snapshot, currentTime());
+    response.intentRevision = dependencies_.routing.current()->intent->revision();
     return response;
 }
 
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -31,7 +31,7 @@
   coldRate @17 :Float64 = -1;
   # The organisation that the request belongs to; empty if there is none.
   organisation @18 :Text;
-  # The revision of the intent by which the sender chose the service; zero if it does not tell.
+  # The revision of the intent in force on the sender when it sends the call; zero if it does not tell.
   intent @19 :UInt64;
 }
 
