Read the operators' number of an intent

Cause: intents are ordered by the store's revision alone, and no log can tell which version of the configuration a node has in force. The platform's field "version" was never read. Change: IntentDocument::number, read from "version"; zero for what is no such text. It decides nothing yet.

--- a/packages/control/intent/IntentDocument.h
+++ b/packages/control/intent/IntentDocument.h
@@ -9,6 +9,7 @@
 #include "control/intent/Organisation.h"
 #include "control/intent/Route.h"
 #include "control/intent/ServiceIntent.h"
+#include "core/identity/IntentNumber.h"
 
 #include <optional>
 #include <vector>
@@ -18,6 +19,8 @@
 /** Contains a validated document. */
 struct IntentDocument
 {
+    /** The operators' number of the intent; zero where they give none. */
+    core::identity::IntentNumber number;
     // Invariant: names are unique within each list, every reference refers to an element of the
     // document, and a service has at most one running move.
     std::vector<DataCentreIntent> dataCentres;
--- a/tests/unit/PlatformIntentTest.cpp
+++ b/tests/unit/PlatformIntentTest.cpp
@@ -81,6 +81,29 @@
     EXPECT_EQ(snapshot.service(core::identity::ServiceName("payments"))->coldRate, 13.0);
 }
 
+// Guards against configurations that can't be compared because their version isn't read.
+TEST_F(PlatformIntentTest, readsTheNumberOfAConfiguration)
+{
+    const std::vector<std::pair<std::string, std::uint64_t>> numbers{
+            {R"("r7")", 7},
+            {R"("r18446744073709551615")", 18446744073709551615U},
+            {R"("r18446744073709551616")", 0},
+            {R"("r")", 0},
+            {R"("r-1")", 0},
+            {R"("7")", 0},
+            {R"("r7b")", 0},
+            {"7", 0},
+            {"null", 0}};
+    std::uint64_t revision = 1;
+    for (const auto &[version, number] : numbers) {
+        std::string text = configuration;
+        text.replace(text.find(R"("r7")"), 4, version);
+        apply(revision, {record("op/config", revision, text)});
+        EXPECT_EQ(intent_.document().number.number(), number) << version;
+        ++revision;
+    }
+}
+
 TEST_F(PlatformIntentTest, hasNoRevisionBeforeTheFirstConfiguration)
 {
     apply(5, {record("op/evacuate/ikeja", 5, "{}")});
