--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -31,6 +31,7 @@
         self._lost_calls = 0  # the calls up to this number get no response
         self.delay = 0.0  # before each response, in seconds
         self.staleness = 0.0  # the age of what reads with "staleOk" return, in seconds
+        self.era = None  # the value of the header "Store-Era"; None sends none
         # Returns the response to send in place of the given one.
         self.replace_response = lambda request, response: response
 
@@ -60,6 +61,15 @@
         """Never responds to the calls that are in progress, waiting watches among them."""
         self._lost_calls = self.calls
 
+    def come_back_from_copy(self, age, away):
+        """Ends the server's connections, refuses others for some time, and comes back as it was:
+        all later writes are gone, as are all leases and their records. Parameters in seconds."""
+        items, revision = self.event_loop.call(self.copy_of, age)
+        self.stop()
+        time.sleep(away)
+        self.event_loop.run(self._restore(items, revision))
+        self.start()
+
     def expire_leases(self):
         """Expires all leases and removes their records, as an outage may do."""
         self.event_loop.run(self._expire_leases(list(self.leases)))
@@ -72,6 +82,8 @@
         response = await self.respond(request)
         if self.fault == "silent" or number <= self._lost_calls:
             await asyncio.sleep(3600)
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
         return self.replace_response(request, response)
 
     async def respond(self, request):
@@ -129,7 +141,7 @@
     async def watch(self, request):
         prefix = unquote(request.query.get("prefix", ""))
         after = int(request.query["after"])
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return self.json_response(410, {"error": "compacted"})
         timeout = int(request.query.get("waitMs", "0")) / 1000
         matching_events = lambda: [
@@ -201,6 +213,15 @@
         self.history.append(event)
         self._written_at.append(time.monotonic())
 
+    async def _restore(self, items, revision):
+        self.items = {key: dict(item) for key, item in items.items()}
+        self.revision = revision
+        kept = sum(event["revision"] <= revision for event in self.history)
+        del self.history[kept:], self._written_at[kept:]
+        if self.era is not None:
+            self.era += 1
+        await self._expire_leases(list(self.leases))
+
     async def _remove_all(self, keys):
         async with self.changed:
             for key in keys:
