--- a/packages/control/records/StoreDepartureKeeper.cpp
+++ b/packages/control/records/StoreDepartureKeeper.cpp
@@ -46,6 +46,15 @@
     write();
 }
 
+void StoreDepartureKeeper::keepAgain()
+{
+    if (!kept_ || pending_)
+        return;
+    pending_ = std::exchange(kept_, std::nullopt);
+    backoff_ = initialBackoff;
+    write();
+}
+
 bool StoreDepartureKeeper::isKept(const AnnouncementStamp &departure) const
 {
     return kept_ && isSameDeparture(*kept_, departure);
--- a/packages/control/records/StoreDepartureKeeper.h
+++ b/packages/control/records/StoreDepartureKeeper.h
@@ -39,6 +39,9 @@
     /** A departure replaces an earlier one that is still being written; an upstream whose departure
         was not acknowledged repeats it. */
     void keep(const membership::AnnouncementStamp &departure) override;
+    /** Writes the last departure again: the store came back from a copy, which may lack it. */
+    void keepAgain();
+
     bool isKept(const membership::AnnouncementStamp &departure) const override;
 
 private:
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -29,6 +29,7 @@
     StoreKnowledge = 215,
     StoreProofMissing = 216,
     StoreProofRegained = 217,
+    StoreCameBack = 218,
     MemberAlive = 300,
     MemberSuspect = 301,
     MemberDead = 302,
--- a/packages/daemon/environment/PlatformEnvironment.cpp
+++ b/packages/daemon/environment/PlatformEnvironment.cpp
@@ -37,12 +37,13 @@
 
 PlatformEnvironment::PlatformEnvironment(const Dependencies &dependencies)
     : stopGracePeriod_(dependencies.settings.stopGracePeriod)
-    , store_(
+    , platformStore_(
               dependencies.settings.platform, dependencies.trafficThread,
               [&thread = dependencies.controlThread](platform::PlatformStore::Task task) {
                   return thread.post(std::move(task));
               },
               dependencies.counters)
+    , store_(platformStore_)
     , usage_(makeUsage(dependencies, store_))
     , source_({store_, dependencies.controlThread,
                [dataCentres = dependencies.settings.dataCentres]() {
@@ -66,8 +67,8 @@
 
 std::vector<transport::links::LoopComponent *> PlatformEnvironment::loopComponents()
 {
-    std::vector<transport::links::LoopComponent *> loopComponents{&store_, &heartbeatListener_,
-                                                                  &readinessListener_};
+    std::vector<transport::links::LoopComponent *> loopComponents{
+            &platformStore_, &heartbeatListener_, &readinessListener_};
     if (metricsListener_)
         loopComponents.push_back(&*metricsListener_);
     if (usage_) {
--- a/packages/daemon/environment/PlatformEnvironment.h
+++ b/packages/daemon/environment/PlatformEnvironment.h
@@ -6,6 +6,7 @@
 #include "platform/PlatformStore.h"
 #include "platform/ReadinessHandler.h"
 
+#include "control/records/EraAwareStore.h"
 #include "core/counters/CounterRegistry.h"
 #include "daemon/environment/NodeEnvironment.h"
 #include "daemon/service/ControlThread.h"
@@ -58,7 +59,9 @@
 
     std::chrono::milliseconds stopGracePeriod_;
     platform::PlatformDialect dialect_;
-    platform::PlatformStore store_;
+    platform::PlatformStore platformStore_;
+    // Calls platformStore_.
+    control::records::EraAwareStore store_;
     // Null without usage reports.
     std::unique_ptr<usage::PlatformUsage> usage_;
     service::RecordSource source_;
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -75,9 +75,26 @@
     updatedAt_ = now;
 }
 
+// The records of a new era may have come from the store or from a peer.
+void RecordSource::noticeEra()
+{
+    const Revision held = replica_->table().revision();
+    if (held == Revision{} || era_ == held.era())
+        return;
+    if (era_) {
+        core::events::logEvent(EventCode::StoreCameBack, "the store came back from a copy",
+                               {{"era", std::to_string(held.era())},
+                                {"eraBefore", std::to_string(*era_)},
+                                {"held", held.toString()}});
+        departures_.keepAgain();
+    }
+    era_ = held.era();
+}
+
 void RecordSource::update()
 {
     resumeIfPaused();
+    noticeEra();
     const bool mustFollow = plane_->mustFollowStore();
     if (mustFollow != isFollowRequired_)
         logStoreRole(mustFollow);
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -70,6 +70,7 @@
     void logProofRegained();
     bool needsNodeRecord() const;
     void resumeIfPaused();
+    void noticeEra();
     std::chrono::milliseconds probePeriod() const;
     void reportContact();
     void reportPeers(const std::vector<control::records::StoreRecord> &records);
@@ -87,6 +88,8 @@
     // Since when the store has served no call that proves the held revision, neither this node's
     // nor one of a node that told; nothing while it does.
     std::optional<core::timing::MonotonicTime> proofMissingSince_;
+    // The era of the records that this node holds; nothing before it held any.
+    std::optional<std::uint64_t> era_;
     // Whether this node had to follow the store at the last update; initially all nodes do.
     bool isFollowRequired_ = true;
     std::mt19937_64 random_;
