Put changes in force that a held revision already covers

A node whose revision was named by a response without the change ignored that change for ever: RecordTable::merge dropped everything at or below the table's revision, IntentPropagator dropped transfers of a revision that it held, and it put content in force only when the revision rose. Callers were served by the older configuration until the next change of it.

The table now takes a change that is newer than the known one of its key, unless it is from before removalsKnownSince(): only then may the table lack the removal that followed. Content that changed is put in force whether or not the revision rose; an older revision than the served one still isn't.

--- a/packages/control/distribution/IntentPropagator.cpp
+++ b/packages/control/distribution/IntentPropagator.cpp
@@ -33,7 +33,9 @@
     if (transfer.target <= replica_->revision()) {
         confirmedRevision_ = std::max(confirmedRevision_, transfer.target);
         serveIfAllowed(now);
-        return;
+        // A native intent of a held revision is the held one; a table of records may have holes.
+        if (!followsStore_)
+            return;
     }
     const auto text = replica_->unpack(transfer);
     if (text)
@@ -154,7 +156,9 @@
 
 void IntentPropagator::serveIfAllowed(MonotonicTime now)
 {
-    if (replica_->revision() <= servedRevision_ || !isServingAllowed(now))
+    const bool isNewer = replica_->revision() > servedRevision_;
+    const bool isChanged = replica_->revision() == servedRevision_ && hasUnservedContent_;
+    if ((!isNewer && !isChanged) || !isServingAllowed(now))
         return;
     servedRevision_ = replica_->revision();
     if (!hasUnservedContent_)
--- a/packages/control/records/RecordTable.cpp
+++ b/packages/control/records/RecordTable.cpp
@@ -11,8 +11,8 @@
 
 bool RecordTable::merge(const StoreRecord &record)
 {
-    // The change is known or outdated; the table may lack a record of its key's later removal.
-    if (record.revision <= revision_)
+    // The table may lack a record of the key's later removal.
+    if (record.revision <= removalsKnownSince_)
         return false;
     return mergeNewer(record);
 }
--- a/packages/control/records/RecordTable.h
+++ b/packages/control/records/RecordTable.h
@@ -15,7 +15,9 @@
 public:
     using Records = std::map<std::string, StoreRecord>;
 
-    /** Merges one change; ignores one that the table's revision covers.
+    /** Merges one change, also one that the table's revision covers: the revision may have been
+       named without the change. Ignores one from before removalsKnownSince(), as the key may have
+       been removed since.
         @returns whether it is newer than the known one of its key */
     bool merge(const StoreRecord &record);
 
