Refuse a configuration that is older than the one in force

We ordered configurations by the store's revision and never compared their versions. When an older one was stored after a newer one that the store had acknowledged (a write that takes effect late, a second writer), all nodes followed it in good order and wrote nothing but E200: requests were run by the service of the older version until the next change.

Exchanges carry the number of the held intent. A node that is told a higher one at a revision that it has reached fetches all records of that peer, which contain the used record beside those of the store. A node that starts while the store lists others serves nothing until the first of them that holds an intent has responded (0.3 s at most) and its higher number was fetched (0.6 s at most). If all nodes restart, the store's version is all that there is (docs/PLATFORM.md).

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -123,6 +123,11 @@
     storeExchanges_.announceUpdate();
 }
 
+void ControlPlane::peersExpected()
+{
+    propagator_.awaitPeers(timers_.now());
+}
+
 void ControlPlane::storeFollowingChanged(bool isFollowed)
 {
     store_.setFollowing(isFollowed);
@@ -475,10 +480,12 @@
     membership_.mergeSuspicions(exchange.suspicions, now);
     moves_.mergeVerdicts(exchange.verdicts);
     moves_.mergeEvidence(exchange.evidence);
-    if (peer.address.port == 0)
+    if (peer.address.port == 0) {
         ++exchangesWithoutAddress_;
-    else
-        propagator_.compareRevisions(peer, exchange.revision, now);
+        return;
+    }
+    propagator_.compareRevisions(peer, exchange.revision, now);
+    propagator_.compareNumbers(peer, exchange.revision, exchange.number, now);
 }
 
 // Does not count as a regular fetch: the unknown node may have started with this one and know as
@@ -521,6 +528,7 @@
     exchange.sender = membership_.self().id;
     exchange.senderAddress = membership_.self().peerAddress;
     exchange.revision = propagator_.replica().revision();
+    exchange.number = propagator_.replica().document().number;
     exchange.revisionAge = store_.changes().age(timers_.now());
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -115,6 +115,10 @@
         @param origin the kind of call that returned the update */
     void storeUpdateReceived(OfferResult result, records::ChangeOrigin origin);
 
+    /** Handles that the store lists other nodes, before the update with that listing. The first of
+        them to respond may have a newer intent than the store. */
+    void peersExpected();
+
     /** Sets whether this node is following the durable store and can reach it. */
     void storeFollowingChanged(bool isFollowed);
 
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -5,6 +5,7 @@
 #include "control/membership/Suspicion.h"
 #include "control/moves/EvidenceEntry.h"
 #include "control/moves/MoveVerdict.h"
+#include "core/identity/IntentNumber.h"
 #include "core/identity/Revision.h"
 
 #include <chrono>
@@ -23,6 +24,8 @@
     core::identity::NetworkAddress senderAddress;
     /** The revision that the sender holds. */
     core::identity::Revision revision;
+    /** The operators' number of the intent that the sender holds; zero without one. */
+    core::identity::IntentNumber number;
     /** The time for which the sender has held that revision; nothing if it did not tell. */
     std::optional<std::chrono::milliseconds> revisionAge;
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
--- a/packages/control/distribution/IntentPropagator.cpp
+++ b/packages/control/distribution/IntentPropagator.cpp
@@ -105,6 +105,33 @@
         transport_.pushIntent(peer, replica_->transferSince(peerRevision));
 }
 
+void IntentPropagator::compareNumbers(const PeerContact &peer, Revision peerRevision,
+                                      core::identity::IntentNumber number, MonotonicTime now)
+{
+    if (!followsStore_)
+        return;
+    if (peerRevision != Revision{})
+        peersAwaitedUntil_.reset();
+    const bool isStarting = servedRevision_ == Revision{};
+    const bool isReached = peerRevision <= replica_->revision();
+    if (number <= replica_->document().number || (!isReached && !isStarting))
+        return;
+    if (number > minimumNumber_) {
+        minimumNumber_ = number;
+        minimumNumberAt_ = now;
+    }
+    if (numberFetchedAt_ && now - *numberFetchedAt_ < fetchTimeout)
+        return;
+    numberFetchedAt_ = now;
+    sendFetch(peer, Revision{});
+}
+
+void IntentPropagator::awaitPeers(MonotonicTime now)
+{
+    if (servedRevision_ == Revision{})
+        peersAwaitedUntil_ = now + peerWait;
+}
+
 void IntentPropagator::raiseMinimumRevision(Revision minimum, MonotonicTime now,
                                             const core::identity::NodeId &reporter)
 {
@@ -171,6 +198,8 @@
 {
     if (replica_->revision() < minimumRevision_ && isMinimumBinding(now))
         return false;
+    if (isNumberAwaited(now))
+        return false;
     if (!isMinimumKnown_ && now - startedAt_ < isolationTimeout)
         return false;
     return confirmedRevision_ >= replica_->revision() || now - heldSince_ >= isolationTimeout;
@@ -190,7 +219,7 @@
     if (wait.held == Revision{})
         wait.reason
                 = isMinimumKnown_ ? IntentWaitReason::NothingHeld : IntentWaitReason::NothingHeard;
-    else if (wait.held < minimumRevision_ && isMinimumBinding(now))
+    else if ((wait.held < minimumRevision_ && isMinimumBinding(now)) || isNumberAwaited(now))
         wait.reason = IntentWaitReason::BelowMinimum;
     else
         wait.reason = IntentWaitReason::NotConfirmed;
@@ -207,4 +236,13 @@
            && now - std::max(heldSince_, minimumRaisedAt_) < minimumWait;
 }
 
+bool IntentPropagator::isNumberAwaited(MonotonicTime now) const
+{
+    if (servedRevision_ != Revision{})
+        return false;
+    const bool isBelow = replica_->document().number < minimumNumber_;
+    return (isBelow && now - minimumNumberAt_ < minimumWait)
+           || (peersAwaitedUntil_ && now < *peersAwaitedUntil_);
+}
+
 } // namespace boragetrack::control::distribution
--- a/packages/control/distribution/IntentPropagator.h
+++ b/packages/control/distribution/IntentPropagator.h
@@ -23,6 +23,9 @@
     platform is served once one peer holds it as well, so that a node that restarts right afterwards
     cannot fall back behind it. Both waits end after isolationTimeout.
 
+    A durable store may hold an older intent under a later revision. The operators' numbers decide
+    there: peers tell theirs, and the intent with a higher one is fetched from them.
+
     Where there is a durable store, the minimum binds a starting node for minimumWait only: the
     nodes that held it may all have ended, and the store, which has it, may not respond for long. A
     process that has served an intent never serves an older one.
@@ -61,6 +64,10 @@
         milliseconds. */
     static constexpr std::chrono::milliseconds minimumWait{600};
 
+    /** How long a starting node that has read the store waits for the first contact with a peer.
+        Peers respond within milliseconds, from other data centres within a tenth of a second. */
+    static constexpr std::chrono::milliseconds peerWait{300};
+
     /** @param transport and @param listener must outlive the propagator
         @param peers the peers to push to
         @param replica stores the intent; an EnvelopeReplica by default */
@@ -91,6 +98,17 @@
     void compareRevisions(const PeerContact &peer, core::identity::Revision peerRevision,
                           core::timing::MonotonicTime now);
 
+    /** Compares the operators' number of a peer's intent with the held one. A higher one at a
+       revision that this node has reached shows that it can't come from the store any more; the
+       peer's records are fetched.
+        @param peerRevision the revision that the peer holds; zero if it holds no intent */
+    void compareNumbers(const PeerContact &peer, core::identity::Revision peerRevision,
+                        core::identity::IntentNumber number, core::timing::MonotonicTime now);
+
+    /** Lets a starting node serve the store's intent only once a peer that holds one has told its
+        number, or after peerWait. */
+    void awaitPeers(core::timing::MonotonicTime now);
+
     /** Marks this node as following a durable store; peers are then only asked for changes that the
         store does not deliver in time.
         @param isReachable whether this node currently receives updates from the store */
@@ -126,6 +144,7 @@
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isServingAllowed(core::timing::MonotonicTime now) const;
     bool isMinimumBinding(core::timing::MonotonicTime now) const;
+    bool isNumberAwaited(core::timing::MonotonicTime now) const;
     void fetchFrom(const PeerContact &peer, core::identity::Revision target,
                    core::timing::MonotonicTime now);
     void sendFetch(const PeerContact &peer, core::identity::Revision have);
@@ -150,6 +169,13 @@
     // The newest revision that was fetched from a peer, and the time of the request.
     core::identity::Revision fetchedRevision_;
     core::timing::MonotonicTime fetchedAt_{};
+    // The highest number that a peer has told and no held revision explains, when it was told
+    // first, and when it was last fetched.
+    core::identity::IntentNumber minimumNumber_;
+    core::timing::MonotonicTime minimumNumberAt_{};
+    std::optional<core::timing::MonotonicTime> numberFetchedAt_;
+    // Until when a starting node waits for the first peer; nothing once one was in contact.
+    std::optional<core::timing::MonotonicTime> peersAwaitedUntil_;
     int fetchCount_ = 0;
     core::identity::NetworkAddress lastFetchFrom_;
     bool isMinimumKnown_ = false;
--- a/packages/control/distribution/RecordReplica.cpp
+++ b/packages/control/distribution/RecordReplica.cpp
@@ -19,6 +19,10 @@
 
 namespace {
 
+// Members of a transfer: the records of the table, and those in use in their place.
+constexpr const char *recordsName = "records";
+constexpr const char *retainedName = "retained";
+
 // A removed record is written without a text.
 void writeRecord(const StoreRecord &record, rapidjson::Writer<rapidjson::StringBuffer> &writer)
 {
@@ -48,6 +52,31 @@
     return record;
 }
 
+void writeRecords(const char *name, const std::vector<StoreRecord> &records,
+                  rapidjson::Writer<rapidjson::StringBuffer> &writer)
+{
+    writer.Key(name);
+    writer.StartArray();
+    for (const StoreRecord &record : records)
+        writeRecord(record, writer);
+    writer.EndArray();
+}
+
+// Returns nothing if an entry is no record; no records without a list of that name.
+std::optional<std::vector<StoreRecord>> readRecords(const JsonDocument &transfer, const char *name)
+{
+    std::vector<StoreRecord> records;
+    if (!transfer.HasMember(name) || !transfer[name].IsArray())
+        return records;
+    for (const JsonValue &entry : transfer[name].GetArray()) {
+        auto record = readRecord(entry);
+        if (!record)
+            return std::nullopt;
+        records.push_back(std::move(*record));
+    }
+    return records;
+}
+
 // Returns whether a transfer contains all records that existed at its revision.
 bool isWhole(const JsonDocument &transfer)
 {
@@ -77,23 +106,20 @@
 OfferResult RecordReplica::offer(const std::string &text)
 {
     const JsonDocument root = core::findings::parseJsonDocument(text, TextEncoding::Unchecked);
-    const bool isTransferText = root.IsObject() && root.HasMember("records")
-                                && root["records"].IsArray() && root.HasMember("through")
+    const bool isTransferText = root.IsObject() && root.HasMember(recordsName)
+                                && root[recordsName].IsArray() && root.HasMember("through")
                                 && root["through"].IsUint64();
     if (!isTransferText)
         return OfferResult::Refused;
+    auto changes = readRecords(root, recordsName);
+    const auto retained = readRecords(root, retainedName);
+    if (!changes || !retained)
+        return OfferResult::Refused;
+    std::erase_if(*changes, [&](const auto &record) { return !isKept(record); });
     const Revision before = revision();
-    std::vector<StoreRecord> changes;
-    for (const JsonValue &entry : root["records"].GetArray()) {
-        auto record = readRecord(entry);
-        if (!record)
-            return OfferResult::Refused;
-        if (isKept(*record))
-            changes.push_back(std::move(*record));
-    }
     const Revision through(root["through"].GetUint64());
-    Change change = merge(changes);
-    if (isWhole(root) && table_.mergeListing({}, changes, through))
+    Change change = mergeFromPeer(*changes, *retained);
+    if (isWhole(root) && table_.mergeListing({}, *changes, through))
         change = Change::Intent;
     table_.completeThrough(through);
     return update(change, before);
@@ -116,6 +142,22 @@
     return change;
 }
 
+// The peer may use a record that this node's table has not, or no longer.
+RecordReplica::Change RecordReplica::mergeFromPeer(const std::vector<StoreRecord> &changes,
+                                                   const std::vector<StoreRecord> &retained)
+{
+    const Change change = merge(changes);
+    bool isAdopted = false;
+    for (const auto *records : {&changes, &retained}) {
+        for (const StoreRecord &record : *records) {
+            const bool isInTable = table_.find(record.key) != nullptr
+                                   && table_.find(record.key)->revision == record.revision;
+            isAdopted = (!isInTable && reader_->adopt(record)) || isAdopted;
+        }
+    }
+    return isAdopted ? Change::Intent : change;
+}
+
 // A change of shared records leaves the document as it is: some change every few seconds, and
 // rebuilding a large document takes milliseconds.
 OfferResult RecordReplica::update(Change change, Revision before)
@@ -167,11 +209,9 @@
     writer.Uint64(table_.revision().number());
     writer.Key("whole");
     writer.Bool(base == Revision{});
-    writer.Key("records");
-    writer.StartArray();
-    for (const StoreRecord &record : table_.changesSince(base))
-        writeRecord(record, writer);
-    writer.EndArray();
+    writeRecords(recordsName, table_.changesSince(base), writer);
+    if (base == Revision{})
+        writeRecords(retainedName, reader_->retained(), writer);
     writer.EndObject();
     IntentTransfer transfer{revision(), base, 0, std::string(text.GetString(), text.GetSize())};
     transfer.textHash = core::hashing::stableHash(transfer.payload);
--- a/packages/control/distribution/RecordReplica.h
+++ b/packages/control/distribution/RecordReplica.h
@@ -48,6 +48,8 @@
 
     bool isKept(const records::StoreRecord &record) const;
     Change merge(const std::vector<records::StoreRecord> &changes);
+    Change mergeFromPeer(const std::vector<records::StoreRecord> &changes,
+                         const std::vector<records::StoreRecord> &retained);
     OfferResult update(Change change, core::identity::Revision before);
 
     std::unique_ptr<records::RecordReader> reader_;
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -158,14 +158,16 @@
     plane_->storedDeparturesReceived(control::records::departuresAt(dependencies_.node, records));
     plane_->storeFollowingChanged(true);
     reportContact();
-    plane_->storeUpdateReceived(replica_->applyListing(records, revision),
-                                control::records::ChangeOrigin::Listing);
     const std::string localKey = control::records::nodeRecordKey(dependencies_.node);
     isOnlyListedNode_
             = std::none_of(records.begin(), records.end(), [&](const StoreRecord &record) {
                   return record.key.starts_with(control::records::nodeRecordPrefix)
                          && record.key != localKey;
               });
+    if (!isOnlyListedNode_)
+        plane_->peersExpected();
+    plane_->storeUpdateReceived(replica_->applyListing(records, revision),
+                                control::records::ChangeOrigin::Listing);
     listedAt_ = dependencies_.timers.now();
     std::uniform_int_distribution<std::int64_t> delay(0, registrationSpread.count());
     registersAt_ = listedAt_ + control::records::StoreFollower::firstWatchDelay
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -169,6 +169,7 @@
 {
     message.setSender(exchange.sender.value());
     message.setRevision(exchange.revision.number());
+    message.setNumber(exchange.number.number());
     if (exchange.revisionAge)
         message.setRevisionMillis(exchange.revisionAge->count());
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
@@ -198,6 +199,7 @@
     Exchange exchange;
     exchange.sender = NodeId(message.getSender());
     exchange.revision = Revision(message.getRevision());
+    exchange.number = core::identity::IntentNumber(message.getNumber());
     exchange.receiverMinimumRevision = Revision(message.getReceiverFloor());
     if (message.hasReceiverDeparture())
         exchange.receiverDeparture = decodeAnnouncement(message.getReceiverDeparture());
