Believe a listing of the store no further than its records go

A listing whose first page named a later revision than its records showed was believed: the node held that revision, watched from it, and covered other nodes with it. A fleet that started right after an acknowledged change served the older configuration until the next change, with every proof fresh.

A listing now proves the last change in its first page, and what had been named before it was sent, as the store collects the records later. If the page names a later revision, one read follows at once; it was sent after that revision was known, so what it returns is complete up to it, removals included. If the store has no history of it (410), the watch that follows fails the same way and the records are listed once more; that listing proves what the first one named, so it ends there. If the read fails, the first watch begins where the listing ended. A revision that peers told meanwhile is kept. The read costs a call after a listing of several pages or after a removal.

--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -14,14 +14,21 @@
 constexpr const char *allKeysPrefix = "";
 constexpr int maximumDoublings = 6;
 
-// Returns the last change in a response, or zero without one. Changes up to it are complete, as
-// events come in order; the revision that the store names may be that of a change after them.
-Revision lastChangeIn(const RecordChanges &response)
+Revision lastRevisionOf(const std::vector<StoreRecord> &records)
 {
     Revision last;
-    for (const StoreRecord &change : response.changes)
-        last = std::max(last, change.revision);
-    return std::min(last, response.revision);
+    for (const StoreRecord &record : records)
+        last = std::max(last, record.revision);
+    return last;
+}
+
+// Returns the revision up to which a response is complete: its last record, as the store collects
+// them in order, or what was known before the call, as it collects them after that. The revision
+// that the store names may be that of a change after them.
+Revision completeRevision(const std::vector<StoreRecord> &records, Revision named,
+                          Revision namedBeforeCall)
+{
+    return std::min(named, std::max(lastRevisionOf(records), namedBeforeCall));
 }
 
 // The same watch would get the same response, so the records are listed page by page instead.
@@ -60,6 +67,7 @@
         ++listingNumber_;
         listed_.clear();
         sentAt_ = timers_.now();
+        namedBeforeListing_ = namedRevision_;
     }
     store_.list(
             allKeysPrefix, after, responseTimeout,
@@ -75,19 +83,24 @@
         handleFailure(response.status());
         return;
     }
-    if (listed_.empty())
-        listingRevision_ = response->revision;
+    if (listed_.empty()) {
+        namedRevision_ = std::max(namedRevision_, response->revision);
+        listingRevision_
+                = completeRevision(response->records, response->revision, namedBeforeListing_);
+    }
     listed_.insert(listed_.end(), response->records.begin(), response->records.end());
     if (response->isTruncated && !response->records.empty()) {
         listFrom(listed_.back().key);
         return;
     }
     isListed_ = true;
-    revision_ = listingRevision_;
+    revision_ = std::max(revision_, listingRevision_);
     handleSuccess();
     listener_.recordsListed(listed_, listingRevision_);
     listed_.clear();
     timers_.addListener(*this, firstWatchDelay);
+    if (namedRevision_ > revision_)
+        readChanges();
 }
 
 void StoreFollower::setActive(bool isActive, core::identity::Revision known)
@@ -153,16 +166,16 @@
 {
     if (!isListed_ || std::exchange(isReadPending_, true))
         return;
-    store_.watch(
-            allKeysPrefix, revision_, readDuration, responseTimeout,
-            [self = self_, sentAt = timers_.now()](const absl::StatusOr<RecordChanges> &response) {
-                if (*self != nullptr)
-                    (*self)->handleReadResponse(response, sentAt);
-            });
+    store_.watch(allKeysPrefix, revision_, readDuration, responseTimeout,
+                 [self = self_, sentAt = timers_.now(),
+                  named = namedRevision_](const absl::StatusOr<RecordChanges> &response) {
+                     if (*self != nullptr)
+                         (*self)->handleReadResponse(response, sentAt, named);
+                 });
 }
 
 void StoreFollower::handleReadResponse(const absl::StatusOr<RecordChanges> &response,
-                                       core::timing::MonotonicTime sentAt)
+                                       core::timing::MonotonicTime sentAt, Revision namedBeforeCall)
 {
     isReadPending_ = false;
     // A pending watch copes with that itself.
@@ -174,11 +187,12 @@
     if (!response.ok())
         return;
     readAt_ = sentAt;
-    if (response->changes.empty()) {
+    const Revision reached
+            = completeRevision(response->changes, response->revision, namedBeforeCall);
+    if (response->changes.empty() && reached <= revision_) {
         listener_.storeContacted();
         return;
     }
-    const Revision reached = lastChangeIn(*response);
     revision_ = std::max(revision_, reached);
     monitor_.recordRevision(response->revision);
     listener_.recordsChanged(RecordChanges{response->changes, reached, ChangeOrigin::Read});
@@ -209,10 +223,8 @@
         return;
     }
     handleSuccess();
-    // The store collected the events after the call was sent, so they include each change that was
-    // known by then.
     const Revision reached
-            = std::max(lastChangeIn(*response), std::min(response->revision, namedBeforeWatch_));
+            = completeRevision(response->changes, response->revision, namedBeforeWatch_);
     revision_ = std::max(revision_, reached);
     namedRevision_ = std::max(namedRevision_, response->revision);
     isCheckDue_ = !isChecking_ && namedRevision_ > revision_;
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -21,7 +21,9 @@
     The revision that a response names proves nothing by itself: the store may have collected the
     events before a change and read its revision after it. It counts as far as it was known when the
     call was sent, as the events are collected later. If a response names a revision that it does
-    not reach, the next watch follows at once and waits for a short time only.
+    not reach, the next watch follows at once and waits for a short time only. The same holds for
+    the first page of a listing, after which a read follows at once. A read shows removals, which
+    leave no record in a listing; if the store has compacted them, the records are listed again.
 */
 class StoreFollower : private core::timing::TimerService::Listener, private WatchMonitor::Listener
 {
@@ -33,7 +35,7 @@
         virtual ~Listener() = default;
 
         /** Handles a complete listing of the store.
-            @param revision the revision that the listing reflects */
+            @param revision the revision up to which every change is in the listing */
         virtual void recordsListed(const std::vector<StoreRecord> &records,
                                    core::identity::Revision revision)
                 = 0;
@@ -145,7 +147,8 @@
     void endWatch();
     void resume();
     void handleReadResponse(const absl::StatusOr<RecordChanges> &response,
-                            core::timing::MonotonicTime sentAt);
+                            core::timing::MonotonicTime sentAt,
+                            core::identity::Revision namedBeforeCall);
     void handleWatchResponse(const absl::StatusOr<RecordChanges> &response);
     void handleSuccess();
     void handleFailure(const absl::Status &error);
@@ -156,8 +159,8 @@
     Listener &listener_;
     std::mt19937_64 random_;
     std::shared_ptr<StoreFollower *> self_ = std::make_shared<StoreFollower *>(this);
-    // The pages of the current listing, and the revision of its first page: changes after that one
-    // may or may not be in later pages.
+    // The pages of the current listing, and the revision up to which the first one is complete:
+    // changes after that one may or may not be in later pages.
     std::vector<StoreRecord> listed_;
     core::identity::Revision listingRevision_;
     // Counts the listings; pages that belong to an earlier one are ignored. A listing without its
@@ -166,9 +169,10 @@
     bool isListed_ = false;
     // Every change up to this one was delivered, or is known from other sources.
     core::identity::Revision revision_;
-    // The last revision that a response to a watch named, and what it was when the pending watch
-    // was sent.
+    // The last revision that a listing or a response to a watch named, and what it was when the
+    // current listing began and when the pending watch was sent.
     core::identity::Revision namedRevision_;
+    core::identity::Revision namedBeforeListing_;
     core::identity::Revision namedBeforeWatch_;
     // Whether the next watch, or the pending one, requests what the last response did not carry.
     // Only one such watch follows a response, as a store may count changes that no watch shows.
