--- a/tests/unit/LinkFailureTest.cpp
+++ b/tests/unit/LinkFailureTest.cpp
@@ -126,13 +126,15 @@
     EXPECT_EQ(response.outcome, CallOutcome::NotRun) << response.reason;
 }
 
-// Without calls, a link that went silent for good failed all fetches and polls of its peer.
+// Without calls, a link that went silent for good failed all fetches and polls of its peer. The
+// request is repeated on a second link, and the call opens a third one.
 TEST_F(LinkFailure, aLinkThatFailsAControlRequestWithoutAnyResponseIsReplaced)
 {
     const std::uint64_t before = opened();
     EXPECT_FALSE(fetch());
-    EXPECT_EQ(call(milliseconds(0)).outcome, CallOutcome::Completed);
     EXPECT_EQ(opened(), before + 1);
+    EXPECT_EQ(call(milliseconds(0)).outcome, CallOutcome::Completed);
+    EXPECT_EQ(opened(), before + 2);
 }
 
 // A peer whose control thread is late responds to calls all the same.
