Write a level on each log line

Lines carry only a number and words, so readers and collectors that look for warnings choose lines by words: an E200, which says when a change came into force, or an E106, which says how late the loop ran, is in no such selection, while E213, an ordinary change of role, is.

Each event code has a level now, INFO, WARN or ERROR, between the time and the number. Refusals of calls are INFO, as each is in order and there are many under load. The table in docs/EVENTS.md has the level as a column, and the test that holds the table to the codes compares the level too. The text form moves into a function of its own, so that a test can read it. bench/convergence.py reads the new form; the other readers look for the number and the message.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -12,7 +12,7 @@
 from fleet import Fleet, http
 from load import percentile
 
-IN_FORCE = re.compile(r"^(\S+) E200 intent in force revision=(\d+)")
+IN_FORCE = re.compile(r"^(\S+) \w+ E200 intent in force revision=(\d+)")
 KEY = "/v1/kv/boragetrack/intent"
 
 
--- a/packages/core/events/EventLog.cpp
+++ b/packages/core/events/EventLog.cpp
@@ -1,10 +1,10 @@
-/** Formats events as single lines and limits the rate of the events of calls. */
+/** Writes events as single lines and limits the rate of the events of calls. */
 #include "core/events/EventLog.h"
 
+#include "core/events/EventLine.h"
 #include "core/events/LogRateLimiter.h"
 #include "core/events/ScopedEventSink.h"
 #include "core/events/StandardOutput.h"
-#include "core/timing/WallTime.h"
 
 #include <glog/logging.h>
 
@@ -29,22 +29,6 @@
     return limiter;
 }
 
-void appendValue(std::string &line, const std::string &value)
-{
-    const bool isPlain = !value.empty() && value.find_first_of(" \"=\n") == std::string::npos;
-    if (isPlain) {
-        line += value;
-        return;
-    }
-    line += '"';
-    for (const char character : value) {
-        if (character == '"' || character == '\\')
-            line += '\\';
-        line += character == '\n' ? ' ' : character;
-    }
-    line += '"';
-}
-
 } // namespace
 
 void logEvent(EventCode code, std::string_view message, std::initializer_list<EventField> fields)
@@ -53,16 +37,7 @@
         sink->eventLogged(code, message, fields);
         return;
     }
-    std::string line = timing::formatWallTimeMillis(timing::currentWallTime()) + " E"
-                       + std::to_string(static_cast<int>(code)) + " ";
-    line += message;
-    for (const auto &[name, value] : fields) {
-        line += " ";
-        line += name;
-        line += "=";
-        appendValue(line, value);
-    }
-    StandardOutput::instance().write(std::move(line));
+    StandardOutput::instance().write(eventLine(timing::currentWallTime(), code, message, fields));
 }
 
 void logCall(EventCode code, std::string_view message, bool isSuccess,
--- a/packages/core/events/EventLog.h
+++ b/packages/core/events/EventLog.h
@@ -2,20 +2,15 @@
 #pragma once
 
 #include "core/events/EventCode.h"
+#include "core/events/EventField.h"
 
 #include <initializer_list>
-#include <string>
 #include <string_view>
-#include <utility>
 
 namespace boragetrack::core::events {
 
-/** Key and value of one field of an event. */
-using EventField = std::pair<const char *, std::string>;
-
-/** Writes an event as a line "<time> E<code> <message> key=value ..." to standard output. Does not
-    block: a line that cannot be written immediately is dropped. Values that are empty or contain
-    spaces, quotes, equals signs or line feeds are quoted. */
+/** Writes an event as a line to standard output. Does not block: a line that cannot be written
+    immediately is dropped. @see eventLine */
 void logEvent(EventCode code, std::string_view message,
               std::initializer_list<EventField> fields = {});
 
