Name the intent in force in the lines that operators see

The lines that survive in a cut record, E210, E213, E216 and E321, tell the store's revision that a node holds, but neither by which configuration it decides nor since when. An older configuration under a later revision, and a node that holds a revision without its content, can't be told from a late change.

E200, E203, E204, E210, E213, E215, E216, E321 and E500 to E505 have the operators' number of the intent in force (intentNumber) and for how long it has been in force on the node (intentMs), and E200 the number before it (previousNumber). The status report has both, too.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -271,6 +271,22 @@
 }
 
 //==============================================================================
+StoreKnowledge ControlPlane::storeKnowledge() const
+{
+    StoreKnowledge knowledge = store_.knowledge();
+    knowledge.intent = inForce();
+    return knowledge;
+}
+
+IntentInForce ControlPlane::inForce() const
+{
+    IntentInForce intent{snapshot_->document().number, std::nullopt};
+    if (inForceSince_)
+        intent.age = std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now()
+                                                                           - *inForceSince_);
+    return intent;
+}
+
 bool ControlPlane::mustWatchIntentKey() const
 {
     return !isLeaving_ && membership::isWatcher(membership_.self(), membership_.table());
@@ -297,6 +313,7 @@
 {
     recordHeldRevision();
     resolveSnapshot(propagator_.replica().contentRevision(), propagator_.replica().document());
+    inForceSince_ = timers_.now();
     listener_.intentInForce();
     listener_.viewChanged();
 }
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -151,7 +151,7 @@
     }
 
     /** Returns what this node knows of the durable store, for logs and operators. */
-    StoreKnowledge storeKnowledge() const { return store_.knowledge(); }
+    StoreKnowledge storeKnowledge() const;
 
     /** Returns when changes were known elsewhere and came here. */
     const ChangeHistory &changes() const { return store_.changes(); }
@@ -234,6 +234,9 @@
     /** Returns the intent in force; revision zero before the first one. Never null. */
     const std::shared_ptr<const intent::IntentSnapshot> &snapshot() const { return snapshot_; }
 
+    /** Returns the number of the intent in force and for how long it has been that. */
+    IntentInForce inForce() const;
+
     /** Returns the membership of this node. */
     const membership::MembershipEngine &membership() const { return membership_; }
 
@@ -315,6 +318,8 @@
     EvaluatorGroup evaluatorGroup_;
     // Invariant: never null; its revision never decreases.
     std::shared_ptr<const intent::IntentSnapshot> snapshot_;
+    // Since when the intent in snapshot_ is in force; nothing before the first one.
+    std::optional<core::timing::MonotonicTime> inForceSince_;
     // The time of the last resolution of snapshot_; exceptions that had expired by then have no
     // effect in it.
     core::timing::WallTime resolvedAt_{};
--- a/packages/control/distribution/StoreKnowledge.h
+++ b/packages/control/distribution/StoreKnowledge.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/distribution/ChangeSource.h"
+#include "control/distribution/IntentInForce.h"
 #include "core/identity/Revision.h"
 
 #include <chrono>
@@ -27,6 +28,7 @@
     std::optional<std::chrono::milliseconds> contactAge;
     /** Where the last held changes came from. */
     ChangeSource updatedBy;
+    IntentInForce intent;
 };
 
 } // namespace boragetrack::control::distribution
--- a/packages/daemon/service/ChangeLog.cpp
+++ b/packages/daemon/service/ChangeLog.cpp
@@ -1,12 +1,13 @@
 /** A change is reported once while it is missing, and once more when it came. */
 #include "daemon/service/ChangeLog.h"
 
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
-#include "daemon/service/StoreKnowledgeLog.h"
 
 namespace boragetrack::daemon::service {
 
 using control::distribution::ControlPlane;
+using core::events::ageText;
 using core::events::EventCode;
 using std::chrono::milliseconds;
 
@@ -28,9 +29,13 @@
     const std::string delay = millisecondsOf(arrival.delay());
     core::events::logEvent(EventCode::IntentApplied, "intent in force",
                            {{"revision", revision},
+                            {"previousNumber", std::to_string(number_.number())},
                             {"from", from},
                             {"lateMs", delay},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
+    number_ = knowledge.intent.number;
     delays_.add(arrival.delay());
     if (arrival.delay() < reportedDelay)
         return;
@@ -40,7 +45,9 @@
                             {"from", from},
                             {"follows", knowledge.isFollowing ? "yes" : "no"},
                             {"coveredBy", knowledge.coveredBy.value()},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 void ChangeLog::update(const ControlPlane &plane, core::timing::MonotonicTime now)
@@ -59,7 +66,9 @@
                             {"reportedBy", missing->reportedBy.value()},
                             {"follows", knowledge.isFollowing ? "yes" : "no"},
                             {"coveredBy", knowledge.coveredBy.value()},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/ChangeLog.h
+++ b/packages/daemon/service/ChangeLog.h
@@ -27,6 +27,8 @@
 
 private:
     core::counters::LatencyCounters delays_;
+    // The number of the intent that came into force last.
+    core::identity::IntentNumber number_;
     // The missing revision that was reported last.
     core::identity::Revision reportedMissing_;
 };
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -4,8 +4,8 @@
 
 #include "control/records/DepartureRecord.h"
 #include "control/records/NodeRecord.h"
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
-#include "daemon/service/StoreKnowledgeLog.h"
 
 #include <algorithm>
 
@@ -15,6 +15,7 @@
 using control::distribution::RecordReplica;
 using control::moves::MoveRecord;
 using control::records::StoreRecord;
+using core::events::ageText;
 using core::events::EventCode;
 using core::identity::Revision;
 
@@ -122,11 +123,14 @@
 
 void RecordSource::logStoreRole(bool follows) const
 {
+    const auto knowledge = plane_->storeKnowledge();
     core::events::logEvent(EventCode::StoreRoleChanged, "store role changed",
                            {{"follows", follows ? "yes" : "no"},
                             {"chosen", plane_->isSelectedFollower() ? "yes" : "no"},
                             {"revision", std::to_string(replica_->table().revision().number())},
-                            {"coveredBy", plane_->storeKnowledge().coveredBy.value()}});
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 // Each node record costs store calls, by this node and by the nodes that watch. A new node finds
@@ -221,7 +225,9 @@
                            {{"error", std::string(error.message())},
                             {"held", std::to_string(knowledge.held.number())},
                             {"reported", std::to_string(knowledge.reported.number())},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 void RecordSource::proofMissing(const absl::Status &reason)
@@ -236,7 +242,9 @@
                             {"follows", follower_->isFollowing() ? "yes" : "no"},
                             {"held", std::to_string(knowledge.held.number())},
                             {"reported", std::to_string(knowledge.reported.number())},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 void RecordSource::logProofRegained()
--- a/packages/daemon/service/StatusReport.cpp
+++ b/packages/daemon/service/StatusReport.cpp
@@ -106,6 +106,10 @@
 {
     json report = describe(plane.membership().self());
     report["revision"] = plane.snapshot()->revision().number();
+    const auto intent = plane.inForce();
+    report["intentNumber"] = intent.number.number();
+    if (intent.age)
+        report["intentMs"] = intent.age->count();
     report["held"] = plane.replica().revision().number();
     report["serving"] = routing.isServing;
     report["watcher"] = plane.mustWatchIntentKey();
--- a/packages/daemon/service/StoreKnowledgeLog.cpp
+++ b/packages/daemon/service/StoreKnowledgeLog.cpp
@@ -1,14 +1,12 @@
 /** Writes one line for each summary; the caller bounds how often. */
 #include "daemon/service/StoreKnowledgeLog.h"
 
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
 
 namespace boragetrack::daemon::service {
 
-std::string ageText(const std::optional<std::chrono::milliseconds> &age)
-{
-    return age ? std::to_string(age->count()) : "none";
-}
+using core::events::ageText;
 
 void logStoreKnowledge(const control::distribution::StoreKnowledge &knowledge)
 {
@@ -20,7 +18,9 @@
                             {"contactMs", ageText(knowledge.contactAge)},
                             {"coveredBy", knowledge.coveredBy.value()},
                             {"coverageMs", ageText(knowledge.coverageAge)},
-                            {"updatedBy", knowledge.updatedBy.toString()}});
+                            {"updatedBy", knowledge.updatedBy.toString()},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/StoreKnowledgeLog.h
+++ b/packages/daemon/service/StoreKnowledgeLog.h
@@ -3,13 +3,8 @@
 
 #include "control/distribution/StoreKnowledge.h"
 
-#include <string>
-
 namespace boragetrack::daemon::service {
 
-/** Returns an age in milliseconds as a log field, "none" without one. */
-std::string ageText(const std::optional<std::chrono::milliseconds> &age);
-
 /** Logs what this node knows of the store (E215). */
 void logStoreKnowledge(const control::distribution::StoreKnowledge &knowledge);
 
--- a/packages/traffic/routing/RoutingSnapshot.cpp
+++ b/packages/traffic/routing/RoutingSnapshot.cpp
@@ -6,6 +6,14 @@
 
 namespace boragetrack::traffic::routing {
 
+std::optional<std::chrono::milliseconds>
+RoutingSnapshot::intentAge(core::timing::MonotonicTime now) const
+{
+    if (!isServing)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - origin->inForceSince);
+}
+
 const RouteTarget *RoutingSnapshot::targetFor(const std::string &host,
                                               const std::string &path) const
 {
--- a/packages/traffic/routing/RoutingSnapshot.h
+++ b/packages/traffic/routing/RoutingSnapshot.h
@@ -9,7 +9,9 @@
 #include "traffic/routing/RoutableMembers.h"
 #include "traffic/routing/RouteTarget.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace boragetrack::traffic::routing {
@@ -36,6 +38,9 @@
     // Invariant: never null.
     std::shared_ptr<const RoutableMembers> members = std::make_shared<RoutableMembers>();
 
+    /** Returns for how long the intent has been in force on this node; nothing before the first. */
+    std::optional<std::chrono::milliseconds> intentAge(core::timing::MonotonicTime now) const;
+
     /** Returns the target of calls to a path, or null when no route matches.
         @param host the host that the caller requested, without a port */
     const RouteTarget *targetFor(const std::string &host, const std::string &path) const;
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -44,12 +44,6 @@
     return target.substr(0, target.find('?'));
 }
 
-std::string millisecondsSince(MonotonicTime time)
-{
-    const auto elapsed = currentTime() - time;
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
-}
-
 EventCode eventOf(const CallResponse &response)
 {
     if (response.outcome == CallOutcome::NotRun && response.status == unauthorizedStatus)
@@ -59,13 +53,6 @@
     return response.outcome == CallOutcome::NotRun ? EventCode::CallNotRun : EventCode::CallUnknown;
 }
 
-std::string outcomeText(const CallResponse &response)
-{
-    if (response.outcome == CallOutcome::Completed)
-        return std::to_string(response.status);
-    return response.outcome == CallOutcome::NotRun ? "not-run" : "unknown";
-}
-
 } // namespace
 
 CallerServer::Call::Call(CallerServer &server, http::ServerExchange &exchange)
@@ -256,54 +243,4 @@
                              refusal.reason + "\n");
 }
 
-//==============================================================================
-// Appends an attempt to the log field "path", as "node:outcome@milliseconds since the arrival".
-void CallerServer::Call::recordAttempt(const core::identity::NodeId &node,
-                                       const CallResponse &response)
-{
-    path_ += path_.empty() ? "" : ",";
-    path_ += node.value() + ":" + outcomeText(response);
-    if (response.outcome != CallOutcome::Completed)
-        path_ += "(" + response.reason + ")";
-    path_ += "@" + millisecondsSince(arrivedAt_);
-}
-
-void CallerServer::Call::logOutcome(EventCode code, const char *message,
-                                    const CallResponse &response)
-{
-    hasEnded_ = true;
-    if (!response.isSuccess())
-        server_.dependencies_.runningCalls.recordFailedNestedCall(description_.parentId);
-    if (code == EventCode::CallAnswered)
-        server_.latencies_.add(currentTime() - arrivedAt_);
-    const bool isGood = code == EventCode::CallAnswered && response.status < 500;
-    core::events::logCall(
-            code, message, isGood,
-            {{"request", description_.requestId},
-             {"route", target_ == nullptr ? "" : target_->entry.route.name.value()},
-             {"status", std::to_string(response.status)},
-             {"ms", millisecondsSince(arrivedAt_)},
-             {"budgetMs",
-              std::to_string(
-                      description_.timeLeft.value_or(std::chrono::milliseconds::zero()).count())},
-             {"intent", std::to_string(snapshot_->intent->revision().number())},
-             {"intentFrom", snapshot_->origin->from},
-             {"intentMs",
-              snapshot_->isServing ? millisecondsSince(snapshot_->origin->inForceSince) : ""},
-             {"path", path_},
-             {"reason", response.reason}});
-}
-
-void CallerServer::Call::logCallerLeft()
-{
-    server_.callersLeft_.add();
-    logOutcome(EventCode::CallerLeft, "caller disconnected", CallResponse{});
-}
-
-void CallerServer::Call::logCut(const std::string &reason)
-{
-    server_.cutCalls_.add();
-    logOutcome(EventCode::CallCut, "call cut", CallResponse::unknown(reason));
-}
-
 } // namespace boragetrack::transport::callers
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -2,6 +2,7 @@
     TrafficLoop, which is created and destroyed on the thread. */
 #include "transport/links/TrafficThread.h"
 
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
 #include "transport/links/TrafficLoop.h"
 
@@ -133,11 +134,7 @@
                                                peer, std::move(response));
                                    },
                                    [this, peer](kj::Exception &&exception) {
-                                       core::events::logEvent(
-                                               core::events::EventCode::PeerUnreachable,
-                                               "peer unreachable",
-                                               {{"peer", peer.address.toString()},
-                                                {"error", exception.getDescription().cStr()}});
+                                       logUnreachable(peer, exception);
                                        dependencies_.eventSink.exchangeFailed(peer);
                                    }));
     });
@@ -201,6 +198,18 @@
     });
 }
 
+void TrafficThread::logUnreachable(const PeerContact &peer, const kj::Exception &exception)
+{
+    const auto routing = dependencies_.routing.current();
+    const auto age = routing->intentAge(std::chrono::steady_clock::now());
+    core::events::logEvent(
+            core::events::EventCode::PeerUnreachable, "peer unreachable",
+            {{"peer", peer.address.toString()},
+             {"error", exception.getDescription().cStr()},
+             {"intentNumber", std::to_string(routing->intent->document().number.number())},
+             {"intentMs", core::events::ageText(age)}});
+}
+
 void TrafficThread::logFailedFetch(const char *what, const PeerContact &peer,
                                    const kj::Exception &exception)
 {
--- a/packages/transport/links/TrafficThread.h
+++ b/packages/transport/links/TrafficThread.h
@@ -75,6 +75,8 @@
 
 private:
     void run(std::promise<absl::Status> started);
+    void logUnreachable(const control::distribution::PeerContact &peer,
+                        const kj::Exception &exception);
     void logFailedFetch(const char *what, const control::distribution::PeerContact &peer,
                         const kj::Exception &exception);
 
