Warn of an intent in force that is older than a peer's

Nodes compare the revisions that they hold, so a node that holds the latest revision and decides by an older intent seems up to date to itself and to all others.

Exchanges carry the operators' number of the intent in force on the sender. A node whose own number has been below one that a peer named for half a second logs E205 once for that number, whatever the revisions say. A report replaces the node's earlier ones, as operators may return to a lower number. Peers of earlier releases send zero, which is ignored. No decision depends on it.

--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -314,6 +314,7 @@
     recordHeldRevision();
     resolveSnapshot(propagator_.replica().contentRevision(), propagator_.replica().document());
     inForceSince_ = timers_.now();
+    comparison_.recordInForce(snapshot_->document().number);
     listener_.intentInForce();
     listener_.viewChanged();
 }
@@ -481,6 +482,7 @@
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
     store_.recordReport(exchange.sender, exchange.revision, exchange.revisionAge);
+    comparison_.recordReport(exchange.sender, exchange.intentNumber, now);
     if (exchange.revision > propagator_.replica().revision())
         listener_.laterRevisionReported();
     membership_.recordContact(exchange.sender, now);
@@ -539,6 +541,7 @@
     exchange.senderAddress = membership_.self().peerAddress;
     exchange.revision = propagator_.replica().revision();
     exchange.revisionAge = store_.changes().age(timers_.now());
+    exchange.intentNumber = snapshot_->document().number;
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "control/distribution/ByteRateLimiter.h"
 #include "control/distribution/DepartureMemory.h"
 #include "control/distribution/EvaluatorGroup.h"
+#include "control/distribution/IntentComparison.h"
 #include "control/distribution/IntentPropagator.h"
 #include "control/distribution/PeerIntroducer.h"
 #include "control/distribution/PeerSelector.h"
@@ -237,6 +238,9 @@
     /** Returns the number of the intent in force and for how long it has been that. */
     IntentInForce inForce() const;
 
+    /** Returns how the intent in force compares with those of other nodes. */
+    const IntentComparison &comparison() const { return comparison_; }
+
     /** Returns the membership of this node. */
     const membership::MembershipEngine &membership() const { return membership_; }
 
@@ -318,6 +322,7 @@
     EvaluatorGroup evaluatorGroup_;
     // Invariant: never null; its revision never decreases.
     std::shared_ptr<const intent::IntentSnapshot> snapshot_;
+    IntentComparison comparison_;
     // Since when the intent in snapshot_ is in force; nothing before the first one.
     std::optional<core::timing::MonotonicTime> inForceSince_;
     // The time of the last resolution of snapshot_; exceptions that had expired by then have no
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -5,6 +5,7 @@
 #include "control/membership/Suspicion.h"
 #include "control/moves/EvidenceEntry.h"
 #include "control/moves/MoveVerdict.h"
+#include "core/identity/IntentNumber.h"
 #include "core/identity/Revision.h"
 
 #include <chrono>
@@ -25,6 +26,8 @@
     core::identity::Revision revision;
     /** The time for which the sender has held that revision; nothing if it did not tell. */
     std::optional<std::chrono::milliseconds> revisionAge;
+    /** The number of the intent in force on the sender; zero if it has none or did not tell. */
+    core::identity::IntentNumber intentNumber;
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
         sender. After a restart the receiver waits until it holds that revision again. */
     core::identity::Revision receiverMinimumRevision;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -22,6 +22,7 @@
     IntentMissing = 202,
     IntentLate = 203,
     ChangeMissing = 204,
+    IntentOutdated = 205,
     StoreUnavailable = 210,
     StoreRecovered = 211,
     StoreListed = 212,
--- a/packages/core/events/EventLevel.cpp
+++ b/packages/core/events/EventLevel.cpp
@@ -41,6 +41,7 @@
     case EventCode::SettingsNeedRestart:
     case EventCode::IntentLate:
     case EventCode::ChangeMissing:
+    case EventCode::IntentOutdated:
     case EventCode::StoreUnavailable:
     case EventCode::StoreProofMissing:
     case EventCode::MemberSuspect:
--- a/packages/daemon/service/ChangeLog.cpp
+++ b/packages/daemon/service/ChangeLog.cpp
@@ -51,6 +51,12 @@
 }
 
 void ChangeLog::update(const ControlPlane &plane, core::timing::MonotonicTime now)
+{
+    warnOfMissingChange(plane, now);
+    warnOfLaterIntent(plane, now);
+}
+
+void ChangeLog::warnOfMissingChange(const ControlPlane &plane, core::timing::MonotonicTime now)
 {
     const auto &missing = plane.changes().missing();
     if (!missing || missing->revision <= reportedMissing_
@@ -71,4 +77,25 @@
                             {"intentMs", ageText(knowledge.intent.age)}});
 }
 
+void ChangeLog::warnOfLaterIntent(const ControlPlane &plane, core::timing::MonotonicTime now)
+{
+    const auto later = plane.comparison().overdueAt(now);
+    if (!later || later->number == reportedNumber_)
+        return;
+    reportedNumber_ = later->number;
+    const auto knowledge = plane.storeKnowledge();
+    core::events::logEvent(EventCode::IntentOutdated, "intent in force is older than a peer's",
+                           {{"error", "a later one has been known for "
+                                              + millisecondsOf(now - later->knownSince) + " ms"},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)},
+                            {"reportedNumber", std::to_string(later->number.number())},
+                            {"reportedBy", later->reportedBy.value()},
+                            {"held", std::to_string(knowledge.held.number())},
+                            {"reported", std::to_string(knowledge.reported.number())},
+                            {"follows", knowledge.isFollowing ? "yes" : "no"},
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+}
+
 } // namespace boragetrack::daemon::service
--- a/packages/daemon/service/ChangeLog.h
+++ b/packages/daemon/service/ChangeLog.h
@@ -22,13 +22,21 @@
     /** Handles that a newer intent is in force. */
     void intentInForce(const control::distribution::ControlPlane &plane);
 
-    /** Warns of a change that this node still lacks; called several times per second. */
+    /** Warns of a change that this node still lacks, and of a later intent that is in force on
+        another one; called several times per second. */
     void update(const control::distribution::ControlPlane &plane, core::timing::MonotonicTime now);
 
 private:
+    void warnOfMissingChange(const control::distribution::ControlPlane &plane,
+                             core::timing::MonotonicTime now);
+    void warnOfLaterIntent(const control::distribution::ControlPlane &plane,
+                           core::timing::MonotonicTime now);
+
     core::counters::LatencyCounters delays_;
     // The number of the intent that came into force last.
     core::identity::IntentNumber number_;
+    // The later intent that was reported last.
+    core::identity::IntentNumber reportedNumber_;
     // The missing revision that was reported last.
     core::identity::Revision reportedMissing_;
 };
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -171,6 +171,7 @@
     message.setRevision(exchange.revision.number());
     if (exchange.revisionAge)
         message.setRevisionMillis(exchange.revisionAge->count());
+    message.setIntentNumber(exchange.intentNumber.number());
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
     if (exchange.receiverDeparture)
         encodeAnnouncement(*exchange.receiverDeparture, message.initReceiverDeparture());
@@ -208,6 +209,7 @@
     exchange.requestsUpdates = message.getAsksForNews();
     exchange.requestsStoreRead = message.getRequestsStoreRead();
     exchange.revisionAge = decodeAge(message.getRevisionMillis());
+    exchange.intentNumber = core::identity::IntentNumber(message.getIntentNumber());
     exchange.storeContactAge = decodeAge(message.getStoreContactMillis());
     exchange.members = decode(message.getMembers());
     for (const auto entry : message.getSuspicions()) {
--- a/packages/transport/wire/peer.capnp
+++ b/packages/transport/wire/peer.capnp
@@ -129,6 +129,8 @@
   requestsStoreRead @14 :Bool;
   # The time since the sender has held its revision; negative if it does not tell.
   revisionMillis @15 :Int64 = -1;
+  # The operators' number of the intent in force on the sender; zero if it has none or does not tell.
+  intentNumber @16 :UInt64;
 }
 
 struct IntentTransfer {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -204,7 +204,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f5290e6998035f28, 8, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1813,6 +1813,8 @@
 
   inline  ::int64_t getRevisionMillis() const;
 
+  inline  ::uint64_t getIntentNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1917,6 +1919,9 @@
   inline  ::int64_t getRevisionMillis();
   inline void setRevisionMillis( ::int64_t value);
 
+  inline  ::uint64_t getIntentNumber();
+  inline void setIntentNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6000,6 +6005,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t Exchange::Reader::getIntentNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Exchange::Builder::getIntentNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Exchange::Builder::setIntentNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t IntentTransfer::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/IntentNumberLogTest.cpp
+++ b/tests/unit/IntentNumberLogTest.cpp
@@ -80,3 +80,26 @@
     EXPECT_EQ(report.at("intentNumber"), 12);
     EXPECT_EQ(report.at("intentMs"), 700);
 }
+
+// Guards against a node that holds the latest revision and decides by an older intent unnoticed.
+TEST_F(IntentNumberLogTest, warnsOnceOfALaterIntentOnAPeerWhateverTheRevisions)
+{
+    store(5, "r12");
+    control::distribution::Exchange report;
+    report.sender = core::identity::NodeId("peer");
+    report.revision = Revision(5);
+    report.intentNumber = core::identity::IntentNumber(13);
+    EXPECT_EQ(node_->exchangeReceived(report).intentNumber, core::identity::IntentNumber(12));
+    timers_.advance(milliseconds(400));
+    log_.update(*node_, timers_.now());
+    EXPECT_EQ(events_.count(EventCode::IntentOutdated), 0);
+    timers_.advance(milliseconds(100));
+    log_.update(*node_, timers_.now());
+    log_.update(*node_, timers_.now());
+    ASSERT_EQ(events_.count(EventCode::IntentOutdated), 1);
+    const auto fields = events_.last(EventCode::IntentOutdated);
+    EXPECT_EQ(fields.at("intentNumber"), "12");
+    EXPECT_EQ(fields.at("reportedNumber"), "13");
+    EXPECT_EQ(fields.at("reportedBy"), "peer");
+    EXPECT_EQ(fields.at("held"), "5");
+}
