Tell how long a change may have been stored before it came into force

lateMs says how long another node had held a change. When a whole fleet or a data centre learns late, no node is behind another one, and nothing is logged.

A change can't have been in the store before the last proof that a node had before the change came. E200 has the time since that proof as sinceProofMs, the histogram change_since_proof_ms_le_N counts it, and E206 warns above 1000 ms. The time counts from the sending of the call that brought the proof until the intent is published, so it includes the age that a peer told, the round trip and the waits for threads. The last contact with the store that decisions use does not count a response's wait for the control thread, so the proof is kept beside it; no decision depends on it.

The bound is loose.

--- a/packages/control/distribution/ChangeHistory.cpp
+++ b/packages/control/distribution/ChangeHistory.cpp
@@ -23,11 +23,13 @@
     missing_->knownSince = std::min(missing_->knownSince, since);
 }
 
-void ChangeHistory::recordHeld(Revision revision, const ChangeSource &source, MonotonicTime now)
+void ChangeHistory::recordHeld(Revision revision, const ChangeSource &source, MonotonicTime now,
+                               std::optional<MonotonicTime> provenBefore)
 {
     if (revision <= arrival_.revision)
         return;
-    arrival_ = ChangeArrival{revision, source, now, missing_ ? missing_->knownSince : now};
+    arrival_ = ChangeArrival{revision, source, now, missing_ ? missing_->knownSince : now,
+                             provenBefore};
     // A report of a later revision than this one says nothing of when that was known.
     if (missing_ && missing_->revision <= revision)
         missing_.reset();
--- a/packages/control/distribution/ChangeHistory.h
+++ b/packages/control/distribution/ChangeHistory.h
@@ -26,9 +26,11 @@
                       std::optional<std::chrono::milliseconds> age,
                       core::timing::MonotonicTime now);
 
-    /** Records the revision that this node holds; does nothing unless it is later than before. */
+    /** Records the revision that this node holds; does nothing unless it is later than before.
+        @param provenBefore the last contact with the store before the changes came */
     void recordHeld(core::identity::Revision revision, const ChangeSource &source,
-                    core::timing::MonotonicTime now);
+                    core::timing::MonotonicTime now,
+                    std::optional<core::timing::MonotonicTime> provenBefore = std::nullopt);
 
     /** Returns how the latest changes came. */
     const ChangeArrival &arrival() const { return arrival_; }
--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -242,6 +242,7 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     const Revision before = propagator_.replica().revision();
+    store_.beginUpdate();
     updateSource_ = ChangeSource{records::ChangeOrigin::Peer, source.id};
     propagator_.offerFromPeer(source, transfer, timers_.now());
     recordHeldRevision();
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -111,6 +111,10 @@
     /** Handles a value of the intent's key that was read from the platform. */
     void storeValueReceived(const std::string &text);
 
+    /** Begins the handling of an update from the durable store; called before the contact that came
+        with it is reported. */
+    void storeUpdateArrived() { store_.beginUpdate(); }
+
     /** Handles an update that the replica received from the durable store.
         @param result the result of merging the update into the replica
         @param origin the kind of call that returned the update */
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -7,6 +7,7 @@
 #include "control/moves/MoveVerdict.h"
 #include "core/identity/IntentNumber.h"
 #include "core/identity/Revision.h"
+#include "core/timing/MonotonicTime.h"
 
 #include <chrono>
 #include <cstdint>
@@ -48,6 +49,9 @@
     /** In a response: the time since its request, in which it may have been held up anywhere. Set
        by the receiver; not transmitted. */
     std::chrono::milliseconds roundTrip{0};
+    /** In a response: when it arrived in this process, before it waited for the control thread. Set
+       by the receiver; not transmitted. */
+    std::optional<core::timing::MonotonicTime> arrivedAt;
     /** Whether the sender depends on the receiver for updates of the store. */
     bool requestsUpdates = false;
     /** Whether the sender asks the receiver to read the store, which does not serve the sender. */
--- a/packages/control/distribution/StoreAwareness.cpp
+++ b/packages/control/distribution/StoreAwareness.cpp
@@ -16,10 +16,11 @@
 
 void StoreAwareness::recordHeld(Revision held, const ChangeSource &source)
 {
-    changes_.recordHeld(held, source, timers_.now());
+    changes_.recordHeld(held, source, timers_.now(), provenBefore_);
     held_ = std::max(held_, held);
     role_.recordRevision(held);
     contact_.recordRevision(held);
+    proof_.recordRevision(held);
 }
 
 // Only responses count as contacts: how long a request was on its way is not known.
@@ -31,8 +32,11 @@
         role_.recordResponseAhead(response.sender, response.revision, askedAt);
     else
         role_.recordResponse(response.sender, response.isFollower, askedAt);
-    if (response.storeContactAge)
-        contact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge, held_);
+    if (!response.storeContactAge)
+        return;
+    contact_.recordPeer(response.revision, timers_.now() - *response.storeContactAge, held_);
+    const core::timing::MonotonicTime arrivedAt = response.arrivedAt.value_or(timers_.now());
+    proof_.recordPeer(response.revision, arrivedAt - *response.storeContactAge, held_);
 }
 
 void StoreAwareness::recordReport(const core::identity::NodeId &node, Revision revision,
--- a/packages/control/distribution/StoreAwareness.h
+++ b/packages/control/distribution/StoreAwareness.h
@@ -34,7 +34,15 @@
     void setFollowing(bool isFollowing);
 
     /** Records that the store responded to this node. @param askedAt when the call was sent */
-    void recordStore(core::timing::MonotonicTime askedAt) { contact_.recordStore(askedAt); }
+    void recordStore(core::timing::MonotonicTime askedAt)
+    {
+        contact_.recordStore(askedAt);
+        proof_.recordStore(askedAt);
+    }
+
+    /** Records that the next call of recordHeld() is for an update that has just been received,
+        before any contact that came with it is recorded. */
+    void beginUpdate() { provenBefore_ = proof_.last(); }
 
     /** Records the revision that this node holds.
         @param source where its changes came from */
@@ -64,6 +72,11 @@
     core::timing::TimerService &timers_;
     FollowerRole role_;
     StoreContact contact_;
+    // As contact_, with responses dated back by their wait for this thread. No decision depends on
+    // it.
+    StoreContact proof_;
+    // The proof before the update that is being handled, or the last one.
+    std::optional<core::timing::MonotonicTime> provenBefore_;
     bool hasStore_ = false;
     // Invariant: false unless hasStore_.
     bool isFollowing_ = false;
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -23,6 +23,7 @@
     IntentLate = 203,
     ChangeMissing = 204,
     IntentOutdated = 205,
+    IntentMayBeLate = 206,
     StoreUnavailable = 210,
     StoreRecovered = 211,
     StoreListed = 212,
--- a/packages/core/events/EventLevel.cpp
+++ b/packages/core/events/EventLevel.cpp
@@ -42,6 +42,7 @@
     case EventCode::IntentLate:
     case EventCode::ChangeMissing:
     case EventCode::IntentOutdated:
+    case EventCode::IntentMayBeLate:
     case EventCode::StoreUnavailable:
     case EventCode::StoreProofMissing:
     case EventCode::MemberSuspect:
--- a/packages/daemon/service/ChangeLog.cpp
+++ b/packages/daemon/service/ChangeLog.cpp
@@ -20,23 +20,31 @@
 
 } // namespace
 
-void ChangeLog::intentInForce(const ControlPlane &plane)
+void ChangeLog::intentInForce(const ControlPlane &plane, core::timing::MonotonicTime now)
 {
     const auto knowledge = plane.storeKnowledge();
     const auto &arrival = plane.changes().arrival();
     const std::string revision = std::to_string(plane.snapshot()->revision().number());
     const std::string from = arrival.source.toString();
     const std::string delay = millisecondsOf(arrival.delay());
+    std::optional<milliseconds> sinceProof;
+    if (arrival.provenBefore)
+        sinceProof = std::chrono::ceil<milliseconds>(now - *arrival.provenBefore);
     core::events::logEvent(EventCode::IntentApplied, "intent in force",
                            {{"revision", revision},
                             {"previousNumber", std::to_string(number_.number())},
                             {"from", from},
                             {"lateMs", delay},
+                            {"sinceProofMs", ageText(sinceProof)},
                             {"contactMs", ageText(knowledge.contactAge)},
                             {"intentNumber", std::to_string(knowledge.intent.number.number())},
                             {"intentMs", ageText(knowledge.intent.age)}});
     number_ = knowledge.intent.number;
     delays_.add(arrival.delay());
+    if (sinceProof) {
+        possibleDelays_.add(*sinceProof);
+        warnIfPossiblyLate(plane, *sinceProof);
+    }
     if (arrival.delay() < reportedDelay)
         return;
     core::events::logEvent(EventCode::IntentLate, "intent late",
@@ -50,6 +58,25 @@
                             {"intentMs", ageText(knowledge.intent.age)}});
 }
 
+void ChangeLog::warnIfPossiblyLate(const ControlPlane &plane, milliseconds sinceProof) const
+{
+    if (sinceProof <= reportedDelay)
+        return;
+    const auto knowledge = plane.storeKnowledge();
+    const auto &arrival = plane.changes().arrival();
+    core::events::logEvent(EventCode::IntentMayBeLate, "intent may be late",
+                           {{"error", "it was stored at most " + std::to_string(sinceProof.count())
+                                              + " ms before"},
+                            {"sinceProofMs", std::to_string(sinceProof.count())},
+                            {"lateMs", millisecondsOf(arrival.delay())},
+                            {"revision", std::to_string(plane.snapshot()->revision().number())},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"from", arrival.source.toString()},
+                            {"follows", knowledge.isFollowing ? "yes" : "no"},
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"contactMs", ageText(knowledge.contactAge)}});
+}
+
 void ChangeLog::update(const ControlPlane &plane, core::timing::MonotonicTime now)
 {
     warnOfMissingChange(plane, now);
--- a/packages/daemon/service/ChangeLog.h
+++ b/packages/daemon/service/ChangeLog.h
@@ -11,28 +11,35 @@
 class ChangeLog
 {
 public:
-    /** A change that another node has held for longer than this is reported. */
+    /** A change that another node has held, or the store may have held, for longer than this is
+       reported. */
     static constexpr std::chrono::milliseconds reportedDelay{1000};
 
-    /** @param counters owns the histogram "change_late" and outlives this object */
+    /** @param counters owns the histograms "change_late" and "change_since_proof" and outlives this
+       object */
     explicit ChangeLog(core::counters::CounterRegistry &counters)
         : delays_(counters, "change_late")
+        , possibleDelays_(counters, "change_since_proof")
     {}
 
     /** Handles that a newer intent is in force. */
-    void intentInForce(const control::distribution::ControlPlane &plane);
+    void intentInForce(const control::distribution::ControlPlane &plane,
+                       core::timing::MonotonicTime now);
 
     /** Warns of a change that this node still lacks, and of a later intent that is in force on
         another one; called several times per second. */
     void update(const control::distribution::ControlPlane &plane, core::timing::MonotonicTime now);
 
 private:
+    void warnIfPossiblyLate(const control::distribution::ControlPlane &plane,
+                            std::chrono::milliseconds sinceProof) const;
     void warnOfMissingChange(const control::distribution::ControlPlane &plane,
                              core::timing::MonotonicTime now);
     void warnOfLaterIntent(const control::distribution::ControlPlane &plane,
                            core::timing::MonotonicTime now);
 
     core::counters::LatencyCounters delays_;
+    core::counters::LatencyCounters possibleDelays_;
     // The number of the intent that came into force last.
     core::identity::IntentNumber number_;
     // The later intent that was reported last.
--- a/packages/daemon/service/ControlService.cpp
+++ b/packages/daemon/service/ControlService.cpp
@@ -175,7 +175,7 @@
 {
     dependencies_.counters.counter("intents_applied").add();
     routingPublisher_.intentInForce(*plane_, dependencies_.thread.now());
-    changeLog_.intentInForce(*plane_);
+    changeLog_.intentInForce(*plane_, dependencies_.thread.now());
     dependencies_.revisions.publish(plane_->snapshot()->revision());
 }
 
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -156,6 +156,7 @@
 //==============================================================================
 void RecordSource::recordsListed(const std::vector<StoreRecord> &records, Revision revision)
 {
+    plane_->storeUpdateArrived();
     core::events::logEvent(EventCode::StoreListed, "store listed",
                            {{"revision", std::to_string(revision.number())},
                             {"entries", std::to_string(records.size())}});
@@ -181,6 +182,7 @@
 
 void RecordSource::recordsChanged(const control::records::RecordChanges &changes)
 {
+    plane_->storeUpdateArrived();
     reportContact();
     plane_->storeUpdateReceived(replica_->applyChanges(changes), changes.origin);
     for (const StoreRecord &record : changes.changes)
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -23,8 +23,9 @@
 // been held up for any part of the time since then.
 void addAge(Exchange &response, core::timing::MonotonicTime sentAt)
 {
-    response.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now() - sentAt);
+    const core::timing::MonotonicTime now = std::chrono::steady_clock::now();
+    response.arrivedAt = now;
+    response.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(now - sentAt);
     if (response.storeContactAge)
         *response.storeContactAge += response.roundTrip;
 }
--- a/tests/unit/ChangeHistoryTest.cpp
+++ b/tests/unit/ChangeHistoryTest.cpp
@@ -133,7 +133,7 @@
     log.update(plane_, timers_.now());
     log.update(plane_, timers_.now());
     plane_.storeValueReceived(tests::envelopeText(6));
-    log.intentInForce(plane_);
+    log.intentInForce(plane_, timers_.now());
     using core::events::EventCode;
     EXPECT_EQ(recorded.codes, (std::vector{EventCode::ChangeMissing, EventCode::IntentApplied,
                                            EventCode::IntentLate}));
--- a/tests/unit/IntentNumberLogTest.cpp
+++ b/tests/unit/IntentNumberLogTest.cpp
@@ -36,7 +36,7 @@
         node_->storeFollowingChanged(true);
     }
 
-    void intentInForce() override { log_.intentInForce(*node_); }
+    void intentInForce() override { log_.intentInForce(*node_, timers_.now()); }
 
     void store(std::uint64_t revision, const std::string &version)
     {
