Log calls on routes that a change has just touched beyond the limit

Of successful calls 20 lines a second are written. A node with more calls suppresses the lines of most, among them those of the few calls that a change concerns, which show by which intent both nodes decided.

Up to ten more lines a second and process are written of calls whose route's services differ between the intent in force and one that was replaced within the last five seconds: E500 and the other outcomes at the entry node, by host and path, so that dropped routes and longer prefixes count, and E510 at the serving node, by the route's name. The history of intents remembers replaced ones for five seconds instead of 1.5; which intent counts as settled is unchanged.

--- a/packages/core/events/EventLog.cpp
+++ b/packages/core/events/EventLog.cpp
@@ -16,6 +16,8 @@
 // on a fifth of a core, writing them takes about one hundredth of the time.
 constexpr double successLinesPerSecond = 20;
 constexpr double otherLinesPerSecond = 60;
+// Beyond both limits, so that the few calls that a change concerns are not lost among all others.
+constexpr double changedRouteLinesPerSecond = 10;
 
 LogRateLimiter &successLimiter()
 {
@@ -29,6 +31,12 @@
     return limiter;
 }
 
+LogRateLimiter &changedRouteLimiter()
+{
+    static LogRateLimiter limiter(changedRouteLinesPerSecond);
+    return limiter;
+}
+
 } // namespace
 
 void logEvent(EventCode code, std::string_view message, std::initializer_list<EventField> fields)
@@ -48,6 +56,15 @@
         logEvent(code, message, fields);
 }
 
+void logCallOnChangedRoute(EventCode code, std::string_view message, bool isSuccess,
+                           std::initializer_list<EventField> fields)
+{
+    if (changedRouteLimiter().tryConsume(std::chrono::steady_clock::now()))
+        logEvent(code, message, fields);
+    else
+        logCall(code, message, isSuccess, fields);
+}
+
 void logSuppressedLines()
 {
     const std::uint64_t suppressedSuccesses = successLimiter().takeSuppressedCount();
--- a/packages/core/events/EventLog.h
+++ b/packages/core/events/EventLog.h
@@ -20,6 +20,11 @@
 void logCall(EventCode code, std::string_view message, bool isSuccess,
              std::initializer_list<EventField> fields);
 
+/** Writes an event like logCall(), for a call on a route that a change has just touched: a small
+    number of these is written beyond the limits. */
+void logCallOnChangedRoute(EventCode code, std::string_view message, bool isSuccess,
+                           std::initializer_list<EventField> fields);
+
 /** Writes how many lines were suppressed since the last call, unless there were none, and how many
     were dropped since the start of the process. */
 void logSuppressedLines();
--- a/packages/traffic/routing/IntentHistory.cpp
+++ b/packages/traffic/routing/IntentHistory.cpp
@@ -12,9 +12,10 @@
                                   MonotonicTime now) const
 {
     IntentHistory result;
-    const IntentSnapshot *settled = settledAt(now);
+    static_assert(memoryTime >= settleTime);
+    const IntentSnapshot *oldest = latestOlderThan(memoryTime, now);
     const auto first = std::find_if(entries_.begin(), entries_.end(), [&](const Entry &entry) {
-        return settled == nullptr || entry.intent.get() == settled;
+        return oldest == nullptr || entry.intent.get() == oldest;
     });
     result.entries_.assign(first, entries_.end());
     result.entries_.push_back(Entry{std::move(intent), now});
@@ -23,9 +24,24 @@
 
 const IntentSnapshot *IntentHistory::settledAt(MonotonicTime now) const
 {
-    const auto last = std::find_if(entries_.rbegin(), entries_.rend(), [&](const Entry &entry) {
-        return now - entry.since >= settleTime;
-    });
+    return latestOlderThan(settleTime, now);
+}
+
+std::vector<const IntentSnapshot *> IntentHistory::replacedAt(MonotonicTime now) const
+{
+    std::vector<const IntentSnapshot *> replaced;
+    for (std::size_t i = 1; i < entries_.size(); ++i) {
+        if (now - entries_[i].since < memoryTime)
+            replaced.push_back(entries_[i - 1].intent.get());
+    }
+    return replaced;
+}
+
+const IntentSnapshot *IntentHistory::latestOlderThan(std::chrono::milliseconds age,
+                                                     MonotonicTime now) const
+{
+    const auto last = std::find_if(entries_.rbegin(), entries_.rend(),
+                                   [&](const Entry &entry) { return now - entry.since >= age; });
     return last == entries_.rend() ? nullptr : last->intent.get();
 }
 
--- a/packages/traffic/routing/IntentHistory.h
+++ b/packages/traffic/routing/IntentHistory.h
@@ -11,7 +11,8 @@
 namespace boragetrack::traffic::routing {
 
 /** Remembers since when the latest intents are in force, as far as it takes to tell which one all
-    nodes must have by now. Immutable once published. */
+    nodes must have by now and which routes a change has touched recently. Immutable once published.
+ */
 class IntentHistory
 {
 public:
@@ -19,6 +20,9 @@
         must be in force everywhere two seconds after its acknowledgement, which precedes this. */
     static constexpr std::chrono::milliseconds settleTime{1500};
 
+    /** The time for which an intent is remembered after it was replaced. */
+    static constexpr std::chrono::milliseconds memoryTime{5000};
+
     /** Returns this history with an intent that is in force from now on. */
     IntentHistory with(std::shared_ptr<const control::intent::IntentSnapshot> intent,
                        core::timing::MonotonicTime now) const;
@@ -26,6 +30,10 @@
     /** Returns the latest intent that has settled, or null if there is none. */
     const control::intent::IntentSnapshot *settledAt(core::timing::MonotonicTime now) const;
 
+    /** Returns the intents that were replaced within memoryTime before a time, earliest first. */
+    std::vector<const control::intent::IntentSnapshot *>
+    replacedAt(core::timing::MonotonicTime now) const;
+
 private:
     struct Entry
     {
@@ -33,8 +41,11 @@
         core::timing::MonotonicTime since;
     };
 
-    // Invariant: in the order of the times. Of those that had settled when the last one was added,
-    // the latest only.
+    const control::intent::IntentSnapshot *latestOlderThan(std::chrono::milliseconds age,
+                                                           core::timing::MonotonicTime now) const;
+
+    // Invariant: in the order of the times. Of those that were older than memoryTime when the last
+    // one was added, the latest only.
     std::vector<Entry> entries_;
 };
 
--- a/packages/transport/callers/CallerServerCall.cpp
+++ b/packages/transport/callers/CallerServerCall.cpp
@@ -4,6 +4,7 @@
 
 #include "core/events/EventLog.h"
 #include "traffic/calls/CallSize.h"
+#include "traffic/routing/RecentRouteChange.h"
 #include "transport/callers/CallBuilder.h"
 
 namespace boragetrack::transport::callers {
@@ -101,6 +102,13 @@
                   [this](kj::Exception &&exception) { return respondUnread(exception); });
 }
 
+bool CallerServer::Call::hasRouteChanged() const
+{
+    return traffic::routing::hasRouteChanged(*server_.dependencies_.routing.current(),
+                                             description_.host, pathOf(exchange_.head().target),
+                                             currentTime());
+}
+
 // The calls that a running call makes are served for as long as it runs, or it would fail.
 bool CallerServer::Call::isNestedCall() const
 {
--- a/packages/transport/callers/CallerServerCall.h
+++ b/packages/transport/callers/CallerServerCall.h
@@ -39,6 +39,8 @@
     kj::Promise<void> respondTooLarge();
     kj::Promise<void> respondUnread(const kj::Exception &exception);
 
+    /** Returns whether a change of the intent has just touched the call's route. */
+    bool hasRouteChanged() const;
     void recordAttempt(const core::identity::NodeId &node,
                        const traffic::calls::CallResponse &response);
     void logOutcome(core::events::EventCode code, const char *message,
--- a/packages/transport/callers/CallerServerCallLog.cpp
+++ b/packages/transport/callers/CallerServerCallLog.cpp
@@ -52,21 +52,22 @@
     if (code == EventCode::CallAnswered)
         server_.latencies_.add(currentTime() - arrivedAt_);
     const bool isGood = code == EventCode::CallAnswered && response.status < 500;
-    core::events::logCall(
-            code, message, isGood,
-            {{"request", description_.requestId},
-             {"route", target_ == nullptr ? "" : target_->entry.route.name.value()},
-             {"status", std::to_string(response.status)},
-             {"ms", millisecondsSince(arrivedAt_)},
-             {"budgetMs",
-              std::to_string(
-                      description_.timeLeft.value_or(std::chrono::milliseconds::zero()).count())},
-             {"intent", std::to_string(snapshot_->intent->revision().number())},
-             {"intentNumber", std::to_string(snapshot_->intent->document().number.number())},
-             {"intentFrom", snapshot_->origin->from},
-             {"intentMs", core::events::ageText(snapshot_->intentAge(currentTime()))},
-             {"path", path_},
-             {"reason", response.reason}});
+    const auto log
+            = hasRouteChanged() ? core::events::logCallOnChangedRoute : core::events::logCall;
+    log(code, message, isGood,
+        {{"request", description_.requestId},
+         {"route", target_ == nullptr ? "" : target_->entry.route.name.value()},
+         {"status", std::to_string(response.status)},
+         {"ms", millisecondsSince(arrivedAt_)},
+         {"budgetMs",
+          std::to_string(
+                  description_.timeLeft.value_or(std::chrono::milliseconds::zero()).count())},
+         {"intent", std::to_string(snapshot_->intent->revision().number())},
+         {"intentNumber", std::to_string(snapshot_->intent->document().number.number())},
+         {"intentFrom", snapshot_->origin->from},
+         {"intentMs", core::events::ageText(snapshot_->intentAge(currentTime()))},
+         {"path", path_},
+         {"reason", response.reason}});
 }
 
 void CallerServer::Call::logCallerLeft()
--- a/packages/transport/serving/InboundProxy.cpp
+++ b/packages/transport/serving/InboundProxy.cpp
@@ -5,6 +5,7 @@
 #include "core/events/EventLog.h"
 #include "traffic/inbound/InboundRules.h"
 #include "traffic/inbound/OutdatedCalls.h"
+#include "traffic/routing/RecentRouteChange.h"
 #include "traffic/usage/CountedRequest.h"
 
 namespace boragetrack::transport::serving {
@@ -230,19 +231,22 @@
 {
     const bool isGood = response.outcome == CallOutcome::Completed && response.status < 500;
     const auto load = admission_.load();
-    core::events::logCall(EventCode::CallServed, "call served", isGood,
-                          {{"request", request.requestId},
-                           {"route", request.route.value()},
-                           {"rank", std::to_string(request.rank())},
-                           {"instance", status_ ? status_->instance : ""},
-                           {"status", std::to_string(response.status)},
-                           {"ms", millisecondsOf(latency)},
-                           {"budgetMs", millisecondsOf(request.budget)},
-                           {"inFlight", std::to_string(load.inFlight)},
-                           {"queued", std::to_string(load.queued)},
-                           {"limit", std::to_string(load.limit)},
-                           {"coldRate", coldRateText()},
-                           {"reason", response.reason}});
+    const bool isOnChangedRoute = traffic::routing::hasRouteChanged(
+            *dependencies_.routing.current(), request.route, currentTime());
+    const auto log = isOnChangedRoute ? core::events::logCallOnChangedRoute : core::events::logCall;
+    log(EventCode::CallServed, "call served", isGood,
+        {{"request", request.requestId},
+         {"route", request.route.value()},
+         {"rank", std::to_string(request.rank())},
+         {"instance", status_ ? status_->instance : ""},
+         {"status", std::to_string(response.status)},
+         {"ms", millisecondsOf(latency)},
+         {"budgetMs", millisecondsOf(request.budget)},
+         {"inFlight", std::to_string(load.inFlight)},
+         {"queued", std::to_string(load.queued)},
+         {"limit", std::to_string(load.limit)},
+         {"coldRate", coldRateText()},
+         {"reason", response.reason}});
 }
 
 bool InboundProxy::isUpstreamCold() const
