--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -13,7 +13,6 @@
 
 using control::distribution::ControlPlane;
 using control::distribution::RecordReplica;
-using control::moves::MoveRecord;
 using control::records::StoreRecord;
 using core::events::ageText;
 using core::events::EventCode;
@@ -21,7 +20,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds recordTimeout{1500};
 // Time in which a new node learns the members from the peers that the store lists.
 constexpr std::chrono::milliseconds memberDiscoveryTime{5000};
 // When a whole fleet starts at once, each node would register, and each record would be reported to
@@ -31,19 +29,6 @@
 // Updates come every 200 ms; a gap of this length means that the process was paused.
 constexpr std::chrono::milliseconds maximumUpdateGap{1000};
 
-const char *nameOf(control::intent::MoveState state)
-{
-    switch (state) {
-    case control::intent::MoveState::Done:
-        return "done";
-    case control::intent::MoveState::TakenBack:
-        return "taken back";
-    case control::intent::MoveState::Running:
-        break;
-    }
-    return "running";
-}
-
 } // namespace
 
 std::unique_ptr<control::distribution::IntentReplica> RecordSource::makeReplica()
@@ -268,37 +253,4 @@
     core::events::logEvent(EventCode::StoreRecovered, "platform available again");
 }
 
-//==============================================================================
-void RecordSource::recordMove(const MoveRecord &record)
-{
-    const auto &moves = plane_->snapshot()->document().moves;
-    const auto move = std::find_if(moves.begin(), moves.end(), [&](const auto &candidate) {
-        return candidate.id == record.moveId;
-    });
-    if (isRecording_ || move == moves.end())
-        return;
-    isRecording_ = true;
-    dependencies_.store.commit(
-            dependencies_.moveWriter->writesFor(*move, record, replica_->table()), recordTimeout,
-            [this, record](const absl::StatusOr<Revision> &response) {
-                handleRecordResponse(record, response);
-            });
-}
-
-void RecordSource::handleRecordResponse(const MoveRecord &record,
-                                        const absl::StatusOr<Revision> &response)
-{
-    isRecording_ = false;
-    // A conflict means that another node was first; the watch delivers its record.
-    if (absl::IsAborted(response.status()))
-        return;
-    core::events::logEvent(
-            response.ok() ? EventCode::MoveRecorded : EventCode::MoveRecordFailed,
-            response.ok() ? "move recorded" : "move not recorded, will be retried",
-            {{"move", record.moveId},
-             {"state", nameOf(record.state)},
-             {"evidence", record.evidence},
-             {"error", response.ok() ? "" : std::string(response.status().message())}});
-}
-
 } // namespace boragetrack::daemon::service
