--- a/packages/control/distribution/ControlPlane.cpp
+++ b/packages/control/distribution/ControlPlane.cpp
@@ -247,6 +247,7 @@
     if (source.address.port == 0)
         source = peers_.contactOf(peer.id).value_or(peer);
     const Revision before = propagator_.replica().revision();
+    store_.beginUpdate();
     updateSource_ = ChangeSource{records::ChangeOrigin::Peer, source.id};
     propagator_.offerFromPeer(source, transfer, timers_.now());
     recordHeldRevision();
@@ -276,6 +277,22 @@
 }
 
 //==============================================================================
+StoreKnowledge ControlPlane::storeKnowledge() const
+{
+    StoreKnowledge knowledge = store_.knowledge();
+    knowledge.intent = inForce();
+    return knowledge;
+}
+
+IntentInForce ControlPlane::inForce() const
+{
+    IntentInForce intent{snapshot_->document().number, std::nullopt};
+    if (inForceSince_)
+        intent.age = std::chrono::duration_cast<std::chrono::milliseconds>(timers_.now()
+                                                                           - *inForceSince_);
+    return intent;
+}
+
 bool ControlPlane::mustWatchIntentKey() const
 {
     return !isLeaving_ && membership::isWatcher(membership_.self(), membership_.table());
@@ -302,6 +319,8 @@
 {
     recordHeldRevision();
     resolveSnapshot(propagator_.replica().contentRevision(), propagator_.replica().document());
+    inForceSince_ = timers_.now();
+    comparison_.recordInForce(snapshot_->document().number);
     listener_.intentInForce();
     listener_.viewChanged();
 }
@@ -469,6 +488,7 @@
     Revision &served = servedRevisions_[exchange.sender];
     served = std::max(served, exchange.revision);
     store_.recordReport(exchange.sender, exchange.revision, exchange.revisionAge);
+    comparison_.recordReport(exchange.sender, exchange.intentNumber, now);
     if (exchange.revision > propagator_.replica().revision())
         listener_.laterRevisionReported();
     membership_.recordContact(exchange.sender, now);
@@ -485,7 +505,7 @@
         return;
     }
     propagator_.compareRevisions(peer, exchange.revision, now);
-    propagator_.compareNumbers(peer, exchange.revision, exchange.number, now);
+    propagator_.compareNumbers(peer, exchange.revision, exchange.intentNumber, now);
 }
 
 // Does not count as a regular fetch: the unknown node may have started with this one and know as
@@ -528,8 +548,8 @@
     exchange.sender = membership_.self().id;
     exchange.senderAddress = membership_.self().peerAddress;
     exchange.revision = propagator_.replica().revision();
-    exchange.number = propagator_.replica().document().number;
     exchange.revisionAge = store_.changes().age(timers_.now());
+    exchange.intentNumber = snapshot_->document().number;
     const auto served = servedRevisions_.find(receiver);
     exchange.receiverMinimumRevision
             = served == servedRevisions_.end() ? Revision{} : served->second;
--- a/packages/control/distribution/ControlPlane.h
+++ b/packages/control/distribution/ControlPlane.h
@@ -4,6 +4,7 @@
 #include "control/distribution/ByteRateLimiter.h"
 #include "control/distribution/DepartureMemory.h"
 #include "control/distribution/EvaluatorGroup.h"
+#include "control/distribution/IntentComparison.h"
 #include "control/distribution/IntentPropagator.h"
 #include "control/distribution/PeerIntroducer.h"
 #include "control/distribution/PeerSelector.h"
@@ -110,6 +111,10 @@
     /** Handles a value of the intent's key that was read from the platform. */
     void storeValueReceived(const std::string &text);
 
+    /** Begins the handling of an update from the durable store; called before the contact that came
+        with it is reported. */
+    void storeUpdateArrived() { store_.beginUpdate(); }
+
     /** Handles an update that the replica received from the durable store.
         @param result the result of merging the update into the replica
         @param origin the kind of call that returned the update */
@@ -155,7 +160,7 @@
     }
 
     /** Returns what this node knows of the durable store, for logs and operators. */
-    StoreKnowledge storeKnowledge() const { return store_.knowledge(); }
+    StoreKnowledge storeKnowledge() const;
 
     /** Returns when changes were known elsewhere and came here. */
     const ChangeHistory &changes() const { return store_.changes(); }
@@ -238,6 +243,12 @@
     /** Returns the intent in force; revision zero before the first one. Never null. */
     const std::shared_ptr<const intent::IntentSnapshot> &snapshot() const { return snapshot_; }
 
+    /** Returns the number of the intent in force and for how long it has been that. */
+    IntentInForce inForce() const;
+
+    /** Returns how the intent in force compares with those of other nodes. */
+    const IntentComparison &comparison() const { return comparison_; }
+
     /** Returns the membership of this node. */
     const membership::MembershipEngine &membership() const { return membership_; }
 
@@ -319,6 +330,9 @@
     EvaluatorGroup evaluatorGroup_;
     // Invariant: never null; its revision never decreases.
     std::shared_ptr<const intent::IntentSnapshot> snapshot_;
+    IntentComparison comparison_;
+    // Since when the intent in snapshot_ is in force; nothing before the first one.
+    std::optional<core::timing::MonotonicTime> inForceSince_;
     // The time of the last resolution of snapshot_; exceptions that had expired by then have no
     // effect in it.
     core::timing::WallTime resolvedAt_{};
--- a/packages/control/distribution/Exchange.h
+++ b/packages/control/distribution/Exchange.h
@@ -7,6 +7,7 @@
 #include "control/moves/MoveVerdict.h"
 #include "core/identity/IntentNumber.h"
 #include "core/identity/Revision.h"
+#include "core/timing/MonotonicTime.h"
 
 #include <chrono>
 #include <cstdint>
@@ -24,10 +25,10 @@
     core::identity::NetworkAddress senderAddress;
     /** The revision that the sender holds. */
     core::identity::Revision revision;
-    /** The operators' number of the intent that the sender holds; zero without one. */
-    core::identity::IntentNumber number;
     /** The time for which the sender has held that revision; nothing if it did not tell. */
     std::optional<std::chrono::milliseconds> revisionAge;
+    /** The number of the intent in force on the sender; zero if it has none or did not tell. */
+    core::identity::IntentNumber intentNumber;
     /** The highest revision that the receiver, in this process or an earlier one, reported to the
         sender. After a restart the receiver waits until it holds that revision again. */
     core::identity::Revision receiverMinimumRevision;
@@ -48,6 +49,9 @@
     /** In a response: the time since its request, in which it may have been held up anywhere. Set
        by the receiver; not transmitted. */
     std::chrono::milliseconds roundTrip{0};
+    /** In a response: when it arrived in this process, before it waited for the control thread. Set
+       by the receiver; not transmitted. */
+    std::optional<core::timing::MonotonicTime> arrivedAt;
     /** Whether the sender depends on the receiver for updates of the store. */
     bool requestsUpdates = false;
     /** Whether the sender asks the receiver to read the store, which does not serve the sender. */
--- a/packages/core/events/EventCode.h
+++ b/packages/core/events/EventCode.h
@@ -22,6 +22,8 @@
     IntentMissing = 202,
     IntentLate = 203,
     ChangeMissing = 204,
+    IntentOutdated = 205,
+    IntentMayBeLate = 206,
     StoreUnavailable = 210,
     StoreRecovered = 211,
     StoreListed = 212,
--- a/packages/core/events/EventLog.cpp
+++ b/packages/core/events/EventLog.cpp
@@ -1,10 +1,10 @@
-/** Formats events as single lines and limits the rate of the events of calls. */
+/** Writes events as single lines and limits the rate of the events of calls. */
 #include "core/events/EventLog.h"
 
+#include "core/events/EventLine.h"
 #include "core/events/LogRateLimiter.h"
 #include "core/events/ScopedEventSink.h"
 #include "core/events/StandardOutput.h"
-#include "core/timing/WallTime.h"
 
 #include <glog/logging.h>
 
@@ -16,6 +16,8 @@
 // on a fifth of a core, writing them takes about one hundredth of the time.
 constexpr double successLinesPerSecond = 20;
 constexpr double otherLinesPerSecond = 60;
+// Beyond both limits, so that the few calls that a change concerns are not lost among all others.
+constexpr double changedRouteLinesPerSecond = 10;
 
 LogRateLimiter &successLimiter()
 {
@@ -29,20 +31,10 @@
     return limiter;
 }
 
-void appendValue(std::string &line, const std::string &value)
+LogRateLimiter &changedRouteLimiter()
 {
-    const bool isPlain = !value.empty() && value.find_first_of(" \"=\n") == std::string::npos;
-    if (isPlain) {
-        line += value;
-        return;
-    }
-    line += '"';
-    for (const char character : value) {
-        if (character == '"' || character == '\\')
-            line += '\\';
-        line += character == '\n' ? ' ' : character;
-    }
-    line += '"';
+    static LogRateLimiter limiter(changedRouteLinesPerSecond);
+    return limiter;
 }
 
 } // namespace
@@ -53,16 +45,7 @@
         sink->eventLogged(code, message, fields);
         return;
     }
-    std::string line = timing::formatWallTimeMillis(timing::currentWallTime()) + " E"
-                       + std::to_string(static_cast<int>(code)) + " ";
-    line += message;
-    for (const auto &[name, value] : fields) {
-        line += " ";
-        line += name;
-        line += "=";
-        appendValue(line, value);
-    }
-    StandardOutput::instance().write(std::move(line));
+    StandardOutput::instance().write(eventLine(timing::currentWallTime(), code, message, fields));
 }
 
 void logCall(EventCode code, std::string_view message, bool isSuccess,
@@ -73,6 +56,15 @@
         logEvent(code, message, fields);
 }
 
+void logCallOnChangedRoute(EventCode code, std::string_view message, bool isSuccess,
+                           std::initializer_list<EventField> fields)
+{
+    if (changedRouteLimiter().tryConsume(std::chrono::steady_clock::now()))
+        logEvent(code, message, fields);
+    else
+        logCall(code, message, isSuccess, fields);
+}
+
 void logSuppressedLines()
 {
     const std::uint64_t suppressedSuccesses = successLimiter().takeSuppressedCount();
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -4,8 +4,8 @@
 
 #include "control/records/DepartureRecord.h"
 #include "control/records/NodeRecord.h"
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
-#include "daemon/service/StoreKnowledgeLog.h"
 
 #include <algorithm>
 
@@ -13,14 +13,13 @@
 
 using control::distribution::ControlPlane;
 using control::distribution::RecordReplica;
-using control::moves::MoveRecord;
 using control::records::StoreRecord;
+using core::events::ageText;
 using core::events::EventCode;
 using core::identity::Revision;
 
 namespace {
 
-constexpr std::chrono::milliseconds recordTimeout{1500};
 // Time in which a new node learns the members from the peers that the store lists.
 constexpr std::chrono::milliseconds memberDiscoveryTime{5000};
 // When a whole fleet starts at once, each node would register, and each record would be reported to
@@ -30,19 +29,6 @@
 // Updates come every 200 ms; a gap of this length means that the process was paused.
 constexpr std::chrono::milliseconds maximumUpdateGap{1000};
 
-const char *nameOf(control::intent::MoveState state)
-{
-    switch (state) {
-    case control::intent::MoveState::Done:
-        return "done";
-    case control::intent::MoveState::TakenBack:
-        return "taken back";
-    case control::intent::MoveState::Running:
-        break;
-    }
-    return "running";
-}
-
 } // namespace
 
 std::unique_ptr<control::distribution::IntentReplica> RecordSource::makeReplica()
@@ -139,11 +125,14 @@
 
 void RecordSource::logStoreRole(bool follows) const
 {
+    const auto knowledge = plane_->storeKnowledge();
     core::events::logEvent(EventCode::StoreRoleChanged, "store role changed",
                            {{"follows", follows ? "yes" : "no"},
                             {"chosen", plane_->isSelectedFollower() ? "yes" : "no"},
                             {"revision", std::to_string(replica_->table().revision().number())},
-                            {"coveredBy", plane_->storeKnowledge().coveredBy.value()}});
+                            {"coveredBy", knowledge.coveredBy.value()},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 // Each node record costs store calls, by this node and by the nodes that watch. A new node finds
@@ -169,6 +158,7 @@
 //==============================================================================
 void RecordSource::recordsListed(const std::vector<StoreRecord> &records, Revision revision)
 {
+    plane_->storeUpdateArrived();
     core::events::logEvent(EventCode::StoreListed, "store listed",
                            {{"revision", std::to_string(revision.number())},
                             {"entries", std::to_string(records.size())}});
@@ -196,6 +186,7 @@
 
 void RecordSource::recordsChanged(const control::records::RecordChanges &changes)
 {
+    plane_->storeUpdateArrived();
     reportContact();
     plane_->storeUpdateReceived(replica_->applyChanges(changes), changes.origin);
     for (const StoreRecord &record : changes.changes)
@@ -240,7 +231,9 @@
                            {{"error", std::string(error.message())},
                             {"held", std::to_string(knowledge.held.number())},
                             {"reported", std::to_string(knowledge.reported.number())},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 void RecordSource::proofMissing(const absl::Status &reason)
@@ -255,7 +248,9 @@
                             {"follows", follower_->isFollowing() ? "yes" : "no"},
                             {"held", std::to_string(knowledge.held.number())},
                             {"reported", std::to_string(knowledge.reported.number())},
-                            {"contactMs", ageText(knowledge.contactAge)}});
+                            {"contactMs", ageText(knowledge.contactAge)},
+                            {"intentNumber", std::to_string(knowledge.intent.number.number())},
+                            {"intentMs", ageText(knowledge.intent.age)}});
 }
 
 void RecordSource::logProofRegained()
@@ -277,37 +272,4 @@
     core::events::logEvent(EventCode::StoreRecovered, "platform available again");
 }
 
-//==============================================================================
-void RecordSource::recordMove(const MoveRecord &record)
-{
-    const auto &moves = plane_->snapshot()->document().moves;
-    const auto move = std::find_if(moves.begin(), moves.end(), [&](const auto &candidate) {
-        return candidate.id == record.moveId;
-    });
-    if (isRecording_ || move == moves.end())
-        return;
-    isRecording_ = true;
-    dependencies_.store.commit(
-            dependencies_.moveWriter->writesFor(*move, record, replica_->table()), recordTimeout,
-            [this, record](const absl::StatusOr<Revision> &response) {
-                handleRecordResponse(record, response);
-            });
-}
-
-void RecordSource::handleRecordResponse(const MoveRecord &record,
-                                        const absl::StatusOr<Revision> &response)
-{
-    isRecording_ = false;
-    // A conflict means that another node was first; the watch delivers its record.
-    if (absl::IsAborted(response.status()))
-        return;
-    core::events::logEvent(
-            response.ok() ? EventCode::MoveRecorded : EventCode::MoveRecordFailed,
-            response.ok() ? "move recorded" : "move not recorded, will be retried",
-            {{"move", record.moveId},
-             {"state", nameOf(record.state)},
-             {"evidence", record.evidence},
-             {"error", response.ok() ? "" : std::string(response.status().message())}});
-}
-
 } // namespace boragetrack::daemon::service
--- a/packages/transport/links/TrafficThread.cpp
+++ b/packages/transport/links/TrafficThread.cpp
@@ -2,6 +2,7 @@
     TrafficLoop, which is created and destroyed on the thread. */
 #include "transport/links/TrafficThread.h"
 
+#include "core/events/AgeText.h"
 #include "core/events/EventLog.h"
 #include "transport/links/TrafficLoop.h"
 
@@ -22,8 +23,9 @@
 // been held up for any part of the time since then.
 void addAge(Exchange &response, core::timing::MonotonicTime sentAt)
 {
-    response.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now() - sentAt);
+    const core::timing::MonotonicTime now = std::chrono::steady_clock::now();
+    response.arrivedAt = now;
+    response.roundTrip = std::chrono::ceil<std::chrono::milliseconds>(now - sentAt);
     if (response.storeContactAge)
         *response.storeContactAge += response.roundTrip;
 }
@@ -133,11 +135,7 @@
                                                peer, std::move(response));
                                    },
                                    [this, peer](kj::Exception &&exception) {
-                                       core::events::logEvent(
-                                               core::events::EventCode::PeerUnreachable,
-                                               "peer unreachable",
-                                               {{"peer", peer.address.toString()},
-                                                {"error", exception.getDescription().cStr()}});
+                                       logUnreachable(peer, exception);
                                        dependencies_.eventSink.exchangeFailed(peer);
                                    }));
     });
@@ -201,6 +199,18 @@
     });
 }
 
+void TrafficThread::logUnreachable(const PeerContact &peer, const kj::Exception &exception)
+{
+    const auto routing = dependencies_.routing.current();
+    const auto age = routing->intentAge(std::chrono::steady_clock::now());
+    core::events::logEvent(
+            core::events::EventCode::PeerUnreachable, "peer unreachable",
+            {{"peer", peer.address.toString()},
+             {"error", exception.getDescription().cStr()},
+             {"intentNumber", std::to_string(routing->intent->document().number.number())},
+             {"intentMs", core::events::ageText(age)}});
+}
+
 void TrafficThread::logFailedFetch(const char *what, const PeerContact &peer,
                                    const kj::Exception &exception)
 {
--- a/packages/transport/wire/ControlCodec.cpp
+++ b/packages/transport/wire/ControlCodec.cpp
@@ -169,9 +169,9 @@
 {
     message.setSender(exchange.sender.value());
     message.setRevision(exchange.revision.number());
-    message.setNumber(exchange.number.number());
     if (exchange.revisionAge)
         message.setRevisionMillis(exchange.revisionAge->count());
+    message.setIntentNumber(exchange.intentNumber.number());
     message.setReceiverFloor(exchange.receiverMinimumRevision.number());
     if (exchange.receiverDeparture)
         encodeAnnouncement(*exchange.receiverDeparture, message.initReceiverDeparture());
@@ -199,7 +199,6 @@
     Exchange exchange;
     exchange.sender = NodeId(message.getSender());
     exchange.revision = Revision(message.getRevision());
-    exchange.number = core::identity::IntentNumber(message.getNumber());
     exchange.receiverMinimumRevision = Revision(message.getReceiverFloor());
     if (message.hasReceiverDeparture())
         exchange.receiverDeparture = decodeAnnouncement(message.getReceiverDeparture());
@@ -210,6 +209,7 @@
     exchange.requestsUpdates = message.getAsksForNews();
     exchange.requestsStoreRead = message.getRequestsStoreRead();
     exchange.revisionAge = decodeAge(message.getRevisionMillis());
+    exchange.intentNumber = core::identity::IntentNumber(message.getIntentNumber());
     exchange.storeContactAge = decodeAge(message.getStoreContactMillis());
     exchange.members = decode(message.getMembers());
     for (const auto entry : message.getSuspicions()) {
--- a/packages/transport/wire/peer.capnp.h
+++ b/packages/transport/wire/peer.capnp.h
@@ -1813,7 +1813,7 @@
 
   inline  ::int64_t getRevisionMillis() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline  ::uint64_t getIntentNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1919,8 +1919,8 @@
   inline  ::int64_t getRevisionMillis();
   inline void setRevisionMillis( ::int64_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline  ::uint64_t getIntentNumber();
+  inline void setIntentNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6005,16 +6005,16 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
-inline  ::uint64_t Exchange::Reader::getNumber() const {
+inline  ::uint64_t Exchange::Reader::getIntentNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Exchange::Builder::getNumber() {
+inline  ::uint64_t Exchange::Builder::getIntentNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Exchange::Builder::setNumber( ::uint64_t value) {
+inline void Exchange::Builder::setIntentNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
