Repeat a fetch without a response at another holder of the change

A node that fetches a change asked the peer that it had heard of last, and after 0.4 s often the same one again. It now keeps the last four peers that hold the highest revision, and asks another one after 0.25 s.

IntentPropagatorTest.repeatsAFetchWithoutAResponseAtAnotherHolder is new and wasn't played on the code before.

--- a/packages/control/distribution/IntentPropagator.cpp
+++ b/packages/control/distribution/IntentPropagator.cpp
@@ -53,23 +53,43 @@
 {
     if (peerRevision <= replica_->revision())
         return;
-    if (!aheadPeer_)
-        aheadPeer_ = AheadPeer{peer, peerRevision, now};
-    aheadPeer_->peer = peer;
-    aheadPeer_->revision = std::max(aheadPeer_->revision, peerRevision);
+    if (!later_)
+        later_ = LaterRevision{peerRevision, now, {}};
+    std::vector<PeerContact> &holders = later_->holders;
+    if (peerRevision > later_->revision) {
+        later_->revision = peerRevision;
+        holders.clear();
+    }
+    if (peerRevision == later_->revision) {
+        std::erase_if(holders,
+                      [&](const PeerContact &known) { return known.address == peer.address; });
+        if (holders.size() == maximumHolders)
+            holders.erase(holders.begin());
+        holders.push_back(peer);
+    }
     fetchIfLagging(now);
 }
 
 void IntentPropagator::fetchIfLagging(MonotonicTime now)
 {
-    if (!aheadPeer_)
+    if (!later_)
         return;
-    if (aheadPeer_->revision <= replica_->revision()) {
-        aheadPeer_.reset();
+    if (later_->revision <= replica_->revision()) {
+        later_.reset();
         return;
     }
-    if (!isStoreReachable_ || now - aheadPeer_->since >= toleratedLag)
-        fetchFrom(aheadPeer_->peer, aheadPeer_->revision, now);
+    if (!isStoreReachable_ || now - later_->since >= toleratedLag)
+        fetchFrom(holderToAsk(), later_->revision, now);
+}
+
+const PeerContact &IntentPropagator::holderToAsk() const
+{
+    const std::vector<PeerContact> &holders = later_->holders;
+    const auto other = std::find_if(holders.rbegin(), holders.rend(), [&](const PeerContact &peer) {
+        return peer.address != lastFetchFrom_;
+    });
+    const bool isRepeated = later_->revision <= fetchedRevision_;
+    return isRepeated && other != holders.rend() ? *other : holders.back();
 }
 
 // Several peers may report the same change at the same moment; it is fetched from one of them.
--- a/packages/control/distribution/IntentPropagator.h
+++ b/packages/control/distribution/IntentPropagator.h
@@ -50,8 +50,12 @@
         between two watches, and a slightly later update. */
     static constexpr std::chrono::milliseconds toleratedLag{400};
 
-    /** The time after which a fetch of the same revision may be retried. */
-    static constexpr std::chrono::milliseconds fetchTimeout{400};
+    /** The time after which a fetch of the same revision may be retried, from another node if
+        several hold it: the link to the first one may be silent. */
+    static constexpr std::chrono::milliseconds fetchTimeout{250};
+
+    /** The number of nodes that are remembered as holders of a later revision. */
+    static constexpr std::size_t maximumHolders = 4;
 
     /** How long a node without reachable peers waits before it serves the platform's intent. */
     static constexpr std::chrono::milliseconds isolationTimeout{2000};
@@ -122,6 +126,7 @@
     void compareWhileFollowingStore(const PeerContact &peer, core::identity::Revision peerRevision,
                                     core::timing::MonotonicTime now);
     void fetchIfLagging(core::timing::MonotonicTime now);
+    const PeerContact &holderToAsk() const;
     void pushToAll(core::identity::Revision previous);
     void serveIfAllowed(core::timing::MonotonicTime now);
     bool isServingAllowed(core::timing::MonotonicTime now) const;
@@ -155,15 +160,16 @@
     bool isMinimumKnown_ = false;
     bool followsStore_ = false;
     bool isStoreReachable_ = false;
-    // The peer last seen ahead of this node, the highest revision seen, and since when a peer has
-    // been ahead. Empty if no peer is ahead.
-    struct AheadPeer
+    // The highest revision that a peer was seen ahead with, since when peers have been ahead, and
+    // the peers that hold that revision, the last one seen at the end. Nothing if no peer is ahead.
+    struct LaterRevision
     {
-        PeerContact peer;
         core::identity::Revision revision;
         core::timing::MonotonicTime since;
+        // Invariant: at least one and at most maximumHolders, with different addresses.
+        std::vector<PeerContact> holders;
     };
-    std::optional<AheadPeer> aheadPeer_;
+    std::optional<LaterRevision> later_;
 };
 
 } // namespace boragetrack::control::distribution
--- a/tests/unit/IntentPropagatorTest.cpp
+++ b/tests/unit/IntentPropagatorTest.cpp
@@ -20,9 +20,10 @@
     {
         pushes.push_back(transfer);
     }
-    void fetchIntent(const PeerContact & /*peer*/, Revision have) override
+    void fetchIntent(const PeerContact &peer, Revision have) override
     {
         fetches.push_back(have);
+        holders.push_back(peer.address);
     }
     void fetchMembers(const PeerContact & /*peer*/,
                       const control::membership::MemberTable::BucketHashes & /*hashes*/) override
@@ -30,6 +31,8 @@
 
     std::vector<IntentTransfer> pushes;
     std::vector<Revision> fetches;
+    // The addresses that the fetches went to.
+    std::vector<core::identity::NetworkAddress> holders;
 };
 
 class IntentPropagatorTest : public testing::Test, public IntentPropagator::Listener
@@ -94,6 +97,22 @@
     EXPECT_EQ(transport_.fetches.size(), 3U) << "the first peer may have failed";
 }
 
+// Guards against repeated fetches over a silent link while another node holds the change.
+TEST_F(IntentPropagatorTest, repeatsAFetchWithoutAResponseAtAnotherHolder)
+{
+    const PeerContact first{core::identity::NodeId("n1"), {"10.0.0.1", 7001}};
+    const PeerContact second{core::identity::NodeId("n2"), {"10.0.0.1", 7002}};
+    propagator_.setStoreReachable(false);
+    propagator_.compareRevisions(first, Revision(5), now_);
+    propagator_.compareRevisions(second, Revision(5), now_);
+    propagator_.compareRevisions(first, Revision(5), now_);
+    ASSERT_EQ(transport_.fetches.size(), 1U);
+    propagator_.tick(now_ + IntentPropagator::fetchTimeout);
+    ASSERT_EQ(transport_.fetches.size(), 2U);
+    EXPECT_EQ(transport_.holders[0], first.address);
+    EXPECT_EQ(transport_.holders[1], second.address);
+}
+
 // The store may accept a follower's watch and never respond to it.
 TEST_F(IntentPropagatorTest, fetchesAChangeThatItsOwnWatchDoesNotDeliver)
 {
