--- a/tests/deployment/deployed_node.py
+++ b/tests/deployment/deployed_node.py
@@ -13,7 +13,7 @@
 class DeployedNode:
     """A boragetrackd whose links and calls of the store pass through gates."""
 
-    def __init__(self, name, zone, service, ports, folder, zones):
+    def __init__(self, name, zone, service, ports, folder, zones, store_port="store"):
         self.name = name
         self.zone = zone
         self.service = service
@@ -30,7 +30,7 @@
             "callers": address("callers"), "announcements": address("announcements"),
             "readiness": address("readiness"), "peers": address("peers"),
             "peersReachableAt": address("links"), "operators": address("operators"),
-            "platform": address("store"), "dataCentres": list(zones), "operatorToken": TOKEN,
+            "platform": address(store_port), "dataCentres": list(zones), "operatorToken": TOKEN,
             "announcementLifeMs": 1500, "memoryMegabytes": 110,
             "repeats": {"windowSeconds": 10, "reserve": 58}, "seeds": []}))
 
--- a/tests/deployment/deployment.py
+++ b/tests/deployment/deployment.py
@@ -23,6 +23,9 @@
 class Deployment:
     """Starts all processes, and changes the configuration and the machines while they run."""
 
+    # The port at which nodes call the store: "store" is the gate's, "entrance" the store's own.
+    store_port = "store"
+
     def __init__(self, seed, first_port, rate, test_rate):
         self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-deployment-",
                                             dir=os.environ.get("BORAGETRACK_SCRATCH")))
@@ -171,7 +174,8 @@
     # ------------------------------------------------------------------
 
     def _add(self, name, zone, service):
-        node = DeployedNode(name, zone, service, self._ports, self.folder, ZONES)
+        node = DeployedNode(name, zone, service, self._ports, self.folder, ZONES,
+                            self.store_port)
         self.nodes[name] = node
         self.starts[name] = []
         self.store.call("add", name, node.ports["entrance"])
--- a/tests/deployment/intent_versions.py
+++ b/tests/deployment/intent_versions.py
@@ -61,14 +61,22 @@
         index = len(self.sent_at)
         self.sent_at.append(at)
         self.acknowledged_at.append(float("inf"))
-        state = dict(self._idle)
-        state.update({p: r["action"].get("service") for p, r in self._fixed.items()})
+        state = self._services_by_prefix()
         for prefix in set(state) | set(self._history):
             changes = self._history.setdefault(prefix, [])
             service = state.get(prefix)
             if (changes[-1][1] if changes else None) != service:
                 changes.append((index, service))
 
+    def _services_by_prefix(self):
+        state = dict(self._idle)
+        state.update({p: r["action"].get("service") for p, r in self._fixed.items()})
+        return state
+
+    @staticmethod
+    def _is_allowed(allowed, service):
+        return allowed == service
+
     def record_acknowledged(self, at):
         self.acknowledged_at[-1] = at
 
@@ -82,7 +90,7 @@
         """Returns the indexes of the versions that allow a service (None: a refusal) and were sent
         before a time."""
         count = bisect.bisect_left(self.sent_at, until)
-        return [i for i in range(count) if self.service_at(prefix, i) == service]
+        return [i for i in range(count) if self._is_allowed(self.service_at(prefix, i), service)]
 
     def oldest_allowed(self, sent_at, bound):
         """Returns the index of the newest version that was acknowledged that long before."""
--- /dev/null
+++ b/tests/deployment/store_conditions.py
@@ -0,0 +1,257 @@
+"""Conditions of the store in which nodes may serve an older configuration."""
+
+import contextlib
+import json
+import signal
+import threading
+import time
+
+
+class StoreConditions:
+    """Each method plays one round of a condition, and waits until its effects can be judged."""
+
+    # How long requests are judged after a condition (s): 3 s until machines are in touch, and more.
+    AFTER = 10.0
+
+    def __init__(self, deployment, rng):
+        self._deployment = deployment
+        self._random = rng
+        self._names = list(deployment.nodes)
+
+    def _call(self, name, *parameters):
+        return self._deployment.store.call(name, *parameters)
+
+    @contextlib.contextmanager
+    def _disturbed(self):
+        entry = self._deployment.disturbances.begin(None)
+        yield
+        self._deployment.disturbances.end(entry)
+
+    def _fall(self, begin_fault, end_fault, before, after):
+        """All nodes fall after a change; the store is disturbed from a time (s) before the start of
+        the nodes to one after it."""
+        rng = self._random
+        change = threading.Thread(target=self._deployment.change)
+        change.start()
+        if rng.random() < 0.5:
+            change.join()
+        time.sleep(rng.uniform(0.004, 0.4))
+        pause = rng.uniform(0.6, 2.0)
+        with self._disturbed():
+            fall = threading.Thread(target=self._deployment.kill,
+                                    args=(self._deployment.running(), pause))
+            fall.start()
+            time.sleep(max(0.0, pause - before))
+            begin_fault()
+            time.sleep(min(before, pause) + after)
+            end_fault()
+            fall.join()
+        change.join()
+        time.sleep(self.AFTER)
+
+    # ------------------------------------------------------------------ fall of all nodes
+
+    def fall(self):
+        self._fall(lambda: None, lambda: None, 0.0, 0.0)
+
+    def fall_changes(self):
+        """Changes go on after the fall, one machine of which never returns and stays silent."""
+        rng = self._random
+        deployment = self._deployment
+        gone = rng.choice(deployment.running())
+        others = [name for name in self._names if name != gone.name]
+        deployment.network.call("cut", ([gone.name], others), False)
+        gone.has_left = True
+        deployment.disturbances.begin(gone.name)
+        change = threading.Thread(target=deployment.change)
+        change.start()
+        time.sleep(rng.uniform(0.004, 0.4))
+        deployment.kill([n for n in deployment.nodes.values() if n.is_running()],
+                        rng.uniform(0.6, 2.0))
+        change.join()
+        for _ in range(12):
+            time.sleep(rng.choice((0.1, 0.5, 1.5)))
+            deployment.change()
+        time.sleep(4.0)
+
+    def fall_closed(self):
+        rng = self._random
+        self._fall(lambda: self._call("close_ports", self._names, rng.choice(("cut", "mute"))),
+                   lambda: self._call("open_ports", self._names),
+                   rng.uniform(0.2, 1.0), rng.uniform(0.3, 1.5))
+
+    def fall_closed_some(self):
+        rng = self._random
+        some = rng.sample(self._names, 5)
+        self._fall(lambda: self._call("close_ports", some, "cut"),
+                   lambda: self._call("open_ports", some),
+                   rng.uniform(0.2, 1.0), rng.uniform(0.3, 2.0))
+
+    def fall_slow(self):
+        self._fall(lambda: self._call("set_delay", self._random.uniform(0.1, 0.9)),
+                   lambda: self._call("set_delay", 0.0), 0.5, self._random.uniform(0.5, 3.0))
+
+    def fall_resetting(self):
+        self._fall(lambda: self._call("reject", self._names, "reset"),
+                   lambda: self._call("reject", self._names, None), 0.5,
+                   self._random.uniform(0.5, 2.0))
+
+    def fall_lagging(self):
+        """Listings lack the last records of the revision that they name."""
+        lag = self._random.uniform(1.0, 4.0)
+        self._fall(lambda: self._call("set_lags", lag, 0.0),
+                   lambda: self._call("set_lags", 0.0, 0.0), 0.5, 4.0)
+
+    def fall_lagging_some(self):
+        """The same, undisturbed by the measure of the pages: a listing lags for 0.3 s only."""
+        self._fall(lambda: self._call("set_lags", 2.5, 0.0),
+                   lambda: self._call("set_lags", 0.0, 0.0), 0.0, 0.15)
+
+    # ------------------------------------------------------------------ outage
+
+    def _outage(self, connections):
+        rng = self._random
+        self._deployment.change()
+        time.sleep(rng.uniform(0.0, 0.6))
+        self._deployment.change()
+        time.sleep(rng.uniform(0.0, 0.6))
+        with self._disturbed():
+            self._call("close_ports", self._names, connections)
+            time.sleep(4.5)
+            self._call("open_ports", self._names)
+        time.sleep(self.AFTER)
+
+    def outage_cut(self):
+        self._outage("cut")
+
+    def outage_kept(self):
+        self._outage("kept")
+
+    def outage_mute(self):
+        self._outage("mute")
+
+    # ------------------------------------------------------------------ reads that race with writes
+
+    def _lag(self, listing, watch, is_watch_revision_late, with_start=False):
+        """Changes while reads lag. Nothing excuses a late change here."""
+        self._call("set_lags", listing, watch, is_watch_revision_late)
+        for _ in range(6):
+            self._deployment.change()
+            if with_start:
+                node = self._random.choice(self._deployment.running())
+                self._deployment.end_by_itself(node, 0.05)
+            time.sleep(self._random.uniform(0.1, 1.5))
+        time.sleep(4.0)
+        self._call("set_lags", 0.0, 0.0)
+        time.sleep(2.0)
+
+    def watches_late(self):
+        self._lag(0.0, self._random.choice((0.02, 0.3, 1.0)), True)
+
+    def watches_late_by_seconds(self):
+        self._lag(0.0, 2.5, True)
+
+    def watch_events_late(self):
+        """A watch names a revision whose event it lacks."""
+        self._lag(0.0, self._random.choice((0.02, 0.3, 1.0)), False)
+
+    def listings_late(self):
+        self._lag(self._random.choice((0.02, 0.3, 1.0)), 0.0, True, True)
+
+    def events_overtaken(self):
+        """Watches deliver the event of a later write some ms before that of a change."""
+        self._call("overtake", "op/config", 0.05)
+        for number in range(6):
+            self._deployment.change()
+            self._call("put", "status/other", {"number": number})
+            time.sleep(self._random.uniform(0.5, 3.0))
+        time.sleep(4.0)
+        self._call("overtake", "", 0.0)
+        time.sleep(1.0)
+
+    # ------------------------------------------------------------------ writes out of order
+
+    def write_after_newer(self):
+        """A version without an answer is written after a newer one was acknowledged."""
+        versions = self._deployment.versions
+        older = json.dumps(versions.change())
+        versions.record_sent(time.monotonic())
+        newer = json.dumps(versions.change())
+        versions.record_sent(time.monotonic())
+        versions.record_acknowledged(self._call("put_configuration", newer))
+        self._deployment.clients.call("set_recent", versions.recent)
+        time.sleep(self._random.uniform(0.05, 2.5))
+        self._call("put_configuration", older)
+        time.sleep(self._random.uniform(5.0, 7.0))
+        self._deployment.change()
+        time.sleep(4.0)
+
+    def write_repeated(self):
+        """The answer of a write is lost, and it is repeated seconds later."""
+        versions = self._deployment.versions
+        text = json.dumps(versions.change())
+        versions.record_sent(time.monotonic())
+        self._call("put_configuration", text)
+        self._deployment.clients.call("set_recent", versions.recent)
+        time.sleep(self._random.uniform(0.05, 2.0))
+        versions.record_acknowledged(self._call("put_configuration", text))
+        time.sleep(4.0)
+
+    # ------------------------------------------------------------------ rejections that follow
+
+    def _rejected_callers(self, fault):
+        self._call("reject_callers", 0.34, fault, 9.0)
+        for _ in range(4):
+            self._deployment.change()
+            time.sleep(self._random.uniform(0.1, 1.5))
+        time.sleep(10.0)
+
+    def callers_busy(self):
+        self._rejected_callers("busy")
+
+    def callers_closed(self):
+        self._rejected_callers("closed")
+
+    def callers_reset(self):
+        self._rejected_callers("reset")
+
+    def callers_silent(self):
+        self._rejected_callers("silent")
+
+    # ------------------------------------------------------------------ single restarts
+
+    def _restarts(self, stop):
+        for _ in range(5):
+            change = threading.Thread(target=self._deployment.change)
+            change.start()
+            time.sleep(self._random.uniform(0.0, 0.3))
+            stop(self._random.choice(self._deployment.running()))
+            change.join()
+            time.sleep(self._random.uniform(0.2, 1.5))
+        time.sleep(4.0)
+
+    def own_ends(self):
+        self._restarts(lambda n: self._deployment.end_by_itself(n, self._random.uniform(0.05, 0.5)))
+
+    def planned_stops(self):
+        self._restarts(lambda n: self._deployment.stop_and_start(n, 6.0))
+
+    # ------------------------------------------------------------------ splits and prefixes
+
+    def routes(self):
+        """Changes splits and overlapping prefixes, with restarts and evacuations beside them."""
+        rng = self._random
+        for number in range(16):
+            self._deployment.change()
+            if number % 4 == 1:
+                zone = rng.choice(("gw-a", "gw-b", "gw-c"))
+                self._call("put", f"op/evacuate/{zone}", {})
+                self._deployment.change()
+                time.sleep(rng.uniform(0.1, 1.0))
+                self._call("remove", f"op/evacuate/{zone}")
+            if number % 4 == 2:
+                self._deployment.end_by_itself(rng.choice(self._deployment.running()), 0.1)
+            if number % 4 == 3:
+                rng.choice(self._deployment.running()).process.signal(signal.SIGHUP)
+            time.sleep(rng.choice((0.05, 0.3, 2.5)))
+        time.sleep(4.0)
--- a/tests/deployment/store_host.py
+++ b/tests/deployment/store_host.py
@@ -1,6 +1,7 @@
 """The store of the deployment, with an entrance for each node."""
 
 import json
+import threading
 import time
 
 from quiet_event_loop import quiet_event_loop
@@ -28,6 +29,12 @@
         self._store.put(CONFIGURATION, json.loads(text))
         return time.monotonic()
 
+    def put(self, key, value):
+        self._store.put(key, value)
+
+    def remove(self, key):
+        self._store.remove(key)
+
     def readers(self):
         """Returns the nodes that have a watch pending."""
         return [name for name, e in self._entrances.items() if e.pending_watches]
@@ -45,3 +52,51 @@
 
     def set_delay(self, delay):
         self._store.delay = delay
+
+    def close_ports(self, nodes, connections):
+        for node in nodes:
+            self._entrances[node].close_port(connections)
+
+    def open_ports(self, nodes):
+        for node in nodes:
+            self._entrances[node].open_port()
+
+    def set_lags(self, listing, watch, is_watch_revision_late=True):
+        self._store.listing_lag = listing
+        self._store.watch_lag = watch
+        self._store.is_watch_revision_late = is_watch_revision_late
+
+    def overtake(self, key, lag):
+        self._store.overtaken_key = key
+        self._store.overtaken_lag = lag
+
+    def reject_callers(self, share, fault, seconds):
+        """Rejects a share of the nodes for some seconds, always those that called last.
+
+        Fault "closed" closes their ports.
+        """
+        threading.Thread(target=self._reject_callers, args=(share, fault, seconds),
+                         daemon=True).start()
+
+    def _reject_callers(self, share, fault, seconds):
+        names = list(self._entrances)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            names.sort(key=lambda name: -self._entrances[name].called_at)
+            for position, name in enumerate(names):
+                is_rejected = position < share * len(names)
+                if is_rejected != bool(self._entrances[name].fault):
+                    self._set_fault(name, fault if is_rejected else None)
+            time.sleep(0.05)
+        for name in names:
+            if self._entrances[name].fault:
+                self._set_fault(name, None)
+
+    def _set_fault(self, name, fault):
+        entrance = self._entrances[name]
+        if fault == "closed":
+            entrance.close_port("cut")
+        elif fault is None and not entrance.is_open:
+            entrance.open_port()
+        else:
+            entrance.reject(fault)
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -31,6 +31,14 @@
         self._lost_calls = 0  # the calls up to this number get no response
         self.delay = 0.0  # before each response, in seconds
         self.staleness = 0.0  # the age of what reads with "staleOk" return, in seconds
+        # How far the items of listings and the events of watches lag behind the revision (s), and
+        # whether the revision that a late watch names lags with its events.
+        self.listing_lag = 0.0
+        self.watch_lag = 0.0
+        self.is_watch_revision_late = True
+        # How long watches lack the last event of a key that later events overtake, and the key.
+        self.overtaken_lag = 0.0
+        self.overtaken_key = ""
         # Returns the response to send in place of the given one.
         self.replace_response = lambda request, response: response
 
@@ -114,6 +122,8 @@
         is_stale = request.query.get("staleOk") == "1" and self.staleness > 0
         items, revision = (self.copy_of(self.staleness) if is_stale
                            else (self.items, self.revision))
+        if self.listing_lag:
+            items = self.copy_of(self.listing_lag)[0]
         keys = sorted(k for k in items if k.startswith(prefix) and k > after)
         page = []
         size = 0
@@ -133,14 +143,23 @@
             return self.json_response(410, {"error": "compacted"})
         timeout = int(request.query.get("waitMs", "0")) / 1000
         matching_events = lambda: [
-            e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)
+            e for e, at in zip(self.history, self._written_at)
+            if e["revision"] > after and e["key"].startswith(prefix)
+            and (e["key"] != self.overtaken_key or time.monotonic() - at >= self.overtaken_lag)
         ]
         try:
             async with self.changed:
                 await asyncio.wait_for(self.changed.wait_for(matching_events), timeout)
         except asyncio.TimeoutError:
             pass
-        return self.json_response(200, {"events": matching_events(), "currentRev": self.revision})
+        if not self.watch_lag:
+            return self.json_response(200, {"events": matching_events(),
+                                            "currentRev": self.revision})
+        await asyncio.sleep(self.watch_lag)
+        visible = self.copy_of(self.watch_lag)[1]
+        events = [e for e in matching_events() if e["revision"] <= visible]
+        named = visible if self.is_watch_revision_late else self.revision
+        return self.json_response(200, {"events": events, "currentRev": named})
 
     async def transact(self, body):
         for condition in body["expectedRev"]:
--- a/tests/platform/store_entrance.py
+++ b/tests/platform/store_entrance.py
@@ -1,6 +1,7 @@
 """An address of the store stand-in for one node, at which the store may reject that node alone."""
 
 import asyncio
+import time
 
 from asyncserver import AsyncServer
 
@@ -9,7 +10,8 @@
     """Passes the calls of one node on to the store, unless the store rejects the node.
 
     Fault "silent" never responds, "busy" responds with 503, "many" with 429, "reset" resets the
-    connection. Watches that are pending when a fault begins get no response, whichever it is.
+    connection. Watches that are pending when a fault begins get no response, whichever it is. A
+    closed port refuses connections; those of before are "cut", "mute", or "kept" and served.
     """
 
     STATUSES = {"busy": 503, "many": 429}
@@ -17,7 +19,9 @@
     def __init__(self, event_loop, port, store):
         super().__init__(event_loop, port)
         self.fault = None
+        self.is_open = True
         self.pending_watches = 0
+        self.called_at = 0.0
         self._store = store
         self._faults = 0  # how many faults have begun
 
@@ -29,7 +33,31 @@
         self._faults += fault is not None
         self.fault = fault
 
+    def close_port(self, connections):
+        self.event_loop.run(self._close_port(connections))
+
+    async def _close_port(self, connections):
+        self.is_open = False
+        if connections == "cut":
+            await self.close_server()
+        else:
+            self._server.close()
+        if connections != "kept":
+            self._reject("silent")
+
+    def open_port(self):
+        self._reject(None)
+        for _ in range(40):
+            try:
+                self.start()
+                self.is_open = True
+                return
+            except OSError:  # another process of the machine has the port for a moment
+                time.sleep(0.05)
+        raise RuntimeError(f"port {self.port} is in use")
+
     async def handle(self, request):
+        self.called_at = time.monotonic()
         if self.fault == "silent":
             await asyncio.sleep(3600)
         if self.fault == "reset":
