--- a/tests/deployment/store_conditions.py
+++ b/tests/deployment/store_conditions.py
@@ -74,6 +74,32 @@
             deployment.change()
         time.sleep(4.0)
 
+    def _fall_before_first_watches(self, nodes, seconds):
+        """The port closes between the listings and the first watches of nodes that have fallen."""
+        rng = self._random
+        self._deployment.change()
+        time.sleep(rng.uniform(0.004, 0.4))
+        self._deployment.kill(self._deployment.running(), rng.uniform(0.6, 2.0))
+        time.sleep(rng.uniform(0.3, 0.6))
+        self._deployment.change()
+        self._call("close_ports", nodes, "cut")
+        time.sleep(seconds)
+        self._call("open_ports", nodes)
+        for _ in range(6):
+            self._deployment.change()
+            time.sleep(rng.choice((0.1, 0.5, 2.5)))
+        time.sleep(4.0)
+
+    def fall_followers_closed(self):
+        """Only the usual followers are rejected, which excuses nothing."""
+        followers = [n for n in self._names if n.endswith(("a-4", "b-3", "c-3"))]
+        self._fall_before_first_watches(followers, 9.0)
+
+    def fall_briefly_closed(self):
+        with self._disturbed():
+            time.sleep(0.1)
+        self._fall_before_first_watches(self._names, self._random.uniform(0.3, 0.8))
+
     def fall_closed(self):
         rng = self._random
         self._fall(lambda: self._call("close_ports", self._names, rng.choice(("cut", "mute"))),
@@ -130,6 +156,40 @@
     def outage_mute(self):
         self._outage("mute")
 
+    def _outage_right_after_change(self, before_end, seconds=4.5):
+        """Followers have no call pending when the change before the outage is acknowledged."""
+        rng = self._random
+        self._deployment.change()
+        time.sleep(rng.uniform(0.05, 0.4))
+        self._deployment.change()
+        with self._disturbed():
+            self._call("close_ports", self._names, "cut")
+            time.sleep(seconds)
+            before_end()
+            self._call("open_ports", self._names)
+        time.sleep(5.0)
+        for _ in range(4):
+            self._deployment.change()
+            time.sleep(rng.choice((0.2, 0.8, 2.5)))
+        time.sleep(3.0)
+
+    def outage_after_change(self):
+        self._outage_right_after_change(lambda: None)
+
+    def outage_compacted(self):
+        self._outage_right_after_change(lambda: self._call("compact", 0.0))
+
+    def outage_expired(self):
+        """Leases expire in the outage."""
+        self._outage_right_after_change(lambda: self._call("expire_leases"))
+
+    def outage_forgotten(self):
+        """The store has lost its history, and does not say so."""
+        self._outage_right_after_change(lambda: self._call("forget_history"))
+
+    def outage_long(self):
+        self._outage_right_after_change(lambda: None, 15.0)
+
     # ------------------------------------------------------------------ reads that race with writes
 
     def _lag(self, listing, watch, is_watch_revision_late, with_start=False):
@@ -218,6 +278,62 @@
     def callers_silent(self):
         self._rejected_callers("silent")
 
+    def _followers_closed(self, connections, seconds):
+        """The port is closed for those that have a watch pending; nothing excuses that."""
+        rng = self._random
+        readers = self._call("readers")[:4]
+        time.sleep(rng.uniform(0.0, 1.0))
+        self._call("close_ports", readers, connections)
+        time.sleep(rng.uniform(0.0, 1.0))
+        for _ in range(3):
+            self._deployment.change()
+            time.sleep(rng.choice((0.1, 0.5, 1.0, 2.5)))
+        time.sleep(seconds)
+        self._call("open_ports", readers)
+        self._deployment.change()
+        time.sleep(5.0)
+
+    def followers_mute(self):
+        self._followers_closed("mute", 4.0)
+
+    def followers_kept(self):
+        self._followers_closed("kept", 4.0)
+
+    def followers_briefly_mute(self):
+        self._followers_closed("mute", 0.0)
+
+    def _relisted(self, fault, reject_all=False):
+        """The store discards its history, so that all followers list, and a change and a rejection
+        come before their first watch."""
+        rng = self._random
+        time.sleep(3.0)
+        readers = self._names if reject_all else self._call("readers")[:4]
+        self._deployment.change()
+        time.sleep(0.1)
+        self._call("put", "status/other", {"at": time.monotonic()})
+        self._call("compact", 0.0)
+        time.sleep(rng.uniform(0.6, 0.9))
+        self._deployment.change()
+        time.sleep(rng.uniform(0.0, 0.3))
+        if fault in ("cut", "mute"):
+            self._call("close_ports", readers, fault)
+            time.sleep(5.0)
+            self._call("open_ports", readers)
+        else:
+            self._call("reject", readers, fault)
+            time.sleep(5.0)
+            self._call("reject", readers, None)
+        time.sleep(4.0)
+
+    def relisted_closed(self):
+        self._relisted("cut")
+
+    def relisted_mute(self):
+        self._relisted("mute")
+
+    def relisted_silent(self):
+        self._relisted("silent")
+
     # ------------------------------------------------------------------ single restarts
 
     def _restarts(self, stop):
--- a/tests/deployment/store_host.py
+++ b/tests/deployment/store_host.py
@@ -50,6 +50,12 @@
         self._store.compact_history()
         self._store.staleness = staleness
 
+    def forget_history(self):
+        self._store.forget_history()
+
+    def expire_leases(self):
+        self._store.expire_leases()
+
     def set_delay(self, delay):
         self._store.delay = delay
 
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -64,6 +64,11 @@
     def compact_history(self):
         self.compacted_revision = self.revision
 
+    def forget_history(self):
+        """Loses all events, and responds to watches as if there had been none."""
+        self.history.clear()
+        self._written_at.clear()
+
     def lose_calls_in_progress(self):
         """Never responds to the calls that are in progress, waiting watches among them."""
         self._lost_calls = self.calls
