--- a/tests/deployment/store_conditions.py
+++ b/tests/deployment/store_conditions.py
@@ -117,6 +117,29 @@
         self._fall(lambda: self._call("set_delay", self._random.uniform(0.1, 0.9)),
                    lambda: self._call("set_delay", 0.0), 0.5, self._random.uniform(0.5, 3.0))
 
+    def fall_slow_responses(self):
+        """Responses show the store as it was when their call arrived."""
+        self._fall(lambda: self._call("set_response_delay", self._random.uniform(0.1, 0.9)),
+                   lambda: self._call("set_response_delay", 0.0), 0.5,
+                   self._random.uniform(0.5, 3.0))
+
+    def slow_responses(self):
+        """The same without a fall, with changes meanwhile and afterwards, and a lost history."""
+        rng = self._random
+        with self._disturbed():
+            self._call("set_response_delay", rng.uniform(0.1, 0.9))
+            for number in range(6):
+                self._deployment.change()
+                if number % 3 == 2:
+                    self._call("compact", 0.0)
+                time.sleep(rng.choice((0.1, 0.5, 1.2)))
+            self._call("set_response_delay", 0.0)
+        time.sleep(3.0)
+        for _ in range(4):
+            self._deployment.change()
+            time.sleep(rng.choice((0.1, 0.7, 2.5)))
+        time.sleep(3.0)
+
     def fall_resetting(self):
         self._fall(lambda: self._call("reject", self._names, "reset"),
                    lambda: self._call("reject", self._names, None), 0.5,
@@ -275,6 +298,19 @@
     def callers_reset(self):
         self._rejected_callers("reset")
 
+    def callers_many(self):
+        self._rejected_callers("many")
+
+    def callers_relisted(self):
+        """Silent for a third that follows the callers, while the store discards its history."""
+        self._call("reject_callers", 0.34, "silent", 9.0)
+        for number in range(6):
+            self._deployment.change()
+            self._call("put", "status/other", {"number": number})
+            self._call("compact", 0.0)
+            time.sleep(self._random.uniform(0.6, 1.6))
+        time.sleep(8.0)
+
     def callers_silent(self):
         self._rejected_callers("silent")
 
@@ -325,12 +361,36 @@
             self._call("reject", readers, None)
         time.sleep(4.0)
 
+    def relisted_lagging(self):
+        """The second listings of the followers lack a change, and their first watch is refused."""
+        readers = self._call("readers")[:4]
+        self._deployment.change()
+        time.sleep(0.1)
+        self._call("put", "status/other", {"at": time.monotonic()})
+        self._call("compact", 0.0)
+        self._call("set_lags", 0.7, 0.0)
+        time.sleep(0.3)
+        self._deployment.change()
+        time.sleep(0.6)
+        self._call("set_lags", 0.0, 0.0)
+        self._call("close_ports", readers, "cut")
+        time.sleep(0.8)
+        self._call("open_ports", readers)
+        time.sleep(7.0)
+
     def relisted_closed(self):
         self._relisted("cut")
 
     def relisted_mute(self):
         self._relisted("mute")
 
+    def relisted_many(self):
+        self._relisted("many")
+
+    def all_relisted_many(self):
+        """All nodes exceed the limit of calls; a watch that is pending gets no response."""
+        self._relisted("many", reject_all=True)
+
     def relisted_silent(self):
         self._relisted("silent")
 
--- a/tests/deployment/store_host.py
+++ b/tests/deployment/store_host.py
@@ -56,6 +56,9 @@
     def expire_leases(self):
         self._store.expire_leases()
 
+    def set_response_delay(self, delay):
+        self._store.response_delay = delay
+
     def set_delay(self, delay):
         self._store.delay = delay
 
--- a/tests/platform/store.py
+++ b/tests/platform/store.py
@@ -29,7 +29,8 @@
         # applies writes without a response.
         self.fault = None
         self._lost_calls = 0  # the calls up to this number get no response
-        self.delay = 0.0  # before each response, in seconds
+        self.delay = 0.0  # before each call is done, in seconds
+        self.response_delay = 0.0  # from when a call is done to its response, in seconds
         self.staleness = 0.0  # the age of what reads with "staleOk" return, in seconds
         # How far the items of listings and the events of watches lag behind the revision (s), and
         # whether the revision that a late watch names lags with its events.
@@ -83,6 +84,8 @@
         self.calls += 1
         number = self.calls
         response = await self.respond(request)
+        if self.response_delay:
+            await asyncio.sleep(self.response_delay)
         if self.fault == "silent" or number <= self._lost_calls:
             await asyncio.sleep(3600)
         return self.replace_response(request, response)
