--- a/tests/deployment/deployed_node.py
+++ b/tests/deployment/deployed_node.py
@@ -11,9 +11,10 @@
 
 
 class DeployedNode:
-    """A boragetrackd whose links and calls of the store pass through gates."""
+    """A boragetrackd whose links pass through gates, and its calls of the store as well unless
+    they go to its entrance directly."""
 
-    def __init__(self, name, zone, service, ports, folder, zones):
+    def __init__(self, name, zone, service, ports, folder, zones, is_store_direct=False):
         self.name = name
         self.zone = zone
         self.service = service
@@ -23,6 +24,7 @@
         # A planned stop, a kill and a restart may overlap.
         self.lock = threading.Lock()
         self.has_left = False
+        self.is_frozen = False
         address = lambda kind: f"127.0.0.1:{self.ports[kind]}"
         self._path = folder / f"{name}.json"
         self._path.write_text(json.dumps({
@@ -30,7 +32,7 @@
             "callers": address("callers"), "announcements": address("announcements"),
             "readiness": address("readiness"), "peers": address("peers"),
             "peersReachableAt": address("links"), "operators": address("operators"),
-            "platform": address("store"), "dataCentres": list(zones), "operatorToken": TOKEN,
+            "platform": address("entrance" if is_store_direct else "store"), "dataCentres": list(zones), "operatorToken": TOKEN,
             "announcementLifeMs": 1500, "memoryMegabytes": 110,
             "repeats": {"windowSeconds": 10, "reserve": 58}, "seeds": []}))
 
@@ -44,7 +46,9 @@
         return self.process is not None and self.process.is_running()
 
     def freeze(self):
+        self.is_frozen = True
         self.process.signal(signal.SIGSTOP)
 
     def thaw(self):
         self.process.signal(signal.SIGCONT)
+        self.is_frozen = False
--- a/tests/deployment/deployment.py
+++ b/tests/deployment/deployment.py
@@ -23,17 +23,20 @@
 class Deployment:
     """Starts all processes, and changes the configuration and the machines while they run."""
 
-    def __init__(self, seed, first_port, rate, test_rate):
+    def __init__(self, seed, first_port, rate, test_rate, split_share=0.0, idle_priority=3,
+                 is_store_direct=False):
         self.folder = Path(tempfile.mkdtemp(prefix="boragetrack-deployment-",
                                             dir=os.environ.get("BORAGETRACK_SCRATCH")))
         self._ports = ReservedPorts(first_port)
         self._rates = (rate, test_rate)
+        self._is_store_direct = is_store_direct
         self._store_port = self._ports.take()
         self.store = RemoteHost(StoreHost, self._store_port)
         self.network = RemoteHost(NetworkHost, seed)
         self.clients = RemoteHost(ClientHost, seed)
         self._server_hosts = [RemoteHost(ServerHost) for _ in ZONES]
-        self.versions = IntentVersions(seed, SERVICES, fixed_rules(), MOVABLE, IDLE_ROUTES)
+        self.versions = IntentVersions(seed, SERVICES, fixed_rules(), MOVABLE, IDLE_ROUTES,
+                                       split_share, idle_priority)
         self.disturbances = DisturbanceLog()
         self.nodes = {}
         self.starts = {}
@@ -69,13 +72,17 @@
         return [outcome for host in (self.clients, *self._server_hosts)
                 for outcome in host.call("outcomes")]
 
-    def change(self, added=0):
-        """Writes the next version; others wait meanwhile."""
+    def change(self, added=0, rejection=None, delay=0.0):
+        """Writes the next version; others wait meanwhile. Parameters rejection and delay as in
+        StoreHost. Returns when it was acknowledged, and the store's revision."""
         with self._change_lock:
             text = json.dumps(self.versions.change(added))
             self.versions.record_sent(time.monotonic())
-            self.versions.record_acknowledged(self.store.call("put_configuration", text))
+            acknowledged_at, revision = self.store.call("put_configuration_between", text,
+                                                        rejection, delay)
+            self.versions.record_acknowledged(acknowledged_at)
             self.clients.call("set_recent", self.versions.recent)
+        return acknowledged_at, revision
 
     # ------------------------------------------------------------------ machines
 
@@ -166,12 +173,14 @@
         return [n for n in self.nodes.values() if n.is_running() and not n.has_left]
 
     def running_pids(self):
-        return [node.process.pid for node in list(self.nodes.values()) if node.is_running()]
+        return [node.process.pid for node in list(self.nodes.values())
+                if node.is_running() and not node.is_frozen]
 
     # ------------------------------------------------------------------
 
     def _add(self, name, zone, service):
-        node = DeployedNode(name, zone, service, self._ports, self.folder, ZONES)
+        node = DeployedNode(name, zone, service, self._ports, self.folder, ZONES,
+                            self._is_store_direct)
         self.nodes[name] = node
         self.starts[name] = []
         self.store.call("add", name, node.ports["entrance"])
--- a/tests/deployment/intent_versions.py
+++ b/tests/deployment/intent_versions.py
@@ -13,12 +13,15 @@
     times moves a route with traffic between two services.
     """
 
-    def __init__(self, seed, services, fixed_routes, movable, idle_count):
+    def __init__(self, seed, services, fixed_routes, movable, idle_count, split_share=0.0,
+                 idle_priority=3):
         self._random = random.Random(f"{seed}-versions")
         self._services = services
         self._fixed = fixed_routes  # by prefix: a rule
         self._movable = movable  # a prefix, and the services that it moves between
         self._number = 3
+        self._idle_priority = idle_priority
+        self._split_share = split_share  # of the changed routes, those that become a split
         self.sent_at = []
         self.acknowledged_at = []
         # By prefix: the indexes of the versions that changed it, and its service from then on.
@@ -28,6 +31,7 @@
         for _ in range(idle_count):
             self._add_idle()
         self.recent = []  # prefixes that the last versions changed
+        self.changed = []  # prefixes that the last version changed
 
     def _add_idle(self):
         prefix = f"/idle{self._next_idle}/"
@@ -43,6 +47,8 @@
             for prefix in self._random.sample(sorted(self._idle), 2):
                 others = [s for s in self._services if s != self._idle[prefix]]
                 self._idle[prefix] = self._random.choice(others)
+                if self._split_share and self._random.random() < self._split_share:
+                    self._idle[prefix] = tuple(self._random.sample(self._services, 2))
                 changed.append(prefix)
             dropped = self._random.choice(sorted(set(self._idle) - set(changed)))
             del self._idle[dropped]
@@ -53,6 +59,7 @@
                 rule = self._fixed[prefix]
                 rule["action"]["service"] = second if rule["action"]["service"] == first else first
                 changed.append(prefix)
+        self.changed = changed
         self.recent = (changed + self.recent)[:16]
         return self._document()
 
@@ -73,7 +80,8 @@
         self.acknowledged_at[-1] = at
 
     def service_at(self, prefix, index):
-        """Returns the service of a prefix in a version; None without a route."""
+        """Returns the service of a prefix in a version, a tuple of those of a split, or None
+        without a route."""
         changes = self._history.get(prefix, [])
         position = bisect.bisect_right(changes, index, key=lambda change: change[0])
         return changes[position - 1][1] if position else None
@@ -82,19 +90,32 @@
         """Returns the indexes of the versions that allow a service (None: a refusal) and were sent
         before a time."""
         count = bisect.bisect_left(self.sent_at, until)
-        return [i for i in range(count) if self.service_at(prefix, i) == service]
+        return [i for i in range(count) if self._allows(self.service_at(prefix, i), service)]
+
+    @staticmethod
+    def _allows(routed, service):
+        return service in routed if isinstance(routed, tuple) else service == routed
 
     def oldest_allowed(self, sent_at, bound):
         """Returns the index of the newest version that was acknowledged that long before."""
         known = [i for i, at in enumerate(self.acknowledged_at) if at <= sent_at - bound]
         return known[-1] if known else 0
 
+    @staticmethod
+    def _action_to(service):
+        action = {"timeoutS": 2.0, "maxAttempts": 2}
+        if isinstance(service, tuple):
+            action["weightedSplit"] = [{"service": s, "weight": 50} for s in service]
+        else:
+            action["service"] = service
+        return action
+
     def _document(self):
         rules = {}
         for prefix, service in self._idle.items():
             rules[prefix] = {"name": f"r{prefix.strip('/')}", "kind": "safe", "targetLatencyS": 0.5,
-                             "priority": 3, "match": {"prefix": prefix},
-                             "action": {"service": service, "timeoutS": 2.0, "maxAttempts": 2}}
+                             "priority": self._idle_priority, "match": {"prefix": prefix},
+                             "action": self._action_to(service)}
         rules.update(self._fixed)
         listeners = [{"host": f"h{i}.example", "ruleSet": []} for i in range(HOSTS)]
         for prefix, rule in rules.items():
--- a/tests/deployment/processor_slices.py
+++ b/tests/deployment/processor_slices.py
@@ -30,6 +30,8 @@
         self._ended = threading.Event()
         self.suspended_seconds = 0.0
         self.seconds = 0.0
+        # The largest share of a core that a process used in a period; with a quota only.
+        self.largest_use = 0.0
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -55,6 +57,9 @@
                 if self._is_quota:
                     used = self._used(pid)
                     if begun.get(pid, (None,))[0] != period:
+                        if pid in begun:
+                            self.largest_use = max(self.largest_use,
+                                                   (used - begun[pid][1]) / PERIOD)
                         begun[pid] = (period, used)
                     runs = used - begun[pid][1] < self._share * PERIOD
                 else:
--- a/tests/deployment/store_host.py
+++ b/tests/deployment/store_host.py
@@ -25,16 +25,28 @@
 
     def put_configuration(self, text):
         """Writes a version. Returns when it was acknowledged."""
-        self._store.put(CONFIGURATION, json.loads(text))
-        return time.monotonic()
+        return self.put_configuration_between(text, None)[0]
+
+    def put_configuration_between(self, text, rejection, delay=0.0):
+        """Writes a version, with a rejection (nodes, fault, connections) a delay (s) before it, or
+        after it if the delay is negative. Returns when it was acknowledged, and its revision."""
+        if rejection and delay >= 0.0:
+            self.reject(*rejection)
+            time.sleep(delay)
+        revision = self._store.put(CONFIGURATION, json.loads(text))
+        acknowledged_at = time.monotonic()
+        if rejection and delay < 0.0:
+            time.sleep(-delay)
+            self.reject(*rejection)
+        return acknowledged_at, revision
 
     def readers(self):
         """Returns the nodes that have a watch pending."""
         return [name for name, e in self._entrances.items() if e.pending_watches]
 
-    def reject(self, nodes, fault):
+    def reject(self, nodes, fault, connections="kept"):
         for node in nodes:
-            self._entrances[node].reject(fault)
+            self._entrances[node].reject(fault, connections)
 
     def lose_calls(self):
         self._store.lose_calls_in_progress()
--- a/tests/platform/store_entrance.py
+++ b/tests/platform/store_entrance.py
@@ -2,14 +2,17 @@
 
 import asyncio
 
-from asyncserver import AsyncServer
+from asyncserver import AsyncServer, reset
 
 
 class StoreEntrance(AsyncServer):
     """Passes the calls of one node on to the store, unless the store rejects the node.
 
     Fault "silent" never responds, "busy" responds with 503, "many" with 429, "reset" resets the
-    connection. Watches that are pending when a fault begins get no response, whichever it is.
+    connection, "closed" refuses new connections and resets others at their next request. Watches
+    that are pending when a fault begins get no response, whichever it is. The connections of that
+    moment stay usable ("kept"), never respond again ("hanging"), are reset ("cut") or get the end
+    of the store's output ("ended").
     """
 
     STATUSES = {"busy": 503, "many": 429}
@@ -20,19 +23,36 @@
         self.pending_watches = 0
         self._store = store
         self._faults = 0  # how many faults have begun
+        self._seen = set()  # the connections with a request so far
+        self._hanging = set()
 
-    def reject(self, fault):
+    def reject(self, fault, connections="kept"):
         """Begins a fault, or ends it with None."""
-        self.event_loop.call(self._reject, fault)
+        self.event_loop.run(self._reject(fault, connections))
 
-    def _reject(self, fault):
+    async def _reject(self, fault, connections):
+        if self.fault == "closed":
+            await self.open()
         self._faults += fault is not None
         self.fault = fault
+        self._hanging = set()
+        if fault is None:
+            return
+        if fault == "closed":
+            self._server.close()
+        if connections == "hanging":
+            self._hanging = set(self._seen)
+        for writer in list(self._writers):
+            if connections == "cut":
+                reset(writer)
+            elif connections == "ended" and writer.can_write_eof():
+                writer.write_eof()
 
     async def handle(self, request):
-        if self.fault == "silent":
+        self._seen.add(request.connection)
+        if self.fault == "silent" or request.connection in self._hanging:
             await asyncio.sleep(3600)
-        if self.fault == "reset":
+        if self.fault in ("reset", "closed"):
             return None
         if self.fault:
             return self._store.json_response(self.STATUSES[self.fault], {"error": self.fault})
