--- a/tests/deployment/change_delays.py
+++ b/tests/deployment/change_delays.py
@@ -60,6 +60,9 @@
             "load": [round(load_before, 1), round(os.getloadavg()[0], 1)],
             "folder": str(deployment.folder), "all": summary([r["delay"] for r in results]),
             "logged": summary([max(r["inForce"].values(), default=0.0) for r in results]),
+            "loggedFirst": summary([min(r["inForce"].values(), default=0.0) for r in results]),
+            "firstToLast": summary([max(r["inForce"].values()) - min(r["inForce"].values())
+                                    for r in results if r["inForce"]]),
             "by": {key: summaries(results, key) for key in KEYS},
             "findings": sum(r["delay"] > FINDING_SECONDS[options.two] for r in results),
             "requests": len(outcomes), "judged": judge.judged, "wrong": len(judge.violations),
--- a/tests/deployment/gate.py
+++ b/tests/deployment/gate.py
@@ -9,16 +9,24 @@
 
 
 class GateConnection:
-    """A forwarded connection; origin names the client, or None."""
+    """A forwarded connection."""
 
-    def __init__(self, origin, writers):
-        self.origin = origin
+    def __init__(self, find_origin, writers):
+        self._find_origin = find_origin
+        self._origin = None
         self.writers = writers
         # Forwards nothing any more, and tells neither side.
         self.is_dead = False
         # Forwards nothing until this time of the loop; what waits goes on then.
         self.held_until = 0.0
 
+    @property
+    def origin(self):
+        """The name of the client, or None; found when a cut asks for it, since that takes a while."""
+        if self._origin is None:
+            self._origin = self._find_origin()
+        return self._origin
+
 
 class Gate:
     """Forwards connections from one port to another.
@@ -81,9 +89,9 @@
         for connection in self._connections:
             connection.is_dead = connection.is_dead or is_chosen()
 
-    def _cut_for(self, origin):
+    def _cut_for(self, connection):
         for cut in self._cuts:
-            if cut is not None and (cut[0] is None or origin in cut[0]):
+            if cut is not None and (cut[0] is None or connection.origin in cut[0]):
                 return cut
         return None
 
@@ -97,8 +105,9 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
 
     async def _serve(self, reader, writer):
-        origin = self._origin_of(writer.get_extra_info("peername")[1], self._port)
-        cut = self._cut_for(origin)
+        client = writer.get_extra_info("peername")[1]
+        connection = GateConnection(lambda: self._origin_of(client, self._port), [writer])
+        cut = self._cut_for(connection)
         if cut is not None and cut[1]:
             reset(writer)
             return
@@ -107,7 +116,7 @@
         except OSError:
             reset(writer)
             return
-        connection = GateConnection(origin, (writer, target_writer))
+        connection.writers.append(target_writer)
         connection.held_until = float("inf") if cut is not None else 0.0
         self._connections.add(connection)
         await asyncio.gather(self._forward(connection, reader, target_writer),
--- a/tests/deployment/socket_owners.py
+++ b/tests/deployment/socket_owners.py
@@ -22,6 +22,7 @@
 
     def __init__(self):
         self._pids = {}  # by name
+        self._names = {}  # of the owners of sockets, by what /proc says of a descriptor
         self._kernel = socket.socket(socket.AF_NETLINK, socket.SOCK_DGRAM, NETLINK_SOCK_DIAG)
         self._kernel.settimeout(1.0)
 
@@ -34,14 +35,17 @@
         if not inode:
             return None
         wanted = f"socket:[{inode}]"
+        if wanted not in self._names:
+            self._read_descriptors()
+        return self._names.get(wanted)
+
+    def _read_descriptors(self):
         for name, pid in self._pids.items():
             try:
                 for entry in os.scandir(f"/proc/{pid}/fd"):
-                    if os.readlink(entry.path) == wanted:
-                        return name
+                    self._names[os.readlink(entry.path)] = name
             except OSError:
                 continue
-        return None
 
     def _inode_of(self, port, target):
         request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, 0xffffffff)
