--- a/tests/deployment/change_trials.py
+++ b/tests/deployment/change_trials.py
@@ -29,7 +29,9 @@
 
     def __init__(self, deployment, seed, ways, timings, seconds):
         self._deployment = deployment
-        self._random = random.Random(f"{seed}-trials")
+        self._seed = seed
+        self._count = 0
+        self._random = None
         self._choices = (ways, timings, seconds)
         self._probes = RemoteHost(ProbeHost)
         self.outcomes = []
@@ -39,6 +41,9 @@
 
     def run(self):
         """Plays a trial. Returns its description and what was measured."""
+        # A seed gives the same trials however long the nodes take to settle.
+        self._count += 1
+        self._random = random.Random(f"{self._seed}-trial-{self._count}")
         trial = ChangeTrial.draw(self._random, *self._choices)
         followers = self._settle()
         nodes = list(self._deployment.nodes)
@@ -77,10 +82,11 @@
 
     def _settle(self):
         """Waits until each data centre has one follower, and some more. Returns the followers."""
+        rng = random.Random()
         for _ in range(SETTLE_ROUNDS):
             # A change ends the watches of nodes that no longer follow the store.
             self._deployment.change()
-            time.sleep(self._random.uniform(2.2, 3.4))
+            time.sleep(rng.uniform(2.2, 3.4))
             readers = self._deployment.store.call("readers")
             if len(readers) == len(ZONES):
                 return readers
