--- a/packages/transport/links/PeerLinks.cpp
+++ b/packages/transport/links/PeerLinks.cpp
@@ -4,13 +4,22 @@
 #include "core/events/EventLog.h"
 #include "transport/timing/Deadline.h"
 #include "transport/wire/CallCodec.h"
+#include "transport/wire/ControlCodec.h"
 #include "transport/wire/SizeHint.h"
+#include "transport/wire/UsageCodec.h"
 
 namespace boragetrack::transport::links {
 
+using control::distribution::Exchange;
+using control::distribution::IntentTransfer;
+using control::membership::MemberRecord;
+using control::membership::MemberTable;
+using control::usage::UsageSnapshot;
+using control::usage::UsageWindow;
 using core::identity::IdempotencyKey;
 using core::identity::NetworkAddress;
 using core::identity::NodeId;
+using core::identity::Revision;
 using traffic::calls::CallRequest;
 using traffic::calls::CallResponse;
 
@@ -104,6 +113,105 @@
                                 }));
 }
 
+//==============================================================================
+template <typename Results, typename Request, typename Read>
+auto PeerLinks::sendControl(const NetworkAddress &peer, Request makeRequest, Read read)
+{
+    const kj::TimePoint startedAt = timer_.now();
+    const kj::TimePoint deadline = startedAt + toKj(controlTimeout);
+    return timing::resultBefore(timer_, deadline, connect(peer))
+            .then([this, peer, makeRequest, read, startedAt,
+                   deadline](kj::Own<PeerLink> &&link) mutable {
+                PeerLink &used = *link;
+                wire::schema::Peer::Client client = used.peer();
+                auto request = makeRequest(client);
+                counters_.controlMessagesSent.add();
+                counters_.controlBytesSent.add(request.asReader().totalSize().wordCount
+                                               * sizeof(capnp::word));
+                auto answer = request.send().then([this, read, &used](auto &&response) mutable {
+                    used.recordResponse(timer_.now());
+                    counters_.controlBytesReceived.add(response.totalSize().wordCount
+                                                       * sizeof(capnp::word));
+                    return read(response);
+                });
+                using Answer = decltype(answer);
+                return timing::resultBefore(timer_, deadline, kj::mv(answer))
+                        .catch_([this, peer, startedAt,
+                                 &used](kj::Exception &&exception) -> Answer {
+                            if (exception.getType() == kj::Exception::Type::OVERLOADED)
+                                giveUpIfSilent(peer, used, startedAt);
+                            return kj::mv(exception);
+                        })
+                        .attach(kj::mv(link));
+            });
+}
+
+kj::Promise<Exchange> PeerLinks::exchange(const NetworkAddress &peer, const Exchange &request)
+{
+    return sendControl<Exchange>(
+            peer,
+            [request](wire::schema::Peer::Client &client) {
+                auto message = client.exchangeRequest(wire::sizeHint(request));
+                wire::encode(request, message.initRequest());
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getAnswer()); });
+}
+
+kj::Promise<Revision> PeerLinks::pushIntent(const NetworkAddress &peer, const NodeId &sender,
+                                            const IntentTransfer &transfer)
+{
+    return sendControl<Revision>(
+            peer,
+            [this, sender, transfer](wire::schema::Peer::Client &client) {
+                auto message = client.pushIntentRequest();
+                message.setSender(sender.value());
+                wire::encode(transfer, compressor_, message.initTransfer());
+                return message;
+            },
+            [](auto &response) { return Revision(response.getRevision()); });
+}
+
+kj::Promise<IntentTransfer> PeerLinks::fetchIntent(const NetworkAddress &peer, Revision have)
+{
+    return sendControl<IntentTransfer>(
+            peer,
+            [have](wire::schema::Peer::Client &client) {
+                auto message = client.fetchIntentRequest();
+                message.setHave(have.number());
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getTransfer()); });
+}
+
+kj::Promise<std::vector<MemberRecord>>
+PeerLinks::fetchMembers(const NetworkAddress &peer, const MemberTable::BucketHashes &hashes)
+{
+    return sendControl<std::vector<MemberRecord>>(
+            peer,
+            [hashes](wire::schema::Peer::Client &client) {
+                auto message = client.fetchMembersRequest();
+                auto list = message.initHashes(static_cast<unsigned int>(hashes.size()));
+                for (unsigned int i = 0; i < hashes.size(); ++i)
+                    list.set(i, hashes[i]);
+                return message;
+            },
+            [](auto &response) { return wire::decode(response.getMembers()); });
+}
+
+kj::Promise<UsageWindow> PeerLinks::reportUsage(const NetworkAddress &peer,
+                                                const UsageSnapshot &snapshot)
+{
+    return sendControl<UsageWindow>(
+            peer,
+            [snapshot](wire::schema::Peer::Client &client) {
+                auto message = client.reportUsageRequest();
+                wire::encode(snapshot, message.initSnapshot());
+                return message;
+            },
+            [](auto &response) { return UsageWindow(response.getReportedThrough()); });
+}
+
 //==============================================================================
 kj::Promise<kj::Own<PeerLink>> PeerLinks::connect(const NetworkAddress &peer)
 {
@@ -163,22 +271,6 @@
                            {"callMs", std::to_string((timer_.now() - since) / kj::MILLISECONDS)}});
 }
 
-bool PeerLinks::hasOpenLink(const NetworkAddress &peer) const
-{
-    const auto found = links_.find(peer.toString());
-    return found != links_.end() && found->second->isOpen();
-}
-
-bool PeerLinks::replaceIfSilent(const NetworkAddress &peer, kj::TimePoint since)
-{
-    const auto found = links_.find(peer.toString());
-    if (found == links_.end() || !found->second->isOpen() || found->second->lastResponse() >= since)
-        return false;
-    const auto link = kj::addRef(*found->second);
-    giveUpIfSilent(peer, *link, since);
-    return true;
-}
-
 void PeerLinks::endLink(const NetworkAddress &peer, const PeerLink *link, bool wasOpen)
 {
     if (dropLink(peer.toString(), link) && wasOpen && whenDisconnected_)
--- a/packages/transport/links/PeerLinks.h
+++ b/packages/transport/links/PeerLinks.h
@@ -32,9 +32,6 @@
     static constexpr std::chrono::milliseconds connectTimeout{250};
     /** Maximum time for a control request as a whole. */
     static constexpr std::chrono::milliseconds controlTimeout{1000};
-    /** Time without a response after which a control request on an open link is repeated on a new
-        one, if nothing came on the link meanwhile. Links may go silent while new ones work. */
-    static constexpr std::chrono::milliseconds silenceTime{300};
     /** Time without a request after which a link is closed. A compressed link takes some 60 KB at
         each end. */
     static constexpr std::chrono::seconds idleTimeout{20};
@@ -112,21 +109,9 @@
     kj::Promise<void> closeIdleLinks();
     void taskFailed(kj::Exception &&exception) override;
 
-    bool hasOpenLink(const core::identity::NetworkAddress &peer) const;
-    /** Drops the open link to a peer that has not responded on it since a time.
-        @returns whether it was dropped */
-    bool replaceIfSilent(const core::identity::NetworkAddress &peer, kj::TimePoint since);
-
-    // Sends a control request and counts its bytes.
-    template <typename Results, typename Request, typename Read>
-    kj::Promise<Results> sendOnce(const core::identity::NetworkAddress &peer, Request makeRequest,
-                                  Read read, kj::TimePoint deadline);
-
-    // Sends a control request with a timeout, and once more if its link is silent. Control requests
-    // may be handled twice.
+    // Sends a control request with a timeout and counts its bytes.
     template <typename Results, typename Request, typename Read>
-    kj::Promise<Results> sendControl(const core::identity::NetworkAddress &peer,
-                                     Request makeRequest, Read read);
+    auto sendControl(const core::identity::NetworkAddress &peer, Request makeRequest, Read read);
 
     kj::Network &network_;
     timing::PreciseTimer &timer_;
