--- a/packages/control/distribution/RecordReplica.cpp
+++ b/packages/control/distribution/RecordReplica.cpp
@@ -91,7 +91,10 @@
     std::vector<StoreRecord> kept;
     std::copy_if(listed.begin(), listed.end(), std::back_inserter(kept),
                  [&](const auto &record) { return isKept(record); });
-    const bool hasChanges = table_.mergeListing({}, kept, revision);
+    bool hasChanges = table_.mergeListing({}, kept, revision);
+    // The table takes no record below its revision, which may be from before the store came back.
+    for (const StoreRecord &record : kept)
+        hasChanges = reader_->adopt(record) || hasChanges;
     return update(hasChanges ? Change::Intent : Change::None, before);
 }
 
