--- a/packages/control/records/EraAwareStore.cpp
+++ b/packages/control/records/EraAwareStore.cpp
@@ -90,7 +90,19 @@
                timeout, std::move(callback));
     else
         store_.watch(prefix, after, wait, timeout,
-                     withEra(ReadConsistency::Linearizable, std::move(callback)));
+                     withEra(ReadConsistency::Linearizable, withinEra(after, std::move(callback))));
+}
+
+// The store counted the events of a later era from a number of this one, so that those before it
+// are missing.
+RecordStore::Callback<RecordChanges> EraAwareStore::withinEra(Revision after,
+                                                              Callback<RecordChanges> callback)
+{
+    return [after, callback = std::move(callback)](absl::StatusOr<RecordChanges> response) {
+        if (response.ok() && response->revision.era() > after.era())
+            response = absl::OutOfRangeError("the store came back from a copy during the watch");
+        callback(std::move(response));
+    };
 }
 
 void EraAwareStore::probe(ReadConsistency consistency, std::chrono::milliseconds timeout,
--- a/packages/control/records/EraAwareStore.h
+++ b/packages/control/records/EraAwareStore.h
@@ -49,6 +49,10 @@
     template <typename Response>
     Callback<Response> withEra(ReadConsistency consistency, Callback<Response> callback);
 
+    /** Returns a callback that refuses changes of a later era than a revision. */
+    static Callback<RecordChanges> withinEra(core::identity::Revision after,
+                                             Callback<RecordChanges> callback);
+
     RecordStore &store_;
     // Outlives this object as long as responses may arrive. Never null.
     std::shared_ptr<StoreEra> era_ = std::make_shared<StoreEra>();
--- a/packages/control/records/StoreDepartureKeeper.h
+++ b/packages/control/records/StoreDepartureKeeper.h
@@ -39,11 +39,11 @@
     /** A departure replaces an earlier one that is still being written; an upstream whose departure
         was not acknowledged repeats it. */
     void keep(const membership::AnnouncementStamp &departure) override;
+    bool isKept(const membership::AnnouncementStamp &departure) const override;
+
     /** Writes the last departure again: the store came back from a copy, which may lack it. */
     void keepAgain();
 
-    bool isKept(const membership::AnnouncementStamp &departure) const override;
-
 private:
     void timerElapsed(core::timing::MonotonicTime now) override;
     void write();
--- a/packages/control/records/StoreFollower.cpp
+++ b/packages/control/records/StoreFollower.cpp
@@ -128,6 +128,15 @@
     resume();
 }
 
+void StoreFollower::listAgain()
+{
+    timers_.removeListener(*this);
+    endWatch();
+    isListed_ = false;
+    isIdle_ = false;
+    listFrom({});
+}
+
 // Ignores later responses to the watch: they would begin calls beside those that follow it.
 void StoreFollower::endWatch()
 {
--- a/packages/control/records/StoreFollower.h
+++ b/packages/control/records/StoreFollower.h
@@ -105,6 +105,9 @@
         @param known a revision known from other sources; only later changes are requested */
     void setActive(bool isActive, core::identity::Revision known);
 
+    /** Lists all records again: the store came back from a copy. */
+    void listAgain();
+
     /** Sets the time between a proof that no change is missing and the next probe. */
     void setProbePeriod(std::chrono::milliseconds period) { monitor_.setPeriod(period); }
 
--- a/packages/daemon/service/RecordSource.cpp
+++ b/packages/daemon/service/RecordSource.cpp
@@ -73,6 +73,9 @@
                                 {"eraBefore", std::to_string(*era_)},
                                 {"held", held.toString()}});
         departures_.keepAgain();
+        // The records that this node writes depend on their revisions in the store.
+        if (listedEra_ != held.era() && isFollowRequired_)
+            follower_->listAgain();
     }
     era_ = held.era();
 }
@@ -162,6 +165,7 @@
     core::events::logEvent(EventCode::StoreListed, "store listed",
                            {{"revision", std::to_string(revision.number())},
                             {"entries", std::to_string(records.size())}});
+    listedEra_ = revision.era();
     plane_->storedDeparturesReceived(control::records::departuresAt(dependencies_.node, records));
     plane_->storeFollowingChanged(true);
     reportContact();
--- a/packages/daemon/service/RecordSource.h
+++ b/packages/daemon/service/RecordSource.h
@@ -90,6 +90,8 @@
     std::optional<core::timing::MonotonicTime> proofMissingSince_;
     // The era of the records that this node holds; nothing before it held any.
     std::optional<std::uint64_t> era_;
+    // The era of the last listing of the store.
+    std::uint64_t listedEra_ = 0;
     // Whether this node had to follow the store at the last update; initially all nodes do.
     bool isFollowRequired_ = true;
     std::mt19937_64 random_;
