--- a/tests/platform/store_entrance.py
+++ b/tests/platform/store_entrance.py
@@ -37,9 +37,7 @@
     async def _reject(self, fault, connections):
         if self.fault == "closed":
             await self.open()
-        self._faults += fault is not None
-        self.fault = fault
-        self._hanging = set()
+        self._set_fault(fault)
         if fault is None:
             return
         if fault == "closed":
@@ -52,6 +50,11 @@
             elif connections == "ended" and writer.can_write_eof():
                 writer.write_eof()
 
+    def _set_fault(self, fault):
+        self._faults += fault is not None
+        self.fault = fault
+        self._hanging = set()
+
     def close_port(self, connections):
         self.event_loop.run(self._close_port(connections))
 
@@ -62,10 +65,10 @@
         else:
             self._server.close()
         if connections != "kept":
-            self._reject("silent")
+            self._set_fault("silent")
 
     def open_port(self):
-        self._reject(None)
+        self.event_loop.call(self._set_fault, None)
         for _ in range(40):
             try:
                 self.start()
