--- a/tests/deployment/change_trials.py
+++ b/tests/deployment/change_trials.py
@@ -20,7 +20,7 @@
 PROBE_END = 3.0
 # How often the nodes that follow the store are looked at before a trial.
 SETTLE_ROUNDS = 8
-APPLIED = re.compile(r"^(\S+) E200 .*?revision=(\d+)")
+APPLIED = re.compile(r"^(\S+) (?:\w+ )?E200 .*?revision=(\d+)")
 
 
 class ChangeTrials:
